--- a/src/bin/control.ts
+++ b/src/bin/control.ts
@@ -13,6 +13,7 @@
 import '../plugins/shifts/shifts.plugin.js';
 import '../plugins/operators/operators.plugin.js';
 import { ProcessKind } from '../kernel/common/pluginRegistry.js';
+import { provideGrpc } from '../kernel/node/grpcTransport.js';
 import { runProcess } from '../kernel/node/processHost.js';
 
-await runProcess(ProcessKind.Control);
+await runProcess(ProcessKind.Control, provideGrpc);
--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -13,6 +13,7 @@
 import '../plugins/burn/burn.plugin.js';
 import '../plugins/callers/callers.plugin.js';
 import { ProcessKind } from '../kernel/common/pluginRegistry.js';
+import { provideGrpc } from '../kernel/node/grpcTransport.js';
 import { runProcess } from '../kernel/node/processHost.js';
 
-await runProcess(ProcessKind.Entry);
+await runProcess(ProcessKind.Entry, provideGrpc);
--- a/src/kernel/common/settingsRegistry.ts
+++ b/src/kernel/common/settingsRegistry.ts
@@ -65,6 +65,15 @@
 	return octetsFit && Number(match[2]) <= MAX_PORT;
 }, 'an IPv4 address and port, such as 127.0.0.1:8080');
 
+/** Addresses parted by commas; may be empty. */
+export const addressListSchema = z
+	.string()
+	.transform(text => text.split(',').filter(part => part !== ''))
+	.pipe(z.array(addressSchema));
+
+/** `true` or `false`. */
+export const booleanSchema = z.enum(['true', 'false'], 'true or false').transform(text => text === 'true');
+
 /** A whole number from `min` to `max`, both allowed. */
 export function integerSchema(min: number, max: number): z.ZodType<number> {
 	return z
--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -90,7 +90,7 @@
 	}
 
 	/** Handles requests of one method and pattern. */
-	on(method: 'GET' | 'POST', pattern: string, handler: HttpHandler): void {
+	on(method: 'GET' | 'POST' | 'PUT' | 'DELETE', pattern: string, handler: HttpHandler): void {
 		this._app.add(method, pattern, this._guard(handler));
 	}
 
--- a/src/kernel/node/instanceSettings.ts
+++ b/src/kernel/node/instanceSettings.ts
@@ -6,7 +6,14 @@
 
 import { z } from 'zod';
 import { ProcessKind } from '../common/pluginRegistry.js';
-import { addressSchema, nameSchema, pathSchema, settingsRegistry } from '../common/settingsRegistry.js';
+import {
+	addressListSchema,
+	addressSchema,
+	booleanSchema,
+	nameSchema,
+	pathSchema,
+	settingsRegistry
+} from '../common/settingsRegistry.js';
 import { type ISettingsService, registerCrossCheck, type SettingsFault } from './settingsService.js';
 
 const BOTH = [ProcessKind.Control, ProcessKind.Entry];
@@ -26,6 +33,20 @@
 	readonly hall: string;
 }
 
+/** Section `[discovery]`. */
+export interface DiscoverySettings {
+	/** Addresses of some control instances; empty when they are listed in sections of their own. */
+	readonly seeds: readonly string[];
+	/** Whether the whole system starts for the first time, on empty disks. */
+	readonly firstStart: boolean;
+}
+
+/** The peer addresses of the seeds: where members are learned, all instances use one peer port. */
+export function seedPeerAddresses(discovery: DiscoverySettings, ownPeerAddress: string): string[] {
+	const port = ownPeerAddress.split(':')[1];
+	return discovery.seeds.map(seed => `${seed.split(':')[0]}:${port}`);
+}
+
 /** Section `[tls]`; empty paths mean that the part is off. */
 export interface TlsSettings {
 	readonly certificateFile: string;
@@ -65,6 +86,25 @@
 	}
 });
 
+settingsRegistry.register({
+	name: 'discovery',
+	named: false,
+	kinds: BOTH,
+	description: 'How control instances are found where they are not listed in sections [control.NAME].',
+	keys: {
+		seeds: {
+			schema: addressListSchema,
+			description: 'Addresses of some control instances, parted by commas; their peer port is that of this instance.',
+			default: ''
+		},
+		firstStart: {
+			schema: booleanSchema,
+			description: 'Whether the whole system starts for the first time, on empty disks: true or false.',
+			default: 'false'
+		}
+	}
+});
+
 settingsRegistry.register({
 	name: 'tls',
 	named: false,
@@ -95,10 +135,13 @@
 }
 
 function findMissingControl(settings: ISettingsService): SettingsFault[] {
-	if (settings.namedSections('control').size > 0) {
+	const isDiscovered = settings.section<DiscoverySettings>('discovery').seeds.length > 0;
+	if (isDiscovered || settings.namedSections('control').size > 0) {
 		return [];
 	}
-	return [{ section: 'control.NAME', message: 'is missing; at least one control instance is needed' }];
+	return [
+		{ section: 'control.NAME', message: 'is missing; at least one control instance, or [discovery] seeds, is needed' }
+	];
 }
 
 function findHalfTls(settings: ISettingsService): SettingsFault[] {
@@ -115,6 +158,9 @@
 registerCrossCheck(BOTH, findHalfTls);
 registerCrossCheck([ProcessKind.Control], settings => {
 	const instance = settings.section<InstanceSettings>('instance');
+	if (settings.section<DiscoverySettings>('discovery').seeds.length > 0) {
+		return [];
+	}
 	const own = settings.namedSections<ControlPeerSettings>('control').get(instance.name);
 	if (!own) {
 		return [{ section: 'instance', key: 'name', message: `no section [control.${instance.name}] lists this instance` }];
--- a/src/kernel/node/peerWire.ts
+++ b/src/kernel/node/peerWire.ts
@@ -9,6 +9,7 @@
 import { decode, encode } from '@msgpack/msgpack';
 import { Disposable, toDisposable } from '../../base/disposable.js';
 import type { StreamMethod, UnaryMethod } from '../common/peerMethods.js';
+import type { IPeerCalls } from '../common/peerCalls.js';
 import { createServiceIdentifier } from '../common/serviceIdentifier.js';
 import type { InstanceSettings, TlsSettings } from './instanceSettings.js';
 import { ISettingsService } from './settingsService.js';
@@ -24,16 +25,10 @@
 /** The client's side of a stream. */
 export type ClientStream<Request, Response> = grpc.ClientDuplexStream<Request, Response>;
 
-/** Accepts and makes calls between the processes of the system. */
-export interface IPeerWire {
-	/** Registers the handler of a unary method; only before {@link listen}. */
-	handleUnary<Q, S>(method: UnaryMethod<Q, S>, handler: (request: Q) => Promise<S>): void;
+/** Calls and streams between the processes of the system. */
+export interface IPeerWire extends IPeerCalls {
 	/** Registers the handler of a stream; only before {@link listen}. */
 	handleStream<Q, S>(method: StreamMethod<Q, S>, handler: (stream: ServerStream<Q, S>) => void): void;
-	/** Opens the peer listener; returns its address with the port in use. */
-	listen(): Promise<string>;
-	/** Calls a peer; rejects after `timeoutMs` or on a lost connection. */
-	call<Q, S>(address: string, method: UnaryMethod<Q, S>, request: Q, timeoutMs: number): Promise<S>;
 	/** Opens a stream to a peer. */
 	openStream<Q, S>(address: string, method: StreamMethod<Q, S>): ClientStream<Q, S>;
 }
--- a/src/kernel/node/settingsService.ts
+++ b/src/kernel/node/settingsService.ts
@@ -16,6 +16,8 @@
 	section<T>(name: string): T;
 	/** The values of each section of a named family, by name. */
 	namedSections<T>(name: string): ReadonlyMap<string, T>;
+	/** Takes over the reloadable sections of another reading of the file; returns the names of those that differ. */
+	reload(other: ISettingsService): string[];
 }
 
 /** Identifier of the settings service. */
@@ -51,6 +53,9 @@
 	crossChecks.push({ kinds, check });
 }
 
+/** Sections whose readers ask for them anew each time, so that a change takes effect in a running process. */
+const RELOADABLE_SECTIONS = ['discovery'];
+
 type RawSection = Record<string, unknown>;
 
 class CheckedSettings implements ISettingsService {
@@ -64,6 +69,14 @@
 	namedSections<T>(name: string): ReadonlyMap<string, T> {
 		return (this.named.get(name) ?? new Map()) as ReadonlyMap<string, T>;
 	}
+
+	reload(other: ISettingsService): string[] {
+		const changed = RELOADABLE_SECTIONS.filter(
+			name => JSON.stringify(other.section(name)) !== JSON.stringify(this.section(name))
+		);
+		changed.forEach(name => this.single.set(name, other.section(name)));
+		return changed;
+	}
 }
 
 function checkSection(title: string, section: SettingsSection, raw: RawSection, faults: SettingsFault[]): unknown {
--- a/src/plugins/agreement/common/agreement.ts
+++ b/src/plugins/agreement/common/agreement.ts
@@ -54,6 +54,11 @@
 	propose<T>(command: PartCommand): Promise<T>;
 	/** Whether this replica leads and may answer reads at this moment. */
 	hasLease(): boolean;
+	/**
+	 * How long ago this replica was last known to be current: a leader by its quorum, any other by its leader.
+	 * @returns milliseconds; infinite where there is no leader
+	 */
+	contactAgeMs(): number;
 	/** Removes a member; resolves with whether this replica could. */
 	removeMember(id: MemberId): Promise<boolean>;
 	/** State of this replica. */
--- a/src/plugins/agreement/common/agreementCore.ts
+++ b/src/plugins/agreement/common/agreementCore.ts
@@ -30,12 +30,23 @@
 	type VoteReply,
 	type VoteRequest
 } from './agreementTypes.js';
-import { admitLearner, promote, quorumSize, quorumValue, remove, votersOf } from './memberList.js';
+import {
+	admitLearner,
+	findReplaced,
+	promote,
+	quorumSize,
+	quorumValue,
+	remove,
+	targetVoterCount,
+	votersOf
+} from './memberList.js';
 import { MemoryLog, type StoredLog } from './memoryLog.js';
 
 const MAX_ENTRIES_PER_MESSAGE = 512;
 /** A snapshot is sent again only after this long without an answer. */
 const SNAPSHOT_RETRY_MS = 3000;
+/** A member that did not answer for this long may be removed for its successor. */
+const SILENT_MEMBER_MS = 2500;
 
 /** What the leader knows of one member. */
 interface Progress {
@@ -54,6 +65,7 @@
 	readonly id: MemberId;
 	readonly incarnation: string;
 	readonly address: string;
+	readonly hall?: string;
 }
 
 /** What a replica starts from. */
@@ -65,6 +77,11 @@
 	/** Random numbers in [0, 1), for election timeouts. */
 	readonly random: () => number;
 	readonly now: Millis;
+	/**
+	 * Whether the members were learned rather than listed: then the leader itself removes one whose successor has joined,
+	 * and keeps the number of voters odd.
+	 */
+	readonly isDiscovered?: boolean;
 }
 
 /** One replica of the log. */
@@ -72,6 +89,7 @@
 	private readonly _self: ReplicaIdentity;
 	private readonly _timing: AgreementTiming;
 	private readonly _random: () => number;
+	private readonly _isDiscovered: boolean;
 	private readonly _log: MemoryLog;
 	private _term: number;
 	private _votedFor?: MemberId;
@@ -95,6 +113,7 @@
 		this._self = start.identity;
 		this._timing = start.timing;
 		this._random = start.random;
+		this._isDiscovered = start.isDiscovered ?? false;
 		this._log = new MemoryLog(start.log);
 		this._term = start.hardState.term;
 		this._votedFor = start.hardState.votedFor;
@@ -161,6 +180,14 @@
 		return now - this._quorumContact(now) < this._timing.leaseMs;
 	}
 
+	/** Time since this replica was last known to be current: by its quorum as a leader, by its leader otherwise. */
+	contactAge(now: Millis): Millis {
+		if (this._role === ReplicaRole.Leader) {
+			return now - this._quorumContact(now);
+		}
+		return this._leader === undefined ? Number.POSITIVE_INFINITY : now - this._heardLeaderAt;
+	}
+
 	/** Starts a system of one voter, this replica; the others join as learners. Only on a blank log. */
 	bootstrap(now: Millis): Effects {
 		if (!this._log.isBlank) {
@@ -231,7 +258,7 @@
 	/** A control instance asks to take part; a leader admits it as a learner when no other change is under way. */
 	join(newcomer: ReplicaIdentity, now: Millis): Effects {
 		if (this._canChangeMembers()) {
-			const changed = admitLearner(this._members, newcomer.id, newcomer.incarnation, newcomer.address);
+			const changed = admitLearner(this._members, { ...newcomer, admittedAt: this._log.lastIndex + 1 });
 			if (changed) {
 				this._progress.delete(newcomer.id);
 				this._changeMembers(changed, now);
@@ -461,6 +488,7 @@
 			this._broadcastAppend(now);
 		}
 		this._promoteWholeLearner(now);
+		this._removeReplaced(now);
 	}
 
 	private _broadcastAppend(now: Millis): void {
@@ -658,15 +686,42 @@
 
 	/** A learner votes only once it holds, synced, everything that is committed. */
 	private _promoteWholeLearner(now: Millis): void {
-		if (!this._canChangeMembers()) {
+		const wanted = this._isDiscovered ? targetVoterCount(this._members) : this._members.length;
+		if (!this._canChangeMembers() || votersOf(this._members).length >= wanted) {
 			return;
 		}
-		const whole = this._members.find(member => {
-			const progress = this._progress.get(member.id);
-			return member.role === MemberRole.Learner && progress !== undefined && progress.match >= this._commit;
-		});
+		const whole = this._members.find(member => member.role === MemberRole.Learner && this._isWhole(member, now));
 		if (whole) {
 			this._changeMembers(promote(this._members, whole.id), now);
 		}
 	}
+
+	private _isWhole(member: Member, now: Millis): boolean {
+		const progress = this._progress.get(member.id);
+		return progress !== undefined && progress.match >= this._commit && !this._isSilent(member, now);
+	}
+
+	private _isSilent(member: Member, now: Millis): boolean {
+		if (this._isSelf(member)) {
+			return false;
+		}
+		const heardAt = this._progress.get(member.id)?.acknowledgedAt ?? Number.NEGATIVE_INFINITY;
+		return now - Math.max(heardAt, this._leaderSince) > SILENT_MEMBER_MS;
+	}
+
+	/** Removes a member that fell silent and whose successor, of the same data hall, holds everything committed. */
+	private _removeReplaced(now: Millis): void {
+		if (!this._isDiscovered || !this._canChangeMembers()) {
+			return;
+		}
+		const replaced = findReplaced(
+			this._members,
+			member => this._isSilent(member, now),
+			member => this._isSelf(member) || this._isWhole(member, now)
+		);
+		if (replaced) {
+			this._changeMembers(remove(this._members, replaced.id), now);
+			this._progress.delete(replaced.id);
+		}
+	}
 }
--- a/src/plugins/agreement/common/agreementTypes.ts
+++ b/src/plugins/agreement/common/agreementTypes.ts
@@ -25,6 +25,10 @@
 	readonly incarnation: string;
 	readonly address: string;
 	readonly role: MemberRole;
+	/** Data hall of the instance, where it is known. */
+	readonly hall?: string;
+	/** Index at which it was admitted; a later one in the same hall is a successor. */
+	readonly admittedAt?: LogIndex;
 }
 
 /** What an entry carries. */
--- a/src/plugins/agreement/common/memberList.ts
+++ b/src/plugins/agreement/common/memberList.ts
@@ -37,17 +37,17 @@
  * @returns undefined when nothing changes, or when the change would leave fewer voters than a majority of all members:
  * then a second loss right after the first could forget what was committed
  */
-export function admitLearner(
-	members: readonly Member[],
-	id: MemberId,
-	incarnation: string,
-	address: string
-): Member[] | undefined {
+export function admitLearner(members: readonly Member[], newcomer: Omit<Member, 'role'>): Member[] | undefined {
+	const { id, incarnation, address } = newcomer;
 	const known = members.find(member => member.id === id);
-	if (known && known.incarnation === incarnation && known.address === address) {
+	const isSameDisk = known?.incarnation === incarnation && known.address === address;
+	if (isSameDisk && (newcomer.hall === undefined || newcomer.hall === known.hall)) {
 		return undefined;
 	}
-	const changed = withMember(members, { id, incarnation, address, role: MemberRole.Learner });
+	if (isSameDisk) {
+		return withMember(members, { ...known, hall: newcomer.hall });
+	}
+	const changed = withMember(members, { ...newcomer, role: MemberRole.Learner });
 	const wasVoter = known?.role === MemberRole.Voter;
 	const majority = Math.floor(changed.length / 2) + 1;
 	if (wasVoter && known.incarnation === incarnation) {
@@ -65,6 +65,38 @@
 	return learner ? withMember(members, { ...learner, role: MemberRole.Voter }) : [...members];
 }
 
+/**
+ * How many members should vote: all of an odd number, all but one of an even one. An even number of votes costs one more
+ * of them and bears no further loss, and cut into halves it has no majority on either side.
+ */
+export function targetVoterCount(members: readonly Member[]): number {
+	return members.length % 2 === 1 ? members.length : members.length - 1;
+}
+
+/**
+ * A member that has a successor: a later one of its data hall that is whole, while it is silent itself.
+ * @param isSilent whether the leader has not heard from a member for long
+ * @param isWhole whether a member holds everything committed
+ * @returns the member to remove, only if the remaining voters that are heard still make a quorum
+ */
+export function findReplaced(
+	members: readonly Member[],
+	isSilent: (member: Member) => boolean,
+	isWhole: (member: Member) => boolean
+): Member | undefined {
+	const replaced = members.find(member => {
+		const isSuccessor = (other: Member): boolean =>
+			other.hall === member.hall && (other.admittedAt ?? 0) > (member.admittedAt ?? 0) && isWhole(other);
+		return member.hall !== undefined && isSilent(member) && members.some(isSuccessor);
+	});
+	if (!replaced) {
+		return undefined;
+	}
+	const rest = remove(members, replaced.id);
+	const heard = votersOf(rest).filter(member => !isSilent(member)).length;
+	return heard >= quorumSize(rest) ? replaced : undefined;
+}
+
 /** The list without a member. */
 export function remove(members: readonly Member[], id: MemberId): Member[] {
 	return members.filter(member => member.id !== id);
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -8,15 +8,17 @@
 import { Emitter } from '../../../base/event.js';
 import { Mailbox } from '../../../base/mailbox.js';
 import { systemClock } from '../../../base/clock.js';
+import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import { integerSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
 import {
 	type ControlPeerSettings,
 	dataFolderSchema,
-	type InstanceSettings
+	type DiscoverySettings,
+	type InstanceSettings,
+	seedPeerAddresses
 } from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
-import { IPeerWire } from '../../../kernel/node/peerWire.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IAgreement, NotLeaderError, OutcomeUnknownError, type ReplicaStatus } from '../common/agreement.js';
 import { AgreementCore, type ReplicaIdentity } from '../common/agreementCore.js';
@@ -29,14 +31,17 @@
 	type MemberId,
 	ReplicaRole
 } from '../common/agreementTypes.js';
+import { createGenesis, FIRST_INCARNATION } from '../common/genesis.js';
 import { type IReplicatedPart, type PartCommand, ReplicatedState } from '../common/replicatedState.js';
 import { deliverMethod, helloMethod, type HelloResponse } from './agreementWire.js';
-import { LogStore } from './logStore.js';
+import { LogStore, StoreCondition } from './logStore.js';
 import { PeerSender } from './peerSender.js';
 
 const TICK_MS = 20;
 const HELLO_INTERVAL_MS = 200;
 const HELLO_TIMEOUT_MS = 1000;
+/** A replica that knows no leader for this long asks the seeds too. */
+const LEADERLESS_MS = 1500;
 
 /** Section `[agreement]`. */
 interface AgreementSettings {
@@ -107,6 +112,8 @@
 	private readonly _settings: AgreementSettings;
 	private readonly _instance: InstanceSettings;
 	private readonly _controls: ReadonlyMap<string, ControlPeerSettings>;
+	/** Addresses heard of while looking for the leader. */
+	private readonly _heardOf = new Set<string>();
 	private readonly _senders = new Map<MemberId, PeerSender>();
 	private readonly _placed = new Map<LogIndex, PlacedProposal>();
 	private readonly _mailbox = this._register(
@@ -121,14 +128,14 @@
 	private _wasLeader = false;
 
 	constructor(
-		@ISettingsService settings: ISettingsService,
-		@IPeerWire private readonly _wire: IPeerWire,
+		@ISettingsService private readonly _allSettings: ISettingsService,
+		@IPeerCalls private readonly _wire: IPeerCalls,
 		@ILogService private readonly _log: ILogService
 	) {
 		super();
-		this._settings = settings.section<AgreementSettings>('agreement');
-		this._instance = settings.section<InstanceSettings>('instance');
-		this._controls = settings.namedSections<ControlPeerSettings>('control');
+		this._settings = _allSettings.section<AgreementSettings>('agreement');
+		this._instance = _allSettings.section<InstanceSettings>('instance');
+		this._controls = _allSettings.namedSections<ControlPeerSettings>('control');
 		this._wire.handleUnary(deliverMethod, async request => {
 			for (const message of request.messages) {
 				this._mailbox.post({ type: 'received', message });
@@ -136,13 +143,23 @@
 			return { received: true as const };
 		});
 		this._wire.handleUnary(helloMethod, async request => {
-			if (request.isBlank) {
+			if (request.asksToJoin) {
 				this._mailbox.post({ type: 'join', identity: request.identity });
 			}
-			return { identity: this._identity, isBlank: this._core.isBlank };
+			const memberAddresses = this._core.members.map(member => member.address);
+			return { identity: this._identity, isBlank: this._core.isBlank, memberAddresses };
 		});
 	}
 
+	private get _discovery(): DiscoverySettings {
+		return this._allSettings.section<DiscoverySettings>('discovery');
+	}
+
+	/** Peer addresses of the seeds, as the settings have them now; empty when the members are listed there. */
+	private get _seeds(): readonly string[] {
+		return seedPeerAddresses(this._discovery, this._instance.peerAddress);
+	}
+
 	addPart(part: IReplicatedPart): void {
 		this._state.addPart(part);
 	}
@@ -152,7 +169,9 @@
 		await this._wire.listen();
 		const timer = setInterval(() => this._mailbox.post({ type: 'tick' }), TICK_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
-		if (this._core.isBlank) {
+		if (this._seeds.length > 0) {
+			void this._keepInTouch();
+		} else if (this._core.isBlank) {
 			void this._introduce();
 		}
 	}
@@ -168,6 +187,10 @@
 		return this._core.hasLease(systemClock.now());
 	}
 
+	contactAgeMs(): number {
+		return this._core.contactAge(systemClock.now());
+	}
+
 	removeMember(id: MemberId): Promise<boolean> {
 		return new Promise(resolve => this._mailbox.post({ type: 'remove', id, resolve }));
 	}
@@ -188,9 +211,14 @@
 
 	private async _open(): Promise<void> {
 		this._store = new LogStore(this._settings.dataFolder);
-		const opened = await this._store.open();
-		const address = this._controls.get(this._instance.name)!.address;
-		this._identity = { id: this._instance.name, incarnation: opened.incarnation, address };
+		const isSeedAtFirstStart = this._discovery.firstStart && this._seeds.includes(this._instance.peerAddress);
+		let opened = await this._store.open(isSeedAtFirstStart ? FIRST_INCARNATION : undefined);
+		if (isSeedAtFirstStart && opened.condition === StoreCondition.Blank) {
+			const genesis = createGenesis(this._seeds);
+			await this._store.append([genesis]);
+			opened = { ...opened, hardState: genesis.hardState, log: { entries: genesis.entries } };
+		}
+		this._identity = this._createIdentity(opened.incarnation);
 		this._log.info('log opened', { task: 'agreement', condition: opened.condition, term: opened.hardState.term });
 		this._core = new AgreementCore({
 			identity: this._identity,
@@ -198,13 +226,60 @@
 			hardState: opened.hardState,
 			log: opened.log,
 			random: Math.random,
-			now: systemClock.now()
+			now: systemClock.now(),
+			isDiscovered: this._seeds.length > 0
 		});
 		if (opened.log.snapshot) {
 			this._state.restore(opened.log.snapshot.data);
 		}
 	}
 
+	private _createIdentity(incarnation: string): ReplicaIdentity {
+		const { name, hall, peerAddress } = this._instance;
+		if (this._seeds.length > 0) {
+			return { id: peerAddress, incarnation, address: peerAddress, hall };
+		}
+		return { id: name, incarnation, address: this._controls.get(name)!.address, hall };
+	}
+
+	/**
+	 * Where members are learned: a replica that is not one, or that hears no leader, says hello to the seeds and to all it
+	 * heard of, until a leader has admitted it or answers again.
+	 */
+	private async _keepInTouch(): Promise<void> {
+		let leaderAt = systemClock.now();
+		for (;;) {
+			const isMember = this._isListed();
+			if (this._core.leader !== undefined) {
+				leaderAt = systemClock.now();
+			}
+			if (!isMember || systemClock.now() - leaderAt > LEADERLESS_MS) {
+				await this._sayHello(!isMember || this._core.leader === undefined);
+			}
+			await new Promise(resolve => setTimeout(resolve, HELLO_INTERVAL_MS));
+		}
+	}
+
+	private _isListed(): boolean {
+		const { id, incarnation, hall } = this._identity;
+		return this._core.members.some(
+			member => member.id === id && member.incarnation === incarnation && member.hall === hall
+		);
+	}
+
+	private async _sayHello(asksToJoin: boolean): Promise<void> {
+		this._core.members.forEach(member => this._heardOf.add(member.address));
+		const addresses = new Set([...this._seeds, ...this._heardOf]);
+		addresses.delete(this._identity.address);
+		const request = { identity: this._identity, isBlank: this._core.isBlank, asksToJoin };
+		const calls = [...addresses].map(address => this._wire.call(address, helloMethod, request, HELLO_TIMEOUT_MS));
+		for (const answer of await Promise.allSettled(calls)) {
+			if (answer.status === 'fulfilled') {
+				answer.value.memberAddresses.forEach(address => this._heardOf.add(address));
+			}
+		}
+	}
+
 	/**
 	 * A blank replica asks all others who they are. Only when every listed instance answers that it is blank too is this
 	 * a first start; then the one with the lowest name founds the system. Otherwise the leader admits this replica.
@@ -213,7 +288,7 @@
 		const others = [...this._controls].filter(([name]) => name !== this._identity.id);
 		const isFirst = others.every(([name]) => this._identity.id < name);
 		while (!this._core.isVoter) {
-			const request = { identity: this._identity, isBlank: true };
+			const request = { identity: this._identity, isBlank: true, asksToJoin: true };
 			const calls = others.map(([, peer]) => this._wire.call(peer.address, helloMethod, request, HELLO_TIMEOUT_MS));
 			const answers = await Promise.allSettled(calls);
 			const isFirstStart = answers.every(answer => answer.status === 'fulfilled' && isBlankAnswer(answer.value));
--- a/src/plugins/agreement/node/agreementWire.ts
+++ b/src/plugins/agreement/node/agreementWire.ts
@@ -22,12 +22,16 @@
 export interface HelloRequest {
 	readonly identity: ReplicaIdentity;
 	readonly isBlank: boolean;
+	/** Whether the caller is no member yet, or no longer, and asks the leader to admit it. */
+	readonly asksToJoin: boolean;
 }
 
 /** Who answered, and whether it holds anything. */
 export interface HelloResponse {
 	readonly identity: ReplicaIdentity;
 	readonly isBlank: boolean;
+	/** Addresses of the members that the answerer knows; none of them may be right any more. */
+	readonly memberAddresses: readonly string[];
 }
 
 /** Hands messages to a replica. */
--- a/src/plugins/agreement/node/leaderGate.ts
+++ b/src/plugins/agreement/node/leaderGate.ts
@@ -6,7 +6,7 @@
 
 import type { UnaryMethod } from '../../../kernel/common/peerMethods.js';
 import type { ControlPeerSettings } from '../../../kernel/node/instanceSettings.js';
-import { IPeerWire } from '../../../kernel/node/peerWire.js';
+import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IAgreement } from '../common/agreement.js';
 import type { ILeaderGate, LeaderRequest } from '../common/leaderGate.js';
@@ -19,7 +19,7 @@
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
-		@IPeerWire private readonly _wire: IPeerWire,
+		@IPeerCalls private readonly _wire: IPeerCalls,
 		@IAgreement private readonly _agreement: IAgreement
 	) {
 		this._controls = settings.namedSections<ControlPeerSettings>('control');
--- a/src/plugins/agreement/node/logStore.ts
+++ b/src/plugins/agreement/node/logStore.ts
@@ -164,8 +164,11 @@
 		return this._size;
 	}
 
-	/** Reads the files; cuts a torn tail and sets damaged files aside. */
-	async open(): Promise<OpenedStore> {
+	/**
+	 * Reads the files; cuts a torn tail and sets damaged files aside.
+	 * @param freshIncarnation the incarnation of a folder that is blank
+	 */
+	async open(freshIncarnation: string = randomUUID()): Promise<OpenedStore> {
 		await mkdir(this._folder, { recursive: true, mode: 0o700 });
 		const bytes = await readIfPresent(join(this._folder, LOG_FILE));
 		const identity = await readIfPresent(join(this._folder, IDENTITY_FILE));
@@ -175,7 +178,9 @@
 			await rename(join(this._folder, LOG_FILE), join(this._folder, `log.damaged-${randomUUID()}`));
 		}
 		const isFresh = isDamaged || bytes === undefined;
-		const incarnation = isFresh ? await this._newIncarnation() : this._readIncarnation(identity!);
+		const incarnation = isFresh
+			? await this._newIncarnation(isDamaged ? randomUUID() : freshIncarnation)
+			: this._readIncarnation(identity!);
 		await this._openLog(isFresh ? 0 : read.goodBytes);
 		const condition = this._condition(bytes, read, isDamaged);
 		const state = replay(isFresh ? [] : read.records);
@@ -218,8 +223,7 @@
 		return (JSON.parse(identity.toString('utf8')) as { incarnation: string }).incarnation;
 	}
 
-	private async _newIncarnation(): Promise<string> {
-		const incarnation = randomUUID();
+	private async _newIncarnation(incarnation: string): Promise<string> {
 		await replaceFile(this._folder, IDENTITY_FILE, Buffer.from(JSON.stringify({ incarnation })));
 		return incarnation;
 	}
--- a/src/plugins/agreement/node/peerSender.ts
+++ b/src/plugins/agreement/node/peerSender.ts
@@ -4,7 +4,7 @@
 
 /** Sends protocol messages to one replica; a replica that does not answer costs a bounded amount of memory. */
 
-import type { IPeerWire } from '../../../kernel/node/peerWire.js';
+import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { AgreementMessage } from '../common/agreementTypes.js';
 import { deliverMethod } from './agreementWire.js';
 
@@ -19,7 +19,7 @@
 
 	/** @param address peer address of the replica */
 	constructor(
-		private readonly _wire: IPeerWire,
+		private readonly _wire: IPeerCalls,
 		readonly address: string
 	) {}
 
--- a/src/plugins/agreement/test/memberList.test.ts
+++ b/src/plugins/agreement/test/memberList.test.ts
@@ -13,21 +13,25 @@
 	return { id, incarnation: `${id}-1`, address: id, role: MemberRole.Voter };
 }
 
+function newcomer(id: string, incarnation: string): Omit<Member, 'role'> {
+	return { id, incarnation, address: id };
+}
+
 const three = [voter('a'), voter('b'), voter('c')];
 
 test('a member that lost its disk becomes a learner, and a second one only after the first votes again', () => {
-	const first = admitLearner(three, 'b', 'b-2', 'b')!;
+	const first = admitLearner(three, newcomer('b', 'b-2'))!;
 	assert.deepEqual(
 		first.map(member => member.role),
 		[MemberRole.Voter, MemberRole.Learner, MemberRole.Voter]
 	);
-	assert.equal(admitLearner(first, 'c', 'c-2', 'c'), undefined);
-	assert.notEqual(admitLearner(promote(first, 'b'), 'c', 'c-2', 'c'), undefined);
+	assert.equal(admitLearner(first, newcomer('c', 'c-2')), undefined);
+	assert.notEqual(admitLearner(promote(first, 'b'), newcomer('c', 'c-2')), undefined);
 });
 
 test('a member that is known changes nothing, and a learner does not count in the quorum', () => {
-	assert.equal(admitLearner(three, 'a', 'a-1', 'a'), undefined);
-	const joined = admitLearner(three, 'd', 'd-1', 'd')!;
+	assert.equal(admitLearner(three, newcomer('a', 'a-1')), undefined);
+	const joined = admitLearner(three, newcomer('d', 'd-1'))!;
 	const reached = new Map([
 		['a', 9],
 		['b', 5],
--- /dev/null
+++ b/src/plugins/fleet/common/fleetSession.ts
@@ -0,0 +1,22 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** What an entry instance offers to its other parts: the fleet as it is known here. */
+
+import type { Millis } from '../../../base/clock.js';
+import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
+import type { FleetView } from './fleetView.js';
+
+/** The session of an entry instance with control. */
+export interface IFleetSession {
+	/** The fleet as it is known here. */
+	readonly view: FleetView;
+	/** How long ago the view was known to be current. */
+	ageMs(): Millis;
+	/** Says to control whether callers may come; sent at once. */
+	setReady(isReady: boolean): void;
+}
+
+/** Identifier of the session with control. */
+export const IFleetSession = createServiceIdentifier<IFleetSession>('fleetSession');
--- /dev/null
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -0,0 +1,149 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** What an entry instance knows of the fleet; pure, fed with the answers of control instances. */
+
+import type { Millis } from '../../../base/clock.js';
+import { RouteIndex } from '../../routes/common/routeIndex.js';
+import { type FleetChanges, type FleetRevision, TargetPhase, type TargetRecord } from './fleetTypes.js';
+import type { SyncResponse } from './fleetWire.js';
+
+/** A target as requests are placed by it. */
+export interface KnownTarget {
+	readonly record: TargetRecord;
+	readonly region: string;
+	/** Its heartbeats are overdue. */
+	isSilent: boolean;
+	/** Until then it bears little; on the monotonic clock. */
+	coldUntil: Millis;
+}
+
+/** The fleet as one entry instance sees it. */
+export class FleetView {
+	private _revision: FleetRevision = 0;
+	private _routes?: RouteIndex;
+	private _drainedHalls = new Set<string>();
+	private readonly _targets = new Map<string, KnownTarget>();
+	private readonly _byService = new Map<string, KnownTarget[]>();
+	private _entryCount = 1;
+	private _regionEntries: readonly string[] = [];
+
+	/** @param _regionOf the region of a hall; undefined for a hall that is not known */
+	constructor(private readonly _regionOf: (hall: string) => string | undefined) {}
+
+	/** The revision held; 0 before the first answer. */
+	get revision(): FleetRevision {
+		return this._revision;
+	}
+
+	/** The routes in force; undefined before the first table is known. */
+	get routes(): RouteIndex | undefined {
+		return this._routes;
+	}
+
+	/** Entry instances in the system, at least one. */
+	get entryCount(): number {
+		return this._entryCount;
+	}
+
+	/** Names of the entry instances of this region. */
+	get regionEntries(): readonly string[] {
+		return this._regionEntries;
+	}
+
+	/** Targets of a service that may get work. */
+	targetsOf(service: string): readonly KnownTarget[] {
+		return this._byService.get(service) ?? [];
+	}
+
+	/** Whether a hall's targets are to get nothing. */
+	isDrained(hall: string): boolean {
+		return this._drainedHalls.has(hall);
+	}
+
+	/** A target by its id. */
+	target(id: string): KnownTarget | undefined {
+		return this._targets.get(id);
+	}
+
+	/** Takes in an answer. An answer with an older revision changes nothing. */
+	apply(response: SyncResponse, now: Millis): void {
+		if (response.changes.revision < this._revision) {
+			return;
+		}
+		this._applyChanges(response.changes, now);
+		this._entryCount = Math.max(1, response.entryCount);
+		this._regionEntries = response.regionEntries;
+		const silent = new Set(response.silentTargets);
+		this._targets.forEach((target, id) => (target.isSilent = silent.has(id)));
+		for (const cold of response.coldTargets) {
+			const target = this._targets.get(cold.id);
+			if (target) {
+				target.coldUntil = Math.max(target.coldUntil, now + cold.leftMs);
+			}
+		}
+	}
+
+	private _applyChanges(changes: FleetChanges, now: Millis): void {
+		const isNews = changes.revision > this._revision;
+		this._revision = changes.revision;
+		if (changes.published && changes.published.table.version > (this._routes?.table.version ?? 0)) {
+			this._routes = new RouteIndex(changes.published.table);
+		}
+		if (changes.isWhole) {
+			this._targets.clear();
+		}
+		changes.targets.forEach(record => this._applyTarget(record));
+		for (const hall of changes.halls) {
+			this._applyHall(hall.hall, hall.isDrained, now);
+		}
+		if (isNews) {
+			this._groupByService();
+		}
+	}
+
+	private _applyTarget(record: TargetRecord): void {
+		if (record.phase === TargetPhase.Gone) {
+			this._targets.delete(record.id);
+			return;
+		}
+		const known = this._targets.get(record.id);
+		const region = this._regionOf(record.hall) ?? '';
+		this._targets.set(record.id, { record, region, isSilent: false, coldUntil: known?.coldUntil ?? 0 });
+	}
+
+	/** A hall that is taken back may have turned cold while it was drained. */
+	private _applyHall(hall: string, isDrained: boolean, now: Millis): void {
+		const wasDrained = this._drainedHalls.has(hall);
+		if (isDrained) {
+			this._drainedHalls.add(hall);
+			return;
+		}
+		this._drainedHalls.delete(hall);
+		if (!wasDrained) {
+			return;
+		}
+		for (const target of this._targets.values()) {
+			const coldMs = this._routes?.service(target.record.service)?.coldStartMs ?? 0;
+			if (target.record.hall === hall) {
+				target.coldUntil = Math.max(target.coldUntil, now + coldMs);
+			}
+		}
+	}
+
+	private _groupByService(): void {
+		this._byService.clear();
+		for (const target of this._targets.values()) {
+			if (target.record.phase !== TargetPhase.Serving) {
+				continue;
+			}
+			const group = this._byService.get(target.record.service);
+			if (group) {
+				group.push(target);
+			} else {
+				this._byService.set(target.record.service, [target]);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -0,0 +1,97 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** The methods between entry and control instances, and among control instances, that keep the fleet's state. */
+
+import type { Millis } from '../../../base/clock.js';
+import { defineUnary } from '../../../kernel/common/peerMethods.js';
+import type {
+	EntryDescription,
+	EntrySighting,
+	FleetChanges,
+	FleetCommand,
+	FleetResult,
+	FleetRevision,
+	PublishedTable
+} from './fleetTypes.js';
+
+/** An entry instance says that it is there and asks for what changed. */
+export interface SyncRequest {
+	readonly entry: EntryDescription;
+	/** The revision that it holds; 0 for none. */
+	readonly revision: FleetRevision;
+	/** How long to wait for a change before answering. */
+	readonly waitMs: Millis;
+}
+
+/** A target that is cold, and for how much longer. */
+export interface ColdTarget {
+	readonly id: string;
+	readonly leftMs: Millis;
+}
+
+/** What the control instance knows. */
+export interface SyncResponse {
+	readonly changes: FleetChanges;
+	/** Peer addresses of the control instances. */
+	readonly controls: readonly string[];
+	/** How long ago the answerer was known to be current. */
+	readonly contactAgeMs: Millis;
+	/** Number of entry instances in the system. */
+	readonly entryCount: number;
+	/** Names of the entry instances of the caller's region. */
+	readonly regionEntries: readonly string[];
+	/** Targets whose heartbeats are overdue. */
+	readonly silentTargets: readonly string[];
+	readonly coldTargets: readonly ColdTarget[];
+}
+
+/** A heartbeat as another control instance received it. */
+export interface HeartbeatSighting {
+	readonly id: string;
+	readonly sequence: number;
+	readonly ageMs: Millis;
+	readonly coldLeftMs: Millis;
+}
+
+/** What a control instance heard itself since the last exchange. */
+export interface ExchangeRequest {
+	readonly entries: readonly EntrySighting[];
+	readonly heartbeats: readonly HeartbeatSighting[];
+}
+
+/** Nothing: the other side sends its own. */
+export interface ExchangeResponse {
+	readonly received: true;
+}
+
+/** An order for the leader. */
+export interface OrderRequest {
+	readonly command: FleetCommand;
+}
+
+/** The result; absent where the answerer does not lead. */
+export interface OrderResponse {
+	readonly result?: FleetResult;
+}
+
+/** Asks the leader for the table in force. */
+export interface ReadTableRequest {
+	readonly kind: 'table';
+}
+
+/** The table; `isLeader` says whether the answer counts. */
+export interface ReadTableResponse {
+	readonly isLeader: boolean;
+	readonly published?: PublishedTable;
+}
+
+/** Keeps an entry instance up to date. */
+export const syncMethod = defineUnary<SyncRequest, SyncResponse>('fleet', 'Sync');
+/** Spreads sightings among control instances. */
+export const exchangeMethod = defineUnary<ExchangeRequest, ExchangeResponse>('fleet', 'Exchange');
+/** Hands an order to the leader. */
+export const orderMethod = defineUnary<OrderRequest, OrderResponse>('fleet', 'Order');
+/** Reads the table in force at the leader. */
+export const readTableMethod = defineUnary<ReadTableRequest, ReadTableResponse>('fleet', 'ReadTable');
--- /dev/null
+++ b/src/plugins/fleet/common/sightings.ts
@@ -0,0 +1,147 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * What a control instance saw of entry instances and targets, itself or through another one. Kept in memory only:
+ * heartbeats stay off the replicated log.
+ */
+
+import type { Millis } from '../../../base/clock.js';
+import type { EntryDescription, EntrySighting } from './fleetTypes.js';
+import type { ColdTarget, ExchangeRequest, HeartbeatSighting } from './fleetWire.js';
+
+/** Time spans by which something counts as gone. */
+export interface SightingTiming {
+	/** An entry instance that was not heard for this long is no longer named. */
+	readonly entrySilentMs: Millis;
+	/** A target whose heartbeat is older than this is called silent. */
+	readonly targetSilentMs: Millis;
+}
+
+interface SeenEntry {
+	description: EntryDescription;
+	seenAt: Millis;
+	/** Heard here since the last exchange. */
+	isFresh: boolean;
+}
+
+interface SeenTarget {
+	sequence: number;
+	seenAt: Millis;
+	coldUntil: Millis;
+	isFresh: boolean;
+}
+
+/** Sightings with their ages. */
+export class Sightings {
+	private readonly _entries = new Map<string, SeenEntry>();
+	private readonly _targets = new Map<string, SeenTarget>();
+
+	/** @param _startedAt what was never heard counts as heard then */
+	constructor(
+		private readonly _timing: SightingTiming,
+		private readonly _startedAt: Millis
+	) {}
+
+	/** An entry instance spoke to this control instance. */
+	seeEntry(description: EntryDescription, now: Millis): void {
+		this._entries.set(description.name, { description, seenAt: now, isFresh: true });
+	}
+
+	/**
+	 * A target's heartbeat arrived.
+	 * @returns false for one that is older than another already seen
+	 */
+	seeHeartbeat(id: string, sequence: number, coldLeftMs: Millis, now: Millis): boolean {
+		const known = this._targets.get(id);
+		if (known && sequence < known.sequence) {
+			return false;
+		}
+		this._targets.set(id, { sequence, seenAt: now, coldUntil: now + coldLeftMs, isFresh: true });
+		return true;
+	}
+
+	/** A target is gone for good. */
+	forgetTarget(id: string): void {
+		this._targets.delete(id);
+	}
+
+	/** Takes in what another control instance heard. */
+	merge(exchange: ExchangeRequest, now: Millis): void {
+		exchange.entries.forEach(sighting => this._mergeEntry(sighting, now));
+		exchange.heartbeats.forEach(sighting => this._mergeHeartbeat(sighting, now));
+	}
+
+	/** What was heard here since the last call. */
+	takeFresh(now: Millis): ExchangeRequest {
+		const entries: EntrySighting[] = [];
+		for (const seen of this._entries.values()) {
+			if (seen.isFresh) {
+				seen.isFresh = false;
+				entries.push({ ...seen.description, ageMs: now - seen.seenAt });
+			}
+		}
+		const heartbeats: HeartbeatSighting[] = [];
+		for (const [id, seen] of this._targets) {
+			if (seen.isFresh) {
+				seen.isFresh = false;
+				const coldLeftMs = Math.max(0, seen.coldUntil - now);
+				heartbeats.push({ id, sequence: seen.sequence, ageMs: now - seen.seenAt, coldLeftMs });
+			}
+		}
+		return { entries, heartbeats };
+	}
+
+	/** Entry instances that were heard lately. */
+	liveEntries(now: Millis): EntryDescription[] {
+		const live: EntryDescription[] = [];
+		for (const [name, seen] of this._entries) {
+			if (now - seen.seenAt <= this._timing.entrySilentMs) {
+				live.push(seen.description);
+			} else if (now - seen.seenAt > this._timing.entrySilentMs * 10) {
+				this._entries.delete(name);
+			}
+		}
+		return live;
+	}
+
+	/** Whether a target's heartbeats are overdue. */
+	isSilent(id: string, now: Millis): boolean {
+		const seenAt = this._targets.get(id)?.seenAt ?? this._startedAt;
+		return now - seenAt > this._timing.targetSilentMs;
+	}
+
+	/** Targets that are still cold. */
+	coldTargets(now: Millis): ColdTarget[] {
+		const cold: ColdTarget[] = [];
+		for (const [id, seen] of this._targets) {
+			if (seen.coldUntil > now) {
+				cold.push({ id, leftMs: seen.coldUntil - now });
+			}
+		}
+		return cold;
+	}
+
+	private _mergeEntry(sighting: EntrySighting, now: Millis): void {
+		const { ageMs, ...description } = sighting;
+		const seenAt = now - ageMs;
+		const known = this._entries.get(description.name);
+		if (!known || seenAt > known.seenAt) {
+			this._entries.set(description.name, { description, seenAt, isFresh: false });
+		}
+	}
+
+	private _mergeHeartbeat(sighting: HeartbeatSighting, now: Millis): void {
+		const known = this._targets.get(sighting.id);
+		if (known && known.sequence >= sighting.sequence) {
+			return;
+		}
+		this._targets.set(sighting.id, {
+			sequence: sighting.sequence,
+			seenAt: now - sighting.ageMs,
+			coldUntil: now - sighting.ageMs + sighting.coldLeftMs,
+			isFresh: false
+		});
+	}
+}
--- /dev/null
+++ b/src/plugins/fleet/fleet.control.plugin.ts
@@ -0,0 +1,27 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Registers the fleet's control side. */
+
+import {
+	ContributionPhase,
+	type IContribution,
+	pluginRegistry,
+	ProcessKind
+} from '../../kernel/common/pluginRegistry.js';
+import { IFleetControl } from './common/fleetControl.js';
+import { FleetControlTask } from './node/fleetControlTask.js';
+
+pluginRegistry.registerSingleton(IFleetControl, FleetControlTask);
+
+/** Starts the exchange among control instances. */
+class FleetControlContribution implements IContribution {
+	constructor(@IFleetControl private readonly _fleet: FleetControlTask) {}
+
+	async start(): Promise<void> {
+		this._fleet.start();
+	}
+}
+
+pluginRegistry.registerContribution([ProcessKind.Control], ContributionPhase.Service, FleetControlContribution);
--- /dev/null
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -0,0 +1,223 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** The fleet's control side: hands orders to the leader, keeps sightings, answers entry instances. */
+
+import { Disposable, toDisposable } from '../../../base/disposable.js';
+import { systemClock } from '../../../base/clock.js';
+import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
+import { ILogService } from '../../../kernel/node/logService.js';
+import { IAgreement } from '../../agreement/common/agreement.js';
+import { entriesFor } from '../common/entryLookUp.js';
+import { FleetUnavailableError, type IFleetControl, type TargetHeartbeat } from '../common/fleetControl.js';
+import { FleetState } from '../common/fleetState.js';
+import {
+	type EntryDescription,
+	FLEET_PART,
+	type FleetCommand,
+	type FleetResult,
+	type PublishedTable,
+	type TargetChange,
+	TargetPhase
+} from '../common/fleetTypes.js';
+import {
+	exchangeMethod,
+	orderMethod,
+	readTableMethod,
+	type ReadTableResponse,
+	syncMethod,
+	type SyncRequest,
+	type SyncResponse
+} from '../common/fleetWire.js';
+import { Sightings } from '../common/sightings.js';
+
+const EXCHANGE_INTERVAL_MS = 250;
+const EXCHANGE_TIMEOUT_MS = 1000;
+const LEADER_CALL_TIMEOUT_MS = 800;
+/** A control instance that was not in touch with its leader for this long takes no heartbeats. */
+const CUT_OFF_MS = 1500;
+const MAX_WAIT_MS = 2000;
+const ENTRY_SILENT_MS = 2500;
+const TARGET_SILENT_MS = 4500;
+
+/** The fleet on a control instance. */
+export class FleetControlTask extends Disposable implements IFleetControl {
+	private readonly _state = new FleetState();
+	private readonly _sightings = new Sightings(
+		{ entrySilentMs: ENTRY_SILENT_MS, targetSilentMs: TARGET_SILENT_MS },
+		systemClock.now()
+	);
+	private readonly _waiting = new Set<() => void>();
+
+	constructor(
+		@IPeerCalls private readonly _calls: IPeerCalls,
+		@IAgreement private readonly _agreement: IAgreement,
+		@ILogService private readonly _log: ILogService
+	) {
+		super();
+		this._agreement.addPart(this._state);
+		this._register(this._state.onDidChange(() => this._wake()));
+		this._calls.handleUnary(syncMethod, request => this._sync(request));
+		this._calls.handleUnary(exchangeMethod, async request => {
+			this._sightings.merge(request, systemClock.now());
+			return { received: true as const };
+		});
+		this._calls.handleUnary(orderMethod, async request => ({ result: await this._orderHere(request.command) }));
+		this._calls.handleUnary(readTableMethod, async () => this._readHere());
+	}
+
+	/** Starts the exchange with the other control instances. */
+	start(): void {
+		const timer = setInterval(() => this._exchange(), EXCHANGE_INTERVAL_MS);
+		this._register(toDisposable(() => clearInterval(timer)));
+	}
+
+	async order(command: FleetCommand): Promise<FleetResult> {
+		const here = await this._orderHere(command);
+		if (here) {
+			return here;
+		}
+		const answer = await this._callLeader(address =>
+			this._calls.call(address, orderMethod, { command }, LEADER_CALL_TIMEOUT_MS)
+		);
+		if (!answer.result) {
+			throw new FleetUnavailableError('the instance that was asked does not lead');
+		}
+		return answer.result;
+	}
+
+	async readTable(): Promise<PublishedTable | undefined> {
+		let answer = this._readHere();
+		if (!answer.isLeader) {
+			answer = await this._callLeader(address =>
+				this._calls.call(address, readTableMethod, { kind: 'table' }, LEADER_CALL_TIMEOUT_MS)
+			);
+		}
+		if (!answer.isLeader) {
+			throw new FleetUnavailableError('no leader could be asked');
+		}
+		return answer.published;
+	}
+
+	async heartbeat(heartbeat: TargetHeartbeat): Promise<void> {
+		if (this._agreement.contactAgeMs() > CUT_OFF_MS) {
+			throw new FleetUnavailableError('this control instance is cut off');
+		}
+		const { id } = heartbeat.description;
+		const known = this._state.target(id);
+		if (known?.phase === TargetPhase.Gone) {
+			return;
+		}
+		const now = systemClock.now();
+		const isNewest = this._sightings.seeHeartbeat(id, heartbeat.sequence, heartbeat.coldLeftMs, now);
+		const phase = heartbeat.isLeaving ? TargetPhase.Leaving : TargetPhase.Serving;
+		const isNews = !known || (heartbeat.isLeaving && known.phase === TargetPhase.Serving);
+		if (isNews && (isNewest || heartbeat.isLeaving)) {
+			await this._changeTarget({ id, phase, description: known ? undefined : heartbeat.description });
+		}
+	}
+
+	async removeTarget(id: string): Promise<void> {
+		if (this._state.target(id)?.phase !== TargetPhase.Gone) {
+			await this._changeTarget({ id, phase: TargetPhase.Gone });
+		}
+		this._sightings.forgetTarget(id);
+	}
+
+	lookUp(region: string, _hall: string): EntryDescription[] {
+		return entriesFor(this._sightings.liveEntries(systemClock.now()), region);
+	}
+
+	private async _changeTarget(change: TargetChange): Promise<void> {
+		await this.order({ type: 'changeTargets', changes: [change] });
+		this._log.info('target changed', { task: 'fleet', target: change.id, phase: change.phase });
+	}
+
+	/** Carries an order out if this instance leads; undefined where it does not. */
+	private async _orderHere(command: FleetCommand): Promise<FleetResult | undefined> {
+		if (!this._agreement.hasLease()) {
+			return undefined;
+		}
+		try {
+			return await this._agreement.propose<FleetResult>({ part: FLEET_PART, body: command });
+		} catch (error) {
+			throw new FleetUnavailableError((error as Error).message);
+		}
+	}
+
+	private _readHere(): ReadTableResponse {
+		if (!this._agreement.hasLease()) {
+			return { isLeader: false };
+		}
+		return { isLeader: true, published: this._state.published };
+	}
+
+	private async _callLeader<S>(call: (address: string) => Promise<S>): Promise<S> {
+		const { leader, id, members } = this._agreement.status();
+		const address = members.find(member => member.id === leader)?.address;
+		if (leader === id || !address) {
+			throw new FleetUnavailableError('there is no leader now');
+		}
+		try {
+			return await call(address);
+		} catch (error) {
+			throw new FleetUnavailableError((error as Error).message);
+		}
+	}
+
+	private async _sync(request: SyncRequest): Promise<SyncResponse> {
+		this._sightings.seeEntry(request.entry, systemClock.now());
+		if (request.revision === this._state.revision && request.waitMs > 0) {
+			await this._waitForChange(Math.min(request.waitMs, MAX_WAIT_MS));
+		}
+		const now = systemClock.now();
+		const entries = this._sightings.liveEntries(now).filter(entry => entry.isReady);
+		const near = entries.filter(entry => entry.region === request.entry.region);
+		return {
+			changes: this._state.changesAfter(request.revision),
+			controls: this._agreement.status().members.map(member => member.address),
+			contactAgeMs: this._agreement.contactAgeMs(),
+			entryCount: entries.length,
+			regionEntries: near.map(entry => entry.name),
+			silentTargets: this._silentTargets(now),
+			coldTargets: this._sightings.coldTargets(now)
+		};
+	}
+
+	private _silentTargets(now: number): string[] {
+		const silent: string[] = [];
+		for (const target of this._state.targets) {
+			if (target.phase !== TargetPhase.Gone && this._sightings.isSilent(target.id, now)) {
+				silent.push(target.id);
+			}
+		}
+		return silent;
+	}
+
+	private _waitForChange(waitMs: number): Promise<void> {
+		return new Promise(resolve => {
+			const done = (): void => {
+				clearTimeout(timer);
+				this._waiting.delete(done);
+				resolve();
+			};
+			const timer = setTimeout(done, waitMs);
+			this._waiting.add(done);
+		});
+	}
+
+	private _wake(): void {
+		[...this._waiting].forEach(done => done());
+	}
+
+	private _exchange(): void {
+		const { members, id } = this._agreement.status();
+		const fresh = this._sightings.takeFresh(systemClock.now());
+		for (const member of members) {
+			if (member.id !== id) {
+				this._calls.call(member.address, exchangeMethod, fresh, EXCHANGE_TIMEOUT_MS).catch(() => undefined);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/plugins/fleet/node/placeSettings.ts
@@ -0,0 +1,35 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Which data hall lies in which region. */
+
+import { z } from 'zod';
+import { ProcessKind } from '../../../kernel/common/pluginRegistry.js';
+import { settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
+
+/** Section `[places]`. */
+export interface PlaceSettings {
+	/** Region by hall. */
+	readonly halls: ReadonlyMap<string, string>;
+}
+
+const HALL_PATTERN = /^[^:,]+:[^:,]+$/;
+
+settingsRegistry.register({
+	name: 'places',
+	named: false,
+	kinds: [ProcessKind.Entry],
+	description: 'The data halls of the system and their regions.',
+	keys: {
+		halls: {
+			schema: z
+				.string()
+				.transform(text => text.split(',').filter(part => part !== ''))
+				.pipe(z.array(z.string().regex(HALL_PATTERN, 'HALL:REGION, parted by commas')))
+				.transform(parts => new Map(parts.map(part => part.split(':') as [string, string]))),
+			description: 'HALL:REGION for each hall, parted by commas.',
+			default: ''
+		}
+	}
+});
--- /dev/null
+++ b/src/plugins/forwarding/common/attempt.ts
@@ -0,0 +1,57 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** What came of sending a request to one target. */
+
+import type { Readable } from 'node:stream';
+
+/** Headers as name and value in turn, as they stood on the wire. */
+export type RawHeaders = readonly string[];
+
+/** A whole answer, or its beginning with the rest to come. */
+export interface TargetAnswer {
+	readonly type: 'answer';
+	readonly status: number;
+	readonly rawHeaders: RawHeaders;
+	/** The body, or its beginning. */
+	readonly body: Buffer;
+	/** The rest of the body; absent when `body` is all of it. It fails when the target breaks off. */
+	readonly rest?: Readable;
+}
+
+/** Certain not to have run: never written, or refused by the target. */
+export interface NotRun {
+	readonly type: 'not-run';
+	/** Whether it reached the target, which turned it away. */
+	readonly hasArrived: boolean;
+	readonly cause: NotRunCause;
+}
+
+/** Why a target did not run a request. */
+export enum NotRunCause {
+	/** No connection came up. */
+	NoConnection = 'no-connection',
+	/** The target is full or its queue is too long. */
+	Full = 'full',
+	/** Another target has the address now. */
+	OtherTarget = 'other-target',
+	/** Any other refusal by the target. */
+	Refused = 'refused'
+}
+
+/** It may have run; its answer is missing, broken or another request's. */
+export interface Broken {
+	readonly type: 'broken';
+	readonly cause: string;
+}
+
+/** The attempt was ended by this system: the caller left, or its time is over. */
+export interface Abandoned {
+	readonly type: 'abandoned';
+	/** Whether the request may have reached the target. */
+	readonly mayHaveRun: boolean;
+}
+
+/** Any outcome of one attempt. */
+export type AttemptOutcome = TargetAnswer | NotRun | Broken | Abandoned;
--- /dev/null
+++ b/src/plugins/forwarding/common/headerNames.ts
@@ -0,0 +1,28 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** The names of the headers that callers, this system and targets use; whoever adapts the product provides them. */
+
+import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
+
+/** Header names; those that are looked up in answers are in lower case. */
+export interface IHeaderNames {
+	/** Identifies one try of a caller; targets echo it. */
+	readonly requestId: string;
+	/** Milliseconds that the caller, or this system, will wait. */
+	readonly remainingMs: string;
+	/** Cookie with the object that a request is about. */
+	readonly objectCookie: string;
+	/** The target that a request is meant for. */
+	readonly expectedTarget: string;
+	/** In an answer: the target did not run the request. */
+	readonly notRun: string;
+	/** In an answer: requests running, requests waiting and slots, parted by commas. */
+	readonly load: string;
+	/** In an answer: proof of which target gave it. */
+	readonly stamp: string;
+}
+
+/** Identifier of the header names. */
+export const IHeaderNames = createServiceIdentifier<IHeaderNames>('headerNames');
--- /dev/null
+++ b/src/plugins/forwarding/common/targetState.ts
@@ -0,0 +1,110 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** What this instance knows of one target by its own requests: load, failures, and the pace while it is cold. */
+
+import type { Millis } from '../../../base/clock.js';
+
+/** A load word older than this says nothing any more. */
+const LOAD_WORD_AGE_MS = 1500;
+const FIRST_SUSPICION_MS = 400;
+const LONGEST_SUSPICION_MS = 4000;
+
+/** Load as a target told it. */
+export interface LoadWord {
+	readonly running: number;
+	readonly waiting: number;
+	readonly slots: number;
+}
+
+/** Reads `running,waiting,slots`; undefined for anything else. */
+export function parseLoadWord(text: string | undefined): LoadWord | undefined {
+	const numbers = text?.split(',').map(Number);
+	if (numbers?.length !== 3 || numbers.some(number => !Number.isFinite(number) || number < 0)) {
+		return undefined;
+	}
+	return { running: numbers[0]!, waiting: numbers[1]!, slots: numbers[2]! };
+}
+
+/** State of one target at this instance. */
+export class TargetState {
+	/** Requests of this instance that the target has not ended. */
+	inFlight = 0;
+	private _othersLoad = 0;
+	private _toldAt: Millis = Number.NEGATIVE_INFINITY;
+	private _failures = 0;
+	private _suspectUntil: Millis = Number.NEGATIVE_INFINITY;
+	private _coldTokens = 1;
+	private _coldTokensAt: Millis = 0;
+
+	constructor(
+		readonly id: string,
+		readonly slots: number
+	) {}
+
+	/** Requests at the target, those of other instances included, as far as known. */
+	load(now: Millis): number {
+		const age = now - this._toldAt;
+		const others = age >= LOAD_WORD_AGE_MS ? 0 : this._othersLoad * (1 - age / LOAD_WORD_AGE_MS);
+		return this.inFlight + others;
+	}
+
+	/** Takes a load word in that came with an answer; the answered request still counts as in flight. */
+	takeLoadWord(word: LoadWord, now: Millis): void {
+		this._othersLoad = Math.max(0, word.running + word.waiting - Math.max(0, this.inFlight - 1));
+		this._toldAt = now;
+	}
+
+	/** Whether the target failed lately and should be left alone where there are others. */
+	isSuspect(now: Millis): boolean {
+		return now < this._suspectUntil;
+	}
+
+	/** A request got no answer. */
+	noteFailure(now: Millis): void {
+		if (this.isSuspect(now)) {
+			return;
+		}
+		this._failures++;
+		const spanMs = FIRST_SUSPICION_MS * 2 ** Math.min(this._failures - 1, 4);
+		this._suspectUntil = now + Math.min(spanMs, LONGEST_SUSPICION_MS);
+	}
+
+	/** A request got an answer. */
+	noteAnswer(): void {
+		this._failures = 0;
+		this._suspectUntil = Number.NEGATIVE_INFINITY;
+	}
+
+	/** The target said that it is full: until it says otherwise its slots count as taken. */
+	noteFull(now: Millis): void {
+		this._othersLoad = Math.max(this._othersLoad, this.slots * 2);
+		this._toldAt = now;
+	}
+
+	/**
+	 * Takes leave to send one request to a cold target.
+	 * @param perSecond this instance's part of what the target bears
+	 */
+	takeColdToken(perSecond: number, now: Millis): boolean {
+		this._refillCold(perSecond, now);
+		if (this._coldTokens < 1) {
+			return false;
+		}
+		this._coldTokens--;
+		return true;
+	}
+
+	/** Whether a request could be sent to the target while it is cold. */
+	hasColdToken(perSecond: number, now: Millis): boolean {
+		this._refillCold(perSecond, now);
+		return this._coldTokens >= 1;
+	}
+
+	private _refillCold(perSecond: number, now: Millis): void {
+		const gained = ((now - this._coldTokensAt) / 1000) * perSecond;
+		this._coldTokens = Math.min(1, this._coldTokens + gained);
+		this._coldTokensAt = now;
+	}
+}
--- /dev/null
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -0,0 +1,299 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Carries the requests of callers to targets: chooses, sends, tries again where that is allowed, and answers. */
+
+import { type Millis, systemClock } from '../../../base/clock.js';
+import { rendezvousRank } from '../../../base/hashing.js';
+import { Disposable, toDisposable } from '../../../base/disposable.js';
+import { RefusalReason } from '../../../base/verdict.js';
+import type { InstanceSettings } from '../../../kernel/node/instanceSettings.js';
+import { ILogService } from '../../../kernel/node/logService.js';
+import { ISettingsService } from '../../../kernel/node/settingsService.js';
+import { IFleetSession } from '../../fleet/common/fleetSession.js';
+import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
+import { type AttemptOutcome, type NotRun, NotRunCause } from '../common/attempt.js';
+import { IHeaderNames } from '../common/headerNames.js';
+import { passedHeaders } from '../common/hopHeaders.js';
+import { chooseService } from '../common/partChoice.js';
+import { RetryAllowance } from '../common/retryAllowance.js';
+import { IServiceBounds } from '../common/serviceBounds.js';
+import { type Candidate, chooseTarget, DEFAULT_FILL_LIMITS } from '../common/targetChoice.js';
+import { parseLoadWord } from '../common/targetState.js';
+import type { CallerExchange, OwnAnswer } from './callerExchange.js';
+import type { IForwarding } from './forwarding.js';
+import { RequestBody } from './requestBody.js';
+import { TargetAgent } from './targetAgent.js';
+import { TargetExchange } from './targetExchange.js';
+import { TargetStates } from './targetStates.js';
+
+const NEAR_CONNECT_TIMEOUT_MS = 250;
+const FAR_CONNECT_TIMEOUT_MS = 500;
+/** With less time left nothing is sent any more. */
+const LEAST_TIME_MS = 20;
+/** Connections that did not come up before a request is given up. */
+const MAX_NO_CONNECTION = 4;
+const RETRY_SOON_MS = 250;
+const NO_CONFIGURATION_RETRY_MS = 500;
+/** How many instances share the pace of one cold target; few, so that each part is a whole request. */
+const COLD_SHARERS = 3;
+
+/** One request on its way. */
+interface Journey {
+	readonly exchange: CallerExchange;
+	readonly route: Route;
+	readonly service: string;
+	readonly body: RequestBody;
+	readonly deadline: Millis;
+	readonly tried: Set<string>;
+	/** Targets that the request reached. */
+	arrivals: number;
+	noConnections: number;
+}
+
+/** The requests of this instance. */
+export class ForwardingTask extends Disposable implements IForwarding {
+	private readonly _region: string;
+	private readonly _name: string;
+	private readonly _states: TargetStates;
+	private readonly _agent = new TargetAgent();
+	private readonly _allowances = new Map<string, RetryAllowance>();
+	private readonly _droppedHeaders: ReadonlySet<string>;
+
+	constructor(
+		@ISettingsService settings: ISettingsService,
+		@IFleetSession private readonly _session: IFleetSession,
+		@IHeaderNames private readonly _names: IHeaderNames,
+		@IServiceBounds private readonly _bounds: IServiceBounds,
+		@ILogService private readonly _log: ILogService
+	) {
+		super();
+		const instance = settings.section<InstanceSettings>('instance');
+		this._region = instance.region;
+		this._name = instance.name;
+		this._states = new TargetStates(this._session.view);
+		this._droppedHeaders = new Set([this._names.remainingMs, this._names.expectedTarget]);
+		this._register(toDisposable(() => this._agent.destroy()));
+	}
+
+	async serve(exchange: CallerExchange): Promise<void> {
+		const { routes } = this._session.view;
+		if (!routes) {
+			exchange.refuse(refusal(RefusalReason.NoConfiguration, NO_CONFIGURATION_RETRY_MS));
+			return;
+		}
+		const route = routes.find(exchange.host, exchange.path);
+		if (!route) {
+			exchange.refuse({ status: 404, verdict: 'not-run', reason: 'no-route' });
+			return;
+		}
+		let body: RequestBody;
+		try {
+			body = await RequestBody.read(exchange.request);
+		} catch {
+			return;
+		}
+		const service = chooseService(route, exchange.requestId, name => this._session.view.targetsOf(name).length > 0);
+		await this._travel({
+			exchange,
+			route,
+			service,
+			body,
+			deadline: exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs),
+			tried: new Set(),
+			arrivals: 0,
+			noConnections: 0
+		});
+		body.discardRest();
+	}
+
+	private async _travel(journey: Journey): Promise<void> {
+		const { exchange } = journey;
+		while (!exchange.hasLeft) {
+			const now = systemClock.now();
+			if (journey.deadline - now < LEAST_TIME_MS) {
+				this._giveUp(journey, refusal(RefusalReason.DeadlinePassed, RETRY_SOON_MS), now);
+				return;
+			}
+			const candidate = this._choose(journey, now);
+			if (!candidate) {
+				this._giveUp(journey, refusal(RefusalReason.NoCapacity, RETRY_SOON_MS), now);
+				return;
+			}
+			const outcome = await this._attempt(journey, candidate);
+			const answer = this._settle(journey, outcome);
+			if (answer === 'again') {
+				continue;
+			}
+			if (answer) {
+				this._giveUp(journey, answer, systemClock.now());
+			}
+			return;
+		}
+	}
+
+	private _choose(journey: Journey, now: Millis): Candidate | undefined {
+		const { route, exchange, service } = journey;
+		const candidates = this._states.candidates(service, route.homeRegions, journey.tried, now);
+		const objectKey =
+			route.isSticky && exchange.objectKey !== undefined ? `${route.pathPrefix} ${exchange.objectKey}` : undefined;
+		const chosen = chooseTarget(candidates, {
+			region: this._region,
+			objectKey,
+			fillLimits: DEFAULT_FILL_LIMITS,
+			now,
+			mayUseCold: candidate => candidate.state.hasColdToken(this._coldPace(candidate), now)
+		});
+		if (chosen && chosen.known.coldUntil > now) {
+			chosen.state.takeColdToken(this._coldPace(chosen), now);
+		}
+		return chosen;
+	}
+
+	/** This instance's part of a cold target's pace; a few instances share it, drawn by hash so that all agree. */
+	private _coldPace(candidate: Candidate): number {
+		const { record } = candidate.known;
+		const perSecond = this._session.view.routes?.service(record.service)?.coldPerSecond ?? 0;
+		const sharers = rendezvousRank(record.id, this._session.view.regionEntries).slice(0, COLD_SHARERS);
+		return sharers.includes(this._name) ? perSecond / sharers.length : 0;
+	}
+
+	private async _attempt(journey: Journey, candidate: Candidate): Promise<AttemptOutcome> {
+		const { exchange, route } = journey;
+		const { known, state } = candidate;
+		const [host, port] = known.record.address.split(':') as [string, string];
+		const now = systemClock.now();
+		const sent = new TargetExchange(this._agent, this._names, {
+			requestId: exchange.requestId,
+			host,
+			port: Number(port),
+			method: exchange.request.method ?? 'GET',
+			path: exchange.path,
+			rawHeaders: this._headersFor(journey, known.record.id, now),
+			body: journey.body,
+			connectTimeoutMs: known.region === this._region ? NEAR_CONNECT_TIMEOUT_MS : FAR_CONNECT_TIMEOUT_MS
+		});
+		journey.tried.add(known.record.id);
+		if (journey.arrivals === 0) {
+			this._allowance(journey.service).noteFirstTry(now);
+		}
+		state.inFlight++;
+		const timer = setTimeout(() => sent.abandon(), Math.max(0, journey.deadline - now));
+		exchange.whenLeft(() => sent.abandon());
+		const outcome = await sent.outcome;
+		exchange.whenLeft(undefined);
+		clearTimeout(timer);
+		this._note(candidate, outcome, sent.answerHeaders?.[this._names.load]);
+		state.inFlight--;
+		if (outcome.type === 'broken') {
+			this._log.warn('answer broken', {
+				task: 'forwarding',
+				requestId: exchange.requestId,
+				route: route.name,
+				target: known.record.id,
+				cause: outcome.cause
+			});
+		}
+		return outcome;
+	}
+
+	private _headersFor(journey: Journey, targetId: string, now: Millis): string[] {
+		const headers = passedHeaders(journey.exchange.request.rawHeaders, this._droppedHeaders);
+		const leftMs = Math.max(1, Math.floor(journey.deadline - now));
+		headers.push(this._names.remainingMs, String(leftMs), this._names.expectedTarget, targetId);
+		if (journey.exchange.request.headers['transfer-encoding'] !== undefined) {
+			const { heldLength } = journey.body;
+			const framing =
+				heldLength === undefined ? ['Transfer-Encoding', 'chunked'] : ['Content-Length', String(heldLength)];
+			headers.push(...framing);
+		}
+		return headers;
+	}
+
+	private _note(candidate: Candidate, outcome: AttemptOutcome, load: string | string[] | undefined): void {
+		const now = systemClock.now();
+		const word = parseLoadWord(typeof load === 'string' ? load : undefined);
+		if (word) {
+			candidate.state.takeLoadWord(word, now);
+		}
+		if (outcome.type === 'answer') {
+			candidate.state.noteAnswer();
+		} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.Full) {
+			candidate.state.noteFull(now);
+		} else if (outcome.type === 'broken' || outcome.type === 'not-run') {
+			candidate.state.noteFailure(now);
+		}
+	}
+
+	/** Decides what follows an attempt: another one, an answer of the system's own, or nothing more. */
+	private _settle(journey: Journey, outcome: AttemptOutcome): OwnAnswer | 'again' | undefined {
+		switch (outcome.type) {
+			case 'answer':
+				journey.exchange.pass(outcome);
+				return undefined;
+			case 'abandoned':
+				return outcome.mayHaveRun
+					? { status: 504, verdict: 'may-have-run', reason: RefusalReason.DeadlinePassed }
+					: refusal(RefusalReason.DeadlinePassed, RETRY_SOON_MS);
+			case 'not-run':
+				return this._afterNotRun(journey, outcome);
+			case 'broken':
+				journey.arrivals++;
+				if (journey.route.repeatRule === RepeatRule.AtMostOnce || !this._mayRetry(journey)) {
+					return { status: 502, verdict: 'may-have-run', reason: RefusalReason.TargetFailed };
+				}
+				return 'again';
+		}
+	}
+
+	private _afterNotRun(journey: Journey, outcome: NotRun): OwnAnswer | 'again' {
+		if (!outcome.hasArrived) {
+			journey.noConnections++;
+			return journey.noConnections < MAX_NO_CONNECTION ? 'again' : refusal(RefusalReason.TargetFailed, RETRY_SOON_MS);
+		}
+		journey.arrivals++;
+		return this._mayRetry(journey) ? 'again' : refusal(RefusalReason.NoCapacity, RETRY_SOON_MS);
+	}
+
+	private _mayRetry(journey: Journey): boolean {
+		return (
+			journey.arrivals < journey.route.attempts &&
+			journey.body.isAvailable &&
+			this._allowance(journey.service).take(this._session.view.entryCount, systemClock.now())
+		);
+	}
+
+	private _allowance(service: string): RetryAllowance {
+		let allowance = this._allowances.get(service);
+		if (!allowance) {
+			allowance = new RetryAllowance(this._bounds.retries);
+			this._allowances.set(service, allowance);
+		}
+		return allowance;
+	}
+
+	private _giveUp(journey: Journey, answer: OwnAnswer, now: Millis): void {
+		const { exchange } = journey;
+		if (exchange.hasLeft) {
+			return;
+		}
+		this._log.info('request refused', {
+			task: 'forwarding',
+			requestId: exchange.requestId,
+			route: journey.route.name,
+			service: journey.service,
+			reason: answer.reason,
+			verdict: answer.verdict,
+			arrivals: journey.arrivals,
+			tried: [...journey.tried],
+			heldMs: Math.round(now - exchange.arrivedAt),
+			viewAgeMs: Math.round(this._session.ageMs())
+		});
+		exchange.refuse(answer);
+	}
+}
+
+function refusal(reason: RefusalReason, retryAfterMs: Millis): OwnAnswer {
+	return { status: 503, verdict: 'not-run', reason, retryAfterMs };
+}
--- /dev/null
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -0,0 +1,173 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Sends one request to one target and says what came of it. */
+
+import { type ClientRequest, type IncomingMessage, request as httpRequest } from 'node:http';
+import type { Millis } from '../../../base/clock.js';
+import { type AttemptOutcome, NotRunCause, type RawHeaders } from '../common/attempt.js';
+import type { IHeaderNames } from '../common/headerNames.js';
+import type { RequestBody } from './requestBody.js';
+import type { TargetAgent } from './targetAgent.js';
+
+/** Answers up to this size are held whole before the caller sees any of it, so that a broken one can be replaced. */
+const HELD_ANSWER_BYTES = 64 * 1024;
+const STATUS_OTHER_TARGET = 421;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_TOO_MANY = 429;
+
+/** What is sent, and where. */
+export interface TargetRequest {
+	readonly requestId: string;
+	readonly host: string;
+	readonly port: number;
+	readonly method: string;
+	readonly path: string;
+	readonly rawHeaders: RawHeaders;
+	readonly body: RequestBody;
+	readonly connectTimeoutMs: Millis;
+}
+
+function isSuccess(status: number): boolean {
+	return status >= 200 && status < 300;
+}
+
+/** One attempt at one target. */
+export class TargetExchange {
+	/** What came of it; never rejects. */
+	readonly outcome: Promise<AttemptOutcome>;
+	private readonly _request: ClientRequest;
+	private _resolve!: (outcome: AttemptOutcome) => void;
+	private _isSettled = false;
+	private _mayHaveArrived = false;
+	private _connectTimer?: NodeJS.Timeout;
+	/** Headers of the target's answer, once they are there. */
+	answerHeaders?: IncomingMessage['headers'];
+
+	constructor(
+		agent: TargetAgent,
+		private readonly _names: IHeaderNames,
+		private readonly _sent: TargetRequest
+	) {
+		this.outcome = new Promise(resolve => (this._resolve = resolve));
+		const { host, port, method, path } = _sent;
+		const headers = _sent.rawHeaders as unknown as Record<string, string>;
+		this._request = httpRequest({ agent, host, port, method, path, headers, setHost: false });
+		this._request.on('socket', socket => {
+			if (!socket.connecting) {
+				this._mayHaveArrived = true;
+				return;
+			}
+			socket.once('connect', () => this._onConnect());
+		});
+		this._connectTimer = setTimeout(() => this._onConnectTimeout(), _sent.connectTimeoutMs);
+		this._request.on('response', response => this._onResponse(response));
+		this._request.on('error', error => this._onLost(error.message));
+		this._request.on('close', () => this._onLost('closed'));
+		_sent.body.writeTo(this._request);
+	}
+
+	/** Ends the attempt: the caller left or its time is over. */
+	abandon(): void {
+		this._settle({ type: 'abandoned', mayHaveRun: this._mayHaveArrived });
+		this._request.destroy();
+	}
+
+	private _settle(outcome: AttemptOutcome): void {
+		if (this._isSettled) {
+			return;
+		}
+		this._isSettled = true;
+		clearTimeout(this._connectTimer);
+		this._resolve(outcome);
+	}
+
+	private _onConnect(): void {
+		this._mayHaveArrived = true;
+		clearTimeout(this._connectTimer);
+	}
+
+	private _onConnectTimeout(): void {
+		if (this._mayHaveArrived) {
+			return;
+		}
+		this._settle({ type: 'not-run', hasArrived: false, cause: NotRunCause.NoConnection });
+		this._request.destroy();
+	}
+
+	private _onLost(cause: string): void {
+		if (this._mayHaveArrived) {
+			this._settle({ type: 'broken', cause });
+		} else {
+			this._settle({ type: 'not-run', hasArrived: false, cause: NotRunCause.NoConnection });
+		}
+	}
+
+	private _onResponse(response: IncomingMessage): void {
+		response.on('error', () => this._settle({ type: 'broken', cause: 'broken off' }));
+		const { headers } = response;
+		const status = response.statusCode!;
+		const echo = headers[this._names.requestId];
+		const isOther = echo === undefined ? isSuccess(status) : echo !== this._sent.requestId;
+		if (isOther) {
+			this._settle({ type: 'broken', cause: 'an answer to another request' });
+			this._request.destroy();
+			return;
+		}
+		this.answerHeaders = headers;
+		if (status === STATUS_OTHER_TARGET || headers[this._names.notRun] !== undefined) {
+			response.resume();
+			this._settle({ type: 'not-run', hasArrived: true, cause: notRunCause(status) });
+			this._closeUnlessWholeSent();
+			return;
+		}
+		this._hold(response, status);
+	}
+
+	private _hold(response: IncomingMessage, status: number): void {
+		const pieces: Buffer[] = [];
+		let size = 0;
+		const onData = (piece: Buffer): void => {
+			pieces.push(piece);
+			size += piece.length;
+			if (size > HELD_ANSWER_BYTES) {
+				response.pause();
+				response.removeListener('data', onData);
+				response.removeListener('end', onEnd);
+				const body = Buffer.concat(pieces);
+				this._settle({ type: 'answer', status, rawHeaders: response.rawHeaders, body, rest: response });
+			}
+		};
+		const onEnd = (): void => {
+			if (!response.complete) {
+				this._settle({ type: 'broken', cause: 'broken off' });
+				return;
+			}
+			const body = Buffer.concat(pieces);
+			this._settle({ type: 'answer', status, rawHeaders: response.rawHeaders, body });
+			this._closeUnlessWholeSent();
+		};
+		response.on('data', onData);
+		response.on('end', onEnd);
+	}
+
+	/** A target that answered before it had the whole body would take what comes next for the rest of it. */
+	private _closeUnlessWholeSent(): void {
+		if (!this._request.writableFinished) {
+			this._request.destroy();
+		}
+	}
+}
+
+function notRunCause(status: number): NotRunCause {
+	switch (status) {
+		case STATUS_OTHER_TARGET:
+			return NotRunCause.OtherTarget;
+		case STATUS_UNAVAILABLE:
+		case STATUS_TOO_MANY:
+			return NotRunCause.Full;
+		default:
+			return NotRunCause.Refused;
+	}
+}
