A large answer without a length that is reset is no longer passed on as whole

Cause: Node.js ends such an answer when its socket fails, so the rest seemed to end as it should. Test first: the second test of targetExchange.test.ts fails without the change and passes with it.

--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -126,6 +126,8 @@
 	}
 
 	private _hold(response: IncomingMessage, status: number): void {
+		// An answer without a length ends with its connection; a reset ends it too, but then it is not whole.
+		response.socket.once('error', error => response.destroy(error));
 		const pieces: Buffer[] = [];
 		let size = 0;
 		const onData = (piece: Buffer): void => {
--- /dev/null
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -0,0 +1,106 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** One attempt over connections that are made up here, since a reset cannot be told from an end on every loopback. */
+
+import assert from 'node:assert/strict';
+import { Duplex } from 'node:stream';
+import { test } from 'node:test';
+import type { AttemptOutcome } from '../common/attempt.js';
+import type { IHeaderNames } from '../common/headerNames.js';
+import { RequestBody } from '../node/requestBody.js';
+import { TargetAgent } from '../node/targetAgent.js';
+import { TargetExchange } from '../node/targetExchange.js';
+
+const NAMES: IHeaderNames = {
+	requestId: 'request-id',
+	remainingMs: 'remaining',
+	objectCookie: 'object',
+	expectedTarget: 'expected',
+	notRun: 'not-run',
+	load: 'load',
+	stamp: 'stamp'
+};
+
+/** Hands out connections that a test plays the target's side of. */
+class ScriptedAgent extends TargetAgent {
+	constructor(private readonly _play: (connection: Duplex) => void) {
+		super();
+	}
+
+	override createConnection(): Duplex {
+		const connection = new Duplex({
+			read: () => undefined,
+			write: (_piece, _encoding, done) => {
+				done();
+				setImmediate(() => this._play(connection));
+			}
+		});
+		const unused = (): unknown => connection;
+		return Object.assign(connection, { setKeepAlive: unused, setTimeout: unused, ref: unused, unref: unused });
+	}
+}
+
+async function attempt(play: (connection: Duplex) => void): Promise<AttemptOutcome> {
+	const body = await RequestBody.read({ headers: {} } as never);
+	const exchange = new TargetExchange(new ScriptedAgent(play), NAMES, {
+		requestId: 'a',
+		host: '127.0.0.1',
+		port: 1,
+		method: 'GET',
+		path: '/',
+		rawHeaders: ['Request-Id', 'a'],
+		body,
+		connectTimeoutMs: 1000
+	});
+	return exchange.outcome;
+}
+
+function resetError(): Error {
+	return Object.assign(new Error('read ECONNRESET'), { code: 'ECONNRESET' });
+}
+
+test('an answer without a length is whole when its connection ends, and broken when it is reset', async () => {
+	const ended = await attempt(connection => {
+		connection.push('HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nhalf');
+		connection.push(null);
+	});
+	assert.equal(ended.type, 'answer');
+	const reset = await attempt(connection => {
+		connection.push('HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nhalf');
+		setImmediate(() => connection.destroy(resetError()));
+	});
+	assert.equal(reset.type, 'broken');
+});
+
+test('a large answer without a length fails when its connection is reset, after its beginning was passed on', async () => {
+	const outcome = await attempt(connection => {
+		connection.push(`HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n${'x'.repeat(100000)}`);
+		setTimeout(() => connection.destroy(resetError()), 10);
+	});
+	assert.ok(outcome.type === 'answer' && outcome.rest);
+	const end = await new Promise(resolve => {
+		outcome.rest!.once('end', () => resolve('whole')).once('error', () => resolve('broken'));
+		outcome.rest!.resume();
+	});
+	assert.equal(end, 'broken');
+});
+
+test('an answer of another request, or a success without an id, is broken', async () => {
+	for (const head of ['Request-Id: b\r\n', '']) {
+		const outcome = await attempt(connection =>
+			connection.push(`HTTP/1.1 200 OK\r\n${head}Content-Length: 2\r\n\r\nok`)
+		);
+		assert.equal(outcome.type, 'broken');
+	}
+});
+
+test('a refusal by the target is not run, whatever its status', async () => {
+	for (const status of ['503 Service Unavailable', '429 Too Many Requests', '400 Bad Request']) {
+		const outcome = await attempt(connection =>
+			connection.push(`HTTP/1.1 ${status}\r\nRequest-Id: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n`)
+		);
+		assert.deepEqual([outcome.type, outcome.type === 'not-run' && outcome.hasArrived], ['not-run', true]);
+	}
+});
