Answers that end with their connection are passed on as such; a session that is over no longer ends the process

Test: 'an answer without a length passes as one' failed before on its framing. Cause of the exits: setLocalWindowSize on an HTTP/2 session that had ended while connecting. Also: an exchange of sightings shortened how long a target is cold by its age (fleetView.test.ts failed first).

--- a/src/kernel/node/http2PeerCalls.ts
+++ b/src/kernel/node/http2PeerCalls.ts
@@ -52,6 +52,13 @@
 	stream.on('end', () => done(pieces.length === 1 ? pieces[0]! : Buffer.concat(pieces)));
 }
 
+/** The window of a whole connection; a session may be over by the time its beginning is told. */
+function widenWindow(session: http2.Http2Session): void {
+	if (!session.destroyed && !session.closed) {
+		session.setLocalWindowSize(WINDOW_BYTES);
+	}
+}
+
 /** Peer calls over `node:http2`. */
 export class Http2PeerCalls extends Disposable implements IPeerCalls {
 	private readonly _handlers = new Map<string, Handler>();
@@ -63,7 +70,7 @@
 		super();
 		this._listenAddress = settings.section<InstanceSettings>('instance').peerAddress;
 		this._server.on('stream', (stream, headers) => this._serve(stream, String(headers[':path'])));
-		this._server.on('session', session => session.setLocalWindowSize(WINDOW_BYTES));
+		this._server.on('session', widenWindow);
 		this._server.on('sessionError', () => undefined);
 		this._register(toDisposable(() => this._server.close()));
 		this._register(toDisposable(() => this._sessions.forEach(peer => peer.session.destroy())));
@@ -144,7 +151,7 @@
 		}
 		const session = http2.connect(`http://${address}`, { settings: { initialWindowSize: WINDOW_BYTES } });
 		const peer: PeerSession = { session, heardAt: systemClock.now() };
-		session.on('connect', () => session.setLocalWindowSize(WINDOW_BYTES));
+		session.on('connect', () => widenWindow(session));
 		session.on('error', () => session.destroy());
 		session.on('goaway', () => session.destroy());
 		session.on('close', () => {
--- a/src/plugins/fleet/common/sightings.ts
+++ b/src/plugins/fleet/common/sightings.ts
@@ -140,7 +140,7 @@
 		this._targets.set(sighting.id, {
 			sequence: sighting.sequence,
 			seenAt: now - sighting.ageMs,
-			coldUntil: now - sighting.ageMs + sighting.coldLeftMs,
+			coldUntil: now + sighting.coldLeftMs,
 			isFresh: false
 		});
 	}
--- /dev/null
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -0,0 +1,80 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** What an entry instance makes of control's answers, and what control makes of sightings. */
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { FleetView } from '../common/fleetView.js';
+import { TargetPhase, type TargetRecord } from '../common/fleetTypes.js';
+import type { SyncResponse } from '../common/fleetWire.js';
+import { Sightings } from '../common/sightings.js';
+
+const COLD_START_MS = 3000;
+
+function target(id: string, phase = TargetPhase.Serving): TargetRecord {
+	return { id, service: 's', address: '127.0.0.1:1', hall: 'h', version: 'v', slots: 2, phase, changedAt: 1 };
+}
+
+function response(
+	revision: number,
+	change: Partial<SyncResponse['changes']> = {},
+	cold: SyncResponse['coldTargets'] = []
+) {
+	const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+	const service = { name: 's', healthPath: '/', maxConnections: 1, coldStartMs: COLD_START_MS, coldPerSecond: 1 };
+	const published = { table: { version: 1, routes: [], services: [service], limits }, changedAt: 1 };
+	return {
+		changes: { revision, isWhole: false, published, halls: [], targets: [], ...change },
+		controls: [],
+		contactAgeMs: 0,
+		entryCount: 3,
+		regionEntries: [],
+		silentTargets: [],
+		coldTargets: cold
+	};
+}
+
+test('an older answer changes nothing; a target that leaves gets no more work', () => {
+	const view = new FleetView(() => 'r');
+	view.apply(response(5, { targets: [target('a')] }), 0);
+	view.apply(response(4, { targets: [target('a', TargetPhase.Gone)] }), 0);
+	assert.equal(view.targetsOf('s').length, 1);
+	view.apply(response(6, { targets: [target('a', TargetPhase.Leaving)] }), 0);
+	assert.equal(view.targetsOf('s').length, 0);
+});
+
+test('a target that comes later is cold, as are those of a hall that is taken back', () => {
+	const view = new FleetView(() => 'r');
+	view.apply(response(1, { targets: [target('a')] }), 100);
+	assert.equal(view.target('a')?.coldUntil, 0);
+	view.apply(response(2, { targets: [target('b')] }), 200);
+	assert.equal(view.target('b')?.coldUntil, 200 + COLD_START_MS);
+	view.apply(response(3, { halls: [{ hall: 'h', isDrained: true, changedAt: 3 }] }), 300);
+	assert.equal(view.isDrained('h'), true);
+	view.apply(response(4, { halls: [{ hall: 'h', isDrained: false, changedAt: 4 }] }), 9000);
+	assert.equal(view.target('a')?.coldUntil, 9000 + COLD_START_MS);
+});
+
+test('a late heartbeat does not count; sightings of another instance keep their age', () => {
+	const timing = { entrySilentMs: 1000, targetSilentMs: 1000 };
+	const here = new Sightings(timing, 0);
+	assert.equal(here.seeHeartbeat('a', 7, 0, 100), true);
+	assert.equal(here.seeHeartbeat('a', 6, 0, 5000), false);
+	assert.equal(here.isSilent('a', 1200), true);
+	const other = new Sightings(timing, 0);
+	other.seeHeartbeat('a', 8, 2000, 1500);
+	here.merge(other.takeFresh(1700), 1700);
+	assert.equal(here.isSilent('a', 2400), false);
+	assert.deepEqual(here.coldTargets(3000), [{ id: 'a', leftMs: 500 }]);
+	assert.equal(other.takeFresh(1800).heartbeats.length, 0);
+});
+
+test('an entry instance that falls silent is no longer named', () => {
+	const sightings = new Sightings({ entrySilentMs: 1000, targetSilentMs: 1000 }, 0);
+	const entry = { name: 'e', incarnation: 'i', hall: 'h', region: 'r', callerAddress: '127.0.0.1:1', isReady: true };
+	sightings.seeEntry(entry, 100);
+	assert.equal(sightings.liveEntries(1000).length, 1);
+	assert.equal(sightings.liveEntries(1200).length, 0);
+});
--- a/src/plugins/forwarding/common/attempt.ts
+++ b/src/plugins/forwarding/common/attempt.ts
@@ -14,6 +14,11 @@
 	readonly type: 'answer';
 	readonly status: number;
 	readonly rawHeaders: RawHeaders;
+	/**
+	 * Whether the answer has no length and ends with its connection. It is passed on in the same way: nobody can tell
+	 * whether it was whole, so it must not be framed as if it were.
+	 */
+	readonly endsWithConnection: boolean;
 	/** The body, or its beginning. */
 	readonly body: Buffer;
 	/** The rest of the body; absent when `body` is all of it. It fails when the target breaks off. */
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -109,13 +109,16 @@
 	}
 
 	private _writeHead(answer: TargetAnswer): void {
-		const isWhole = answer.rest === undefined;
 		const isHead = this.request.method === 'HEAD';
-		const headers = passedHeaders(answer.rawHeaders, isWhole && !isHead ? LENGTH_DROPPED : NOTHING_DROPPED);
-		if (isWhole && !isHead) {
+		const isHeld = answer.rest === undefined && !answer.endsWithConnection && !isHead;
+		const headers = passedHeaders(answer.rawHeaders, isHeld ? LENGTH_DROPPED : NOTHING_DROPPED);
+		if (isHeld) {
 			headers.push('Content-Length', String(answer.body.length));
 		}
-		if (this._response.getHeader('connection') !== undefined) {
+		if (answer.endsWithConnection) {
+			this._response.useChunkedEncodingByDefault = false;
+		}
+		if (answer.endsWithConnection || this._response.getHeader('connection') !== undefined) {
 			headers.push('Connection', 'close');
 		}
 		headers.push(VERDICT_HEADER, 'ran');
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -14,6 +14,8 @@
 /** Answers up to this size are held whole before the caller sees any of it, so that a broken one can be replaced. */
 const HELD_ANSWER_BYTES = 64 * 1024;
 const STATUS_OTHER_TARGET = 421;
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_TOO_MANY = 429;
 
@@ -29,6 +31,10 @@
 	readonly connectTimeoutMs: Millis;
 }
 
+function mayHaveBody(status: number): boolean {
+	return status !== STATUS_NO_CONTENT && status !== STATUS_NOT_MODIFIED;
+}
+
 function isSuccess(status: number): boolean {
 	return status >= 200 && status < 300;
 }
@@ -128,6 +134,9 @@
 	private _hold(response: IncomingMessage, status: number): void {
 		// An answer without a length ends with its connection; a reset ends it too, but then it is not whole.
 		response.socket.once('error', error => response.destroy(error));
+		const { headers, rawHeaders } = response;
+		const endsWithConnection =
+			headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && mayHaveBody(status);
 		const pieces: Buffer[] = [];
 		let size = 0;
 		const onData = (piece: Buffer): void => {
@@ -138,7 +147,7 @@
 				response.removeListener('data', onData);
 				response.removeListener('end', onEnd);
 				const body = Buffer.concat(pieces);
-				this._settle({ type: 'answer', status, rawHeaders: response.rawHeaders, body, rest: response });
+				this._settle({ type: 'answer', status, rawHeaders, endsWithConnection, body, rest: response });
 			}
 		};
 		const onEnd = (): void => {
@@ -147,7 +156,7 @@
 				return;
 			}
 			const body = Buffer.concat(pieces);
-			this._settle({ type: 'answer', status, rawHeaders: response.rawHeaders, body });
+			this._settle({ type: 'answer', status, rawHeaders, endsWithConnection, body });
 			this._closeUnlessWholeSent();
 		};
 		response.on('data', onData);
--- /dev/null
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -0,0 +1,129 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Where a request goes: objects stay, regions share, cold targets are spared, retries have a sum. */
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { planShares, type RegionShares } from '../common/regionShares.js';
+import { RetryAllowance } from '../common/retryAllowance.js';
+import { type Candidate, chooseTarget } from '../common/targetChoice.js';
+import { parseLoadWord, TargetState } from '../common/targetState.js';
+import { TargetPhase } from '../../fleet/common/fleetTypes.js';
+
+const HERE: RegionShares = [
+	{ region: 'r1', share: 1 },
+	{ region: 'r2', share: 0 }
+];
+
+function candidate(id: string, region = 'r1', slots = 4): Candidate {
+	const record = {
+		id,
+		service: 's',
+		address: '127.0.0.1:1',
+		hall: `${region}-hall`,
+		version: 'v',
+		slots,
+		phase: TargetPhase.Serving,
+		changedAt: 1
+	};
+	return { known: { record, region, isSilent: false, coldUntil: 0 }, state: new TargetState(id, slots) };
+}
+
+function choose(candidates: Candidate[], objectKey: string | undefined, shares = HERE, mayUseCold = false) {
+	return chooseTarget(candidates, { objectKey, shares, now: 1000, mayUseCold: () => mayUseCold })?.known.record.id;
+}
+
+test('an object keeps its target while others come and go', () => {
+	const all = Array.from({ length: 8 }, (_, i) => candidate(`t${i}`));
+	const first = choose(all, 'object-1')!;
+	assert.equal(
+		choose(
+			all.filter(item => item.known.record.id === first || Math.random() < 0.5),
+			'object-1'
+		),
+		first
+	);
+});
+
+test('an object uses two targets of a region at most, however full they are', () => {
+	const all = Array.from({ length: 8 }, (_, i) => candidate(`t${i}`));
+	const used = new Set<string>();
+	for (let i = 0; i < 100; i++) {
+		const id = choose(all, 'object-1');
+		if (id !== undefined) {
+			used.add(id);
+			all.find(item => item.known.record.id === id)!.state.inFlight++;
+		}
+	}
+	assert.equal(used.size, 2);
+	assert.equal(choose(all, 'object-1'), undefined);
+});
+
+test('a cold target gets a request only with leave', () => {
+	const cold = candidate('cold');
+	cold.known.coldUntil = 5000;
+	assert.equal(choose([cold], 'object-1'), undefined);
+	assert.equal(choose([cold], 'object-1', HERE, true), 'cold');
+});
+
+test('silent and failing targets are left alone while there is another', () => {
+	const [a, b] = [candidate('a'), candidate('b')];
+	a.known.isSilent = true;
+	assert.equal(choose([a, b], undefined), 'b');
+	b.state.noteFailure(990);
+	assert.notEqual(choose([a, b], undefined), undefined);
+});
+
+test('a region with few targets keeps what they can serve and sends the rest where there is room', () => {
+	const slots = new Map([
+		['north', 108],
+		['central', 18],
+		['south', 90]
+	]);
+	const shares = planShares('central', slots, 3);
+	assert.equal(shares[0]!.region, 'central');
+	assert.ok(shares[0]!.share > 0.3 && shares[0]!.share < 0.5);
+	assert.ok(Math.abs(shares.reduce((sum, share) => sum + share.share, 0) - 1) < 1e-9);
+	assert.equal(planShares('north', slots, 3)[0]!.share, 1);
+	const homes = shares.map(share => share.region);
+	const counts = new Map(homes.map(region => [region, 0]));
+	const targets = homes.map(region => candidate(`t-${region}`, region, 1000));
+	for (let i = 0; i < 3000; i++) {
+		const region = choose(targets, `object-${i}`, shares)!.slice(2);
+		counts.set(region, counts.get(region)! + 1);
+	}
+	for (const { region, share } of shares) {
+		assert.ok(Math.abs(counts.get(region)! / 3000 - share) < 0.05);
+	}
+});
+
+test('retries stay under this instance’s part of the sum', () => {
+	const allowance = new RetryAllowance({ ratio: 0.2, windowMs: 10000, slack: 9 });
+	for (let i = 0; i < 100; i++) {
+		allowance.noteFirstTry(50000 + i);
+	}
+	let taken = 0;
+	while (allowance.take(9, 50200)) {
+		taken++;
+	}
+	assert.ok(taken > 5 && taken <= 21);
+	assert.equal(allowance.take(9, 58000), false);
+	assert.equal(allowance.take(9, 75000), false);
+});
+
+test('the pace of a cold target lets one request through at once and then its rate', () => {
+	const state = new TargetState('a', 4);
+	assert.equal(state.takeColdToken(2, 10000), true);
+	assert.equal(state.takeColdToken(2, 10001), false);
+	assert.equal(state.takeColdToken(2, 10600), true);
+	assert.equal(state.takeColdToken(0, 99999), false);
+});
+
+test('load words that are none are passed over', () => {
+	assert.deepEqual(parseLoadWord('3,0,8'), { running: 3, waiting: 0, slots: 8 });
+	for (const text of [undefined, '', '3,0', 'a,b,c', '-1,0,8']) {
+		assert.equal(parseLoadWord(text), undefined);
+	}
+});
--- a/test/bench/capacity.ts
+++ b/test/bench/capacity.ts
@@ -154,7 +154,7 @@
 	const settings: ISettingsService = {
 		section: <T>(): T => ({ certificateFile: '', keyFile: '', authorityFile: '', peerAddress: '127.0.0.1:0' }) as T,
 		namedSections: <T>(): ReadonlyMap<string, T> => new Map(),
-	reload: () => []
+		reload: () => []
 	};
 	const wire = new GrpcPeerWire(settings);
 	const leader = await system.leader();
--- a/test/platform/discoveredSystem.ts
+++ b/test/platform/discoveredSystem.ts
@@ -47,7 +47,12 @@
 	options: { headers?: Record<string, string>; body?: string; timeoutMs?: number } = {}
 ): Promise<Answer> {
 	return new Promise((resolve, reject) => {
-		const request = httpRequest(url, { method, headers: options.headers, agent: false, timeout: options.timeoutMs ?? 3000 });
+		const request = httpRequest(url, {
+			method,
+			headers: options.headers,
+			agent: false,
+			timeout: options.timeoutMs ?? 3000
+		});
 		request.on('timeout', () => request.destroy(new Error('no answer in time')));
 		request.on('error', reject);
 		request.on('response', response => {
@@ -243,7 +248,11 @@
 			lines.push(`directoryAddress = ${instance.ip}:${DIRECTORY_PORT}`);
 		} else {
 			lines.push('[places]', `halls = ${halls.join(',')}`);
-			lines.push('[front]', `callerAddress = ${instance.ip}:${FRONT_PORT}`, `readyAddress = ${instance.ip}:${READY_PORT}`);
+			lines.push(
+				'[front]',
+				`callerAddress = ${instance.ip}:${FRONT_PORT}`,
+				`readyAddress = ${instance.ip}:${READY_PORT}`
+			);
 		}
 		return `${lines.join('\n')}\n`;
 	}
--- a/test/platform/recovery.test.ts
+++ b/test/platform/recovery.test.ts
@@ -64,7 +64,10 @@
 	await system.end(system.controls[3]!, 'SIGKILL');
 	const successor = system.addControl(system.controls[3]!.hall);
 	system.start(successor, false);
-	assert.equal(await until('the table is read at the successor', () => versionAt(system.controls.indexOf(successor))), 3);
+	assert.equal(
+		await until('the table is read at the successor', () => versionAt(system.controls.indexOf(successor))),
+		3
+	);
 	await system.publish(routeDocument(5, ROUTES), 3);
 	assert.equal(await until('the new table is read', () => versionAt(0)), 5);
 });
--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -41,7 +41,10 @@
 	await system.publish(routeDocument(1, ROUTES), 0);
 	await Promise.all(reads.map(target => system.heartbeat(target, 'reads')));
 	await system.heartbeat(slow, 'slow');
-	for (const [path, instance] of system.entries.flatMap(item => [['/read/1', item] as const, ['/slow/1', item] as const])) {
+	for (const [path, instance] of system.entries.flatMap(item => [
+		['/read/1', item] as const,
+		['/slow/1', item] as const
+	])) {
 		await until(`${path} is served`, async () =>
 			(await system.request(instance, 'GET', path)).status === 200 ? true : undefined
 		);
@@ -61,7 +64,11 @@
 });
 
 test('a request arrives unchanged, with what is left of its time and the target that it is for', async () => {
-	const answer = await system.request(entry, 'POST', '/order/7?a=b', { id: 'whole', body: 'two units', remainingMs: 900 });
+	const answer = await system.request(entry, 'POST', '/order/7?a=b', {
+		id: 'whole',
+		body: 'two units',
+		remainingMs: 900
+	});
 	assert.equal(answer.status, 200);
 	assert.match(String(answer.headers['server-stamp']), /^i-[12]$/);
 	const seen = reads.flatMap(target => target.ran).find(item => item.id === 'whole')!;
@@ -95,10 +102,12 @@
 	});
 }
 
-test('an answer without a length that ends as it should passes whole', async () => {
+test('an answer without a length passes as one, since nobody can tell whether it is whole', async () => {
 	misbehaviours.push('unframed');
 	const answer = await system.request(entry, 'GET', '/read/1', { id: 'unframed' });
 	assert.deepEqual([answer.status, answer.body.length], [200, 'unframed:'.length + 2000]);
+	const framing = [answer.headers['content-length'], answer.headers['transfer-encoding'], answer.headers.connection];
+	assert.deepEqual(framing, [undefined, undefined, 'close']);
 });
 
 test('what a target sends beyond its answer reaches nobody', async () => {
@@ -136,7 +145,9 @@
 test('a planned stop cuts nothing off, large answers included', async () => {
 	const stopped = system.entries[1]!;
 	const asked = [1, 2, 3].map(i => system.request(stopped, 'GET', `/slow/${i}`, { id: `stop-${i}` }));
-	await until('all run', async () => (slow.ran.filter(seen => seen.id.startsWith('stop-')).length === 3 ? true : undefined));
+	await until('all run', async () =>
+		slow.ran.filter(seen => seen.id.startsWith('stop-')).length === 3 ? true : undefined
+	);
 	const ended = system.end(stopped, 'SIGTERM');
 	await until('it is no longer ready', async () => ((await system.isReady(stopped)) ? undefined : true));
 	for (const answer of await Promise.all(asked)) {
