--- a/dependency-cruiser.config.cjs
+++ b/dependency-cruiser.config.cjs
@@ -26,6 +26,7 @@
 			from: { path: '^src/(kernel|plugins/[^/]+)/common/' },
 			to: { path: '^src/(kernel|plugins/[^/]+)/node/' }
 		},
+		{ name: 'product-knows-no-platform', severity: 'error', from: { path: '^src/' }, to: { path: '^platform/' } },
 		{
 			name: 'product-needs-no-test',
 			severity: 'error',
--- a/src/plugins/dispatch/node/serviceDispatcher.ts
+++ b/src/plugins/dispatch/node/serviceDispatcher.ts
@@ -18,6 +18,8 @@
 import { WaitingRequest } from './waitingRequest.js';
 
 const MAX_ATTEMPTS = 3;
+/** When to come back after a target was lost to another owner right before the first byte. */
+const WITHHELD_RETRY_MS = 100;
 const NEVER_COLD = Number.NEGATIVE_INFINITY;
 const DEMAND_WEIGHT = 0.2;
 
@@ -249,6 +251,7 @@
 			}
 			const wasNotRun = 'verdict' in outcome && outcome.verdict === 'not-run';
 			const isRetried =
+				(outcome.kind === 'withheld' && tries < MAX_ATTEMPTS && !signal.aborted) ||
 				outcome.kind === 'shed' || (outcome.kind === 'failed' && (wasNotRun || request.isRepeatable) && mayTryAgain());
 			mayHaveRun ||= !wasNotRun;
 			if (!isRetried) {
@@ -353,6 +356,8 @@
 	switch (outcome.kind) {
 		case 'failed':
 			return new RequestError(outcome.verdict, RefusalReason.TargetFailed, 502, `${target}: ${outcome.message}`);
+		case 'withheld':
+			return new RequestError('not-run', RefusalReason.NoCapacity, 503, `${target} is no longer ours`, WITHHELD_RETRY_MS);
 		case 'aborted':
 			return new RequestError(outcome.verdict, RefusalReason.Cancelled, 499, 'given up on');
 		default:
--- a/src/plugins/dispatch/node/targetConnection.ts
+++ b/src/plugins/dispatch/node/targetConnection.ts
@@ -30,6 +30,8 @@
 	| { readonly kind: 'shed'; readonly isLeaving: boolean }
 	/** No answer; `verdict` says whether the request may have run. */
 	| { readonly kind: 'failed'; readonly verdict: Verdict; readonly message: string }
+	/** No leave to write was given, right before the first byte; another target may take the request. */
+	| { readonly kind: 'withheld'; readonly verdict: 'not-run' }
 	/** The answer broke off after its head went into the sink. */
 	| { readonly kind: 'broken' }
 	/** Given up by us; `verdict` as for `failed`. */
@@ -106,6 +108,7 @@
 	private readonly _startedAt = systemClock.now();
 	private _isWritten = false;
 	private _isAborted = false;
+	private _isWithheld = false;
 	private _isSwallowed = false;
 	private _isHeadSent = false;
 	private _status = 0;
@@ -123,11 +126,16 @@
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this._controller = controller;
-		if (this._attempt.signal.aborted || !this._attempt.mayWrite()) {
+		if (this._attempt.signal.aborted) {
 			this._isAborted = true;
 			controller.abort(new Error('given up before the first byte'));
 			return;
 		}
+		if (!this._attempt.mayWrite()) {
+			this._isWithheld = true;
+			controller.abort(new Error('no leave to write'));
+			return;
+		}
 		this._isWritten = true;
 	}
 
@@ -174,6 +182,10 @@
 			this._settle({ kind: 'broken' });
 			return;
 		}
+		if (this._isWithheld) {
+			this._settle({ kind: 'withheld', verdict: 'not-run' });
+			return;
+		}
 		const verdict: Verdict = this._isWritten ? 'may-have-run' : 'not-run';
 		this._settle(this._isAborted ? { kind: 'aborted', verdict } : { kind: 'failed', verdict, message: error.message });
 	}
--- a/test/local/childProcess.ts
+++ b/test/local/childProcess.ts
@@ -10,6 +10,7 @@
 import { fileURLToPath } from 'node:url';
 
 const START_TIMEOUT_MS = 15000;
+const KEPT_OUTPUT = 2000;
 
 /** Folder of the compiled project. */
 export const OUT_FOLDER = fileURLToPath(new URL('../../', import.meta.url));
@@ -23,6 +24,8 @@
 	private readonly _waiters: { accepts: (line: PrintedLine) => boolean; resolve: (line: PrintedLine) => void }[] = [];
 	private readonly _exited: Promise<number | null>;
 	private _hasExited = false;
+	/** The last it wrote, to explain an end that was not expected. */
+	private _lastOutput = '';
 
 	/**
 	 * @param script path below the compiled project
@@ -36,7 +39,10 @@
 	) {
 		const log = createWriteStream(logFile, { flags: 'a' });
 		this._child = fork(OUT_FOLDER + script, [...args], { silent: true });
-		this._child.stderr!.on('data', (data: Buffer) => log.write(data));
+		this._child.stderr!.on('data', (data: Buffer) => {
+			log.write(data);
+			this._keepLast(data.toString('utf8'));
+		});
 		createInterface({ input: this._child.stdout! }).on('line', text => {
 			log.write(`${text}\n`);
 			this._onLine(text);
@@ -70,7 +76,7 @@
 		let timer: NodeJS.Timeout | undefined;
 		const printed = new Promise<PrintedLine>(resolve => this._waiters.push({ accepts, resolve }));
 		const ended = this._exited.then(code => {
-			throw new Error(`${this.name} ended with ${code} before it was ready`);
+			throw new Error(`${this.name} ended with ${code} before it was ready; it wrote last:\n${this._lastOutput}`);
 		});
 		const late = new Promise<never>((_resolve, reject) => {
 			timer = setTimeout(() => reject(new Error(`${this.name} was not ready in time`)), START_TIMEOUT_MS);
@@ -107,7 +113,12 @@
 		return this._exited;
 	}
 
+	private _keepLast(text: string): void {
+		this._lastOutput = (this._lastOutput + text).slice(-KEPT_OUTPUT);
+	}
+
 	private _onLine(text: string): void {
+		this._keepLast(`${text}\n`);
 		let line: PrintedLine;
 		try {
 			line = JSON.parse(text) as PrintedLine;
