Objects stay with one target under load; regions share by measured need; listeners on kept connections are removed

Now the second target is used only while it has free slots. Shares of regions follow the need that entry instances report, paced. A 421 no longer costs one of a route's attempts, and such a target is not asked again. Also: one 'error' listener was left on a kept connection per answer (seen as warnings, peak 82 MB).

--- a/src/plugins/fleet/common/entryLookUp.ts
+++ b/src/plugins/fleet/common/entryLookUp.ts
@@ -2,9 +2,10 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Which entry instances a caller is told to use. */
+/** What control works out of the entry instances it hears: whom to name, and what their callers need. */
 
 import type { EntryDescription } from './fleetTypes.js';
+import type { RegionDemand } from './fleetWire.js';
 
 /**
  * The ready entry instances of the caller's region; where there are none, those of every region.
@@ -15,3 +16,15 @@
 	const near = ready.filter(entry => entry.region === region);
 	return near.length > 0 ? near : ready;
 }
+
+/** Slots needed by the callers of each region: the sum over its entry instances. */
+export function sumDemand(entries: readonly EntryDescription[]): RegionDemand {
+	const sums: Record<string, Record<string, number>> = {};
+	for (const entry of entries) {
+		for (const [service, slots] of Object.entries(entry.demand)) {
+			const byRegion = (sums[service] ??= {});
+			byRegion[entry.region] = (byRegion[entry.region] ?? 0) + slots;
+		}
+	}
+	return sums;
+}
--- a/src/plugins/fleet/common/fleetSession.ts
+++ b/src/plugins/fleet/common/fleetSession.ts
@@ -14,6 +14,8 @@
 	readonly view: FleetView;
 	/** How long ago the view was known to be current. */
 	ageMs(): Millis;
+	/** Says to control how many slots this instance's callers need, by service; sent with the next call. */
+	setDemand(demand: Readonly<Record<string, number>>): void;
 	/** Says to control whether callers may come; sent at once. */
 	setReady(isReady: boolean): void;
 }
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -123,6 +123,8 @@
 	/** IPv4 address and port for callers. */
 	readonly callerAddress: string;
 	readonly isReady: boolean;
+	/** Slots that its callers need, by service. */
+	readonly demand: Readonly<Record<string, number>>;
 }
 
 /** An entry instance and how long ago it was heard. */
--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -7,7 +7,7 @@
 import type { Millis } from '../../../base/clock.js';
 import { RouteIndex } from '../../routes/common/routeIndex.js';
 import { type FleetChanges, type FleetRevision, TargetPhase, type TargetRecord } from './fleetTypes.js';
-import type { SyncResponse } from './fleetWire.js';
+import type { RegionDemand, SyncResponse } from './fleetWire.js';
 
 /** A target as requests are placed by it. */
 export interface KnownTarget {
@@ -28,6 +28,7 @@
 	private readonly _byService = new Map<string, KnownTarget[]>();
 	private _entryCount = 1;
 	private _regionEntries: readonly string[] = [];
+	private _demand: RegionDemand = {};
 
 	/** @param _regionOf the region of a hall; undefined for a hall that is not known */
 	constructor(private readonly _regionOf: (hall: string) => string | undefined) {}
@@ -52,6 +53,11 @@
 		return this._regionEntries;
 	}
 
+	/** Slots of a service that a region's callers need; undefined where control did not say. */
+	demandOf(service: string, region: string): number | undefined {
+		return this._demand[service]?.[region];
+	}
+
 	/** Targets of a service that may get work. */
 	targetsOf(service: string): readonly KnownTarget[] {
 		return this._byService.get(service) ?? [];
@@ -75,6 +81,7 @@
 		this._applyChanges(response.changes, now);
 		this._entryCount = Math.max(1, response.entryCount);
 		this._regionEntries = response.regionEntries;
+		this._demand = response.demand;
 		const silent = new Set(response.silentTargets);
 		this._targets.forEach((target, id) => (target.isSilent = silent.has(id)));
 		for (const cold of response.coldTargets) {
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -45,8 +45,13 @@
 	/** Targets whose heartbeats are overdue. */
 	readonly silentTargets: readonly string[];
 	readonly coldTargets: readonly ColdTarget[];
+	/** Slots that the callers of each region need, by service and region. */
+	readonly demand: RegionDemand;
 }
 
+/** Slots needed, by service and region. */
+export type RegionDemand = Readonly<Record<string, Readonly<Record<string, number>>>>;
+
 /** A heartbeat as another control instance received it. */
 export interface HeartbeatSighting {
 	readonly id: string;
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -9,7 +9,7 @@
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
-import { entriesFor } from '../common/entryLookUp.js';
+import { entriesFor, sumDemand } from '../common/entryLookUp.js';
 import { FleetUnavailableError, type IFleetControl, type TargetHeartbeat } from '../common/fleetControl.js';
 import { FleetState } from '../common/fleetState.js';
 import {
@@ -181,7 +181,8 @@
 			entryCount: entries.length,
 			regionEntries: near.map(entry => entry.name),
 			silentTargets: this._silentTargets(now),
-			coldTargets: this._sightings.coldTargets(now)
+			coldTargets: this._sightings.coldTargets(now),
+			demand: sumDemand(entries)
 		};
 	}
 
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -40,6 +40,7 @@
 	private _preferred?: string;
 	private _turn = 0;
 	private _isReady = false;
+	private _demand: Readonly<Record<string, number>> = {};
 	private _currentAt = Number.NEGATIVE_INFINITY;
 	private _isInTouch = false;
 	private _isStopped = false;
@@ -76,6 +77,10 @@
 		}
 	}
 
+	setDemand(demand: Readonly<Record<string, number>>): void {
+		this._demand = demand;
+	}
+
 	private async _run(): Promise<void> {
 		while (!this._isStopped) {
 			const address = this._nextControl();
@@ -111,7 +116,8 @@
 				hall: this._instance.hall,
 				region: this._instance.region,
 				callerAddress: this._callerAddress,
-				isReady: this._isReady
+				isReady: this._isReady,
+				demand: this._demand
 			},
 			revision: this.view.revision,
 			waitMs
--- /dev/null
+++ b/src/plugins/forwarding/common/demandMeter.ts
@@ -0,0 +1,51 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * How many slots of a service the callers of this instance need: their rate times what a request takes when nothing holds
+ * it up. The time is a low quantile of those seen, since slow answers of a crowded or cold service say little of the need.
+ */
+
+import type { Millis } from '../../../base/clock.js';
+
+/** Time over which the rate is averaged. */
+const RATE_SPAN_MS = 2000;
+const QUANTILE = 0.3;
+/** Part by which one answer moves the quantile. */
+const QUANTILE_STEP = 0.05;
+const FIRST_GUESS_MS = 200;
+
+/** The need of one service. */
+export class DemandMeter {
+	private _perSecond = 0;
+	private _updatedAt: Millis;
+	private _typicalMs = FIRST_GUESS_MS;
+
+	constructor(now: Millis) {
+		this._updatedAt = now;
+	}
+
+	/** A caller's request for the service came in. */
+	noteRequest(now: Millis): void {
+		this._decay(now);
+		this._perSecond += 1000 / RATE_SPAN_MS;
+	}
+
+	/** A target gave an answer after this long. */
+	noteAnswer(durationMs: Millis): void {
+		const direction = durationMs < this._typicalMs ? -(1 - QUANTILE) : QUANTILE;
+		this._typicalMs *= 1 + QUANTILE_STEP * direction;
+	}
+
+	/** Slots needed now. */
+	slots(now: Millis): number {
+		this._decay(now);
+		return (this._perSecond * this._typicalMs) / 1000;
+	}
+
+	private _decay(now: Millis): void {
+		this._perSecond *= Math.exp(-(now - this._updatedAt) / RATE_SPAN_MS);
+		this._updatedAt = now;
+	}
+}
--- a/src/plugins/forwarding/common/regionShares.ts
+++ b/src/plugins/forwarding/common/regionShares.ts
@@ -7,34 +7,80 @@
  * with few targets keeps what these can serve and sends the rest, always the same objects, to where there is room.
  */
 
+import type { Millis } from '../../../base/clock.js';
+
 /** Share of the objects by region, the own region first; they add up to one. */
-export type RegionShares = readonly { readonly region: string; readonly share: number }[];
+export type RegionShares = readonly RegionShare[];
+
+/** One region's share. */
+export interface RegionShare {
+	readonly region: string;
+	readonly share: number;
+}
+
+/** What a service has and needs in one region. */
+export interface RegionRoom {
+	/** Slots of its targets that take work. */
+	readonly slots: number;
+	/** Slots that the region's callers need; undefined where it is not known yet. */
+	readonly demand: number | undefined;
+}
 
-/** Part of all slots that a usual load needs; what a region can keep is measured by it. */
-const PLANNED_USE = 0.6;
+/** Part of a region's slots that is planned for; the rest is for what comes unevenly. */
+const PLANNED_USE = 0.75;
+/** Part of all slots that a load is taken to need before it was measured. */
+const ASSUMED_USE = 0.5;
+/** Most of the objects that change their region in a second; well below what callers would notice as a move. */
+const PACE_PER_SECOND = 0.04;
 
 /**
  * The shares of one region.
  * @param own the region of the callers
- * @param slotsByRegion slots of the service's targets, for every region that may serve
- * @param regionCount regions with callers, each taken to send alike
+ * @param rooms every region that may serve
+ * @param regionCount regions with callers; where nothing was measured, each is taken to need alike
  */
-export function planShares(own: string, slotsByRegion: ReadonlyMap<string, number>, regionCount: number): RegionShares {
-	const total = sum([...slotsByRegion.values()]);
+export function planShares(own: string, rooms: ReadonlyMap<string, RegionRoom>, regionCount: number): RegionShares {
+	const total = sum([...rooms.values()].map(room => room.slots));
 	if (total === 0) {
 		return [];
 	}
-	const demand = (total * PLANNED_USE) / Math.max(1, regionCount);
-	const kept = Math.min(1, (slotsByRegion.get(own) ?? 0) / demand);
-	const others = [...slotsByRegion].filter(([region]) => region !== own).sort(([a], [b]) => (a < b ? -1 : 1));
-	const spare = others.map(([, slots]) => Math.max(0, slots - demand));
-	const weights = sum(spare) > 0 ? spare : others.map(([, slots]) => slots);
+	const assumed = (total * ASSUMED_USE) / Math.max(1, regionCount);
+	const demandOf = (region: string): number => rooms.get(region)?.demand ?? assumed;
+	const usableIn = (region: string): number => (rooms.get(region)?.slots ?? 0) * PLANNED_USE;
+	const kept = Math.min(1, usableIn(own) / Math.max(demandOf(own), Number.MIN_VALUE));
+	const others = [...rooms.keys()].filter(region => region !== own).sort();
+	const spare = others.map(region => Math.max(0, usableIn(region) - demandOf(region)));
+	const weights = sum(spare) > 0 ? spare : others.map(usableIn);
 	const weightSum = sum(weights);
-	const shares = others.map(([region], i) => ({
-		region,
-		share: weightSum > 0 ? ((1 - kept) * weights[i]!) / weightSum : 0
-	}));
-	return [{ region: own, share: kept }, ...shares];
+	const keptHere = weightSum > 0 ? kept : 1;
+	const shares = others.map((region, i) => ({ region, share: ((1 - keptHere) * weights[i]!) / (weightSum || 1) }));
+	return [{ region: own, share: keptHere }, ...shares];
+}
+
+/** Moves shares towards a plan no faster than the pace; a region without any slots is left at once. */
+export class SharePacer {
+	private _shares: RegionShares = [];
+	private _movedAt: Millis = 0;
+
+	/** The shares now. */
+	follow(plan: RegionShares, now: Millis): RegionShares {
+		const isKnown = (region: string): boolean => plan.some(share => share.region === region);
+		const isNew = this._shares.length === 0 || this._shares.some(share => share.share > 0 && !isKnown(share.region));
+		const allowed = (PACE_PER_SECOND * (now - this._movedAt)) / 1000;
+		const before = new Map(this._shares.map(share => [share.region, share.share]));
+		const wanted = sum(plan.map(share => Math.max(0, share.share - (before.get(share.region) ?? 0))));
+		this._movedAt = now;
+		if (isNew || wanted <= allowed) {
+			this._shares = plan;
+			return plan;
+		}
+		const part = allowed / wanted;
+		this._shares = plan.map(({ region, share }) => {
+			const current = before.get(region) ?? 0;
+			return { region, share: current + (share - current) * part };
+		});
+		return this._shares;
+	}
 }
 
 /**
--- a/src/plugins/forwarding/common/targetChoice.ts
+++ b/src/plugins/forwarding/common/targetChoice.ts
@@ -31,14 +31,21 @@
 	mayUseCold(candidate: Candidate): boolean;
 }
 
-/** Loads up to which the first and second target of an object are used, as parts of their slots. */
-const FILL_LIMITS: readonly number[] = [1.7, 1.4];
+/**
+ * Loads up to which the first and second target of an object are used, as parts of their slots. Waiting for the first is
+ * shorter than the work of a target that has not seen the object, so the second one is used only while it has free slots.
+ */
+const FILL_LIMITS: readonly number[] = [2.2, 0.7];
 /** The same in a region that is not the object's first. */
-const SPILL_LIMITS: readonly number[] = [1.2, 1];
-/** Beyond this part of its slots a target is never given more. */
-const HIGHEST_FILL = 2.2;
+const SPILL_LIMITS: readonly number[] = [0.7];
+/** A request without an object goes to the target with least load, up to this part of its slots. */
+const UNBOUND_LIMITS: readonly number[] = [1.8];
+/** Targets that failed are tried, where there is no other, up to this part of their slots. */
+const DOUBTED_LIMIT = 1;
 const MAX_TARGET_HASHES = 8192;
 const HASH_RANGE = 2 ** 32;
+/** Keeps an object's place among regions apart from its order of targets. */
+const POSITION_SEED = 1;
 
 function mix(a: number, b: number): number {
 	let value = Math.imul(a ^ b, 0x9e3779b1);
@@ -97,7 +104,7 @@
 function leastFilled(candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
 	let best: Candidate | undefined;
 	for (const candidate of candidates) {
-		const isOpen = fill(candidate, context.now) < HIGHEST_FILL && isUsable(candidate, context);
+		const isOpen = fill(candidate, context.now) < DOUBTED_LIMIT && isUsable(candidate, context);
 		if (isOpen && (!best || fill(candidate, context.now) < fill(best, context.now))) {
 			best = candidate;
 		}
@@ -108,10 +115,10 @@
 function chooseSound(sound: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
 	const { objectKey, now } = context;
 	const keyHash = objectKey === undefined ? undefined : hash32(objectKey);
-	const position = (keyHash === undefined ? Math.random() : mix(keyHash, 1) / HASH_RANGE) % 1;
+	const position = keyHash === undefined ? Math.random() : mix(keyHash, POSITION_SEED) / HASH_RANGE;
 	const groups = groupByRegion(sound);
-	const firsts: Candidate[] = [];
-	let limits = FILL_LIMITS;
+	const isBound = keyHash !== undefined;
+	let limits = isBound ? FILL_LIMITS : UNBOUND_LIMITS;
 	for (const region of regionOrder(context.shares, position, [...groups.keys()])) {
 		const targets = firstTargets(groups.get(region)!, keyHash, limits.length, now);
 		for (const [place, candidate] of targets.entries()) {
@@ -119,10 +126,9 @@
 				return candidate;
 			}
 		}
-		firsts.push(...targets);
-		limits = SPILL_LIMITS;
+		limits = isBound ? SPILL_LIMITS : UNBOUND_LIMITS;
 	}
-	return leastFilled(firsts, context);
+	return undefined;
 }
 
 /** The target for a request; undefined when those that the object may use are too full, or none is there. */
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -15,12 +15,13 @@
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { type AttemptOutcome, type NotRun, NotRunCause } from '../common/attempt.js';
+import { DemandMeter } from '../common/demandMeter.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { passedHeaders } from '../common/hopHeaders.js';
 import { chooseService } from '../common/partChoice.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
-import { planShares, type RegionShares } from '../common/regionShares.js';
+import { planShares, type RegionRoom, type RegionShares, SharePacer } from '../common/regionShares.js';
 import { type Candidate, chooseTarget } from '../common/targetChoice.js';
 import { parseLoadWord } from '../common/targetState.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
@@ -36,7 +37,11 @@
 const LEAST_TIME_MS = 20;
 /** Connections that did not come up before a request is given up. */
 const MAX_NO_CONNECTION = 4;
-const RETRY_SOON_MS = 250;
+/** Targets that turned a request away before it is given up. */
+const MAX_REFUSALS = 3;
+const RETRY_SOON_MS = 100;
+const SHARES_AGE_MS = 200;
+const DEMAND_INTERVAL_MS = 250;
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** How many instances share the pace of one cold target; few, so that each part is a whole request. */
 const COLD_SHARERS = 3;
@@ -49,8 +54,10 @@
 	readonly body: RequestBody;
 	readonly deadline: Millis;
 	readonly tried: Set<string>;
-	/** Targets that the request reached. */
+	/** Targets that may have run the request. */
 	arrivals: number;
+	/** Targets that turned it away. */
+	refusals: number;
 	noConnections: number;
 }
 
@@ -62,6 +69,8 @@
 	private readonly _states: TargetStates;
 	private readonly _agent = new TargetAgent();
 	private readonly _allowances = new Map<string, RetryAllowance>();
+	private readonly _demand = new Map<string, DemandMeter>();
+	private readonly _shares = new Map<string, { pacer: SharePacer; shares: RegionShares; plannedAt: Millis }>();
 	private readonly _droppedHeaders: ReadonlySet<string>;
 
 	constructor(
@@ -79,6 +88,8 @@
 		this._states = new TargetStates(this._session.view);
 		this._droppedHeaders = new Set([this._names.remainingMs, this._names.expectedTarget]);
 		this._register(toDisposable(() => this._agent.destroy()));
+		const timer = setInterval(() => this._reportDemand(), DEMAND_INTERVAL_MS);
+		this._register(toDisposable(() => clearInterval(timer)));
 	}
 
 	async serve(exchange: CallerExchange): Promise<void> {
@@ -99,6 +110,7 @@
 			return;
 		}
 		const service = chooseService(route, exchange.requestId, name => this._session.view.targetsOf(name).length > 0);
+		this._demandOf(service, exchange.arrivedAt).noteRequest(exchange.arrivedAt);
 		await this._travel({
 			exchange,
 			route,
@@ -107,6 +119,7 @@
 			deadline: exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs),
 			tried: new Set(),
 			arrivals: 0,
+			refusals: 0,
 			noConnections: 0
 		});
 		body.discardRest();
@@ -144,7 +157,7 @@
 			route.isSticky && exchange.objectKey !== undefined ? `${route.pathPrefix} ${exchange.objectKey}` : undefined;
 		const chosen = chooseTarget(candidates, {
 			objectKey,
-			shares: this._sharesOf(service, route.homeRegions),
+			shares: this._sharesOf(service, route.homeRegions, now),
 			now,
 			mayUseCold: candidate => candidate.state.hasColdToken(this._coldPace(candidate), now)
 		});
@@ -154,15 +167,47 @@
 		return chosen;
 	}
 
-	private _sharesOf(service: string, homeRegions: readonly string[]): RegionShares {
-		const slots = new Map<string, number>();
-		for (const { record, region } of this._session.view.targetsOf(service)) {
-			const isUsable = !this._session.view.isDrained(record.hall);
-			if (isUsable && (homeRegions.length === 0 || homeRegions.includes(region))) {
-				slots.set(region, (slots.get(region) ?? 0) + record.slots);
+	/** The shares of this region's requests, planned anew now and then. */
+	private _sharesOf(service: string, homeRegions: readonly string[], now: Millis): RegionShares {
+		const key = `${service} ${homeRegions.join(',')}`;
+		let planned = this._shares.get(key);
+		if (!planned) {
+			planned = { pacer: new SharePacer(), shares: [], plannedAt: Number.NEGATIVE_INFINITY };
+			this._shares.set(key, planned);
+		}
+		if (now - planned.plannedAt > SHARES_AGE_MS) {
+			planned.plannedAt = now;
+			const plan = planShares(this._region, this._roomsOf(service, homeRegions), this._regionCount);
+			planned.shares = planned.pacer.follow(plan, now);
+		}
+		return planned.shares;
+	}
+
+	private _roomsOf(service: string, homeRegions: readonly string[]): Map<string, RegionRoom> {
+		const { view } = this._session;
+		const rooms = new Map<string, RegionRoom>();
+		for (const { record, region } of view.targetsOf(service)) {
+			if (!view.isDrained(record.hall) && (homeRegions.length === 0 || homeRegions.includes(region))) {
+				const slots = (rooms.get(region)?.slots ?? 0) + record.slots;
+				rooms.set(region, { slots, demand: view.demandOf(service, region) });
 			}
 		}
-		return planShares(this._region, slots, this._regionCount);
+		return rooms;
+	}
+
+	private _demandOf(service: string, now: Millis): DemandMeter {
+		let meter = this._demand.get(service);
+		if (!meter) {
+			meter = new DemandMeter(now);
+			this._demand.set(service, meter);
+		}
+		return meter;
+	}
+
+	private _reportDemand(): void {
+		const now = systemClock.now();
+		const slots = [...this._demand].map(([service, meter]) => [service, meter.slots(now)] as const);
+		this._session.setDemand(Object.fromEntries(slots));
 	}
 
 	/**
@@ -195,7 +240,7 @@
 			connectTimeoutMs: known.region === this._region ? NEAR_CONNECT_TIMEOUT_MS : FAR_CONNECT_TIMEOUT_MS
 		});
 		journey.tried.add(known.record.id);
-		if (journey.arrivals === 0) {
+		if (journey.arrivals + journey.refusals === 0) {
 			this._allowance(journey.service).noteFirstTry(now);
 		}
 		state.inFlight++;
@@ -205,6 +250,9 @@
 		exchange.whenLeft(undefined);
 		clearTimeout(timer);
 		this._note(candidate, outcome, sent.answerHeaders?.[this._names.load]);
+		if (outcome.type === 'answer') {
+			this._demandOf(journey.service, now).noteAnswer(systemClock.now() - now);
+		}
 		state.inFlight--;
 		if (outcome.type === 'broken') {
 			this._log.warn('answer broken', {
@@ -241,6 +289,8 @@
 			candidate.state.noteAnswer();
 		} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.Full) {
 			candidate.state.noteFull(now);
+		} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.OtherTarget) {
+			candidate.state.isReplaced = true;
 		} else if (outcome.type === 'broken' || outcome.type === 'not-run') {
 			candidate.state.noteFailure(now);
 		}
@@ -272,13 +322,14 @@
 			journey.noConnections++;
 			return journey.noConnections < MAX_NO_CONNECTION ? 'again' : refusal(RefusalReason.TargetFailed, RETRY_SOON_MS);
 		}
-		journey.arrivals++;
+		journey.refusals++;
 		return this._mayRetry(journey) ? 'again' : refusal(RefusalReason.NoCapacity, RETRY_SOON_MS);
 	}
 
 	private _mayRetry(journey: Journey): boolean {
 		return (
 			journey.arrivals < journey.route.attempts &&
+			journey.refusals < MAX_REFUSALS &&
 			journey.body.isAvailable &&
 			this._allowance(journey.service).take(this._session.view.entryCount, systemClock.now())
 		);
@@ -303,6 +354,7 @@
 			requestId: exchange.requestId,
 			route: journey.route.name,
 			service: journey.service,
+			object: exchange.objectKey,
 			reason: answer.reason,
 			verdict: answer.verdict,
 			arrivals: journey.arrivals,
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -30,7 +30,7 @@
 const ACCEPT_WHILE_STOPPING_MS = 3000;
 const STOP_POLL_MS = 25;
 /** Time kept for the end of the process itself. */
-const STOP_MARGIN_MS = 400;
+const STOP_MARGIN_MS = 1000;
 
 /** Section `[front]`. */
 interface FrontSettings {
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -133,7 +133,10 @@
 
 	private _hold(response: IncomingMessage, status: number): void {
 		// An answer without a length ends with its connection; a reset ends it too, but then it is not whole.
-		response.socket.once('error', error => response.destroy(error));
+		const { socket } = response;
+		const onSocketError = (error: Error): void => void response.destroy(error);
+		socket.once('error', onSocketError);
+		response.once('close', () => socket.removeListener('error', onSocketError));
 		const { headers, rawHeaders } = response;
 		const endsWithConnection =
 			headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && mayHaveBody(status);
--- a/src/plugins/forwarding/node/targetStates.ts
+++ b/src/plugins/forwarding/node/targetStates.ts
@@ -35,7 +35,10 @@
 		for (const known of this._view.targetsOf(service)) {
 			const isAtHome = homeRegions.length === 0 || homeRegions.includes(known.region);
 			if (isAtHome && !tried.has(known.record.id) && !this._view.isDrained(known.record.hall)) {
-				candidates.push({ known, state: this.stateOf(known) });
+				const state = this.stateOf(known);
+				if (!state.isReplaced) {
+					candidates.push({ known, state });
+				}
 			}
 		}
 		return candidates;
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -6,7 +6,8 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { planShares, type RegionShares } from '../common/regionShares.js';
+import { DemandMeter } from '../common/demandMeter.js';
+import { planShares, type RegionShares, SharePacer } from '../common/regionShares.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { type Candidate, chooseTarget } from '../common/targetChoice.js';
 import { parseLoadWord, TargetState } from '../common/targetState.js';
@@ -77,16 +78,16 @@
 });
 
 test('a region with few targets keeps what they can serve and sends the rest where there is room', () => {
-	const slots = new Map([
-		['north', 108],
-		['central', 18],
-		['south', 90]
+	const rooms = new Map([
+		['north', { slots: 108, demand: 30 }],
+		['central', { slots: 18, demand: 30 }],
+		['south', { slots: 90, demand: 30 }]
 	]);
-	const shares = planShares('central', slots, 3);
+	const shares = planShares('central', rooms, 3);
 	assert.equal(shares[0]!.region, 'central');
 	assert.ok(shares[0]!.share > 0.3 && shares[0]!.share < 0.5);
 	assert.ok(Math.abs(shares.reduce((sum, share) => sum + share.share, 0) - 1) < 1e-9);
-	assert.equal(planShares('north', slots, 3)[0]!.share, 1);
+	assert.equal(planShares('north', rooms, 3)[0]!.share, 1);
 	const homes = shares.map(share => share.region);
 	const counts = new Map(homes.map(region => [region, 0]));
 	const targets = homes.map(region => candidate(`t-${region}`, region, 1000));
@@ -127,3 +128,26 @@
 		assert.equal(parseLoadWord(text), undefined);
 	}
 });
+
+test('shares move no faster than their pace, and leave a region without targets at once', () => {
+	const pacer = new SharePacer();
+	const at = (here: number): RegionShares => [
+		{ region: 'r1', share: here },
+		{ region: 'r2', share: 1 - here }
+	];
+	assert.equal(pacer.follow(at(1), 0)[0]!.share, 1);
+	const after = pacer.follow(at(0.2), 2000)[0]!.share;
+	assert.ok(after < 1 && after > 0.85);
+	assert.deepEqual(pacer.follow([{ region: 'r2', share: 1 }], 2100), [{ region: 'r2', share: 1 }]);
+});
+
+test('the need of slots is the rate times what a request takes when nothing holds it up', () => {
+	const meter = new DemandMeter(0);
+	for (let i = 0; i < 1000; i++) {
+		meter.noteRequest(i * 10);
+		meter.noteAnswer(i % 2 === 0 ? 100 : 2000);
+	}
+	const slots = meter.slots(10000);
+	assert.ok(slots > 8 && slots < 20, `${slots}`);
+	assert.ok(meter.slots(20000) < 1);
+});
