Requests are explained by one bounded log line with every attempt; figures are served; logs never hold a process up

One line for a request that did not go as it should at once (its attempts with load, slots, cold, outcome; age and version of what was known), 40 a second at most, and one in 200 of the others; counters and a histogram on an address of the settings. 'shelffield explain request ID LOGFILE' tells it. Standard output is bounded: a slow or closed reader costs lines (boundedOutput.test.ts; 'an instance whose log nobody reads any more' with a real process). Cost not measured yet.

--- a/src/kernel/node/logService.ts
+++ b/src/kernel/node/logService.ts
@@ -5,6 +5,7 @@
 /** Logs: JSON lines on standard output through `winston`. */
 
 import winston from 'winston';
+import { BoundedOutput } from './boundedOutput.js';
 import { createServiceIdentifier } from '../common/serviceIdentifier.js';
 
 /** Fields that say what a line is about. */
@@ -31,7 +32,10 @@
 	return winston.createLogger({
 		level,
 		defaultMeta: context,
-		format: winston.format.combine(winston.format.timestamp({ alias: 'time' }), winston.format.json()),
-		transports: [new winston.transports.Console()]
+		format: winston.format.combine(
+			winston.format(info => Object.assign(info, { time: new Date().toISOString() }))(),
+			winston.format.json()
+		),
+		transports: [new winston.transports.Stream({ stream: new BoundedOutput(process.stdout) })]
 	});
 }
--- a/src/kernel/node/processHost.ts
+++ b/src/kernel/node/processHost.ts
@@ -9,6 +9,7 @@
 import { InstantiationService } from '../common/instantiationService.js';
 import { type IContribution, type ProcessKind, pluginRegistry } from '../common/pluginRegistry.js';
 import './instanceSettings.js';
+import './metricsListener.js';
 import type { InstanceSettings } from './instanceSettings.js';
 import { createLog, ILogService } from './logService.js';
 import { IMetricsService, MetricsService } from './metricsService.js';
--- a/src/plugins/commandLine/node/planCommands.ts
+++ b/src/plugins/commandLine/node/planCommands.ts
@@ -4,6 +4,7 @@
 
 /** The commands about plans and the state of the system. */
 
+import { readFile } from 'node:fs/promises';
 import type { PlanRecord } from '../../configuration/common/intents.js';
 import type { ConfirmResponse, InForce, StatusResponse } from '../../operators/common/operatorApi.js';
 import {
@@ -14,6 +15,7 @@
 	REQUEST_OPTIONS,
 	UsageError
 } from '../common/command.js';
+import { explainRequest } from '../common/requestExplanation.js';
 import { OperatorConnection, requestNumber } from './operatorConnection.js';
 import { describePlan, describeStatus, print, table } from './output.js';
 
@@ -128,6 +130,20 @@
 	}
 };
 
+async function explainFromLogs(args: CommandArguments, id: string, files: readonly string[]): Promise<ExitCode> {
+	const lines: string[] = [];
+	for (const file of files) {
+		const text = await readFile(file, 'utf8').catch((error: Error) => {
+			throw new UsageError(`LOGFILE '${file}' cannot be read: ${error.message}`);
+		});
+		lines.push(...text.split('\n'));
+	}
+	const told = explainRequest(lines, id);
+	const nothing = 'The logs say nothing of it: it came to no instance whose log this is, or its line was left out.';
+	print(args, { requestId: id, told }, () => (told.length > 0 ? told.join('\n') : nothing));
+	return ExitCode.Done;
+}
+
 interface Explanation {
 	readonly decisions: readonly { at: string; planId: string; decision: string }[];
 }
@@ -135,14 +151,17 @@
 /** `shelffield explain`. */
 export const explainCommand: ICommand = {
 	name: 'explain',
-	summary: 'say why a shift went as it did, from recorded decisions',
-	usage: '[plan PLAN]',
+	summary: 'say why a shift went as it did, from recorded decisions, or a request, from logs',
+	usage: '[plan PLAN] | request ID LOGFILE...',
 	example: 'shelffield explain plan 0a1b2c3d4e5f6071',
 	options: CONNECTION_OPTIONS,
 	run: async args => {
-		const [kind, id] = args.positionals;
+		const [kind, id, ...files] = args.positionals;
+		if (kind === 'request' && id !== undefined && files.length > 0) {
+			return explainFromLogs(args, id, files);
+		}
 		if (kind !== undefined && (kind !== 'plan' || id === undefined)) {
-			throw new UsageError('allowed: nothing, or `plan PLAN`');
+			throw new UsageError('allowed: nothing, `plan PLAN`, or `request ID LOGFILE...`');
 		}
 		const query = kind === undefined ? '' : `?${new URLSearchParams({ [kind]: id! }).toString()}`;
 		const explanation = await new OperatorConnection(args).send<Explanation>('GET', `/v1/explain${query}`);
--- a/src/plugins/dispatch/node/serviceDispatcher.ts
+++ b/src/plugins/dispatch/node/serviceDispatcher.ts
@@ -252,7 +252,8 @@
 			const wasNotRun = 'verdict' in outcome && outcome.verdict === 'not-run';
 			const isRetried =
 				(outcome.kind === 'withheld' && tries < MAX_ATTEMPTS && !signal.aborted) ||
-				outcome.kind === 'shed' || (outcome.kind === 'failed' && (wasNotRun || request.isRepeatable) && mayTryAgain());
+				outcome.kind === 'shed' ||
+				(outcome.kind === 'failed' && (wasNotRun || request.isRepeatable) && mayTryAgain());
 			mayHaveRun ||= !wasNotRun;
 			if (!isRetried) {
 				throw withDoubt(toRequestError(outcome, target.listed.name), mayHaveRun);
@@ -357,7 +358,13 @@
 		case 'failed':
 			return new RequestError(outcome.verdict, RefusalReason.TargetFailed, 502, `${target}: ${outcome.message}`);
 		case 'withheld':
-			return new RequestError('not-run', RefusalReason.NoCapacity, 503, `${target} is no longer ours`, WITHHELD_RETRY_MS);
+			return new RequestError(
+				'not-run',
+				RefusalReason.NoCapacity,
+				503,
+				`${target} is no longer ours`,
+				WITHHELD_RETRY_MS
+			);
 		case 'aborted':
 			return new RequestError(outcome.verdict, RefusalReason.Cancelled, 499, 'given up on');
 		default:
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -74,7 +74,15 @@
 
 test('an entry instance that falls silent is no longer named', () => {
 	const sightings = new Sightings({ entrySilentMs: 1000, targetSilentMs: 1000 }, 0);
-	const entry = { name: 'e', incarnation: 'i', hall: 'h', region: 'r', callerAddress: '127.0.0.1:1', isReady: true, demand: {} };
+	const entry = {
+		name: 'e',
+		incarnation: 'i',
+		hall: 'h',
+		region: 'r',
+		callerAddress: '127.0.0.1:1',
+		isReady: true,
+		demand: {}
+	};
 	sightings.seeEntry(entry, 100);
 	assert.equal(sightings.liveEntries(1000).length, 1);
 	assert.equal(sightings.liveEntries(1200).length, 0);
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -10,6 +10,7 @@
 import { RefusalReason } from '../../../base/verdict.js';
 import type { InstanceSettings } from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
+import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import type { PlaceSettings } from '../../fleet/common/placeSettings.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
@@ -19,6 +20,7 @@
 import { IHeaderNames } from '../common/headerNames.js';
 import { passedHeaders } from '../common/hopHeaders.js';
 import { chooseService } from '../common/partChoice.js';
+import type { AttemptTrace } from '../common/requestTrace.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
 import { planShares, type RegionRoom, type RegionShares, SharePacer } from '../common/regionShares.js';
@@ -27,6 +29,7 @@
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
 import { RequestBody } from './requestBody.js';
+import { RequestEnd, RequestRecorder } from './requestRecorder.js';
 import { TargetAgent } from './targetAgent.js';
 import { TargetExchange } from './targetExchange.js';
 import { TargetStates } from './targetStates.js';
@@ -59,6 +62,7 @@
 	/** Targets that turned it away. */
 	refusals: number;
 	noConnections: number;
+	readonly attempts: AttemptTrace[];
 }
 
 /** The requests of this instance. */
@@ -69,6 +73,7 @@
 	private readonly _states: TargetStates;
 	private readonly _agent = new TargetAgent();
 	private readonly _allowances = new Map<string, RetryAllowance>();
+	private readonly _recorder: RequestRecorder;
 	private readonly _demand = new Map<string, DemandMeter>();
 	private readonly _shares = new Map<string, { pacer: SharePacer; shares: RegionShares; plannedAt: Millis }>();
 	private readonly _droppedHeaders: ReadonlySet<string>;
@@ -78,9 +83,11 @@
 		@IFleetSession private readonly _session: IFleetSession,
 		@IHeaderNames private readonly _names: IHeaderNames,
 		@IServiceBounds private readonly _bounds: IServiceBounds,
-		@ILogService private readonly _log: ILogService
+		@IMetricsService metrics: IMetricsService,
+		@ILogService log: ILogService
 	) {
 		super();
+		this._recorder = new RequestRecorder(metrics, log);
 		const instance = settings.section<InstanceSettings>('instance');
 		this._region = instance.region;
 		this._name = instance.name;
@@ -120,7 +127,8 @@
 			tried: new Set(),
 			arrivals: 0,
 			refusals: 0,
-			noConnections: 0
+			noConnections: 0,
+			attempts: []
 		});
 		body.discardRest();
 	}
@@ -130,12 +138,12 @@
 		while (!exchange.hasLeft) {
 			const now = systemClock.now();
 			if (journey.deadline - now < LEAST_TIME_MS) {
-				this._giveUp(journey, refusal(RefusalReason.DeadlinePassed, RETRY_SOON_MS), now);
+				this._giveUp(journey, refusal(RefusalReason.DeadlinePassed, RETRY_SOON_MS));
 				return;
 			}
 			const candidate = this._choose(journey, now);
 			if (!candidate) {
-				this._giveUp(journey, refusal(RefusalReason.NoCapacity, RETRY_SOON_MS), now);
+				this._giveUp(journey, refusal(RefusalReason.NoCapacity, RETRY_SOON_MS));
 				return;
 			}
 			const outcome = await this._attempt(journey, candidate);
@@ -144,7 +152,7 @@
 				continue;
 			}
 			if (answer) {
-				this._giveUp(journey, answer, systemClock.now());
+				this._giveUp(journey, answer);
 			}
 			return;
 		}
@@ -225,7 +233,7 @@
 	}
 
 	private async _attempt(journey: Journey, candidate: Candidate): Promise<AttemptOutcome> {
-		const { exchange, route } = journey;
+		const { exchange } = journey;
 		const { known, state } = candidate;
 		const [host, port] = known.record.address.split(':') as [string, string];
 		const now = systemClock.now();
@@ -246,7 +254,20 @@
 		state.inFlight++;
 		const timer = setTimeout(() => sent.abandon(), Math.max(0, journey.deadline - now));
 		exchange.whenLeft(() => sent.abandon());
+		const trace: AttemptTrace = {
+			target: known.record.id,
+			region: known.region,
+			atMs: Math.round(now - exchange.arrivedAt),
+			load: Math.round(state.load(now) * 10) / 10,
+			slots: known.record.slots,
+			isCold: known.coldUntil > now,
+			outcome: 'unknown',
+			tookMs: 0
+		};
+		journey.attempts.push(trace);
 		const outcome = await sent.outcome;
+		trace.outcome = describeOutcome(outcome);
+		trace.tookMs = Math.round(systemClock.now() - now);
 		exchange.whenLeft(undefined);
 		clearTimeout(timer);
 		this._note(candidate, outcome, sent.answerHeaders?.[this._names.load]);
@@ -254,15 +275,6 @@
 			this._demandOf(journey.service, now).noteAnswer(systemClock.now() - now);
 		}
 		state.inFlight--;
-		if (outcome.type === 'broken') {
-			this._log.warn('answer broken', {
-				task: 'forwarding',
-				requestId: exchange.requestId,
-				route: route.name,
-				target: known.record.id,
-				cause: outcome.cause
-			});
-		}
 		return outcome;
 	}
 
@@ -301,6 +313,7 @@
 		switch (outcome.type) {
 			case 'answer':
 				journey.exchange.pass(outcome);
+				this._record(journey, RequestEnd.Answered, outcome.status);
 				return undefined;
 			case 'abandoned':
 				return outcome.mayHaveRun
@@ -344,26 +357,37 @@
 		return allowance;
 	}
 
-	private _giveUp(journey: Journey, answer: OwnAnswer, now: Millis): void {
+	private _giveUp(journey: Journey, answer: OwnAnswer): void {
 		const { exchange } = journey;
-		if (exchange.hasLeft) {
-			return;
-		}
-		this._log.info('request refused', {
-			task: 'forwarding',
-			requestId: exchange.requestId,
-			route: journey.route.name,
-			service: journey.service,
-			object: exchange.objectKey,
-			reason: answer.reason,
-			verdict: answer.verdict,
-			arrivals: journey.arrivals,
-			tried: [...journey.tried],
-			heldMs: Math.round(now - exchange.arrivedAt),
-			viewAgeMs: Math.round(this._session.ageMs())
-		});
 		exchange.refuse(answer);
+		this._record(journey, exchange.hasLeft ? RequestEnd.CallerLeft : endOf(answer), answer.status, answer.reason);
+	}
+
+	private _record(journey: Journey, end: RequestEnd, status?: number, reason?: string): void {
+		const { exchange, route, service, attempts } = journey;
+		const tableVersion = this._session.view.routes?.table.version;
+		const viewAgeMs = this._session.ageMs();
+		this._recorder.record({ exchange, route, service, end, status, reason, attempts, viewAgeMs, tableVersion });
+	}
+}
+
+function describeOutcome(outcome: AttemptOutcome): string {
+	switch (outcome.type) {
+		case 'answer':
+			return `answer: ${outcome.status}`;
+		case 'not-run':
+		case 'broken':
+			return `${outcome.type}: ${outcome.cause}`;
+		case 'abandoned':
+			return outcome.type;
+	}
+}
+
+function endOf(answer: OwnAnswer): RequestEnd {
+	if (answer.verdict === 'not-run') {
+		return RequestEnd.Refused;
 	}
+	return answer.reason === RefusalReason.DeadlinePassed ? RequestEnd.TimeOver : RequestEnd.Broken;
 }
 
 function refusal(reason: RefusalReason, retryAfterMs: Millis): OwnAnswer {
--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -142,6 +142,14 @@
 	await until('it is taken away', async () => (seen.closedEarly ? true : undefined), 1000);
 });
 
+test('an instance whose log nobody reads any more goes on serving', async () => {
+	entry.child!.stdout!.destroy();
+	for (let i = 0; i < 30; i++) {
+		assert.equal((await system.request(entry, 'GET', `/read/${i}`)).status, 200);
+	}
+	assert.equal(entry.child!.exitCode, null);
+});
+
 test('a planned stop cuts nothing off, large answers included', async () => {
 	const stopped = system.entries[1]!;
 	const asked = [1, 2, 3].map(i => system.request(stopped, 'GET', `/slow/${i}`, { id: `stop-${i}` }));
