A repeatable request that may have run is refused as such; a control instance that is tried afresh is asked without waiting

Cause: a 503 after a broken first attempt said 'not-run' although the first target may have run it (found by reading; the new test of requests.test.ts fails before, passes after).

--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -85,7 +85,7 @@
 		while (!this._isStopped) {
 			const address = this._nextControl();
 			try {
-				const isCurrent = await this._ask(address, WAIT_MS);
+				const isCurrent = await this._ask(address, this._preferred ? WAIT_MS : 0);
 				this._preferred = isCurrent ? address : undefined;
 			} catch (error) {
 				this._noticeFailure(address, error as Error);
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -49,6 +49,9 @@
 /** How many instances share the pace of one cold target; few, so that each part is a whole request. */
 const COLD_SHARERS = 3;
 
+/** An earlier attempt may have run: then nothing is certain any more. */
+const IN_DOUBT = { status: 502, verdict: 'may-have-run' } as const;
+
 /** One request on its way. */
 interface Journey {
 	readonly exchange: CallerExchange;
@@ -359,8 +362,9 @@
 
 	private _giveUp(journey: Journey, answer: OwnAnswer): void {
 		const { exchange } = journey;
-		exchange.refuse(answer);
-		this._record(journey, exchange.hasLeft ? RequestEnd.CallerLeft : endOf(answer), answer.status, answer.reason);
+		const honest = journey.arrivals > 0 && answer.verdict === 'not-run' ? { ...answer, ...IN_DOUBT } : answer;
+		exchange.refuse(honest);
+		this._record(journey, exchange.hasLeft ? RequestEnd.CallerLeft : endOf(honest), honest.status, honest.reason);
 	}
 
 	private _record(journey: Journey, end: RequestEnd, status?: number, reason?: string): void {
--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -124,6 +124,13 @@
 	assert.deepEqual([answer.status, runs('full')], [200, 1]);
 });
 
+test('a repeatable request that may have run is never answered as if it had not', async () => {
+	misbehaviours.push('reset', 'full', 'full', 'full');
+	const answer = await system.request(entry, 'GET', '/read/1');
+	assert.equal(answer.status, 502);
+	assert.equal((JSON.parse(answer.body) as { verdict: string }).verdict, 'may-have-run');
+});
+
 test('a route that is not there is 404, and a route’s time ends a request with 504', async () => {
 	assert.equal((await system.request(entry, 'GET', '/none/1')).status, 404);
 	const startedAt = performance.now();
