--- a/src/plugins/forwarding/common/regionShares.ts
+++ b/src/plugins/forwarding/common/regionShares.ts
@@ -30,6 +30,11 @@
 const PLANNED_USE = 0.75;
 /** Part of all slots that a load is taken to need before it was measured. */
 const ASSUMED_USE = 0.5;
+/**
+ * Most objects a slot, against the mean of all regions. A target keeps a limited number of objects at hand; a region that
+ * kept more of them than this would serve none of them fast, though it had the slots.
+ */
+const MAX_OBJECT_DENSITY = 1.75;
 /** Most of the objects that change their region in a second; well below what callers would notice as a move. */
 const PACE_PER_SECOND = 0.04;
 
@@ -47,7 +52,9 @@
 	const assumed = (total * ASSUMED_USE) / Math.max(1, regionCount);
 	const demandOf = (region: string): number => rooms.get(region)?.demand ?? assumed;
 	const usableIn = (region: string): number => (rooms.get(region)?.slots ?? 0) * PLANNED_USE;
-	const kept = Math.min(1, usableIn(own) / Math.max(demandOf(own), Number.MIN_VALUE));
+	const byRoom = usableIn(own) / Math.max(demandOf(own), Number.MIN_VALUE);
+	const byObjects = (MAX_OBJECT_DENSITY * Math.max(1, regionCount) * (rooms.get(own)?.slots ?? 0)) / total;
+	const kept = Math.min(1, byRoom, byObjects);
 	const others = [...rooms.keys()].filter(region => region !== own).sort();
 	const spare = others.map(region => Math.max(0, usableIn(region) - demandOf(region)));
 	const weights = sum(spare) > 0 ? spare : others.map(usableIn);
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -88,6 +88,8 @@
 	assert.ok(shares[0]!.share > 0.3 && shares[0]!.share < 0.5);
 	assert.ok(Math.abs(shares.reduce((sum, share) => sum + share.share, 0) - 1) < 1e-9);
 	assert.equal(planShares('north', rooms, 3)[0]!.share, 1);
+	const calm = new Map([...rooms].map(([region, room]) => [region, { ...room, demand: 5 }]));
+	assert.ok(planShares('central', calm, 3)[0]!.share < 0.5, 'a calm region keeps no more objects than its targets can');
 	const homes = shares.map(share => share.region);
 	const counts = new Map(homes.map(region => [region, 0]));
 	const targets = homes.map(region => candidate(`t-${region}`, region, 1000));
