What a leader knows of its members in a module of its own

Taken out of agreementCore.ts, which held elections, replication and this; nothing changes in behaviour.

--- a/src/plugins/agreement/common/agreementCore.ts
+++ b/src/plugins/agreement/common/agreementCore.ts
@@ -40,25 +40,12 @@
 	targetVoterCount,
 	votersOf
 } from './memberList.js';
+import { MemberProgress, type Progress } from './memberProgress.js';
 import { MemoryLog, type StoredLog } from './memoryLog.js';
 
 const MAX_ENTRIES_PER_MESSAGE = 512;
 /** A snapshot is sent again only after this long without an answer. */
 const SNAPSHOT_RETRY_MS = 3000;
-/** A member that did not answer for this long may be removed for its successor. */
-const SILENT_MEMBER_MS = 2500;
-
-/** What the leader knows of one member. */
-interface Progress {
-	/** Last index known to be synced there. */
-	match: LogIndex;
-	/** Next index to send. */
-	next: LogIndex;
-	/** Sending time of the latest message that was acknowledged. */
-	acknowledgedAt: Millis;
-	/** When a snapshot was last sent; undefined when none is on the way. */
-	snapshotSentAt?: Millis;
-}
 
 /** Who this replica is. */
 export interface ReplicaIdentity {
@@ -106,7 +93,7 @@
 	private _termStartIndex: LogIndex = 0;
 	private _leaderSince: Millis = 0;
 	private _votes = new Set<MemberId>();
-	private readonly _progress = new Map<MemberId, Progress>();
+	private readonly _progress = new MemberProgress();
 	private _effects = AgreementCore._noEffects();
 
 	constructor(start: ReplicaStart) {
@@ -260,7 +247,7 @@
 		if (this._canChangeMembers()) {
 			const changed = admitLearner(this._members, { ...newcomer, admittedAt: this._log.lastIndex + 1 });
 			if (changed) {
-				this._progress.delete(newcomer.id);
+				this._progress.forget(newcomer.id);
 				this._changeMembers(changed, now);
 			}
 		}
@@ -272,7 +259,7 @@
 		const possible = this._canChangeMembers() && id !== this._self.id && this._members.some(m => m.id === id);
 		if (possible) {
 			this._changeMembers(remove(this._members, id), now);
-			this._progress.delete(id);
+			this._progress.forget(id);
 		}
 		return { done: possible, effects: this._take() };
 	}
@@ -463,19 +450,12 @@
 	}
 
 	private _progressOf(member: Member): Progress {
-		let progress = this._progress.get(member.id);
-		if (!progress) {
-			progress = { match: 0, next: this._log.lastIndex + 1, acknowledgedAt: Number.NEGATIVE_INFINITY };
-			this._progress.set(member.id, progress);
-		}
-		return progress;
+		return this._progress.of(member, this._log.lastIndex + 1);
 	}
 
 	/** The latest time by which a quorum had heard from this leader. */
 	private _quorumContact(now: Millis): Millis {
-		return quorumValue(this._members, member =>
-			this._isSelf(member) ? now : (this._progress.get(member.id)?.acknowledgedAt ?? Number.NEGATIVE_INFINITY)
-		);
+		return quorumValue(this._members, member => (this._isSelf(member) ? now : this._progress.heardAt(member)));
 	}
 
 	private _tickLeader(now: Millis): void {
@@ -643,7 +623,7 @@
 			return;
 		}
 		const reached = quorumValue(this._members, member =>
-			this._isSelf(member) ? this._persisted : (this._progress.get(member.id)?.match ?? 0)
+			this._isSelf(member) ? this._persisted : this._progress.matchOf(member)
 		);
 		if (reached > this._commit && this._log.termAt(reached) === this._term) {
 			this._deliver(reached);
@@ -697,16 +677,11 @@
 	}
 
 	private _isWhole(member: Member, now: Millis): boolean {
-		const progress = this._progress.get(member.id);
-		return progress !== undefined && progress.match >= this._commit && !this._isSilent(member, now);
+		return this._isSelf(member) || this._progress.isWhole(member, this._commit, this._leaderSince, now);
 	}
 
 	private _isSilent(member: Member, now: Millis): boolean {
-		if (this._isSelf(member)) {
-			return false;
-		}
-		const heardAt = this._progress.get(member.id)?.acknowledgedAt ?? Number.NEGATIVE_INFINITY;
-		return now - Math.max(heardAt, this._leaderSince) > SILENT_MEMBER_MS;
+		return !this._isSelf(member) && this._progress.isSilent(member, this._leaderSince, now);
 	}
 
 	/** Removes a member that fell silent and whose successor, of the same data hall, holds everything committed. */
@@ -717,11 +692,11 @@
 		const replaced = findReplaced(
 			this._members,
 			member => this._isSilent(member, now),
-			member => this._isSelf(member) || this._isWhole(member, now)
+			member => this._isWhole(member, now)
 		);
 		if (replaced) {
 			this._changeMembers(remove(this._members, replaced.id), now);
-			this._progress.delete(replaced.id);
+			this._progress.forget(replaced.id);
 		}
 	}
 }
