--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -123,6 +123,7 @@
 		)
 	);
 	private _store!: LogStore;
+	/** Absent until the log has been opened; timers of other parts may ask before. */
 	private _core!: AgreementCore;
 	private _identity!: ReplicaIdentity;
 	private _wasLeader = false;
@@ -184,11 +185,11 @@
 	}
 
 	hasLease(): boolean {
-		return this._core.hasLease(systemClock.now());
+		return this._core?.hasLease(systemClock.now()) ?? false;
 	}
 
 	contactAgeMs(): number {
-		return this._core.contactAge(systemClock.now());
+		return this._core?.contactAge(systemClock.now()) ?? Number.POSITIVE_INFINITY;
 	}
 
 	removeMember(id: MemberId): Promise<boolean> {
