An acknowledgement waits for the entry instances; a late answer of control counts

Its calls to control were given up after 1.1 s and asked anew, so on a crowded link none ever came through (views 6.1 s old in the logs). Ruled out: processor (0.04 of 0.27 cores), control (0.10 of 0.81 cores). Change: a call may be answered up to 4 s later while another control instance is asked too; words of an instance carry a sequence, since they may now overtake each other; tables, drains and leaving targets are acknowledged when every instance that is heard acts by them, or after 1.5 s and 0.75 s.

--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -118,11 +118,15 @@
 	readonly name: string;
 	/** Changes with every start. */
 	readonly incarnation: string;
+	/** Grows with each word of one incarnation; words may overtake each other. */
+	readonly sequence: number;
 	readonly hall: string;
 	readonly region: string;
 	/** IPv4 address and port for callers. */
 	readonly callerAddress: string;
 	readonly isReady: boolean;
+	/** The revision of the fleet that it acts by; 0 for none. */
+	readonly revision: FleetRevision;
 	/** Slots that its callers need, by service. */
 	readonly demand: Readonly<Record<string, number>>;
 }
--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -17,6 +17,8 @@
 	isSilent: boolean;
 	/** Until then it bears little; on the monotonic clock. */
 	coldUntil: Millis;
+	/** Whether it came after this view began, so that it may never have had a request. */
+	readonly hasJoined: boolean;
 }
 
 /** The fleet as one entry instance sees it. */
@@ -122,7 +124,8 @@
 		const region = this._regionOf(record.hall) ?? '';
 		const coldMs = this._routes?.service(record.service)?.coldStartMs ?? 0;
 		const coldUntil = known?.coldUntil ?? (startedAt > 0 ? startedAt + coldMs : 0);
-		this._targets.set(record.id, { record, region, isSilent: false, coldUntil });
+		const hasJoined = known?.hasJoined ?? startedAt > 0;
+		this._targets.set(record.id, { record, region, isSilent: false, coldUntil, hasJoined });
 	}
 
 	/** A hall that is taken back may have turned cold while it was drained. */
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -12,15 +12,12 @@
 	FleetChanges,
 	FleetCommand,
 	FleetResult,
-	FleetRevision,
 	PublishedTable
 } from './fleetTypes.js';
 
 /** An entry instance says that it is there and asks for what changed. */
 export interface SyncRequest {
 	readonly entry: EntryDescription;
-	/** The revision that it holds; 0 for none. */
-	readonly revision: FleetRevision;
 	/** How long to wait for a change before answering. */
 	readonly waitMs: Millis;
 }
--- a/src/plugins/fleet/common/sightings.ts
+++ b/src/plugins/fleet/common/sightings.ts
@@ -8,7 +8,7 @@
  */
 
 import type { Millis } from '../../../base/clock.js';
-import type { EntryDescription, EntrySighting } from './fleetTypes.js';
+import type { EntryDescription, EntrySighting, FleetRevision } from './fleetTypes.js';
 import type { ColdTarget, ExchangeRequest, HeartbeatSighting } from './fleetWire.js';
 
 /** Time spans by which something counts as gone. */
@@ -46,7 +46,9 @@
 
 	/** An entry instance spoke to this control instance. */
 	seeEntry(description: EntryDescription, now: Millis): void {
-		this._entries.set(description.name, { description, seenAt: now, isFresh: true });
+		if (!this._isOvertaken(description)) {
+			this._entries.set(description.name, { description, seenAt: now, isFresh: true });
+		}
 	}
 
 	/**
@@ -106,6 +108,16 @@
 		return live;
 	}
 
+	/** Whether every entry instance that was heard lately acts by a revision or a later one. */
+	isInForce(revision: FleetRevision, now: Millis): boolean {
+		for (const { description, seenAt } of this._entries.values()) {
+			if (now - seenAt <= this._timing.entrySilentMs && description.revision < revision) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	/** Whether a target's heartbeats are overdue. */
 	isSilent(id: string, now: Millis): boolean {
 		const seenAt = this._targets.get(id)?.seenAt ?? this._startedAt;
@@ -123,11 +135,18 @@
 		return cold;
 	}
 
+	/** Whether a later word of the same incarnation is known. */
+	private _isOvertaken(description: EntryDescription): boolean {
+		const known = this._entries.get(description.name)?.description;
+		return known?.incarnation === description.incarnation && description.sequence < known.sequence;
+	}
+
 	private _mergeEntry(sighting: EntrySighting, now: Millis): void {
 		const { ageMs, ...description } = sighting;
 		const seenAt = now - ageMs;
 		const known = this._entries.get(description.name);
-		if (!known || seenAt > known.seenAt) {
+		const isNewer = !known || seenAt > known.seenAt;
+		if (isNewer && !this._isOvertaken(description)) {
 			this._entries.set(description.name, { description, seenAt, isFresh: false });
 		}
 	}
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -5,7 +5,7 @@
 /** The fleet's control side: hands orders to the leader, keeps sightings, answers entry instances. */
 
 import { Disposable, toDisposable } from '../../../base/disposable.js';
-import { systemClock } from '../../../base/clock.js';
+import { type Millis, systemClock } from '../../../base/clock.js';
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
@@ -17,6 +17,7 @@
 	FLEET_PART,
 	type FleetCommand,
 	type FleetResult,
+	type FleetRevision,
 	type PublishedTable,
 	type TargetChange,
 	TargetPhase
@@ -40,6 +41,16 @@
 const MAX_WAIT_MS = 2000;
 const ENTRY_SILENT_MS = 2500;
 const TARGET_SILENT_MS = 4500;
+/**
+ * An acknowledgement binds: it waits until the entry instances say that they act by the change, but for no longer than
+ * this, since one that is cut off says nothing. Whoever waits for the acknowledgement asks again after a second.
+ */
+const IN_FORCE_WAIT_MS: Readonly<Record<FleetCommand['type'], Millis>> = {
+	publishTable: 1500,
+	setHall: 750,
+	changeTargets: 750
+};
+const IN_FORCE_POLL_MS = 20;
 
 /** The fleet on a control instance. */
 export class FleetControlTask extends Disposable implements IFleetControl {
@@ -74,6 +85,14 @@
 	}
 
 	async order(command: FleetCommand): Promise<FleetResult> {
+		const result = await this._orderAtLeader(command);
+		if (result.ok) {
+			await this._untilInForce(result.revision, IN_FORCE_WAIT_MS[command.type]);
+		}
+		return result;
+	}
+
+	private async _orderAtLeader(command: FleetCommand): Promise<FleetResult> {
 		const here = await this._orderHere(command);
 		if (here) {
 			return here;
@@ -115,11 +134,16 @@
 		const isNews = !known || (heartbeat.isLeaving && known.phase === TargetPhase.Serving);
 		if (isNews && (isNewest || heartbeat.isLeaving)) {
 			await this._changeTarget({ id, phase, description: known ? undefined : heartbeat.description });
+		} else if (known?.phase === TargetPhase.Leaving) {
+			await this._untilInForce(known.changedAt, IN_FORCE_WAIT_MS.changeTargets);
 		}
 	}
 
 	async removeTarget(id: string): Promise<void> {
-		if (this._state.target(id)?.phase !== TargetPhase.Gone) {
+		const known = this._state.target(id);
+		if (known?.phase === TargetPhase.Gone) {
+			await this._untilInForce(known.changedAt, IN_FORCE_WAIT_MS.changeTargets);
+		} else {
 			await this._changeTarget({ id, phase: TargetPhase.Gone });
 		}
 		this._sightings.forgetTarget(id);
@@ -130,7 +154,9 @@
 	}
 
 	private async _changeTarget(change: TargetChange): Promise<void> {
-		await this.order({ type: 'changeTargets', changes: [change] });
+		const command = { type: 'changeTargets', changes: [change] } as const;
+		// A target that is new need not be known everywhere before it is answered.
+		await (change.phase === TargetPhase.Serving ? this._orderAtLeader(command) : this.order(command));
 		this._log.info('target changed', { task: 'fleet', target: change.id, phase: change.phase });
 	}
 
@@ -168,14 +194,14 @@
 
 	private async _sync(request: SyncRequest): Promise<SyncResponse> {
 		this._sightings.seeEntry(request.entry, systemClock.now());
-		if (request.revision === this._state.revision && request.waitMs > 0) {
+		if (request.entry.revision === this._state.revision && request.waitMs > 0) {
 			await this._waitForChange(Math.min(request.waitMs, MAX_WAIT_MS));
 		}
 		const now = systemClock.now();
 		const entries = this._sightings.liveEntries(now).filter(entry => entry.isReady);
 		const near = entries.filter(entry => entry.region === request.entry.region);
 		return {
-			changes: this._state.changesAfter(request.revision),
+			changes: this._state.changesAfter(request.entry.revision),
 			controls: this._agreement.status().members.map(member => member.address),
 			contactAgeMs: this._agreement.contactAgeMs(),
 			entryCount: entries.length,
@@ -186,6 +212,17 @@
 		};
 	}
 
+	private async _untilInForce(revision: FleetRevision, waitMs: Millis): Promise<void> {
+		const startedAt = systemClock.now();
+		for (;;) {
+			const now = systemClock.now();
+			if (this._sightings.isInForce(revision, now) || now - startedAt >= waitMs) {
+				return;
+			}
+			await new Promise(resolve => setTimeout(resolve, IN_FORCE_POLL_MS));
+		}
+	}
+
 	private _silentTargets(now: number): string[] {
 		const silent: string[] = [];
 		for (const target of this._state.targets) {
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -25,7 +25,10 @@
 
 /** How long control may hold an answer back while nothing changes. */
 const WAIT_MS = 500;
+/** Without an answer this long after it was due, another control instance is asked too. */
 const ANSWER_MARGIN_MS = 600;
+/** An answer that is late counts all the same: on a crowded link every one may be late. */
+const LATE_ANSWER_MS = 4000;
 const RETRY_PAUSE_MS = 60;
 /** An answer from a control instance that was out of touch with its leader for this long does not count. */
 const STALE_MS = 1200;
@@ -39,6 +42,7 @@
 	private _controls: readonly string[] = [];
 	private _preferred?: string;
 	private _turn = 0;
+	private _sequence = 0;
 	private _isReady = false;
 	private _demand: Readonly<Record<string, number>> = {};
 	private _currentAt = Number.NEGATIVE_INFINITY;
@@ -84,14 +88,14 @@
 	private async _run(): Promise<void> {
 		while (!this._isStopped) {
 			const address = this._nextControl();
-			try {
-				const isCurrent = await this._ask(address, this._preferred ? WAIT_MS : 0);
-				this._preferred = isCurrent ? address : undefined;
-			} catch (error) {
-				this._noticeFailure(address, error as Error);
+			const waitMs = this._preferred ? WAIT_MS : 0;
+			const answered = this._askAndFollow(address, waitMs);
+			const isInTime = await Promise.race([answered, pause(waitMs + ANSWER_MARGIN_MS)]);
+			if (!isInTime) {
+				this._noticeFailure(address);
 			}
 			if (!this._preferred) {
-				await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+				await pause(RETRY_PAUSE_MS);
 			}
 		}
 	}
@@ -107,27 +111,45 @@
 		return known[this._turn++ % known.length]!;
 	}
 
+	/** Asks a control instance and goes on with it if its answer is current; true where an answer came, late or not. */
+	private async _askAndFollow(address: string, waitMs: Millis): Promise<boolean> {
+		try {
+			const isCurrent = await this._ask(address, waitMs);
+			if (isCurrent) {
+				this._preferred = address;
+			} else if (this._preferred === address) {
+				this._preferred = undefined;
+			}
+			return true;
+		} catch {
+			return false;
+		}
+	}
+
 	/** @returns whether the answer is current */
 	private async _ask(address: string, waitMs: Millis): Promise<boolean> {
 		const request: SyncRequest = {
 			entry: {
 				name: this._instance.name,
 				incarnation: this._incarnation,
+				sequence: ++this._sequence,
 				hall: this._instance.hall,
 				region: this._instance.region,
 				callerAddress: this._callerAddress,
 				isReady: this._isReady,
+				revision: this.view.revision,
 				demand: this._demand
 			},
-			revision: this.view.revision,
 			waitMs
 		};
-		const response = await this._calls.call(address, syncMethod, request, waitMs + ANSWER_MARGIN_MS);
-		this._take(address, response);
+		const sentAt = systemClock.now();
+		const response = await this._calls.call(address, syncMethod, request, waitMs + LATE_ANSWER_MS);
+		this._take(address, response, Math.max(0, systemClock.now() - sentAt - waitMs));
 		return response.contactAgeMs < STALE_MS;
 	}
 
-	private _take(address: string, response: SyncResponse): void {
+	/** @param onWayMs the longest that the answer may have been on its way */
+	private _take(address: string, response: SyncResponse, onWayMs: Millis): void {
 		const now = systemClock.now();
 		const before = this.view.revision;
 		this.view.apply(response, now);
@@ -144,18 +166,22 @@
 		if (response.contactAgeMs >= STALE_MS) {
 			return;
 		}
-		this._currentAt = now - response.contactAgeMs;
+		this._currentAt = Math.max(this._currentAt, now - response.contactAgeMs - onWayMs);
 		if (!this._isInTouch) {
 			this._isInTouch = true;
 			this._log.info('in touch with control', { task: 'fleet', control: address });
 		}
 	}
 
-	private _noticeFailure(address: string, error: Error): void {
+	private _noticeFailure(address: string): void {
 		this._preferred = undefined;
 		if (this._isInTouch) {
 			this._isInTouch = false;
-			this._log.warn('control lost', { task: 'fleet', control: address, error: error.message });
+			this._log.warn('control lost', { task: 'fleet', control: address, viewAgeMs: Math.round(this.ageMs()) });
 		}
 	}
 }
+
+function pause(ms: Millis): Promise<undefined> {
+	return new Promise(resolve => setTimeout(() => resolve(undefined), ms));
+}
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -77,13 +77,60 @@
 	const entry = {
 		name: 'e',
 		incarnation: 'i',
+		sequence: 1,
 		hall: 'h',
 		region: 'r',
 		callerAddress: '127.0.0.1:1',
 		isReady: true,
+		revision: 4,
 		demand: {}
 	};
 	sightings.seeEntry(entry, 100);
 	assert.equal(sightings.liveEntries(1000).length, 1);
 	assert.equal(sightings.liveEntries(1200).length, 0);
 });
+
+test('a word of an entry instance that was overtaken by a later one changes nothing', () => {
+	const entry = {
+		name: 'e',
+		incarnation: 'i',
+		sequence: 2,
+		hall: 'h',
+		region: 'r',
+		callerAddress: '127.0.0.1:1',
+		isReady: false,
+		revision: 4,
+		demand: {}
+	};
+	const sightings = new Sightings({ entrySilentMs: 1000, targetSilentMs: 1000 }, 0);
+	sightings.seeEntry(entry, 100);
+	sightings.seeEntry({ ...entry, sequence: 1, isReady: true }, 200);
+	assert.equal(sightings.liveEntries(300)[0]?.isReady, false);
+	sightings.seeEntry({ ...entry, incarnation: 'restarted', sequence: 1, isReady: true }, 400);
+	assert.equal(sightings.liveEntries(500)[0]?.isReady, true);
+});
+
+test('a change is in force once all entry instances that are heard act by it', () => {
+	const entry = {
+		name: 'e',
+		incarnation: 'i',
+		sequence: 1,
+		hall: 'h',
+		region: 'r',
+		callerAddress: '127.0.0.1:1',
+		isReady: true,
+		revision: 4,
+		demand: {}
+	};
+	const here = new Sightings({ entrySilentMs: 1000, targetSilentMs: 1000 }, 0);
+	here.seeEntry(entry, 100);
+	assert.equal(here.isInForce(4, 200), true);
+	assert.equal(here.isInForce(5, 200), false);
+	const other = new Sightings({ entrySilentMs: 1000, targetSilentMs: 1000 }, 0);
+	other.seeEntry({ ...entry, sequence: 2, revision: 5 }, 300);
+	here.merge(other.takeFresh(400), 400);
+	assert.equal(here.isInForce(5, 500), true);
+	here.seeEntry({ ...entry, name: 'cut off', revision: 1 }, 500);
+	assert.equal(here.isInForce(5, 600), false);
+	assert.equal(here.isInForce(5, 1600), true);
+});
