Large answers leave room on the link; regions share load evenly; newcomers get a first request

Change: large bodies are passed on at three quarters of the link (setting linkMbit), less is held on a slow link; connections rest as long as the target says; time for a connection 400 and 600 ms; needs are averaged over 12 s and no region keeps more than 1.25 of the mean load a slot (2.5 for large answers, which prefer their own hall); silent targets count as no room; a target that joins gets its first request from one instance of its region. The plans moved out of forwardingTask.ts into modules of their own.

--- a/src/plugins/forwarding/common/demandMeter.ts
+++ b/src/plugins/forwarding/common/demandMeter.ts
@@ -9,8 +9,13 @@
 
 import type { Millis } from '../../../base/clock.js';
 
-/** Time over which the rate is averaged. */
-const RATE_SPAN_MS = 2000;
+/**
+ * Time over which the rate is averaged. Objects are placed by it, and an object that moves is no longer at hand: it should
+ * follow lasting changes, not each wave.
+ */
+const RATE_SPAN_MS = 12000;
+/** Until a meter has run this long, its average is taken over this time. */
+const LEAST_SPAN_MS = 1000;
 const QUANTILE = 0.3;
 /** Part by which one answer moves the quantile. */
 const QUANTILE_STEP = 0.05;
@@ -18,18 +23,21 @@
 
 /** The need of one service. */
 export class DemandMeter {
-	private _perSecond = 0;
+	/** Requests, each weighted by its age. */
+	private _requests = 0;
 	private _updatedAt: Millis;
+	private readonly _startedAt: Millis;
 	private _typicalMs = FIRST_GUESS_MS;
 
 	constructor(now: Millis) {
 		this._updatedAt = now;
+		this._startedAt = now;
 	}
 
 	/** A caller's request for the service came in. */
 	noteRequest(now: Millis): void {
 		this._decay(now);
-		this._perSecond += 1000 / RATE_SPAN_MS;
+		this._requests++;
 	}
 
 	/** A target gave an answer after this long. */
@@ -41,11 +49,13 @@
 	/** Slots needed now. */
 	slots(now: Millis): number {
 		this._decay(now);
-		return (this._perSecond * this._typicalMs) / 1000;
+		const ageMs = Math.max(LEAST_SPAN_MS, now - this._startedAt);
+		const weightedMs = RATE_SPAN_MS * (1 - Math.exp(-ageMs / RATE_SPAN_MS));
+		return (this._requests / weightedMs) * this._typicalMs;
 	}
 
 	private _decay(now: Millis): void {
-		this._perSecond *= Math.exp(-(now - this._updatedAt) / RATE_SPAN_MS);
+		this._requests *= Math.exp(-(now - this._updatedAt) / RATE_SPAN_MS);
 		this._updatedAt = now;
 	}
 }
--- /dev/null
+++ b/src/plugins/forwarding/common/linkPacer.ts
@@ -0,0 +1,52 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * Spreads the bytes of large answers over time, so that they never fill the queue of this instance's own link: whatever
+ * else crosses it, small answers and new connections above all, would wait behind them.
+ */
+
+import type { Millis } from '../../../base/clock.js';
+
+/** Part of the link that large answers may take together. */
+const LARGE_PART = 0.75;
+const BITS_PER_BYTE = 8;
+const BITS_PER_MEGABIT = 1e6;
+const MS_PER_SECOND = 1000;
+/** Shorter waits than this are not worth a timer. */
+const LEAST_WAIT_MS = 2;
+
+const LEAST_HELD_BYTES = 16 * 1024;
+const MOST_HELD_BYTES = 64 * 1024;
+/** What is held before it is passed on should not take the link longer than this. */
+const HELD_MS = 50;
+/** Most bytes that are written in one go. */
+export const PACED_PIECE_BYTES = 4 * 1024;
+
+/** Answers up to this size are held whole on an instance with such a link, and then passed on at once. */
+export function heldBytes(linkMbit: number): number {
+	const bytes = (linkMbit * BITS_PER_MEGABIT * HELD_MS) / BITS_PER_BYTE / MS_PER_SECOND;
+	return Math.min(MOST_HELD_BYTES, Math.max(LEAST_HELD_BYTES, bytes));
+}
+
+/** The pace of one direction of a link; those who share it take turns piece by piece. */
+export class LinkPacer {
+	private readonly _bytesPerMs: number;
+	private _freeAt: Millis = 0;
+
+	/** @param linkMbit megabits a second of the link, in one direction */
+	constructor(linkMbit: number) {
+		this._bytesPerMs = (linkMbit * BITS_PER_MEGABIT * LARGE_PART) / BITS_PER_BYTE / MS_PER_SECOND;
+	}
+
+	/**
+	 * Takes the next free time for a piece.
+	 * @returns how long to wait after the piece has passed before the next one may follow
+	 */
+	reserve(bytes: number, now: Millis): Millis {
+		this._freeAt = Math.max(this._freeAt, now) + bytes / this._bytesPerMs;
+		const waitMs = this._freeAt - now;
+		return waitMs < LEAST_WAIT_MS ? 0 : waitMs;
+	}
+}
--- a/src/plugins/forwarding/common/regionShares.ts
+++ b/src/plugins/forwarding/common/regionShares.ts
@@ -20,47 +20,47 @@
 
 /** What a service has and needs in one region. */
 export interface RegionRoom {
-	/** Slots of its targets that take work. */
+	/** Slots of its targets that take work; 0 for a region that only has callers. */
 	readonly slots: number;
-	/** Slots that the region's callers need; undefined where it is not known yet. */
+	/** Slots that the region's callers need; undefined where none was heard of. */
 	readonly demand: number | undefined;
 }
 
-/** Part of a region's slots that is planned for; the rest is for what comes unevenly. */
-const PLANNED_USE = 0.75;
-/** Part of all slots that a load is taken to need before it was measured. */
-const ASSUMED_USE = 0.5;
 /**
- * Most objects a slot, against the mean of all regions. A target keeps a limited number of objects at hand; a region that
- * kept more of them than this would serve none of them fast, though it had the slots.
+ * Most load a slot in a region, against the mean of all regions. A target keeps a limited number of objects at hand, and
+ * its queue delays all of them: a crossing between regions costs less than an object that nobody has at hand.
  */
-const MAX_OBJECT_DENSITY = 1.75;
+const MAX_RELATIVE_LOAD = 1.25;
+/** The same for large answers, whose way between regions costs more than a wait. */
+const MAX_RELATIVE_LOAD_LARGE = 2.5;
 /** Most of the objects that change their region in a second; well below what callers would notice as a move. */
-const PACE_PER_SECOND = 0.04;
+const PACE_PER_SECOND = 0.03;
 
 /**
- * The shares of one region.
+ * The shares of one region: its callers stay at home up to a load that is a little above the mean, and the rest goes where
+ * load is below that, in proportion to the room there.
  * @param own the region of the callers
- * @param rooms every region that may serve
- * @param regionCount regions with callers; where nothing was measured, each is taken to need alike
+ * @param rooms every region with callers or targets; while no need is known, all are taken to need alike
+ * @param isLarge whether the answers are large
  */
-export function planShares(own: string, rooms: ReadonlyMap<string, RegionRoom>, regionCount: number): RegionShares {
-	const total = sum([...rooms.values()].map(room => room.slots));
-	if (total === 0) {
+export function planShares(own: string, rooms: ReadonlyMap<string, RegionRoom>, isLarge = false): RegionShares {
+	const all = [...rooms.values()];
+	const slots = sum(all.map(room => room.slots));
+	if (slots === 0) {
 		return [];
 	}
-	const assumed = (total * ASSUMED_USE) / Math.max(1, regionCount);
-	const demandOf = (region: string): number => rooms.get(region)?.demand ?? assumed;
-	const usableIn = (region: string): number => (rooms.get(region)?.slots ?? 0) * PLANNED_USE;
-	const byRoom = usableIn(own) / Math.max(demandOf(own), Number.MIN_VALUE);
-	const byObjects = (MAX_OBJECT_DENSITY * Math.max(1, regionCount) * (rooms.get(own)?.slots ?? 0)) / total;
-	const kept = Math.min(1, byRoom, byObjects);
-	const others = [...rooms.keys()].filter(region => region !== own).sort();
-	const spare = others.map(region => Math.max(0, usableIn(region) - demandOf(region)));
-	const weights = sum(spare) > 0 ? spare : others.map(usableIn);
-	const weightSum = sum(weights);
-	const keptHere = weightSum > 0 ? kept : 1;
-	const shares = others.map((region, i) => ({ region, share: ((1 - keptHere) * weights[i]!) / (weightSum || 1) }));
+	const isKnown = all.some(room => room.demand !== undefined);
+	const demandOf = (region: string): number => (isKnown ? (rooms.get(region)?.demand ?? 0) : 1);
+	const slotsOf = (region: string): number => rooms.get(region)?.slots ?? 0;
+	const regions = [...rooms.keys()].sort();
+	const factor = isLarge ? MAX_RELATIVE_LOAD_LARGE : MAX_RELATIVE_LOAD;
+	const most = (factor * sum(regions.map(demandOf))) / slots;
+	const kept = demandOf(own) > 0 ? Math.min(1, (most * slotsOf(own)) / demandOf(own)) : Math.sign(slotsOf(own));
+	const others = regions.filter(region => region !== own && slotsOf(region) > 0);
+	const spare = others.map(region => Math.max(0, most * slotsOf(region) - demandOf(region)));
+	const weights = sum(spare) > 0 ? spare : others.map(slotsOf);
+	const keptHere = others.length > 0 ? kept : 1;
+	const shares = others.map((region, i) => ({ region, share: ((1 - keptHere) * weights[i]!) / sum(weights) }));
 	return [{ region: own, share: keptHere }, ...shares];
 }
 
--- a/src/plugins/forwarding/common/targetChoice.ts
+++ b/src/plugins/forwarding/common/targetChoice.ts
@@ -26,6 +26,8 @@
 	readonly objectKey: string | undefined;
 	/** How this region's requests are divided among regions. */
 	readonly shares: RegionShares;
+	/** Hall whose targets go before the others of its region; undefined for none. */
+	readonly preferredHall?: string;
 	readonly now: Millis;
 	/** Whether a cold target may be given a request now. */
 	mayUseCold(candidate: Candidate): boolean;
@@ -101,6 +103,23 @@
 	return groups;
 }
 
+/** The candidates of the preferred hall come first, as a group of their own. */
+function splitByHall(candidates: readonly Candidate[], hall: string | undefined): readonly (readonly Candidate[])[] {
+	const near = hall === undefined ? [] : candidates.filter(candidate => candidate.known.record.hall === hall);
+	return near.length > 0 && near.length < candidates.length ? [near, candidates] : [candidates];
+}
+
+function firstOpen(
+	candidates: readonly Candidate[],
+	keyHash: number | undefined,
+	limits: readonly number[],
+	context: ChoiceContext
+): Candidate | undefined {
+	const { now } = context;
+	const targets = firstTargets(candidates, keyHash, limits.length, now);
+	return targets.find((candidate, place) => fill(candidate, now) < limits[place]! && isUsable(candidate, context));
+}
+
 function leastFilled(candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
 	let best: Candidate | undefined;
 	for (const candidate of candidates) {
@@ -113,16 +132,16 @@
 }
 
 function chooseSound(sound: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
-	const { objectKey, now } = context;
+	const { objectKey } = context;
 	const keyHash = objectKey === undefined ? undefined : hash32(objectKey);
 	const position = keyHash === undefined ? Math.random() : mix(keyHash, POSITION_SEED) / HASH_RANGE;
 	const groups = groupByRegion(sound);
 	const isBound = keyHash !== undefined;
 	let limits = isBound ? FILL_LIMITS : UNBOUND_LIMITS;
 	for (const region of regionOrder(context.shares, position, [...groups.keys()])) {
-		const targets = firstTargets(groups.get(region)!, keyHash, limits.length, now);
-		for (const [place, candidate] of targets.entries()) {
-			if (fill(candidate, now) < limits[place]! && isUsable(candidate, context)) {
+		for (const group of splitByHall(groups.get(region)!, context.preferredHall)) {
+			const candidate = firstOpen(group, keyHash, limits, context);
+			if (candidate) {
 				return candidate;
 			}
 		}
--- a/src/plugins/forwarding/common/targetState.ts
+++ b/src/plugins/forwarding/common/targetState.ts
@@ -31,6 +31,8 @@
 export class TargetState {
 	/** Requests of this instance that the target has not ended. */
 	inFlight = 0;
+	/** Whether this instance has sent it a request. */
+	isUsed = false;
 	/** Another target has the address now; this one will not be met again. */
 	isReplaced = false;
 	private _othersLoad = 0;
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -5,11 +5,14 @@
 /** One request of a caller: what it asks, when its time is over, and the answer that it gets. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Readable } from 'node:stream';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import type { RefusalReason, Verdict } from '../../../base/verdict.js';
 import type { TargetAnswer } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { cookieValue, passedHeaders } from '../common/hopHeaders.js';
+import type { LinkPacer } from '../common/linkPacer.js';
+import { PacedBody } from './pacedBody.js';
 
 const VERDICT_HEADER = 'Shelffield-Verdict';
 const NOTHING_DROPPED: ReadonlySet<string> = new Set();
@@ -36,7 +39,8 @@
 	constructor(
 		readonly request: IncomingMessage,
 		private readonly _response: ServerResponse,
-		names: IHeaderNames
+		names: IHeaderNames,
+		private readonly _pacer: LinkPacer
 	) {
 		const remaining = Number(request.headers[names.remainingMs] ?? Number.NaN);
 		this.requestId = String(request.headers[names.requestId] ?? '');
@@ -96,16 +100,28 @@
 			this._response.end(answer.body);
 			return;
 		}
-		const { rest } = answer;
-		this.whenLeft(() => rest.destroy());
-		this._response.write(answer.body);
-		rest.on('error', () => this._response.destroy());
+		this._stream(answer.body, answer.rest);
+	}
+
+	/** Passes a large body on piece by piece. */
+	private _stream(beginning: Buffer, rest: Readable): void {
+		const paced = new PacedBody(this._pacer);
+		const breakOff = (): void => {
+			paced.destroy();
+			this._response.destroy();
+		};
+		this.whenLeft(() => {
+			rest.destroy();
+			paced.destroy();
+		});
+		rest.on('error', breakOff);
 		rest.on('close', () => {
 			if (!rest.readableEnded) {
-				this._response.destroy();
+				breakOff();
 			}
 		});
-		rest.pipe(this._response);
+		paced.write(beginning);
+		rest.pipe(paced).pipe(this._response);
 	}
 
 	private _writeHead(answer: TargetAnswer): void {
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -17,13 +17,16 @@
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { type AttemptOutcome, type NotRun, NotRunCause } from '../common/attempt.js';
 import { DemandMeter } from '../common/demandMeter.js';
+import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { passedHeaders } from '../common/hopHeaders.js';
+import { heldBytes } from '../common/linkPacer.js';
+import { findNewcomer } from '../common/newcomers.js';
 import { chooseService } from '../common/partChoice.js';
+import { PlacementPlans } from '../common/placementPlans.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
-import { planShares, type RegionRoom, type RegionShares, SharePacer } from '../common/regionShares.js';
 import { type Candidate, chooseTarget } from '../common/targetChoice.js';
 import { parseLoadWord } from '../common/targetState.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
@@ -34,8 +37,8 @@
 import { TargetExchange } from './targetExchange.js';
 import { TargetStates } from './targetStates.js';
 
-const NEAR_CONNECT_TIMEOUT_MS = 250;
-const FAR_CONNECT_TIMEOUT_MS = 500;
+const NEAR_CONNECT_TIMEOUT_MS = 400;
+const FAR_CONNECT_TIMEOUT_MS = 600;
 /** With less time left nothing is sent any more. */
 const LEAST_TIME_MS = 20;
 /** Connections that did not come up before a request is given up. */
@@ -43,7 +46,6 @@
 /** Targets that turned a request away before it is given up. */
 const MAX_REFUSALS = 3;
 const RETRY_SOON_MS = 100;
-const SHARES_AGE_MS = 200;
 const DEMAND_INTERVAL_MS = 250;
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** How many instances share the pace of one cold target; few, so that each part is a whole request. */
@@ -72,13 +74,13 @@
 export class ForwardingTask extends Disposable implements IForwarding {
 	private readonly _region: string;
 	private readonly _name: string;
-	private readonly _regionCount: number;
 	private readonly _states: TargetStates;
 	private readonly _agent = new TargetAgent();
 	private readonly _allowances = new Map<string, RetryAllowance>();
 	private readonly _recorder: RequestRecorder;
 	private readonly _demand = new Map<string, DemandMeter>();
-	private readonly _shares = new Map<string, { pacer: SharePacer; shares: RegionShares; plannedAt: Millis }>();
+	private readonly _plans: PlacementPlans;
+	private readonly _heldBytes: number;
 	private readonly _droppedHeaders: ReadonlySet<string>;
 
 	constructor(
@@ -94,7 +96,9 @@
 		const instance = settings.section<InstanceSettings>('instance');
 		this._region = instance.region;
 		this._name = instance.name;
-		this._regionCount = new Set(settings.section<PlaceSettings>('places').halls.values()).size;
+		this._heldBytes = heldBytes(settings.section<FrontSettings>('front').linkMbit);
+		const regions = [...new Set(settings.section<PlaceSettings>('places').halls.values())];
+		this._plans = new PlacementPlans(this._session.view, instance, regions);
 		this._states = new TargetStates(this._session.view);
 		this._droppedHeaders = new Set([this._names.remainingMs, this._names.expectedTarget]);
 		this._register(toDisposable(() => this._agent.destroy()));
@@ -162,48 +166,43 @@
 	}
 
 	private _choose(journey: Journey, now: Millis): Candidate | undefined {
-		const { route, exchange, service } = journey;
+		const { route, service } = journey;
 		const candidates = this._states.candidates(service, route.homeRegions, journey.tried, now);
-		const objectKey =
-			route.isSticky && exchange.objectKey !== undefined ? `${route.pathPrefix} ${exchange.objectKey}` : undefined;
-		const chosen = chooseTarget(candidates, {
-			objectKey,
-			shares: this._sharesOf(service, route.homeRegions, now),
-			now,
-			mayUseCold: candidate => candidate.state.hasColdToken(this._coldPace(candidate), now)
-		});
+		const chosen = this._newcomer(journey, candidates, now) ?? this._chooseKnown(journey, candidates, now);
 		if (chosen && chosen.known.coldUntil > now) {
 			chosen.state.takeColdToken(this._coldPace(chosen), now);
 		}
 		return chosen;
 	}
 
-	/** The shares of this region's requests, planned anew now and then. */
-	private _sharesOf(service: string, homeRegions: readonly string[], now: Millis): RegionShares {
-		const key = `${service} ${homeRegions.join(',')}`;
-		let planned = this._shares.get(key);
-		if (!planned) {
-			planned = { pacer: new SharePacer(), shares: [], plannedAt: Number.NEGATIVE_INFINITY };
-			this._shares.set(key, planned);
-		}
-		if (now - planned.plannedAt > SHARES_AGE_MS) {
-			planned.plannedAt = now;
-			const plan = planShares(this._region, this._roomsOf(service, homeRegions), this._regionCount);
-			planned.shares = planned.pacer.follow(plan, now);
-		}
-		return planned.shares;
+	private _chooseKnown(journey: Journey, candidates: readonly Candidate[], now: Millis): Candidate | undefined {
+		const { route, exchange, service } = journey;
+		const isBound = route.isSticky && exchange.objectKey !== undefined;
+		return chooseTarget(candidates, {
+			objectKey: isBound ? `${route.pathPrefix} ${exchange.objectKey}` : undefined,
+			...this._plans.planFor(service, route, now),
+			now,
+			mayUseCold: candidate => this._mayUseCold(candidate, now)
+		});
 	}
 
-	private _roomsOf(service: string, homeRegions: readonly string[]): Map<string, RegionRoom> {
-		const { view } = this._session;
-		const rooms = new Map<string, RegionRoom>();
-		for (const { record, region } of view.targetsOf(service)) {
-			if (!view.isDrained(record.hall) && (homeRegions.length === 0 || homeRegions.includes(region))) {
-				const slots = (rooms.get(region)?.slots ?? 0) + record.slots;
-				rooms.set(region, { slots, demand: view.demandOf(service, region) });
-			}
+	/** A target that nobody may have asked yet; only a request that may run again goes there. */
+	private _newcomer(journey: Journey, candidates: readonly Candidate[], now: Millis): Candidate | undefined {
+		if (journey.route.repeatRule !== RepeatRule.Repeatable) {
+			return undefined;
 		}
-		return rooms;
+		const { regionEntries } = this._session.view;
+		return findNewcomer(
+			candidates,
+			this._region,
+			this._name,
+			regionEntries,
+			candidate => candidate.known.coldUntil <= now || this._mayUseCold(candidate, now)
+		);
+	}
+
+	private _mayUseCold(candidate: Candidate, now: Millis): boolean {
+		return candidate.state.hasColdToken(this._coldPace(candidate), now);
 	}
 
 	private _demandOf(service: string, now: Millis): DemandMeter {
@@ -248,13 +247,15 @@
 			path: exchange.path,
 			rawHeaders: this._headersFor(journey, known.record.id, now),
 			body: journey.body,
-			connectTimeoutMs: known.region === this._region ? NEAR_CONNECT_TIMEOUT_MS : FAR_CONNECT_TIMEOUT_MS
+			connectTimeoutMs: known.region === this._region ? NEAR_CONNECT_TIMEOUT_MS : FAR_CONNECT_TIMEOUT_MS,
+			heldBytes: this._heldBytes
 		});
 		journey.tried.add(known.record.id);
 		if (journey.arrivals + journey.refusals === 0) {
 			this._allowance(journey.service).noteFirstTry(now);
 		}
 		state.inFlight++;
+		state.isUsed = true;
 		const timer = setTimeout(() => sent.abandon(), Math.max(0, journey.deadline - now));
 		exchange.whenLeft(() => sent.abandon());
 		const trace: AttemptTrace = {
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -7,14 +7,15 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
-import { ProcessKind } from '../../../kernel/common/pluginRegistry.js';
-import { addressSchema, integerSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
 import { HttpListener } from '../../../kernel/node/httpListener.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
+import '../common/frontSettings.js';
+import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
+import { LinkPacer } from '../common/linkPacer.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
 import { CallerExchange } from './callerExchange.js';
 import { IForwarding } from './forwarding.js';
@@ -32,34 +33,12 @@
 /** Time kept for the end of the process itself. */
 const STOP_MARGIN_MS = 1000;
 
-/** Section `[front]`. */
-interface FrontSettings {
-	readonly callerAddress: string;
-	readonly readyAddress: string;
-	readonly maxConnections: number;
-}
-
-settingsRegistry.register({
-	name: 'front',
-	named: false,
-	kinds: [ProcessKind.Entry],
-	description: 'Where callers and checks of readiness come in.',
-	keys: {
-		callerAddress: { schema: addressSchema, description: 'IPv4 address and port for requests of callers.' },
-		readyAddress: { schema: addressSchema, description: 'IPv4 address and port for /readyz, /healthz and /metrics.' },
-		maxConnections: {
-			schema: integerSchema(1, 100000),
-			description: 'Most connections of callers at once, 1 to 100000.',
-			default: '3000'
-		}
-	}
-});
-
 /** The listener for callers. */
 export class FrontListener extends Disposable {
 	private readonly _settings: FrontSettings;
 	private readonly _server: Server;
 	private readonly _ready: HttpListener;
+	private readonly _pacer: LinkPacer;
 	private _inFlight = 0;
 	private _isStopping = false;
 	private _isListening = false;
@@ -75,6 +54,7 @@
 	) {
 		super();
 		this._settings = settings.section<FrontSettings>('front');
+		this._pacer = new LinkPacer(this._settings.linkMbit);
 		this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_MS });
 		this._server.requestTimeout = 0;
 		this._server.maxConnections = this._settings.maxConnections;
@@ -140,7 +120,7 @@
 		if (this._isStopping) {
 			response.setHeader('Connection', 'close');
 		}
-		const exchange = new CallerExchange(request, response, this._names);
+		const exchange = new CallerExchange(request, response, this._names, this._pacer);
 		this._forwarding.serve(exchange).catch((error: Error) => {
 			this._log.error('request failed', { task: 'front', requestId: exchange.requestId, error: error.stack });
 			response.destroy();
--- a/src/plugins/forwarding/node/targetAgent.ts
+++ b/src/plugins/forwarding/node/targetAgent.ts
@@ -8,7 +8,10 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
+/** How long a connection rests at most where the target does not say how long it keeps one. */
 const IDLE_MS = 6000;
+/** The same where it does. */
+const MAX_IDLE_MS = 30000;
 /** A connection is given up this long before the target would close it, so that no request crosses the close. */
 const CLOSE_MARGIN_MS = 1500;
 const MAX_IDLE_SOCKETS = 64;
@@ -27,8 +30,7 @@
 	override keepSocketAlive(stream: Duplex): boolean {
 		const socket = stream as Socket & { _httpMessage?: { res?: { headers: Record<string, string | undefined> } } };
 		const hint = TIMEOUT_HINT.exec(socket._httpMessage?.res?.headers['keep-alive'] ?? '')?.[1];
-		const targetIdleMs = hint ? Number(hint) * 1000 : Number.POSITIVE_INFINITY;
-		const idleMs = Math.min(IDLE_MS, targetIdleMs - CLOSE_MARGIN_MS);
+		const idleMs = hint ? Math.min(MAX_IDLE_MS, Number(hint) * 1000 - CLOSE_MARGIN_MS) : IDLE_MS;
 		if (idleMs <= 0 || socket.destroyed) {
 			return false;
 		}
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -11,8 +11,6 @@
 import type { RequestBody } from './requestBody.js';
 import type { TargetAgent } from './targetAgent.js';
 
-/** Answers up to this size are held whole before the caller sees any of it, so that a broken one can be replaced. */
-const HELD_ANSWER_BYTES = 64 * 1024;
 const STATUS_OTHER_TARGET = 421;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
@@ -29,6 +27,8 @@
 	readonly rawHeaders: RawHeaders;
 	readonly body: RequestBody;
 	readonly connectTimeoutMs: Millis;
+	/** Answers up to this size are held whole before the caller sees any of it, so that a broken one can be replaced. */
+	readonly heldBytes: number;
 }
 
 function mayHaveBody(status: number): boolean {
@@ -145,7 +145,7 @@
 		const onData = (piece: Buffer): void => {
 			pieces.push(piece);
 			size += piece.length;
-			if (size > HELD_ANSWER_BYTES) {
+			if (size > this._sent.heldBytes) {
 				response.pause();
 				response.removeListener('data', onData);
 				response.removeListener('end', onEnd);
--- /dev/null
+++ b/src/plugins/forwarding/test/linkPacer.test.ts
@@ -0,0 +1,48 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Large answers leave room on the link, and arrive whole. */
+
+import assert from 'node:assert/strict';
+import { pipeline } from 'node:stream/promises';
+import { Readable, Writable } from 'node:stream';
+import { test } from 'node:test';
+import { heldBytes, LinkPacer, PACED_PIECE_BYTES } from '../common/linkPacer.js';
+import { PacedBody } from '../node/pacedBody.js';
+
+test('two large answers together take three quarters of the link', () => {
+	const pacer = new LinkPacer(8);
+	let now = 1000;
+	let passed = 0;
+	while (now < 2000) {
+		const waits = [pacer.reserve(4000, now), pacer.reserve(4000, now)];
+		passed += 8000;
+		now += Math.max(...waits);
+	}
+	assert.ok(passed > 740000 && passed < 770000, `${passed} bytes in a second of a link of 1000000`);
+});
+
+test('on a fast link nothing waits', () => {
+	const pacer = new LinkPacer(1000);
+	assert.equal(pacer.reserve(PACED_PIECE_BYTES, 5), 0);
+});
+
+test('a slow link holds less of an answer before it is passed on', () => {
+	assert.equal(heldBytes(1000), 64 * 1024);
+	assert.equal(heldBytes(1), 16 * 1024);
+});
+
+test('a paced body passes whole, in small pieces', async () => {
+	const sent = Buffer.from(Array.from({ length: 50000 }, (_, i) => i % 251));
+	const pieces: Buffer[] = [];
+	const sink = new Writable({
+		write: (piece: Buffer, _encoding, done) => {
+			pieces.push(piece);
+			done();
+		}
+	});
+	await pipeline(Readable.from([sent.subarray(0, 30000), sent.subarray(30000)]), new PacedBody(new LinkPacer(8)), sink);
+	assert.deepEqual(Buffer.concat(pieces), sent);
+	assert.ok(pieces.every(piece => piece.length <= PACED_PIECE_BYTES));
+});
