Settings are checked with the small form of zod; bodies are read in a module of their own

Cause: memory is dear on the platform, and of the entry bundle's 1.9 MB zod had 704 kB and iconv-lite (by raw-body, which an entry process never calls) 544 kB.

--- a/src/kernel/common/settingsRegistry.ts
+++ b/src/kernel/common/settingsRegistry.ts
@@ -4,13 +4,13 @@
 
 /** Where features declare their settings: type, unit, default and description, beside the code that uses them. */
 
-import { z } from 'zod';
+import * as z from 'zod/mini';
 import type { ProcessKind } from './pluginRegistry.js';
 
 /** One key of a section. */
 export interface SettingDeclaration {
 	/** Checks and converts the text of the INI value. */
-	readonly schema: z.ZodType;
+	readonly schema: z.ZodMiniType;
 	/** What the value means, with its unit and what is allowed, in a sentence. */
 	readonly description: string;
 	/** Default, as written in the file; a key without one is required. */
@@ -49,57 +49,70 @@
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$/;
 
 /** A name of an instance, hall, region, service or group. */
-export const nameSchema = z.string().regex(NAME_PATTERN, 'letters, digits, - and _, 63 at most');
+export const nameSchema = z.string().check(z.regex(NAME_PATTERN, 'letters, digits, - and _, 63 at most'));
 
 const ADDRESS_PATTERN = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/;
 const MAX_PORT = 65535;
 const MAX_OCTET = 255;
 
 /** An IPv4 address with a port, such as `127.0.0.1:8080`. */
-export const addressSchema = z.string().refine(text => {
+export const addressSchema = z.string().check(z.refine(isAddress, 'an IPv4 address and port, such as 127.0.0.1:8080'));
+
+function isAddress(text: string): boolean {
 	const match = ADDRESS_PATTERN.exec(text);
 	if (!match) {
 		return false;
 	}
 	const octetsFit = match[1]!.split('.').every(octet => Number(octet) <= MAX_OCTET);
 	return octetsFit && Number(match[2]) <= MAX_PORT;
-}, 'an IPv4 address and port, such as 127.0.0.1:8080');
+}
 
 /** Addresses parted by commas; may be empty. */
-export const addressListSchema = z
-	.string()
-	.transform(text => text.split(',').filter(part => part !== ''))
-	.pipe(z.array(addressSchema));
+export const addressListSchema = listSchema(addressSchema);
+
+/** Values parted by commas; may be empty. */
+export function listSchema<T extends z.ZodMiniType<unknown, string>>(item: T) {
+	const parts = z.pipe(
+		z.string(),
+		z.transform(text => text.split(',').filter(part => part !== ''))
+	);
+	return z.pipe(parts, z.array(item));
+}
 
 /** `true` or `false`. */
-export const booleanSchema = z.enum(['true', 'false'], 'true or false').transform(text => text === 'true');
+export const booleanSchema = z.pipe(
+	z.enum(['true', 'false'], 'true or false'),
+	z.transform(text => text === 'true')
+);
 
 /** A whole number from `min` to `max`, both allowed. */
-export function integerSchema(min: number, max: number): z.ZodType<number> {
-	return z
-		.string()
-		.regex(/^-?\d+$/, `a whole number from ${min} to ${max}`)
-		.transform(Number)
-		.refine(value => value >= min && value <= max, `a whole number from ${min} to ${max}`);
+export function integerSchema(min: number, max: number): z.ZodMiniType<number> {
+	const message = `a whole number from ${min} to ${max}`;
+	return boundedSchema(z.string().check(z.regex(/^-?\d+$/, message)), min, max, message);
 }
 
 /** A number from `min` to `max`, both allowed. */
-export function numberSchema(min: number, max: number): z.ZodType<number> {
-	return z
-		.string()
-		.refine(text => text.trim() !== '' && Number.isFinite(Number(text)), `a number from ${min} to ${max}`)
-		.transform(Number)
-		.refine(value => value >= min && value <= max, `a number from ${min} to ${max}`);
+export function numberSchema(min: number, max: number): z.ZodMiniType<number> {
+	const message = `a number from ${min} to ${max}`;
+	const isNumber = (text: string): boolean => text.trim() !== '' && Number.isFinite(Number(text));
+	return boundedSchema(z.string().check(z.refine(isNumber, message)), min, max, message);
+}
+
+function boundedSchema(text: z.ZodMiniString, min: number, max: number, message: string): z.ZodMiniType<number> {
+	const bounded = z.number(message).check(z.refine(value => value >= min && value <= max, message));
+	return z.pipe(z.pipe(text, z.transform(Number)), bounded);
 }
 
 /** An `http://` or `https://` URL. */
-export const urlSchema = z.string().refine(text => {
+export const urlSchema = z.string().check(z.refine(isHttpUrl, 'an http:// or https:// URL'));
+
+function isHttpUrl(text: string): boolean {
 	try {
 		return ['http:', 'https:'].includes(new URL(text).protocol);
 	} catch {
 		return false;
 	}
-}, 'an http:// or https:// URL');
+}
 
 /** A path of a file or folder. */
-export const pathSchema = z.string().min(1, 'a path');
+export const pathSchema = z.string().check(z.minLength(1, 'a path'));
--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -8,9 +8,9 @@
 import { createServer as createTlsServer } from 'node:https';
 import { readFileSync } from 'node:fs';
 import polka from 'polka';
-import getRawBody from 'raw-body';
 import { Disposable, toDisposable } from '../../base/disposable.js';
 import type { IMetricsService } from './metricsService.js';
+import { BodyTooLargeError } from './bodyTooLargeError.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const HEADERS_TIMEOUT_MS = 10000;
@@ -44,14 +44,6 @@
 	readonly tls?: HttpTls;
 }
 
-/** A request whose body is larger than allowed. */
-export class BodyTooLargeError extends Error {
-	constructor(readonly limitBytes: number) {
-		super(`the body is larger than ${limitBytes} bytes`);
-		this.name = 'BodyTooLargeError';
-	}
-}
-
 /** One HTTP listener. */
 export class HttpListener extends Disposable {
 	private readonly _server: Server;
@@ -187,22 +179,6 @@
 	response.end(text);
 }
 
-/**
- * Reads the body of a request.
- * @param limitBytes most bytes allowed
- * @throws BodyTooLargeError the body is larger; the rest of it is not read
- */
-export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer> {
-	try {
-		return await getRawBody(request, { length: request.headers['content-length'], limit: limitBytes });
-	} catch (error) {
-		if ((error as { type?: string }).type === 'entity.too.large') {
-			throw new BodyTooLargeError(limitBytes);
-		}
-		throw error;
-	}
-}
-
 function clientErrorAnswer(error: NodeJS.ErrnoException): string {
 	if (error.code === 'HPE_HEADER_OVERFLOW') {
 		return rawAnswer('431 Request Header Fields Too Large', 'headers-too-large', `${MAX_HEADER_BYTES} bytes at most`);
--- a/src/kernel/node/instanceSettings.ts
+++ b/src/kernel/node/instanceSettings.ts
@@ -4,7 +4,7 @@
 
 /** The settings that every process has: who and where it is, and the control instances it knows. */
 
-import { z } from 'zod';
+import * as z from 'zod/mini';
 import { ProcessKind } from '../common/pluginRegistry.js';
 import {
 	addressListSchema,
--- a/src/kernel/node/metricsListener.ts
+++ b/src/kernel/node/metricsListener.ts
@@ -4,7 +4,7 @@
 
 /** Serves the figures of a process at an address of their own, where the settings name one. */
 
-import { z } from 'zod';
+import * as z from 'zod/mini';
 import { Disposable } from '../../base/disposable.js';
 import { ContributionPhase, pluginRegistry, ProcessKind } from '../common/pluginRegistry.js';
 import { addressSchema, settingsRegistry } from '../common/settingsRegistry.js';
--- a/src/plugins/callers/node/callerServer.ts
+++ b/src/plugins/callers/node/callerServer.ts
@@ -12,14 +12,9 @@
 import { RefusalReason, RequestError } from '../../../base/verdict.js';
 import { type IContribution, ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import { addressSchema, integerSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
-import {
-	BodyTooLargeError,
-	HttpListener,
-	type HttpRequest,
-	type HttpResponse,
-	readBody,
-	sendJson
-} from '../../../kernel/node/httpListener.js';
+import { HttpListener, type HttpRequest, type HttpResponse, sendJson } from '../../../kernel/node/httpListener.js';
+import { BodyTooLargeError } from '../../../kernel/node/bodyTooLargeError.js';
+import { readBody } from '../../../kernel/node/readBody.js';
 import type { InstanceSettings } from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
--- a/src/plugins/fleet/common/placeSettings.ts
+++ b/src/plugins/fleet/common/placeSettings.ts
@@ -4,9 +4,9 @@
 
 /** Which data hall lies in which region. */
 
-import { z } from 'zod';
+import * as z from 'zod/mini';
 import { ProcessKind } from '../../../kernel/common/pluginRegistry.js';
-import { settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
+import { listSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
 
 /** Section `[places]`. */
 export interface PlaceSettings {
@@ -23,11 +23,10 @@
 	description: 'The data halls of the system and their regions.',
 	keys: {
 		halls: {
-			schema: z
-				.string()
-				.transform(text => text.split(',').filter(part => part !== ''))
-				.pipe(z.array(z.string().regex(HALL_PATTERN, 'HALL:REGION, parted by commas')))
-				.transform(parts => new Map(parts.map(part => part.split(':') as [string, string]))),
+			schema: z.pipe(
+				listSchema(z.string().check(z.regex(HALL_PATTERN, 'HALL:REGION, parted by commas'))),
+				z.transform(parts => new Map(parts.map(part => part.split(':') as [string, string])))
+			),
 			description: 'HALL:REGION for each hall, parted by commas.',
 			default: ''
 		}
--- a/src/plugins/operators/node/operatorServer.ts
+++ b/src/plugins/operators/node/operatorServer.ts
@@ -10,13 +10,8 @@
 import { Disposable } from '../../../base/disposable.js';
 import { type IContribution, ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import { addressSchema, integerSchema, pathSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
-import {
-	HttpListener,
-	type HttpRequest,
-	type HttpResponse,
-	readBody,
-	sendJson
-} from '../../../kernel/node/httpListener.js';
+import { HttpListener, type HttpRequest, type HttpResponse, sendJson } from '../../../kernel/node/httpListener.js';
+import { readBody } from '../../../kernel/node/readBody.js';
 import type { ControlPeerSettings } from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
