Look-ups never send all callers to the few instances that a control instance happens to hear of

A control instance that is cut off forgets entry instances after 2.5 s, the last ones heard stay longest, and its look-ups name just these. Change: silence is judged by the time at which the instance was last in touch for a second (HearingClock); before that it names nobody, so that callers keep what they have; a region with under 0.4 of the mean of instances is helped out by all others.

--- a/src/plugins/fleet/common/entryLookUp.ts
+++ b/src/plugins/fleet/common/entryLookUp.ts
@@ -7,14 +7,19 @@
 import type { EntryDescription } from './fleetTypes.js';
 import type { RegionDemand } from './fleetWire.js';
 
+/** A region with less than this part of the instances that a region has on average would drown under its own callers. */
+const LEAST_PART_OF_MEAN = 0.4;
+
 /**
- * The ready entry instances of the caller's region; where there are none, those of every region.
+ * The ready entry instances of the caller's region; where they are too few, those of every region.
  * @param entries the instances that were heard lately
  */
 export function entriesFor(entries: readonly EntryDescription[], region: string): EntryDescription[] {
 	const ready = entries.filter(entry => entry.isReady);
 	const near = ready.filter(entry => entry.region === region);
-	return near.length > 0 ? near : ready;
+	const regionCount = new Set(ready.map(entry => entry.region)).size;
+	const isEnough = near.length > 0 && near.length * regionCount >= LEAST_PART_OF_MEAN * ready.length;
+	return isEnough ? near : ready;
 }
 
 /** Slots needed by the callers of each region: the sum over its entry instances. */
--- a/src/plugins/fleet/common/sightings.ts
+++ b/src/plugins/fleet/common/sightings.ts
@@ -95,7 +95,7 @@
 		return { entries, heartbeats };
 	}
 
-	/** Entry instances that were heard lately. */
+	/** Entry instances that were heard lately, or are so by a time that lies in the past. */
 	liveEntries(now: Millis): EntryDescription[] {
 		const live: EntryDescription[] = [];
 		for (const [name, seen] of this._entries) {
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -31,6 +31,7 @@
 	type SyncRequest,
 	type SyncResponse
 } from '../common/fleetWire.js';
+import { HearingClock } from '../common/hearingClock.js';
 import { Sightings } from '../common/sightings.js';
 
 const EXCHANGE_INTERVAL_MS = 250;
@@ -38,6 +39,8 @@
 const LEADER_CALL_TIMEOUT_MS = 800;
 /** A control instance that was not in touch with its leader for this long takes no heartbeats. */
 const CUT_OFF_MS = 1500;
+/** Within this time of its leader's word, what an instance hears of the others is taken to be all there is. */
+const IN_TOUCH_MS = 600;
 const MAX_WAIT_MS = 2000;
 const ENTRY_SILENT_MS = 2500;
 const TARGET_SILENT_MS = 4500;
@@ -60,6 +63,7 @@
 		systemClock.now()
 	);
 	private readonly _waiting = new Set<() => void>();
+	private readonly _hearing = new HearingClock();
 
 	constructor(
 		@IPeerCalls private readonly _calls: IPeerCalls,
@@ -150,7 +154,14 @@
 	}
 
 	lookUp(region: string, _hall: string): EntryDescription[] {
-		return entriesFor(this._sightings.liveEntries(systemClock.now()), region);
+		const now = systemClock.now();
+		this._noteContact(now);
+		const heardAllAt = this._hearing.heardAllAt(now);
+		return heardAllAt === undefined ? [] : entriesFor(this._sightings.liveEntries(heardAllAt), region);
+	}
+
+	private _noteContact(now: Millis): void {
+		this._hearing.note(this._agreement.contactAgeMs() <= IN_TOUCH_MS, now);
 	}
 
 	private async _changeTarget(change: TargetChange): Promise<void> {
@@ -250,6 +261,7 @@
 	}
 
 	private _exchange(): void {
+		this._noteContact(systemClock.now());
 		const { members, id } = this._agreement.status();
 		const fresh = this._sightings.takeFresh(systemClock.now());
 		for (const member of members) {
--- /dev/null
+++ b/src/plugins/fleet/test/entryLookUp.test.ts
@@ -0,0 +1,61 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Whom look-ups name: never only the few that an instance happens to hear of. */
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { entriesFor } from '../common/entryLookUp.js';
+import type { EntryDescription } from '../common/fleetTypes.js';
+import { HearingClock } from '../common/hearingClock.js';
+import { Sightings } from '../common/sightings.js';
+
+function entry(name: string, region = 'r1', isReady = true): EntryDescription {
+	const at = { hall: 'h', region, callerAddress: '127.0.0.1:1' };
+	return { name, incarnation: 'i', sequence: 1, ...at, isReady, revision: 1, demand: {} };
+}
+
+function names(entries: readonly EntryDescription[]): string[] {
+	return entries.map(item => item.name);
+}
+
+test('callers are named the ready instances of their region', () => {
+	const all = [entry('a'), entry('b'), entry('c', 'r1', false), entry('d', 'r2'), entry('e', 'r2')];
+	assert.deepEqual(names(entriesFor(all, 'r1')), ['a', 'b']);
+	assert.deepEqual(names(entriesFor(all, 'elsewhere')), ['a', 'b', 'd', 'e']);
+});
+
+test('a region with few instances left is helped out by the others', () => {
+	const many = Array.from({ length: 9 }, (_, i) => entry(`far-${i}`, 'r2'));
+	assert.equal(entriesFor([entry('last'), ...many], 'r1').length, 10);
+	assert.equal(entriesFor([entry('a'), entry('b'), entry('c'), ...many], 'r1').length, 3);
+});
+
+test('an instance that is cut off goes on naming those that it heard of before', () => {
+	const sightings = new Sightings({ entrySilentMs: 2500, targetSilentMs: 4500 }, 0);
+	const clock = new HearingClock();
+	for (let now = 0; now <= 2000; now += 250) {
+		clock.note(true, now);
+		['a', 'b', 'c'].forEach(name => sightings.seeEntry(entry(name), now));
+	}
+	for (let now = 2250; now <= 9000; now += 250) {
+		clock.note(false, now);
+		sightings.seeEntry(entry('c'), now);
+	}
+	assert.deepEqual(names(sightings.liveEntries(clock.heardAllAt(9000)!)), ['a', 'b', 'c']);
+	assert.equal(clock.heardAllAt(30000), undefined);
+});
+
+test('an instance that has just started, or is back, waits until it can have heard of all', () => {
+	const clock = new HearingClock();
+	clock.note(true, 100);
+	assert.equal(clock.heardAllAt(200), undefined);
+	clock.note(true, 1200);
+	assert.equal(clock.heardAllAt(1200), 1200);
+	clock.note(false, 1400);
+	clock.note(true, 5000);
+	assert.equal(clock.heardAllAt(5000), 1200);
+	clock.note(true, 6100);
+	assert.equal(clock.heardAllAt(6100), 6100);
+});
