Requests with large answers are admitted as far as the link carries them in time

Change: LargeAnswerGate keeps room on the link for each large answer under way by the usual size of its route and refuses, not-run and at once, what the link can't carry within 1.6 objectives; the caller's next try meets another instance. New reason: link-full.

--- a/src/base/verdict.ts
+++ b/src/base/verdict.ts
@@ -22,6 +22,7 @@
 	BodyTooLarge = 'body-too-large',
 	NoConfiguration = 'no-configuration',
 	NoCapacity = 'no-capacity',
+	LinkFull = 'link-full',
 	QueueFull = 'queue-full',
 	DeadlinePassed = 'deadline-passed',
 	DeadlineUnreachable = 'deadline-unreachable',
--- a/src/plugins/forwarding/common/linkPacer.ts
+++ b/src/plugins/forwarding/common/linkPacer.ts
@@ -24,6 +24,11 @@
 /** Most bytes that are written in one go. */
 export const PACED_PIECE_BYTES = 4 * 1024;
 
+/** Bytes a millisecond that large answers may take together, in one direction. */
+export function largeBytesPerMs(linkMbit: number): number {
+	return (linkMbit * BITS_PER_MEGABIT * LARGE_PART) / BITS_PER_BYTE / MS_PER_SECOND;
+}
+
 /** Answers up to this size are held whole on an instance with such a link, and then passed on at once. */
 export function heldBytes(linkMbit: number): number {
 	const bytes = (linkMbit * BITS_PER_MEGABIT * HELD_MS) / BITS_PER_BYTE / MS_PER_SECOND;
@@ -37,7 +42,7 @@
 
 	/** @param linkMbit megabits a second of the link, in one direction */
 	constructor(linkMbit: number) {
-		this._bytesPerMs = (linkMbit * BITS_PER_MEGABIT * LARGE_PART) / BITS_PER_BYTE / MS_PER_SECOND;
+		this._bytesPerMs = largeBytesPerMs(linkMbit);
 	}
 
 	/**
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -35,6 +35,7 @@
 	readonly objectKey: string | undefined;
 	private _onLeft: (() => void) | undefined;
 	private _hasLeft = false;
+	private _onClosed: (() => void) | undefined;
 
 	constructor(
 		readonly request: IncomingMessage,
@@ -72,6 +73,11 @@
 		}
 	}
 
+	/** Calls back once the answer has been passed on, or the caller has left; one callback at most. */
+	whenClosed(callback: () => void): void {
+		this._onClosed = callback;
+	}
+
 	/** Gives the caller an answer of the system's own. */
 	refuse(answer: OwnAnswer): void {
 		if (this._hasLeft) {
@@ -142,6 +148,7 @@
 	}
 
 	private _noticeClose(): void {
+		this._onClosed?.();
 		if (this._response.writableFinished) {
 			return;
 		}
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -20,6 +20,7 @@
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { passedHeaders } from '../common/hopHeaders.js';
+import { LargeAnswerGate } from '../common/largeAnswerGate.js';
 import { heldBytes } from '../common/linkPacer.js';
 import { findNewcomer } from '../common/newcomers.js';
 import { chooseService } from '../common/partChoice.js';
@@ -81,6 +82,7 @@
 	private readonly _demand = new Map<string, DemandMeter>();
 	private readonly _plans: PlacementPlans;
 	private readonly _heldBytes: number;
+	private readonly _largeAnswers: LargeAnswerGate;
 	private readonly _droppedHeaders: ReadonlySet<string>;
 
 	constructor(
@@ -96,7 +98,9 @@
 		const instance = settings.section<InstanceSettings>('instance');
 		this._region = instance.region;
 		this._name = instance.name;
-		this._heldBytes = heldBytes(settings.section<FrontSettings>('front').linkMbit);
+		const { linkMbit } = settings.section<FrontSettings>('front');
+		this._heldBytes = heldBytes(linkMbit);
+		this._largeAnswers = new LargeAnswerGate(linkMbit);
 		const regions = [...new Set(settings.section<PlaceSettings>('places').halls.values())];
 		this._plans = new PlacementPlans(this._session.view, instance, regions);
 		this._states = new TargetStates(this._session.view);
@@ -125,7 +129,7 @@
 		}
 		const service = chooseService(route, exchange.requestId, name => this._session.view.targetsOf(name).length > 0);
 		this._demandOf(service, exchange.arrivedAt).noteRequest(exchange.arrivedAt);
-		await this._travel({
+		const journey: Journey = {
 			exchange,
 			route,
 			service,
@@ -136,10 +140,28 @@
 			refusals: 0,
 			noConnections: 0,
 			attempts: []
-		});
+		};
+		if (this._admitsLarge(exchange, route)) {
+			await this._travel(journey);
+		} else {
+			this._giveUp(journey, refusal(RefusalReason.LinkFull, RETRY_SOON_MS));
+		}
 		body.discardRest();
 	}
 
+	/** Keeps room on the link for a large answer until its caller has it. */
+	private _admitsLarge(exchange: CallerExchange, route: Route): boolean {
+		if (route.repeatRule !== RepeatRule.LargeAnswer) {
+			return true;
+		}
+		const bytes = this._largeAnswers.admit(route);
+		if (bytes === undefined) {
+			return false;
+		}
+		exchange.whenClosed(() => this._largeAnswers.release(bytes));
+		return true;
+	}
+
 	private async _travel(journey: Journey): Promise<void> {
 		const { exchange } = journey;
 		while (!exchange.hasLeft) {
@@ -277,11 +299,18 @@
 		this._note(candidate, outcome, sent.answerHeaders?.[this._names.load]);
 		if (outcome.type === 'answer') {
 			this._demandOf(journey.service, now).noteAnswer(systemClock.now() - now);
+			this._noteSize(journey.route, sent.answerHeaders?.['content-length']);
 		}
 		state.inFlight--;
 		return outcome;
 	}
 
+	private _noteSize(route: Route, length: string | undefined): void {
+		if (route.repeatRule === RepeatRule.LargeAnswer && length !== undefined) {
+			this._largeAnswers.noteSize(route, Number(length));
+		}
+	}
+
 	private _headersFor(journey: Journey, targetId: string, now: Millis): string[] {
 		const headers = passedHeaders(journey.exchange.request.rawHeaders, this._droppedHeaders);
 		const leftMs = Math.max(1, Math.floor(journey.deadline - now));
--- a/src/plugins/forwarding/test/linkPacer.test.ts
+++ b/src/plugins/forwarding/test/linkPacer.test.ts
@@ -8,6 +8,8 @@
 import { pipeline } from 'node:stream/promises';
 import { Readable, Writable } from 'node:stream';
 import { test } from 'node:test';
+import type { Route } from '../../routes/common/routeTable.js';
+import { LargeAnswerGate } from '../common/largeAnswerGate.js';
 import { heldBytes, LinkPacer, PACED_PIECE_BYTES } from '../common/linkPacer.js';
 import { PacedBody } from '../node/pacedBody.js';
 
@@ -33,6 +35,26 @@
 	assert.equal(heldBytes(1), 16 * 1024);
 });
 
+test('requests with large answers are admitted as far as the link carries them within their objective', () => {
+	const gate = new LargeAnswerGate(8);
+	const route = { name: 'files', objectiveMs: 500 } as Route;
+	const first = gate.admit(route)!;
+	assert.equal(first, 0);
+	gate.noteSize(route, 200000);
+	const admitted = [gate.admit(route), gate.admit(route), gate.admit(route), gate.admit(route)];
+	assert.deepEqual(admitted, [200000, 200000, 200000, undefined]);
+	gate.release(200000);
+	assert.equal(gate.admit(route), 200000);
+});
+
+test('a single large answer is admitted however slow the link', () => {
+	const gate = new LargeAnswerGate(0.1);
+	const route = { name: 'files', objectiveMs: 500 } as Route;
+	gate.noteSize(route, 200000);
+	assert.equal(gate.admit(route), 200000);
+	assert.equal(gate.admit(route), undefined);
+});
+
 test('a paced body passes whole, in small pieces', async () => {
 	const sent = Buffer.from(Array.from({ length: 50000 }, (_, i) => i % 251));
 	const pieces: Buffer[] = [];
