A target is left alone by its share of failures or its time; failures of targets are replaced where a request may run again

Change: TargetHealth: two failures in a row, no connection, or 2.5 times the service's mean over three answers; a 5xx of a target counts as a failure, and a repeatable request goes to another target under the same bounds. First tries are counted once for each request: they were counted again after each connection that did not come up, which raised the retry allowance on crowded links.

--- a/src/plugins/forwarding/common/demandMeter.ts
+++ b/src/plugins/forwarding/common/demandMeter.ts
@@ -20,6 +20,8 @@
 /** Part by which one answer moves the quantile. */
 const QUANTILE_STEP = 0.05;
 const FIRST_GUESS_MS = 200;
+/** Weight of the latest answer in the mean. */
+const MEAN_WEIGHT = 0.03;
 
 /** The need of one service. */
 export class DemandMeter {
@@ -28,6 +30,7 @@
 	private _updatedAt: Millis;
 	private readonly _startedAt: Millis;
 	private _typicalMs = FIRST_GUESS_MS;
+	private _meanMs: Millis | undefined;
 
 	constructor(now: Millis) {
 		this._updatedAt = now;
@@ -40,8 +43,14 @@
 		this._requests++;
 	}
 
+	/** What answers took on average lately. */
+	get meanMs(): Millis {
+		return this._meanMs ?? FIRST_GUESS_MS;
+	}
+
 	/** A target gave an answer after this long. */
 	noteAnswer(durationMs: Millis): void {
+		this._meanMs = this._meanMs === undefined ? durationMs : this._meanMs + MEAN_WEIGHT * (durationMs - this._meanMs);
 		const direction = durationMs < this._typicalMs ? -(1 - QUANTILE) : QUANTILE;
 		this._typicalMs *= 1 + QUANTILE_STEP * direction;
 	}
--- a/src/plugins/forwarding/common/targetState.ts
+++ b/src/plugins/forwarding/common/targetState.ts
@@ -2,14 +2,13 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** What this instance knows of one target by its own requests: load, failures, and the pace while it is cold. */
+/** What this instance knows of one target by its own requests: load, health, and the pace while it is cold. */
 
 import type { Millis } from '../../../base/clock.js';
+import { TargetHealth } from './targetHealth.js';
 
 /** A load word older than this says nothing any more. */
 const LOAD_WORD_AGE_MS = 1500;
-const FIRST_SUSPICION_MS = 400;
-const LONGEST_SUSPICION_MS = 4000;
 
 /** Load as a target told it. */
 export interface LoadWord {
@@ -29,6 +28,8 @@
 
 /** State of one target at this instance. */
 export class TargetState {
+	/** Whether it answers as it should. */
+	readonly health = new TargetHealth();
 	/** Requests of this instance that the target has not ended. */
 	inFlight = 0;
 	/** Whether this instance has sent it a request. */
@@ -37,8 +38,6 @@
 	isReplaced = false;
 	private _othersLoad = 0;
 	private _toldAt: Millis = Number.NEGATIVE_INFINITY;
-	private _failures = 0;
-	private _suspectUntil: Millis = Number.NEGATIVE_INFINITY;
 	private _coldTokens = 1;
 	private _coldTokensAt: Millis = 0;
 
@@ -60,27 +59,6 @@
 		this._toldAt = now;
 	}
 
-	/** Whether the target failed lately and should be left alone where there are others. */
-	isSuspect(now: Millis): boolean {
-		return now < this._suspectUntil;
-	}
-
-	/** A request got no answer. */
-	noteFailure(now: Millis): void {
-		if (this.isSuspect(now)) {
-			return;
-		}
-		this._failures++;
-		const spanMs = FIRST_SUSPICION_MS * 2 ** Math.min(this._failures - 1, 4);
-		this._suspectUntil = now + Math.min(spanMs, LONGEST_SUSPICION_MS);
-	}
-
-	/** A request got an answer. */
-	noteAnswer(): void {
-		this._failures = 0;
-		this._suspectUntil = Number.NEGATIVE_INFINITY;
-	}
-
 	/** The target said that it is full: until it says otherwise its slots count as taken. */
 	noteFull(now: Millis): void {
 		this._othersLoad = Math.max(this._othersLoad, this.slots * 2);
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -5,7 +5,6 @@
 /** Carries the requests of callers to targets: chooses, sends, tries again where that is allowed, and answers. */
 
 import { type Millis, systemClock } from '../../../base/clock.js';
-import { rendezvousRank } from '../../../base/hashing.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { RefusalReason } from '../../../base/verdict.js';
 import type { InstanceSettings } from '../../../kernel/node/instanceSettings.js';
@@ -15,28 +14,26 @@
 import type { PlaceSettings } from '../../fleet/common/placeSettings.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
-import { type AttemptOutcome, type NotRun, NotRunCause } from '../common/attempt.js';
-import { DemandMeter } from '../common/demandMeter.js';
+import type { AttemptOutcome, NotRun, TargetAnswer } from '../common/attempt.js';
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { passedHeaders } from '../common/hopHeaders.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
 import { heldBytes } from '../common/linkPacer.js';
-import { findNewcomer } from '../common/newcomers.js';
 import { chooseService } from '../common/partChoice.js';
-import { PlacementPlans } from '../common/placementPlans.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
-import { type Candidate, chooseTarget } from '../common/targetChoice.js';
-import { parseLoadWord } from '../common/targetState.js';
+import type { Candidate } from '../common/targetChoice.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
+import { describeOutcome, endOf, isFailure, type Journey, refusal } from './journey.js';
+import { OutcomeNotes } from './outcomeNotes.js';
 import { RequestBody } from './requestBody.js';
 import { RequestEnd, RequestRecorder } from './requestRecorder.js';
 import { TargetAgent } from './targetAgent.js';
 import { TargetExchange } from './targetExchange.js';
-import { TargetStates } from './targetStates.js';
+import { TargetSelector } from './targetSelector.js';
 
 const NEAR_CONNECT_TIMEOUT_MS = 400;
 const FAR_CONNECT_TIMEOUT_MS = 600;
@@ -49,38 +46,18 @@
 const RETRY_SOON_MS = 100;
 const DEMAND_INTERVAL_MS = 250;
 const NO_CONFIGURATION_RETRY_MS = 500;
-/** How many instances share the pace of one cold target; few, so that each part is a whole request. */
-const COLD_SHARERS = 3;
 
 /** An earlier attempt may have run: then nothing is certain any more. */
 const IN_DOUBT = { status: 502, verdict: 'may-have-run' } as const;
 
-/** One request on its way. */
-interface Journey {
-	readonly exchange: CallerExchange;
-	readonly route: Route;
-	readonly service: string;
-	readonly body: RequestBody;
-	readonly deadline: Millis;
-	readonly tried: Set<string>;
-	/** Targets that may have run the request. */
-	arrivals: number;
-	/** Targets that turned it away. */
-	refusals: number;
-	noConnections: number;
-	readonly attempts: AttemptTrace[];
-}
-
 /** The requests of this instance. */
 export class ForwardingTask extends Disposable implements IForwarding {
 	private readonly _region: string;
-	private readonly _name: string;
-	private readonly _states: TargetStates;
 	private readonly _agent = new TargetAgent();
 	private readonly _allowances = new Map<string, RetryAllowance>();
 	private readonly _recorder: RequestRecorder;
-	private readonly _demand = new Map<string, DemandMeter>();
-	private readonly _plans: PlacementPlans;
+	private readonly _notes = new OutcomeNotes();
+	private readonly _selector: TargetSelector;
 	private readonly _heldBytes: number;
 	private readonly _largeAnswers: LargeAnswerGate;
 	private readonly _droppedHeaders: ReadonlySet<string>;
@@ -97,16 +74,17 @@
 		this._recorder = new RequestRecorder(metrics, log);
 		const instance = settings.section<InstanceSettings>('instance');
 		this._region = instance.region;
-		this._name = instance.name;
 		const { linkMbit } = settings.section<FrontSettings>('front');
 		this._heldBytes = heldBytes(linkMbit);
 		this._largeAnswers = new LargeAnswerGate(linkMbit);
 		const regions = [...new Set(settings.section<PlaceSettings>('places').halls.values())];
-		this._plans = new PlacementPlans(this._session.view, instance, regions);
-		this._states = new TargetStates(this._session.view);
+		this._selector = new TargetSelector(this._session.view, instance, regions);
 		this._droppedHeaders = new Set([this._names.remainingMs, this._names.expectedTarget]);
 		this._register(toDisposable(() => this._agent.destroy()));
-		const timer = setInterval(() => this._reportDemand(), DEMAND_INTERVAL_MS);
+		const timer = setInterval(
+			() => this._session.setDemand(this._notes.slotsNeeded(systemClock.now())),
+			DEMAND_INTERVAL_MS
+		);
 		this._register(toDisposable(() => clearInterval(timer)));
 	}
 
@@ -128,7 +106,8 @@
 			return;
 		}
 		const service = chooseService(route, exchange.requestId, name => this._session.view.targetsOf(name).length > 0);
-		this._demandOf(service, exchange.arrivedAt).noteRequest(exchange.arrivedAt);
+		this._notes.noteRequest(service, exchange.arrivedAt);
+		this._allowance(service).noteFirstTry(exchange.arrivedAt);
 		const journey: Journey = {
 			exchange,
 			route,
@@ -170,7 +149,7 @@
 				this._giveUp(journey, refusal(RefusalReason.DeadlinePassed, RETRY_SOON_MS));
 				return;
 			}
-			const candidate = this._choose(journey, now);
+			const candidate = this._selector.choose(journey, now);
 			if (!candidate) {
 				this._giveUp(journey, refusal(RefusalReason.NoCapacity, RETRY_SOON_MS));
 				return;
@@ -187,75 +166,6 @@
 		}
 	}
 
-	private _choose(journey: Journey, now: Millis): Candidate | undefined {
-		const { route, service } = journey;
-		const candidates = this._states.candidates(service, route.homeRegions, journey.tried, now);
-		const chosen = this._newcomer(journey, candidates, now) ?? this._chooseKnown(journey, candidates, now);
-		if (chosen && chosen.known.coldUntil > now) {
-			chosen.state.takeColdToken(this._coldPace(chosen), now);
-		}
-		return chosen;
-	}
-
-	private _chooseKnown(journey: Journey, candidates: readonly Candidate[], now: Millis): Candidate | undefined {
-		const { route, exchange, service } = journey;
-		const isBound = route.isSticky && exchange.objectKey !== undefined;
-		return chooseTarget(candidates, {
-			objectKey: isBound ? `${route.pathPrefix} ${exchange.objectKey}` : undefined,
-			...this._plans.planFor(service, route, now),
-			now,
-			mayUseCold: candidate => this._mayUseCold(candidate, now)
-		});
-	}
-
-	/** A target that nobody may have asked yet; only a request that may run again goes there. */
-	private _newcomer(journey: Journey, candidates: readonly Candidate[], now: Millis): Candidate | undefined {
-		if (journey.route.repeatRule !== RepeatRule.Repeatable) {
-			return undefined;
-		}
-		const { regionEntries } = this._session.view;
-		return findNewcomer(
-			candidates,
-			this._region,
-			this._name,
-			regionEntries,
-			candidate => candidate.known.coldUntil <= now || this._mayUseCold(candidate, now)
-		);
-	}
-
-	private _mayUseCold(candidate: Candidate, now: Millis): boolean {
-		return candidate.state.hasColdToken(this._coldPace(candidate), now);
-	}
-
-	private _demandOf(service: string, now: Millis): DemandMeter {
-		let meter = this._demand.get(service);
-		if (!meter) {
-			meter = new DemandMeter(now);
-			this._demand.set(service, meter);
-		}
-		return meter;
-	}
-
-	private _reportDemand(): void {
-		const now = systemClock.now();
-		const slots = [...this._demand].map(([service, meter]) => [service, meter.slots(now)] as const);
-		this._session.setDemand(Object.fromEntries(slots));
-	}
-
-	/**
-	 * This instance's part of a cold target's pace. A few instances of the target's own region share it, drawn by hash so
-	 * that all agree.
-	 */
-	private _coldPace(candidate: Candidate): number {
-		const { record, region } = candidate.known;
-		if (region !== this._region) {
-			return 0;
-		}
-		const perSecond = this._session.view.routes?.service(record.service)?.coldPerSecond ?? 0;
-		const sharers = rendezvousRank(record.id, this._session.view.regionEntries).slice(0, COLD_SHARERS);
-		return sharers.includes(this._name) ? perSecond / sharers.length : 0;
-	}
-
 	private async _attempt(journey: Journey, candidate: Candidate): Promise<AttemptOutcome> {
 		const { exchange } = journey;
 		const { known, state } = candidate;
@@ -273,9 +183,6 @@
 			heldBytes: this._heldBytes
 		});
 		journey.tried.add(known.record.id);
-		if (journey.arrivals + journey.refusals === 0) {
-			this._allowance(journey.service).noteFirstTry(now);
-		}
 		state.inFlight++;
 		state.isUsed = true;
 		const timer = setTimeout(() => sent.abandon(), Math.max(0, journey.deadline - now));
@@ -296,9 +203,9 @@
 		trace.tookMs = Math.round(systemClock.now() - now);
 		exchange.whenLeft(undefined);
 		clearTimeout(timer);
-		this._note(candidate, outcome, sent.answerHeaders?.[this._names.load]);
+		this._notes.noteLoad(state, sent.answerHeaders?.[this._names.load]);
+		this._notes.noteOutcome(journey, state, outcome, systemClock.now() - now);
 		if (outcome.type === 'answer') {
-			this._demandOf(journey.service, now).noteAnswer(systemClock.now() - now);
 			this._noteSize(journey.route, sent.answerHeaders?.['content-length']);
 		}
 		state.inFlight--;
@@ -324,29 +231,15 @@
 		return headers;
 	}
 
-	private _note(candidate: Candidate, outcome: AttemptOutcome, load: string | string[] | undefined): void {
-		const now = systemClock.now();
-		const word = parseLoadWord(typeof load === 'string' ? load : undefined);
-		if (word) {
-			candidate.state.takeLoadWord(word, now);
-		}
-		if (outcome.type === 'answer') {
-			candidate.state.noteAnswer();
-		} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.Full) {
-			candidate.state.noteFull(now);
-		} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.OtherTarget) {
-			candidate.state.isReplaced = true;
-		} else if (outcome.type === 'broken' || outcome.type === 'not-run') {
-			candidate.state.noteFailure(now);
-		}
-	}
-
 	/** Decides what follows an attempt: another one, an answer of the system's own, or nothing more. */
 	private _settle(journey: Journey, outcome: AttemptOutcome): OwnAnswer | 'again' | undefined {
 		switch (outcome.type) {
 			case 'answer':
-				journey.exchange.pass(outcome);
-				this._record(journey, RequestEnd.Answered, outcome.status);
+				if (this._mayReplace(journey, outcome)) {
+					journey.failure = outcome;
+					return 'again';
+				}
+				this._pass(journey, outcome);
 				return undefined;
 			case 'abandoned':
 				return outcome.mayHaveRun
@@ -363,6 +256,20 @@
 		}
 	}
 
+	/** Whether a failure that a target answered with may be replaced by what another target answers. */
+	private _mayReplace(journey: Journey, answer: TargetAnswer): boolean {
+		if (!isFailure(answer) || answer.rest || journey.route.repeatRule === RepeatRule.AtMostOnce) {
+			return false;
+		}
+		journey.arrivals++;
+		return this._mayRetry(journey);
+	}
+
+	private _pass(journey: Journey, answer: TargetAnswer): void {
+		journey.exchange.pass(answer);
+		this._record(journey, RequestEnd.Answered, answer.status);
+	}
+
 	private _afterNotRun(journey: Journey, outcome: NotRun): OwnAnswer | 'again' {
 		if (!outcome.hasArrived) {
 			journey.noConnections++;
@@ -391,7 +298,11 @@
 	}
 
 	private _giveUp(journey: Journey, answer: OwnAnswer): void {
-		const { exchange } = journey;
+		const { exchange, failure } = journey;
+		if (failure && !exchange.hasLeft) {
+			this._pass(journey, failure);
+			return;
+		}
 		const honest = journey.arrivals > 0 && answer.verdict === 'not-run' ? { ...answer, ...IN_DOUBT } : answer;
 		exchange.refuse(honest);
 		this._record(journey, exchange.hasLeft ? RequestEnd.CallerLeft : endOf(honest), honest.status, honest.reason);
@@ -404,26 +315,3 @@
 		this._recorder.record({ exchange, route, service, end, status, reason, attempts, viewAgeMs, tableVersion });
 	}
 }
-
-function describeOutcome(outcome: AttemptOutcome): string {
-	switch (outcome.type) {
-		case 'answer':
-			return `answer: ${outcome.status}`;
-		case 'not-run':
-		case 'broken':
-			return `${outcome.type}: ${outcome.cause}`;
-		case 'abandoned':
-			return outcome.type;
-	}
-}
-
-function endOf(answer: OwnAnswer): RequestEnd {
-	if (answer.verdict === 'not-run') {
-		return RequestEnd.Refused;
-	}
-	return answer.reason === RefusalReason.DeadlinePassed ? RequestEnd.TimeOver : RequestEnd.Broken;
-}
-
-function refusal(reason: RefusalReason, retryAfterMs: Millis): OwnAnswer {
-	return { status: 503, verdict: 'not-run', reason, retryAfterMs };
-}
--- /dev/null
+++ b/src/plugins/forwarding/node/journey.ts
@@ -0,0 +1,66 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** One request on its way to its answer, and what outcomes mean for it. */
+
+import type { Millis } from '../../../base/clock.js';
+import { RefusalReason } from '../../../base/verdict.js';
+import type { Route } from '../../routes/common/routeTable.js';
+import type { AttemptOutcome, TargetAnswer } from '../common/attempt.js';
+import type { AttemptTrace } from '../common/requestTrace.js';
+import type { CallerExchange, OwnAnswer } from './callerExchange.js';
+import type { RequestBody } from './requestBody.js';
+import { RequestEnd } from './requestRecorder.js';
+
+/** Statuses from here on say that a target failed. */
+const STATUS_FAILURES = 500;
+
+/** One request on its way. */
+export interface Journey {
+	readonly exchange: CallerExchange;
+	readonly route: Route;
+	readonly service: string;
+	readonly body: RequestBody;
+	readonly deadline: Millis;
+	readonly tried: Set<string>;
+	/** Targets that may have run the request. */
+	arrivals: number;
+	/** Targets that turned it away. */
+	refusals: number;
+	noConnections: number;
+	/** What a target answered, if that was a failure and another target was asked. */
+	failure?: TargetAnswer;
+	readonly attempts: AttemptTrace[];
+}
+
+/** Whether a target answered that it failed. */
+export function isFailure(answer: TargetAnswer): boolean {
+	return answer.status >= STATUS_FAILURES;
+}
+
+/** An outcome in a word, with its cause, for the log. */
+export function describeOutcome(outcome: AttemptOutcome): string {
+	switch (outcome.type) {
+		case 'answer':
+			return `answer: ${outcome.status}`;
+		case 'not-run':
+		case 'broken':
+			return `${outcome.type}: ${outcome.cause}`;
+		case 'abandoned':
+			return outcome.type;
+	}
+}
+
+/** How a request ended that got an answer of the system's own. */
+export function endOf(answer: OwnAnswer): RequestEnd {
+	if (answer.verdict === 'not-run') {
+		return RequestEnd.Refused;
+	}
+	return answer.reason === RefusalReason.DeadlinePassed ? RequestEnd.TimeOver : RequestEnd.Broken;
+}
+
+/** A refusal: nothing has run, and asking again may help. */
+export function refusal(reason: RefusalReason, retryAfterMs: Millis): OwnAnswer {
+	return { status: 503, verdict: 'not-run', reason, retryAfterMs };
+}
--- /dev/null
+++ b/src/plugins/forwarding/node/outcomeNotes.ts
@@ -0,0 +1,93 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** What this instance learns of services and targets from the requests that it carries. */
+
+import { type Millis, systemClock } from '../../../base/clock.js';
+import { type AttemptOutcome, NotRunCause, type TargetAnswer } from '../common/attempt.js';
+import { DemandMeter } from '../common/demandMeter.js';
+import { parseLoadWord, type TargetState } from '../common/targetState.js';
+import { isFailure, type Journey } from './journey.js';
+
+/** Keeps what services need and how targets do. */
+export class OutcomeNotes {
+	private readonly _demand = new Map<string, DemandMeter>();
+
+	/** A caller's request for a service came in. */
+	noteRequest(service: string, now: Millis): void {
+		this._demandOf(service, now).noteRequest(now);
+	}
+
+	private _demandOf(service: string, now: Millis): DemandMeter {
+		let meter = this._demand.get(service);
+		if (!meter) {
+			meter = new DemandMeter(now);
+			this._demand.set(service, meter);
+		}
+		return meter;
+	}
+
+	/** Slots that the callers of this instance need, by service. */
+	slotsNeeded(now: Millis): Readonly<Record<string, number>> {
+		const slots = [...this._demand].map(([service, meter]) => [service, meter.slots(now)] as const);
+		return Object.fromEntries(slots);
+	}
+
+	/** Takes the load word of an answer in, if there is one. */
+	noteLoad(state: TargetState, load: string | string[] | undefined): void {
+		const word = parseLoadWord(typeof load === 'string' ? load : undefined);
+		if (word) {
+			state.takeLoadWord(word, systemClock.now());
+		}
+	}
+
+	/** Takes in what came of one attempt. */
+	noteOutcome(journey: Journey, state: TargetState, outcome: AttemptOutcome, durationMs: Millis): void {
+		const now = systemClock.now();
+		switch (outcome.type) {
+			case 'answer':
+				this._noteAnswer(journey.service, state, outcome, durationMs);
+				break;
+			case 'not-run':
+				noteNotRun(state, outcome.cause, now);
+				break;
+			case 'broken':
+				state.health.noteFailure(now);
+				break;
+			case 'abandoned':
+				if (!journey.exchange.hasLeft) {
+					state.health.noteFailure(now);
+				}
+				break;
+		}
+	}
+
+	private _noteAnswer(service: string, state: TargetState, answer: TargetAnswer, durationMs: Millis): void {
+		const now = systemClock.now();
+		if (isFailure(answer)) {
+			state.health.noteFailure(now);
+			return;
+		}
+		const meter = this._demandOf(service, now);
+		state.health.noteAnswer(durationMs, meter.meanMs, now);
+		meter.noteAnswer(durationMs);
+	}
+}
+
+function noteNotRun(state: TargetState, cause: NotRunCause, now: Millis): void {
+	switch (cause) {
+		case NotRunCause.Full:
+			state.noteFull(now);
+			break;
+		case NotRunCause.OtherTarget:
+			state.isReplaced = true;
+			break;
+		case NotRunCause.NoConnection:
+			state.health.noteUnreachable(now);
+			break;
+		case NotRunCause.Refused:
+			state.health.noteFailure(now);
+			break;
+	}
+}
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -76,7 +76,7 @@
 	const [a, b] = [candidate('a'), candidate('b')];
 	a.known.isSilent = true;
 	assert.equal(choose([a, b], undefined), 'b');
-	b.state.noteFailure(990);
+	b.state.health.noteUnreachable(990);
 	assert.notEqual(choose([a, b], undefined), undefined);
 });
 
--- /dev/null
+++ b/src/plugins/forwarding/test/targetHealth.test.ts
@@ -0,0 +1,55 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Which targets are left alone by what came of the requests that they got. */
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { TargetHealth } from '../common/targetHealth.js';
+
+test('one lost answer changes nothing, two in a row do', () => {
+	const health = new TargetHealth();
+	health.noteAnswer(100, 100, 0);
+	health.noteFailure(10);
+	assert.equal(health.isSuspect(11), false);
+	health.noteFailure(20);
+	assert.equal(health.isSuspect(21), true);
+	assert.equal(health.isSuspect(500), false);
+});
+
+test('a target that fails again on its trial is left alone for twice as long', () => {
+	const health = new TargetHealth();
+	health.noteFailure(0);
+	health.noteFailure(1);
+	health.noteFailure(500);
+	assert.equal(health.isSuspect(500 + 700), true);
+	assert.equal(health.isSuspect(500 + 900), false);
+});
+
+test('a target that loses a few answers among many is kept', () => {
+	const health = new TargetHealth();
+	for (let i = 0; i < 400; i++) {
+		if (i % 20 === 0) {
+			health.noteFailure(i);
+		} else {
+			health.noteAnswer(100, 100, i);
+		}
+		assert.equal(health.isSuspect(i), false);
+	}
+});
+
+test('no connection is enough', () => {
+	const health = new TargetHealth();
+	health.noteUnreachable(0);
+	assert.equal(health.isSuspect(1), true);
+});
+
+test('a target that takes several times as long as its service is slow, one cold answer is not', () => {
+	const cold = new TargetHealth();
+	[100, 400, 100, 100].forEach((ms, i) => cold.noteAnswer(ms, 150, i));
+	assert.equal(cold.isSuspect(5), false);
+	const slow = new TargetHealth();
+	[600, 600, 600].forEach((ms, i) => slow.noteAnswer(ms, 150, i));
+	assert.equal(slow.isSuspect(5), true);
+});
--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -102,6 +102,19 @@
 	});
 }
 
+test('a failure that a target answers with is replaced for a repeatable request, and passed on for another', async () => {
+	misbehaviours.push('error');
+	const read = await system.request(entry, 'GET', '/read/1', { id: 'read-error' });
+	assert.deepEqual([read.status, runs('read-error')], [200, 2]);
+	misbehaviours.push('error', 'error');
+	const failed = await system.request(entry, 'GET', '/read/1', { id: 'read-errors' });
+	assert.deepEqual([failed.status, runs('read-errors')], [500, 2]);
+	assert.match(String(failed.headers['server-stamp']), /^i-[12]$/);
+	misbehaviours.push('error');
+	const order = await system.request(entry, 'POST', '/order/1', { id: 'order-error', body: 'x' });
+	assert.deepEqual([order.status, runs('order-error')], [500, 1]);
+});
+
 test('an answer without a length passes as one, since nobody can tell whether it is whole', async () => {
 	misbehaviours.push('unframed');
 	const answer = await system.request(entry, 'GET', '/read/1', { id: 'unframed' });
--- a/test/platform/standInTarget.ts
+++ b/test/platform/standInTarget.ts
@@ -7,7 +7,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 /** How the next requests are answered instead of the usual way. */
-export type Misbehaviour = 'reset' | 'cut' | 'full' | 'extra' | 'silent' | 'unframed' | 'other-id';
+export type Misbehaviour = 'reset' | 'cut' | 'full' | 'extra' | 'silent' | 'unframed' | 'other-id' | 'error';
 
 /** What a target saw of one request. */
 export interface SeenRequest {
@@ -117,6 +117,9 @@
 				response.setHeader('Request-Id', 'someone-else');
 				response.writeHead(200, head).end(body);
 				return;
+			case 'error':
+				response.writeHead(500, head).end(body);
+				return;
 			case 'unframed': {
 				const lines = ['HTTP/1.1 200 OK', `Request-Id: ${seen.id}`, `Server-Stamp: ${this.options.id}`, '', ''];
 				socket?.end(lines.join('\r\n') + body);
