--- a/test/platform/discoveredSystem.ts
+++ b/test/platform/discoveredSystem.ts
@@ -154,9 +154,16 @@
 	}
 
 	/** A call to the operators' interface of a control instance. */
-	control(instance: Instance, method: string, path: string, body?: string, base?: number): Promise<Answer> {
+	control(
+		instance: Instance,
+		method: string,
+		path: string,
+		body?: string,
+		base?: number,
+		timeoutMs?: number
+	): Promise<Answer> {
 		const headers = base === undefined ? undefined : { 'If-Match': String(base) };
-		return ask(method, `http://${instance.ip}:${CONTROL_PORT}${path}`, { headers, body });
+		return ask(method, `http://${instance.ip}:${CONTROL_PORT}${path}`, { headers, body, timeoutMs });
 	}
 
 	/** A look-up at a control instance. */
