Large answers pass in order of age; a connection may take as long as the link's queue

Change: LinkScheduler lets the oldest body pass first; time for a connection is the way plus 200 KiB on the link (835 ms near on 2.8 Mbit/s, 252 ms on 1000).

--- a/src/plugins/forwarding/common/linkPacer.ts
+++ b/src/plugins/forwarding/common/linkPacer.ts
@@ -21,6 +21,9 @@
 const MOST_HELD_BYTES = 64 * 1024;
 /** What is held before it is passed on should not take the link longer than this. */
 const HELD_MS = 50;
+/** Bytes that may stand in the queue of a link ahead of a new connection. */
+const QUEUED_BYTES = 200 * 1024;
+
 /** Most bytes that are written in one go. */
 export const PACED_PIECE_BYTES = 4 * 1024;
 
@@ -35,7 +38,16 @@
 	return Math.min(MOST_HELD_BYTES, Math.max(LEAST_HELD_BYTES, bytes));
 }
 
-/** The pace of one direction of a link; those who share it take turns piece by piece. */
+/**
+ * How long a connection may take to come up: on a slow link it waits behind what is already on its way there.
+ * @param roundTripMs what it takes at least on a link that is free
+ */
+export function connectTimeoutMs(linkMbit: number, roundTripMs: Millis): Millis {
+	const queueMs = (QUEUED_BYTES * BITS_PER_BYTE * MS_PER_SECOND) / (linkMbit * BITS_PER_MEGABIT);
+	return roundTripMs + queueMs;
+}
+
+/** The pace of one direction of a link. */
 export class LinkPacer {
 	private readonly _bytesPerMs: number;
 	private _freeAt: Millis = 0;
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -11,7 +11,7 @@
 import type { TargetAnswer } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { cookieValue, passedHeaders } from '../common/hopHeaders.js';
-import type { LinkPacer } from '../common/linkPacer.js';
+import type { LinkScheduler } from './linkScheduler.js';
 import { PacedBody } from './pacedBody.js';
 
 const VERDICT_HEADER = 'Shelffield-Verdict';
@@ -41,7 +41,7 @@
 		readonly request: IncomingMessage,
 		private readonly _response: ServerResponse,
 		names: IHeaderNames,
-		private readonly _pacer: LinkPacer
+		private readonly _link: LinkScheduler
 	) {
 		const remaining = Number(request.headers[names.remainingMs] ?? Number.NaN);
 		this.requestId = String(request.headers[names.requestId] ?? '');
@@ -111,7 +111,7 @@
 
 	/** Passes a large body on piece by piece. */
 	private _stream(beginning: Buffer, rest: Readable): void {
-		const paced = new PacedBody(this._pacer);
+		const paced = new PacedBody(this._link);
 		const breakOff = (): void => {
 			paced.destroy();
 			this._response.destroy();
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -19,7 +19,7 @@
 import { IHeaderNames } from '../common/headerNames.js';
 import { passedHeaders } from '../common/hopHeaders.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
-import { heldBytes } from '../common/linkPacer.js';
+import { connectTimeoutMs, heldBytes } from '../common/linkPacer.js';
 import { chooseService } from '../common/partChoice.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
@@ -35,8 +35,9 @@
 import { TargetExchange } from './targetExchange.js';
 import { TargetSelector } from './targetSelector.js';
 
-const NEAR_CONNECT_TIMEOUT_MS = 400;
-const FAR_CONNECT_TIMEOUT_MS = 600;
+/** Time for a connection to come up within a region and to another one, where the link is free. */
+const NEAR_CONNECT_MS = 250;
+const FAR_CONNECT_MS = 500;
 /** With less time left nothing is sent any more. */
 const LEAST_TIME_MS = 20;
 /** Connections that did not come up before a request is given up. */
@@ -59,6 +60,8 @@
 	private readonly _notes = new OutcomeNotes();
 	private readonly _selector: TargetSelector;
 	private readonly _heldBytes: number;
+	private readonly _nearConnectMs: Millis;
+	private readonly _farConnectMs: Millis;
 	private readonly _largeAnswers: LargeAnswerGate;
 	private readonly _droppedHeaders: ReadonlySet<string>;
 
@@ -76,6 +79,8 @@
 		this._region = instance.region;
 		const { linkMbit } = settings.section<FrontSettings>('front');
 		this._heldBytes = heldBytes(linkMbit);
+		this._nearConnectMs = connectTimeoutMs(linkMbit, NEAR_CONNECT_MS);
+		this._farConnectMs = connectTimeoutMs(linkMbit, FAR_CONNECT_MS);
 		this._largeAnswers = new LargeAnswerGate(linkMbit);
 		const regions = [...new Set(settings.section<PlaceSettings>('places').halls.values())];
 		this._selector = new TargetSelector(this._session.view, instance, regions);
@@ -179,7 +184,7 @@
 			path: exchange.path,
 			rawHeaders: this._headersFor(journey, known.record.id, now),
 			body: journey.body,
-			connectTimeoutMs: known.region === this._region ? NEAR_CONNECT_TIMEOUT_MS : FAR_CONNECT_TIMEOUT_MS,
+			connectTimeoutMs: known.region === this._region ? this._nearConnectMs : this._farConnectMs,
 			heldBytes: this._heldBytes
 		});
 		journey.tried.add(known.record.id);
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -19,6 +19,7 @@
 import { IServiceBounds } from '../common/serviceBounds.js';
 import { CallerExchange } from './callerExchange.js';
 import { IForwarding } from './forwarding.js';
+import { LinkScheduler } from './linkScheduler.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
 const DEFAULT_IDLE_MS = 30000;
@@ -38,7 +39,7 @@
 	private readonly _settings: FrontSettings;
 	private readonly _server: Server;
 	private readonly _ready: HttpListener;
-	private readonly _pacer: LinkPacer;
+	private readonly _link: LinkScheduler;
 	private _inFlight = 0;
 	private _isStopping = false;
 	private _isListening = false;
@@ -54,7 +55,7 @@
 	) {
 		super();
 		this._settings = settings.section<FrontSettings>('front');
-		this._pacer = new LinkPacer(this._settings.linkMbit);
+		this._link = new LinkScheduler(new LinkPacer(this._settings.linkMbit));
 		this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_MS });
 		this._server.requestTimeout = 0;
 		this._server.maxConnections = this._settings.maxConnections;
@@ -120,7 +121,7 @@
 		if (this._isStopping) {
 			response.setHeader('Connection', 'close');
 		}
-		const exchange = new CallerExchange(request, response, this._names, this._pacer);
+		const exchange = new CallerExchange(request, response, this._names, this._link);
 		this._forwarding.serve(exchange).catch((error: Error) => {
 			this._log.error('request failed', { task: 'front', requestId: exchange.requestId, error: error.stack });
 			response.destroy();
--- a/src/plugins/forwarding/test/linkPacer.test.ts
+++ b/src/plugins/forwarding/test/linkPacer.test.ts
@@ -11,6 +11,7 @@
 import type { Route } from '../../routes/common/routeTable.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
 import { heldBytes, LinkPacer, PACED_PIECE_BYTES } from '../common/linkPacer.js';
+import { LinkScheduler } from '../node/linkScheduler.js';
 import { PacedBody } from '../node/pacedBody.js';
 
 test('two large answers together take three quarters of the link', () => {
@@ -55,6 +56,24 @@
 	assert.equal(gate.admit(route), undefined);
 });
 
+test('the oldest body goes first, whatever comes after it', async () => {
+	const scheduler = new LinkScheduler(new LinkPacer(8));
+	const orders = [scheduler.nextOrder(), scheduler.nextOrder()] as const;
+	const passed: number[] = [];
+	await new Promise<void>(resolve => {
+		const note = (order: number): void => {
+			passed.push(order);
+			if (passed.length === 5) {
+				resolve();
+			}
+		};
+		for (const order of [orders[1], orders[1], orders[0], orders[1], orders[0]]) {
+			scheduler.request(order, 4000, () => note(order));
+		}
+	});
+	assert.deepEqual(passed, [orders[1], orders[0], orders[0], orders[1], orders[1]]);
+});
+
 test('a paced body passes whole, in small pieces', async () => {
 	const sent = Buffer.from(Array.from({ length: 50000 }, (_, i) => i % 251));
 	const pieces: Buffer[] = [];
@@ -64,7 +83,11 @@
 			done();
 		}
 	});
-	await pipeline(Readable.from([sent.subarray(0, 30000), sent.subarray(30000)]), new PacedBody(new LinkPacer(8)), sink);
+	await pipeline(
+		Readable.from([sent.subarray(0, 30000), sent.subarray(30000)]),
+		new PacedBody(new LinkScheduler(new LinkPacer(8))),
+		sink
+	);
 	assert.deepEqual(Buffer.concat(pieces), sent);
 	assert.ok(pieces.every(piece => piece.length <= PACED_PIECE_BYTES));
 });
