--- a/src/plugins/fleet/test/entryLookUp.test.ts
+++ b/src/plugins/fleet/test/entryLookUp.test.ts
@@ -8,12 +8,12 @@
 import { test } from 'node:test';
 import { entriesFor } from '../common/entryLookUp.js';
 import type { EntryDescription } from '../common/fleetTypes.js';
+import { describeEntry } from './describeEntry.js';
 import { HearingClock } from '../common/hearingClock.js';
 import { Sightings } from '../common/sightings.js';
 
 function entry(name: string, region = 'r1', isReady = true): EntryDescription {
-	const at = { hall: 'h', region, callerAddress: '127.0.0.1:1' };
-	return { name, incarnation: 'i', sequence: 1, ...at, isReady, revision: 1, demand: {} };
+	return describeEntry({ name, region, isReady });
 }
 
 function names(entries: readonly EntryDescription[]): string[] {
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -6,6 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { describeEntry } from './describeEntry.js';
 import { FleetView } from '../common/fleetView.js';
 import { TargetPhase, type TargetRecord } from '../common/fleetTypes.js';
 import type { SyncResponse } from '../common/fleetWire.js';
@@ -74,34 +75,14 @@
 
 test('an entry instance that falls silent is no longer named', () => {
 	const sightings = new Sightings({ entrySilentMs: 1000, targetSilentMs: 1000 }, 0);
-	const entry = {
-		name: 'e',
-		incarnation: 'i',
-		sequence: 1,
-		hall: 'h',
-		region: 'r',
-		callerAddress: '127.0.0.1:1',
-		isReady: true,
-		revision: 4,
-		demand: {}
-	};
+	const entry = describeEntry();
 	sightings.seeEntry(entry, 100);
 	assert.equal(sightings.liveEntries(1000).length, 1);
 	assert.equal(sightings.liveEntries(1200).length, 0);
 });
 
 test('a word of an entry instance that was overtaken by a later one changes nothing', () => {
-	const entry = {
-		name: 'e',
-		incarnation: 'i',
-		sequence: 2,
-		hall: 'h',
-		region: 'r',
-		callerAddress: '127.0.0.1:1',
-		isReady: false,
-		revision: 4,
-		demand: {}
-	};
+	const entry = describeEntry({ sequence: 2, isReady: false });
 	const sightings = new Sightings({ entrySilentMs: 1000, targetSilentMs: 1000 }, 0);
 	sightings.seeEntry(entry, 100);
 	sightings.seeEntry({ ...entry, sequence: 1, isReady: true }, 200);
@@ -111,17 +92,7 @@
 });
 
 test('a change is in force once all entry instances that are heard act by it', () => {
-	const entry = {
-		name: 'e',
-		incarnation: 'i',
-		sequence: 1,
-		hall: 'h',
-		region: 'r',
-		callerAddress: '127.0.0.1:1',
-		isReady: true,
-		revision: 4,
-		demand: {}
-	};
+	const entry = describeEntry();
 	const here = new Sightings({ entrySilentMs: 1000, targetSilentMs: 1000 }, 0);
 	here.seeEntry(entry, 100);
 	assert.equal(here.isInForce(4, 200), true);
