Connections rest more briefly while targets forget them without a word

Change: RestLimit: losses within 0.2 s of sending on rested connections at two targets within 4 s shorten all rests to 0.4 of the shortest for 8 s; resting connections are closed.

--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -178,6 +178,7 @@
 		const now = systemClock.now();
 		const sent = new TargetExchange(this._agent, this._names, {
 			requestId: exchange.requestId,
+			targetId: known.record.id,
 			host,
 			port: Number(port),
 			method: exchange.request.method ?? 'GET',
--- a/src/plugins/forwarding/node/targetAgent.ts
+++ b/src/plugins/forwarding/node/targetAgent.ts
@@ -7,6 +7,8 @@
 import { Agent, type ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { type Millis, systemClock } from '../../../base/clock.js';
+import { RestLimit } from '../common/restLimit.js';
 
 /** How long a connection rests at most where the target does not say how long it keeps one. */
 const IDLE_MS = 6000;
@@ -21,8 +23,18 @@
 	this.destroy();
 }
 
+/** What is known of a kept connection. */
+interface KeptConnection {
+	restedFrom: Millis;
+	/** How long it had rested when it was last used again. */
+	restMs: Millis;
+}
+
 /** Keeps connections; one on which a target sends something unasked is closed, since it would pass for an answer. */
 export class TargetAgent extends Agent {
+	private readonly _restLimit = new RestLimit();
+	private readonly _kept = new WeakMap<Duplex, KeptConnection>();
+
 	constructor() {
 		super({ keepAlive: true, maxFreeSockets: MAX_IDLE_SOCKETS, scheduling: 'lifo' });
 	}
@@ -31,11 +43,14 @@
 		const socket = stream as Socket & { _httpMessage?: { res?: { headers: Record<string, string | undefined> } } };
 		const hint = TIMEOUT_HINT.exec(socket._httpMessage?.res?.headers['keep-alive'] ?? '')?.[1];
 		const idleMs = hint ? Math.min(MAX_IDLE_MS, Number(hint) * 1000 - CLOSE_MARGIN_MS) : IDLE_MS;
-		if (idleMs <= 0 || socket.destroyed) {
+		const now = systemClock.now();
+		const restMs = Math.min(idleMs, this._restLimit.limitMs(now));
+		if (restMs <= 0 || socket.destroyed) {
 			return false;
 		}
+		this._kept.set(socket, { restedFrom: now, restMs: 0 });
 		super.keepSocketAlive(socket);
-		socket.setTimeout(idleMs);
+		socket.setTimeout(restMs);
 		socket.on('data', closeUnasked);
 		return true;
 	}
@@ -44,6 +59,24 @@
 		const socket = stream as Socket;
 		socket.removeListener('data', closeUnasked);
 		socket.setTimeout(0);
+		const kept = this._kept.get(socket);
+		if (kept) {
+			kept.restMs = systemClock.now() - kept.restedFrom;
+		}
 		super.reuseSocket(socket, request);
 	}
+
+	/** A request that was sent on a kept connection brought nothing back. */
+	noteLoss(stream: Duplex, targetId: string, sentForMs: Millis): void {
+		const restMs = this._kept.get(stream)?.restMs ?? 0;
+		if (this._restLimit.noteLoss(targetId, restMs, sentForMs, systemClock.now())) {
+			this._closeResting();
+		}
+	}
+
+	private _closeResting(): void {
+		for (const sockets of Object.values(this.freeSockets)) {
+			sockets?.forEach(socket => socket.destroy());
+		}
+	}
 }
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -5,7 +5,8 @@
 /** Sends one request to one target and says what came of it. */
 
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from 'node:http';
-import type { Millis } from '../../../base/clock.js';
+import type { Socket } from 'node:net';
+import { type Millis, systemClock } from '../../../base/clock.js';
 import { type AttemptOutcome, NotRunCause, type RawHeaders } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import type { RequestBody } from './requestBody.js';
@@ -20,6 +21,8 @@
 /** What is sent, and where. */
 export interface TargetRequest {
 	readonly requestId: string;
+	/** Id of the target. */
+	readonly targetId: string;
 	readonly host: string;
 	readonly port: number;
 	readonly method: string;
@@ -47,22 +50,25 @@
 	private _resolve!: (outcome: AttemptOutcome) => void;
 	private _isSettled = false;
 	private _mayHaveArrived = false;
+	/** The kept connection that the request went out on, if it was one. */
+	private _reused?: { readonly socket: Socket; readonly sentAt: Millis };
 	private _connectTimer?: NodeJS.Timeout;
 	/** Headers of the target's answer, once they are there. */
 	answerHeaders?: IncomingMessage['headers'];
 
 	constructor(
-		agent: TargetAgent,
+		private readonly _agent: TargetAgent,
 		private readonly _names: IHeaderNames,
 		private readonly _sent: TargetRequest
 	) {
 		this.outcome = new Promise(resolve => (this._resolve = resolve));
 		const { host, port, method, path } = _sent;
 		const headers = _sent.rawHeaders as unknown as Record<string, string>;
-		this._request = httpRequest({ agent, host, port, method, path, headers, setHost: false });
+		this._request = httpRequest({ agent: this._agent, host, port, method, path, headers, setHost: false });
 		this._request.on('socket', socket => {
 			if (!socket.connecting) {
 				this._mayHaveArrived = true;
+				this._reused = { socket, sentAt: systemClock.now() };
 				return;
 			}
 			socket.once('connect', () => this._onConnect());
@@ -103,6 +109,9 @@
 	}
 
 	private _onLost(cause: string): void {
+		if (this._reused && !this._isSettled && !this.answerHeaders) {
+			this._agent.noteLoss(this._reused.socket, this._sent.targetId, systemClock.now() - this._reused.sentAt);
+		}
 		if (this._mayHaveArrived) {
 			this._settle({ type: 'broken', cause });
 		} else {
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -46,6 +46,7 @@
 	const body = await RequestBody.read({ headers: {} } as never);
 	const exchange = new TargetExchange(new ScriptedAgent(play), NAMES, {
 		requestId: 'a',
+		targetId: 't',
 		host: '127.0.0.1',
 		port: 1,
 		method: 'GET',
--- a/src/plugins/forwarding/test/targetHealth.test.ts
+++ b/src/plugins/forwarding/test/targetHealth.test.ts
@@ -2,10 +2,11 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Which targets are left alone by what came of the requests that they got. */
+/** What losses say: which targets are left alone, and how long connections may rest. */
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { RestLimit } from '../common/restLimit.js';
 import { TargetHealth } from '../common/targetHealth.js';
 
 test('one lost answer changes nothing, two in a row do', () => {
@@ -53,3 +54,21 @@
 	[600, 600, 600].forEach((ms, i) => slow.noteAnswer(ms, 150, i));
 	assert.equal(slow.isSuspect(5), true);
 });
+
+test('losses right after a rest, at two targets, shorten the rest of all connections for a while', () => {
+	const limit = new RestLimit();
+	assert.equal(limit.noteLoss('a', 1000, 20, 0), false);
+	assert.equal(limit.noteLoss('a', 900, 20, 100), false);
+	assert.equal(limit.limitMs(100), Number.POSITIVE_INFINITY);
+	assert.equal(limit.noteLoss('b', 500, 20, 200), true);
+	assert.equal(limit.limitMs(300), 200);
+	assert.equal(limit.limitMs(9000), Number.POSITIVE_INFINITY);
+});
+
+test('losses after some work, or without a rest, say nothing of connections', () => {
+	const limit = new RestLimit();
+	limit.noteLoss('a', 1000, 400, 0);
+	limit.noteLoss('b', 50, 10, 0);
+	limit.noteLoss('c', 1000, 400, 0);
+	assert.equal(limit.limitMs(1), Number.POSITIVE_INFINITY);
+});
