--- a/src/plugins/forwarding/common/linkPacer.ts
+++ b/src/plugins/forwarding/common/linkPacer.ts
@@ -10,7 +10,7 @@
 import type { Millis } from '../../../base/clock.js';
 
 /** Part of the link that large answers may take together. */
-const LARGE_PART = 0.75;
+const LARGE_PART = 0.9;
 const BITS_PER_BYTE = 8;
 const BITS_PER_MEGABIT = 1e6;
 const MS_PER_SECOND = 1000;
