One instance left of a region in a planned roll still serves its region alone

Cause, by reading: with 0.4 of the mean a region that keeps one instance while its others are stopped as planned would be helped out by other regions (one beside four and four), and callers with home regions would be named instances outside of them (HOME) without an unplanned disruption. 0.25 keeps them at home; the help is meant for regions that lost nearly all. Result: entryLookUp.test.ts (5 tests), the new case run once with 0.4 (failed) and with 0.25 (passed).

--- a/src/plugins/fleet/common/entryLookUp.ts
+++ b/src/plugins/fleet/common/entryLookUp.ts
@@ -8,7 +8,7 @@
 import type { RegionDemand } from './fleetWire.js';
 
 /** A region with less than this part of the instances that a region has on average would drown under its own callers. */
-const LEAST_PART_OF_MEAN = 0.4;
+const LEAST_PART_OF_MEAN = 0.25;
 
 /**
  * The ready entry instances of the caller's region; where they are too few, those of every region.
--- a/src/plugins/fleet/test/entryLookUp.test.ts
+++ b/src/plugins/fleet/test/entryLookUp.test.ts
@@ -32,6 +32,11 @@
 	assert.equal(entriesFor([entry('a'), entry('b'), entry('c'), ...many], 'r1').length, 3);
 });
 
+test('one instance left of a region while the others are stopped as planned still serves its region', () => {
+	const others = Array.from({ length: 8 }, (_, i) => entry(`far-${i}`, i < 4 ? 'r2' : 'r3'));
+	assert.deepEqual(names(entriesFor([entry('last'), ...others], 'r1')), ['last']);
+});
+
 test('an instance that is cut off goes on naming those that it heard of before', () => {
 	const sightings = new Sightings({ entrySilentMs: 2500, targetSilentMs: 4500 }, 0);
 	const clock = new HearingClock();
