A request with little time says nothing of its target; acknowledgements wait less than a second

Cause, by reading the change of target health: every request whose time was over counted as a failure of its target, also those with a route's brief time-out or a probe of a second, while answers take 1.2 s when an object is not at hand; sound targets would lose their objects.

--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -46,12 +46,12 @@
 const TARGET_SILENT_MS = 4500;
 /**
  * An acknowledgement binds: it waits until the entry instances say that they act by the change, but for no longer than
- * this, since one that is cut off says nothing. Whoever waits for the acknowledgement asks again after a second.
+ * this, since one that is cut off says nothing. Less than a second, after which whoever waits would ask another instance.
  */
 const IN_FORCE_WAIT_MS: Readonly<Record<FleetCommand['type'], Millis>> = {
-	publishTable: 1500,
-	setHall: 750,
-	changeTargets: 750
+	publishTable: 850,
+	setHall: 600,
+	changeTargets: 600
 };
 const IN_FORCE_POLL_MS = 20;
 
--- a/src/plugins/forwarding/common/targetHealth.ts
+++ b/src/plugins/forwarding/common/targetHealth.ts
@@ -61,6 +61,16 @@
 		}
 	}
 
+	/**
+	 * No answer came before the time of the request was over; that says little where it had less time than answers take.
+	 * @param serviceMs what the answers of the service take on average
+	 */
+	noteTimeOver(waitedMs: Millis, serviceMs: Millis, now: Millis): void {
+		if (waitedMs > SLOW_FACTOR * serviceMs) {
+			this.noteFailure(now);
+		}
+	}
+
 	/**
 	 * An answer came.
 	 * @param serviceMs what the answers of the service take on average
--- a/src/plugins/forwarding/node/outcomeNotes.ts
+++ b/src/plugins/forwarding/node/outcomeNotes.ts
@@ -57,7 +57,7 @@
 				break;
 			case 'abandoned':
 				if (!journey.exchange.hasLeft) {
-					state.health.noteFailure(now);
+					state.health.noteTimeOver(durationMs, this._demandOf(journey.service, now).meanMs, now);
 				}
 				break;
 		}
--- a/src/plugins/forwarding/test/targetHealth.test.ts
+++ b/src/plugins/forwarding/test/targetHealth.test.ts
@@ -40,6 +40,14 @@
 	}
 });
 
+test('a request whose time was short says nothing of its target, one that waited long does', () => {
+	const health = new TargetHealth();
+	[1, 2, 3, 4].forEach(now => health.noteTimeOver(200, 150, now));
+	assert.equal(health.isSuspect(5), false);
+	[6, 7].forEach(now => health.noteTimeOver(400, 150, now));
+	assert.equal(health.isSuspect(8), true);
+});
+
 test('no connection is enough', () => {
 	const health = new TargetHealth();
 	health.noteUnreachable(0);
