--- a/src/plugins/dispatch/common/spill.ts
+++ b/src/plugins/dispatch/common/spill.ts
@@ -52,7 +52,10 @@
 	readonly forQueue: readonly DirectoryEntry[];
 }
 
-const MAX_TRIES = 2;
+/** Instances asked for a free slot; each one that has none costs a round trip, and the queue here is the way out. */
+const MAX_FREE_SLOT_TRIES = 2;
+/** Instances asked to let a request wait; it has no other way out, and what is known of their slots lags. */
+const MAX_QUEUE_TRIES = 5;
 
 /**
  * Chooses instances of the same region for a request: the own data hall first, then those with the most free slots.
@@ -78,7 +81,7 @@
 	const withFree = scored.filter(item => item.free > 0).sort((a, b) => b.order - a.order);
 	const withSlots = scored.filter(item => item.slots > 0).sort((a, b) => b.slots * random() - a.slots * random());
 	return {
-		forFreeSlot: withFree.slice(0, MAX_TRIES).map(item => item.entry),
-		forQueue: withSlots.slice(0, MAX_TRIES).map(item => item.entry)
+		forFreeSlot: withFree.slice(0, MAX_FREE_SLOT_TRIES).map(item => item.entry),
+		forQueue: withSlots.slice(0, MAX_QUEUE_TRIES).map(item => item.entry)
 	};
 }
--- a/src/plugins/dispatch/node/dispatchService.ts
+++ b/src/plugins/dispatch/node/dispatchService.ts
@@ -191,29 +191,36 @@
 
 	async dispatch(request: CarriedRequest, sink: ResponseSink): Promise<DispatchResult> {
 		const dispatcher = this._dispatcherOf(request.service);
-		if (dispatcher.hasFreeSlot()) {
-			return dispatcher.dispatch(request, sink);
+		if (!dispatcher.hasFreeSlot()) {
+			const mayQueue = dispatcher.capacity().slots === 0;
+			const spilled = await this._trySpill(request, sink, mayQueue);
+			if (spilled) {
+				return spilled;
+			}
+		}
+		try {
+			return await dispatcher.dispatch(request, sink);
+		} catch (error) {
+			if (!isRefused(error) || dispatcher.capacity().slots > 0) {
+				throw error;
+			}
+			// The targets here stopped taking work while the request waited for one of them.
+			const spilled = await this._trySpill(request, sink, true);
+			if (!spilled) {
+				throw error;
+			}
+			return spilled;
 		}
-		const plan = planSpill(
-			request.service,
-			this._configuration.identity,
-			this._configuration.directory?.entries ?? [],
-			this._configuration.loads,
-			Math.random
-		);
-		const hasOwnSlots = dispatcher.capacity().slots > 0;
-		const spilled = await this._trySpill(request, sink, hasOwnSlots ? plan.forFreeSlot : plan.forQueue, !hasOwnSlots);
-		return spilled ?? dispatcher.dispatch(request, sink);
 	}
 
 	/** Tries other instances in turn; undefined when all said for certain that it did not run. */
 	private async _trySpill(
 		request: CarriedRequest,
 		sink: ResponseSink,
-		candidates: readonly DirectoryEntry[],
 		mayQueue: boolean
 	): Promise<DispatchResult | undefined> {
 		const arrivedAt = systemClock.now();
+		const candidates = this._spillCandidates(request.service, mayQueue);
 		const watched = new StartWatcher(sink);
 		for (const { identity } of candidates) {
 			try {
@@ -230,6 +237,13 @@
 		return undefined;
 	}
 
+	/** @param mayQueue whether the request may wait there, rather than needing a free slot at once */
+	private _spillCandidates(service: string, mayQueue: boolean): readonly DirectoryEntry[] {
+		const { identity, directory, loads } = this._configuration;
+		const plan = planSpill(service, identity, directory?.entries ?? [], loads, Math.random);
+		return mayQueue ? plan.forQueue : plan.forFreeSlot;
+	}
+
 	/** Takes a request of another instance: into a free slot, or into the queue when it has nowhere else to wait. */
 	private async _serveSpill(request: CarriedRequest, sink: ResponseSink, mayQueue: boolean): Promise<string> {
 		const dispatcher = this._dispatcherOf(request.service);
--- a/src/plugins/membership/node/entryMembershipTask.ts
+++ b/src/plugins/membership/node/entryMembershipTask.ts
@@ -21,6 +21,7 @@
 	isNewerDirectory,
 	type RegionLoads
 } from '../common/entryReport.js';
+import { withUnheardLoads } from '../common/regionLoads.js';
 
 const EXCHANGE_INTERVAL_MS = 50;
 const IDLE_EXCHANGE_EVERY = 4;
@@ -28,7 +29,7 @@
 const SILENT_AFTER_MS = 1500;
 /** The leader looks for a new directory, and sums up the loads, no more often than this. */
 const REFRESH_INTERVAL_MS = 200;
-/** A new leader keeps what the directory before it named for this long: the instances still look for a session. */
+/** A new leader keeps what the leader before it spread for this long: the instances still look for a session. */
 const TAKE_OVER_MS = 4000;
 const FORGET_AFTER_MS = 60 * 60 * 1000;
 
@@ -64,6 +65,8 @@
 	private _pending = new Map<string, EntryReport>();
 	private _directory: Directory | undefined;
 	private _loads: readonly RegionLoads[] = [];
+	/** The loads spread by the leader before this one; kept while instances may not have reported here yet. */
+	private _loadsBefore: readonly RegionLoads[] = [];
 	private _refreshedAt = 0;
 	private _leaderContactAt = Number.NEGATIVE_INFINITY;
 	private _leaderSince: number | undefined;
@@ -117,7 +120,10 @@
 		this._round++;
 		if (this._agreement.hasLease()) {
 			this._leaderContactAt = systemClock.now();
-			this._leaderSince ??= this._leaderContactAt;
+			if (this._leaderSince === undefined) {
+				this._leaderSince = this._leaderContactAt;
+				this._loadsBefore = this._loads;
+			}
 			this._pending.clear();
 			this._refreshDirectory();
 			return;
@@ -136,7 +142,7 @@
 		}
 		this._refreshedAt = now;
 		this._registry.forget(now);
-		this._loads = this._registry.loads(now);
+		this._loads = this._loadsNow(now);
 		const entries = this._entriesNow(now);
 		const term = this._agreement.status().term;
 		const present = this._directory;
@@ -146,9 +152,19 @@
 		this._setDirectory({ term, version: present?.term === term ? present.version + 1 : 1, entries });
 	}
 
+	/** Without the loads before, an instance with no slots of its own would see nobody to hand its requests to. */
+	private _loadsNow(now: number): readonly RegionLoads[] {
+		const heard = this._registry.loads(now);
+		return this._isTakingOver(now) ? withUnheardLoads(heard, this._loadsBefore) : heard;
+	}
+
+	private _isTakingOver(now: number): boolean {
+		return now - this._leaderSince! <= TAKE_OVER_MS;
+	}
+
 	private _entriesNow(now: number): DirectoryEntry[] {
 		const entries = this._registry.directoryEntries(now);
-		if (now - this._leaderSince! > TAKE_OVER_MS) {
+		if (!this._isTakingOver(now)) {
 			return entries;
 		}
 		const heard = new Set(entries.map(entry => entry.identity.instance));
