Who may send to a cold target is drawn once and stands in its record

Change: the control instance that first hears a target draws two senders and puts them into the target's record; all others send nothing while it is cold.

--- a/src/plugins/fleet/common/fleetState.ts
+++ b/src/plugins/fleet/common/fleetState.ts
@@ -182,8 +182,10 @@
 
 	private _changeTarget(change: TargetChange): void {
 		const unknown = { id: change.id, service: '', address: '', hall: '', version: '', slots: 0 };
-		const description = change.description ?? this._targets.get(change.id) ?? unknown;
-		this._targets.set(change.id, { ...description, phase: change.phase, changedAt: this._revision });
+		const known = this._targets.get(change.id);
+		const description = change.description ?? known ?? unknown;
+		const coldSenders = known?.coldSenders ?? change.coldSenders ?? [];
+		this._targets.set(change.id, { ...description, coldSenders, phase: change.phase, changedAt: this._revision });
 	}
 
 	private _dropGoneTargets(): void {
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -38,6 +38,11 @@
 export interface TargetRecord extends TargetDescription {
 	readonly phase: TargetPhase;
 	readonly changedAt: FleetRevision;
+	/**
+	 * The entry instances that may send to it while it is cold. Drawn once and kept with the target, so that all instances
+	 * agree on them whatever they hear of each other; none where no entry instance was known.
+	 */
+	readonly coldSenders: readonly string[];
 }
 
 /** A hall whose targets are to get no work, or got it back. */
@@ -85,6 +90,8 @@
 	readonly id: string;
 	/** Given where the target is not known yet. */
 	readonly description?: TargetDescription;
+	/** Given with the description. */
+	readonly coldSenders?: readonly string[];
 }
 
 /** Any command of the fleet part. */
--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -101,11 +101,12 @@
 		if (changes.published && changes.published.table.version > (this._routes?.table.version ?? 0)) {
 			this._routes = new RouteIndex(changes.published.table);
 		}
+		const known = new Map(this._targets);
 		if (changes.isWhole) {
 			this._targets.clear();
 		}
 		const isFirst = previous === 0;
-		changes.targets.forEach(record => this._applyTarget(record, isFirst ? 0 : now));
+		changes.targets.forEach(record => this._applyTarget(record, known.get(record.id), isFirst ? 0 : now));
 		for (const hall of changes.halls) {
 			this._applyHall(hall.hall, hall.isDrained, now);
 		}
@@ -114,13 +115,15 @@
 		}
 	}
 
-	/** @param startedAt when a target that was not known began; 0 where it may have run for long */
-	private _applyTarget(record: TargetRecord, startedAt: Millis): void {
+	/**
+	 * @param known the target as it was known before
+	 * @param startedAt when a target that was not known began; 0 where it may have run for long
+	 */
+	private _applyTarget(record: TargetRecord, known: KnownTarget | undefined, startedAt: Millis): void {
 		if (record.phase === TargetPhase.Gone) {
 			this._targets.delete(record.id);
 			return;
 		}
-		const known = this._targets.get(record.id);
 		const region = this._regionOf(record.hall) ?? '';
 		const coldMs = this._routes?.service(record.service)?.coldStartMs ?? 0;
 		const coldUntil = known?.coldUntil ?? (startedAt > 0 ? startedAt + coldMs : 0);
--- a/src/plugins/fleet/common/placeSettings.ts
+++ b/src/plugins/fleet/common/placeSettings.ts
@@ -19,7 +19,7 @@
 settingsRegistry.register({
 	name: 'places',
 	named: false,
-	kinds: [ProcessKind.Entry],
+	kinds: [ProcessKind.Control, ProcessKind.Entry],
 	description: 'The data halls of the system and their regions.',
 	keys: {
 		halls: {
--- a/src/plugins/fleet/fleet.control.plugin.ts
+++ b/src/plugins/fleet/fleet.control.plugin.ts
@@ -11,6 +11,7 @@
 	ProcessKind
 } from '../../kernel/common/pluginRegistry.js';
 import { IFleetControl } from './common/fleetControl.js';
+import './common/placeSettings.js';
 import { FleetControlTask } from './node/fleetControlTask.js';
 
 pluginRegistry.registerSingleton(IFleetControl, FleetControlTask);
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -8,7 +8,9 @@
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ILogService } from '../../../kernel/node/logService.js';
+import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
+import { drawColdSenders } from '../common/coldSenders.js';
 import { entriesFor, sumDemand } from '../common/entryLookUp.js';
 import { FleetUnavailableError, type IFleetControl, type TargetHeartbeat } from '../common/fleetControl.js';
 import { FleetState } from '../common/fleetState.js';
@@ -20,6 +22,7 @@
 	type FleetRevision,
 	type PublishedTable,
 	type TargetChange,
+	type TargetDescription,
 	TargetPhase
 } from '../common/fleetTypes.js';
 import {
@@ -32,6 +35,7 @@
 	type SyncResponse
 } from '../common/fleetWire.js';
 import { HearingClock } from '../common/hearingClock.js';
+import type { PlaceSettings } from '../common/placeSettings.js';
 import { Sightings } from '../common/sightings.js';
 
 const EXCHANGE_INTERVAL_MS = 250;
@@ -65,13 +69,17 @@
 	);
 	private readonly _waiting = new Set<() => void>();
 	private readonly _hearing = new HearingClock();
+	/** Region by hall. */
+	private readonly _halls: ReadonlyMap<string, string>;
 
 	constructor(
+		@ISettingsService settings: ISettingsService,
 		@IPeerCalls private readonly _calls: IPeerCalls,
 		@IAgreement private readonly _agreement: IAgreement,
 		@ILogService private readonly _log: ILogService
 	) {
 		super();
+		this._halls = settings.section<PlaceSettings>('places').halls;
 		this._agreement.addPart(this._state);
 		this._register(this._state.onDidChange(() => this._wake()));
 		this._calls.handleUnary(syncMethod, request => this._sync(request));
@@ -139,7 +147,7 @@
 		const phase = heartbeat.isLeaving ? TargetPhase.Leaving : TargetPhase.Serving;
 		const isNews = !known || (heartbeat.isLeaving && known.phase === TargetPhase.Serving);
 		if (isNews && (isNewest || heartbeat.isLeaving)) {
-			await this._changeTarget({ id, phase, description: known ? undefined : heartbeat.description });
+			await this._changeTarget({ id, phase, ...(known ? {} : this._introduce(heartbeat.description)) });
 		} else if (known?.phase === TargetPhase.Leaving) {
 			await this._untilInForce(known.changedAt, systemClock.now() + IN_FORCE_WAIT_MS.changeTargets);
 		}
@@ -166,6 +174,12 @@
 		this._hearing.note(this._agreement.contactAgeMs() <= IN_TOUCH_MS, now);
 	}
 
+	private _introduce(description: TargetDescription): Pick<TargetChange, 'description' | 'coldSenders'> {
+		const region = this._halls.get(description.hall) ?? '';
+		const entries = this._sightings.liveEntries(systemClock.now());
+		return { description, coldSenders: drawColdSenders(description.id, region, entries) };
+	}
+
 	private async _changeTarget(change: TargetChange): Promise<void> {
 		const command = { type: 'changeTargets', changes: [change] } as const;
 		// A target that is new need not be known everywhere before it is answered.
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -15,7 +15,17 @@
 const COLD_START_MS = 3000;
 
 function target(id: string, phase = TargetPhase.Serving): TargetRecord {
-	return { id, service: 's', address: '127.0.0.1:1', hall: 'h', version: 'v', slots: 2, phase, changedAt: 1 };
+	return {
+		id,
+		service: 's',
+		address: '127.0.0.1:1',
+		hall: 'h',
+		version: 'v',
+		slots: 2,
+		phase,
+		changedAt: 1,
+		coldSenders: []
+	};
 }
 
 function response(
@@ -59,6 +69,14 @@
 	assert.equal(view.target('a')?.coldUntil, 9000 + COLD_START_MS);
 });
 
+test('an answer that replaces everything does not make known targets cold', () => {
+	const view = new FleetView(() => 'r');
+	view.apply(response(1, { targets: [target('a')] }), 100);
+	view.apply(response(2, { isWhole: true, targets: [target('a'), target('b')] }), 9000);
+	assert.equal(view.target('a')?.coldUntil, 0);
+	assert.equal(view.target('b')?.coldUntil, 9000 + COLD_START_MS);
+});
+
 test('a late heartbeat does not count; sightings of another instance keep their age', () => {
 	const timing = { entrySilentMs: 1000, targetSilentMs: 1000 };
 	const here = new Sightings(timing, 0);
--- a/src/plugins/forwarding/common/newcomers.ts
+++ b/src/plugins/forwarding/common/newcomers.ts
@@ -8,11 +8,13 @@
  */
 
 import { rendezvousRank } from '../../../base/hashing.js';
+import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
 import type { Candidate } from './targetChoice.js';
 
-/** The instance that sends a target its first request. */
-export function introducerOf(targetId: string, regionEntries: readonly string[]): string | undefined {
-	return rendezvousRank(targetId, regionEntries)[0];
+/** The instance that sends a target its first request: one that may do so while it is cold, where there is one. */
+export function introducerOf(target: TargetRecord, regionEntries: readonly string[]): string | undefined {
+	const sender = target.coldSenders.find(name => regionEntries.includes(name));
+	return sender ?? rendezvousRank(target.id, regionEntries)[0];
 }
 
 /**
@@ -31,6 +33,6 @@
 		known.hasJoined && !state.isUsed && !known.isSilent && known.region === ownRegion;
 	return candidates.find(
 		candidate =>
-			isNewcomer(candidate) && introducerOf(candidate.known.record.id, regionEntries) === ownName && isUsable(candidate)
+			isNewcomer(candidate) && introducerOf(candidate.known.record, regionEntries) === ownName && isUsable(candidate)
 	);
 }
--- a/src/plugins/forwarding/node/targetSelector.ts
+++ b/src/plugins/forwarding/node/targetSelector.ts
@@ -5,7 +5,6 @@
 /** Finds the target for a request among those that are known, and keeps to the pace of cold ones. */
 
 import type { Millis } from '../../../base/clock.js';
-import { rendezvousRank } from '../../../base/hashing.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import { RepeatRule } from '../../routes/common/routeTable.js';
 import { findNewcomer } from '../common/newcomers.js';
@@ -14,12 +13,7 @@
 import type { Journey } from './journey.js';
 import { TargetStates } from './targetStates.js';
 
-/** How many instances share the pace of one cold target; few, so that each part is a whole request. */
-const COLD_SHARERS = 2;
-/**
- * Part of the pace that is used. Instances that were cut off know other neighbours than the rest and draw other sharers:
- * three such groups at once stay within what a cold target bears for a moment.
- */
+/** Part of a cold target's pace that is used: requests that were spread over time may arrive closer together. */
 const COLD_PACE_PART = 0.6;
 
 /** Who and where this instance is. */
@@ -80,20 +74,14 @@
 	}
 
 	private _mayUseCold(candidate: Candidate, now: Millis): boolean {
-		return candidate.state.hasColdToken(this._coldPace(candidate), now);
+		const isSender = candidate.known.record.coldSenders.includes(this._own.name);
+		return isSender && candidate.state.hasColdToken(this._coldPace(candidate), now);
 	}
 
-	/**
-	 * This instance's part of a cold target's pace. A few instances of the target's own region share it, drawn by hash so
-	 * that all agree.
-	 */
+	/** The part of a cold target's pace that each of its senders has. */
 	private _coldPace(candidate: Candidate): number {
-		const { record, region } = candidate.known;
-		if (region !== this._own.region) {
-			return 0;
-		}
-		const perSecond = this._view.routes?.service(record.service)?.coldPerSecond ?? 0;
-		const sharers = rendezvousRank(record.id, this._view.regionEntries).slice(0, COLD_SHARERS);
-		return sharers.includes(this._own.name) ? (COLD_PACE_PART * perSecond) / sharers.length : 0;
+		const { service, coldSenders } = candidate.known.record;
+		const perSecond = this._view.routes?.service(service)?.coldPerSecond ?? 0;
+		return (COLD_PACE_PART * perSecond) / Math.max(1, coldSenders.length);
 	}
 }
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -27,7 +27,8 @@
 		version: 'v',
 		slots,
 		phase: TargetPhase.Serving,
-		changedAt: 1
+		changedAt: 1,
+		coldSenders: []
 	};
 	return {
 		known: { record, region, isSilent: false, coldUntil: 0, hasJoined: false },
--- a/src/plugins/forwarding/test/placement.test.ts
+++ b/src/plugins/forwarding/test/placement.test.ts
@@ -25,7 +25,8 @@
 		version: 'v',
 		slots: 4,
 		phase: TargetPhase.Serving,
-		changedAt: 1
+		changedAt: 1,
+		coldSenders: []
 	};
 	const known = { record, region: 'r1', isSilent: false, coldUntil: 0, hasJoined: false, ...changed };
 	return { known, state: new TargetState(id, 4) };
@@ -35,7 +36,7 @@
 	const newcomer = candidate('new', { hasJoined: true });
 	const all = [candidate('old'), newcomer];
 	const found = ENTRIES.filter(name => findNewcomer(all, 'r1', name, ENTRIES, () => true) === newcomer);
-	assert.deepEqual(found, [introducerOf('new', ENTRIES)]);
+	assert.deepEqual(found, [introducerOf(newcomer.known.record, ENTRIES)]);
 	assert.equal(
 		findNewcomer(all, 'r2', found[0]!, ENTRIES, () => true),
 		undefined
