After a common stop a leader is elected sooner, and replicas start from what they knew to be committed

The wait counted from the opening of the log, and an unanswered pre-vote cost a whole election time.

Change: the time since the process began counts towards the silence that protects a lease (whatever was promised, was promised before); pre-votes, which bind nobody, are repeated after 120 to 240 ms; the commit index is written along with other records, so that a replica applies it at its start. The model of the core takes the crash as the start of the process and checks leases as before.

--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -15,6 +15,9 @@
 	wallNow(): number;
 }
 
+/** When this process started, on its own monotonic clock, which counts from there. */
+export const PROCESS_STARTED_AT: Millis = 0;
+
 /** The clock of the operating system. */
 export const systemClock: IClock = {
 	now: () => performance.now(),
--- a/src/plugins/agreement/common/agreementTypes.ts
+++ b/src/plugins/agreement/common/agreementTypes.ts
@@ -74,6 +74,8 @@
 	readonly hardState?: HardState;
 	/** Replaces the whole log. */
 	readonly snapshot?: Snapshot;
+	/** What was known to be committed; written along with other records, and so a little behind. */
+	readonly commit?: LogIndex;
 }
 
 interface MessageHeader {
--- a/src/plugins/agreement/common/election.ts
+++ b/src/plugins/agreement/common/election.ts
@@ -29,11 +29,12 @@
 	/** Asks whether an election would be won; a replica that is no voter asks nothing. */
 	startPreVote(now: Millis): void {
 		const state = this._state;
-		state.postponeElection(now);
 		state.leader = undefined;
 		if (!state.isVoter) {
+			state.postponeElection(now);
 			return;
 		}
+		state.repeatPreVote(now);
 		state.role = ReplicaRole.PreCandidate;
 		this._requestVotes(true, now);
 	}
--- a/src/plugins/agreement/common/memoryLog.ts
+++ b/src/plugins/agreement/common/memoryLog.ts
@@ -8,6 +8,8 @@
 
 /** What a replica finds on its disk when it starts. */
 export interface StoredLog {
+	/** Index up to which entries are known to be committed; absent where none was written. */
+	readonly commit?: LogIndex;
 	readonly snapshot?: Snapshot;
 	readonly entries: readonly LogEntry[];
 }
--- a/src/plugins/agreement/common/replicaState.ts
+++ b/src/plugins/agreement/common/replicaState.ts
@@ -36,6 +36,11 @@
 	/** Random numbers in [0, 1), for election timeouts. */
 	readonly random: () => number;
 	readonly now: Millis;
+	/**
+	 * When the process began, if that was before now. Whatever this replica promised to a leader it promised before that,
+	 * so the time counts towards the silence after which another leader may be elected.
+	 */
+	readonly startedAt?: Millis;
 	/**
 	 * Whether the members were learned rather than listed: then the leader itself removes one whose successor has joined,
 	 * and keeps the number of voters odd.
@@ -43,6 +48,12 @@
 	readonly isDiscovered?: boolean;
 }
 
+/**
+ * Least time between two pre-votes of one replica, the greatest is twice that: longer than an answer takes from another
+ * region, and short against an election, for after a common start the others come up one by one.
+ */
+const PRE_VOTE_REPEAT_MS = 120;
+
 function noEffects(): Effects {
 	return { earlyMessages: [], records: [], messages: [], committed: [] };
 }
@@ -81,10 +92,11 @@
 		this._commit = this.log.baseIndex;
 		this._delivered = this.log.baseIndex;
 		this.persisted = this.log.lastIndex;
-		this.heardLeaderAt = start.now;
+		this.heardLeaderAt = start.startedAt ?? start.now;
 		this.electionAt = start.now;
 		this.refreshMembers();
-		this.postponeElection(start.now);
+		this.postponeElection(this.heardLeaderAt);
+		this.deliver(Math.min(start.log.commit ?? 0, this.log.lastIndex));
 	}
 
 	/** Current term. */
@@ -178,6 +190,11 @@
 		this.electionAt = now + this.timing.electionMinMs * (1 + this._random());
 	}
 
+	/** Asks again soon whether an election would be won: the question binds nobody. */
+	repeatPreVote(now: Millis): void {
+		this.electionAt = now + PRE_VOTE_REPEAT_MS * (1 + this._random());
+	}
+
 	/** Appends entries of this replica's own. */
 	appendOwn(entries: readonly LogEntry[]): void {
 		this.log.append(entries);
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -7,7 +7,7 @@
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { Emitter } from '../../../base/event.js';
 import { Mailbox } from '../../../base/mailbox.js';
-import { systemClock } from '../../../base/clock.js';
+import { PROCESS_STARTED_AT, systemClock } from '../../../base/clock.js';
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import { integerSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
@@ -228,6 +228,7 @@
 			log: opened.log,
 			random: Math.random,
 			now: systemClock.now(),
+			startedAt: PROCESS_STARTED_AT,
 			isDiscovered: this._seeds.length > 0
 		});
 		if (opened.log.snapshot) {
@@ -357,7 +358,7 @@
 		const records = all.flatMap(effects => effects.records);
 		const written = { index: this._core.lastIndex, term: this._core.term };
 		if (records.length > 0) {
-			await this._store.append(records);
+			await this._store.append([...records, { commit: this._core.commitIndex }]);
 		}
 		all.forEach(effects => effects.messages.forEach(message => this._send(message)));
 		all.forEach(effects => this._apply(effects));
--- a/src/plugins/agreement/node/logStore.ts
+++ b/src/plugins/agreement/node/logStore.ts
@@ -16,7 +16,7 @@
 import { crc32 } from 'node:zlib';
 import { decode, encode } from '@msgpack/msgpack';
 import VError from 'verror';
-import type { HardState, LogEntry, PersistRecord, Snapshot } from '../common/agreementTypes.js';
+import type { HardState, LogEntry, LogIndex, PersistRecord, Snapshot } from '../common/agreementTypes.js';
 import type { StoredLog } from '../common/memoryLog.js';
 
 const MAGIC = 0x53484c46;
@@ -101,6 +101,7 @@
 	let hardState: HardState = { term: 0 };
 	let snapshot: Snapshot | undefined;
 	let entries: LogEntry[] = [];
+	let commit: LogIndex | undefined;
 	for (const record of records) {
 		if (record.snapshot) {
 			snapshot = record.snapshot;
@@ -113,8 +114,9 @@
 			entries.push(entry);
 		}
 		hardState = record.hardState ?? hardState;
+		commit = record.commit ?? commit;
 	}
-	return { hardState, log: { snapshot, entries } };
+	return { hardState, log: { snapshot, entries, commit } };
 }
 
 async function readIfPresent(path: string): Promise<Buffer | undefined> {
--- a/src/plugins/agreement/test/agreementCore.test.ts
+++ b/src/plugins/agreement/test/agreementCore.test.ts
@@ -7,6 +7,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import { AgreementCore } from '../common/agreementCore.js';
+import { DEFAULT_TIMING, EntryKind, MemberRole } from '../common/agreementTypes.js';
 import { AgreementModel, type ModelStep } from './agreementModel.js';
 
 const SEED = Number(process.env['SHELFFIELD_SEED'] ?? 20261202);
@@ -107,3 +109,40 @@
 	assert.equal(model.heal(), false);
 	assert.equal(model.committedCount, before);
 });
+
+/** A replica of three that starts again with one committed entry, `upMs` after its process began. */
+function restarted(upMs: number): AgreementCore {
+	const members = ['n1', 'n2', 'n3'].map(id => ({ id, incarnation: 'i', address: id, role: MemberRole.Voter }));
+	return new AgreementCore({
+		identity: { id: 'n1', incarnation: 'i', address: 'n1' },
+		timing: DEFAULT_TIMING,
+		hardState: { term: 1 },
+		log: {
+			entries: [
+				{ index: 1, term: 1, kind: EntryKind.Members, members },
+				{ index: 2, term: 1, kind: EntryKind.Command, command: 'a' },
+				{ index: 3, term: 1, kind: EntryKind.Command, command: 'b' }
+			],
+			commit: 2
+		},
+		random: () => 0,
+		now: upMs,
+		startedAt: 0
+	});
+}
+
+test('the start of the process counts towards the silence before an election, and pre-votes are repeated soon', () => {
+	const core = restarted(500);
+	const asks = (now: number): boolean => core.tick(now).messages.some(message => message.type === 'vote');
+	assert.equal(asks(DEFAULT_TIMING.electionMinMs - 1), false);
+	assert.equal(asks(DEFAULT_TIMING.electionMinMs), true);
+	assert.equal(asks(DEFAULT_TIMING.electionMinMs + 200), true);
+	assert.equal(core.term, 1);
+});
+
+test('a replica that starts applies what it had written down as committed, and no more', () => {
+	const indices = restarted(0)
+		.tick(1)
+		.committed.map(entry => entry.index);
+	assert.deepEqual(indices, [1, 2]);
+});
--- a/src/plugins/agreement/test/agreementModel.ts
+++ b/src/plugins/agreement/test/agreementModel.ts
@@ -45,12 +45,16 @@
 	hardState: HardState;
 	snapshot?: Snapshot;
 	entries: LogEntry[];
+	/** What was known to be committed at the last write. */
+	commit?: number;
 }
 
 interface ModelNode {
 	readonly id: string;
 	readonly disk: Disk;
 	core?: AgreementCore;
+	/** When it stopped, until it starts again. */
+	crashedAt?: number;
 	/** Steps do not reach it before this time. */
 	frozenUntil: number;
 	/** The next write is lost together with the process. */
@@ -184,13 +188,15 @@
 				return;
 			case 'crash':
 				node.crashesBeforeSync = step.beforeSync;
-				node.core = step.beforeSync ? node.core : undefined;
+				if (!step.beforeSync) {
+					this._crash(node);
+				}
 				return;
 			case 'restart':
 				this._start(node);
 				return;
 			case 'loseDisk':
-				Object.assign(node.disk, { snapshot: undefined }, blankDisk(`i${++this._incarnations}`));
+				Object.assign(node.disk, { snapshot: undefined, commit: undefined }, blankDisk(`i${++this._incarnations}`));
 				this._start(node);
 				return;
 			case 'freeze':
@@ -208,17 +214,25 @@
 		}
 	}
 
+	private _crash(node: ModelNode): void {
+		node.crashedAt ??= this._now;
+		node.core = undefined;
+	}
+
 	private _start(node: ModelNode): void {
 		const { disk } = node;
 		node.crashesBeforeSync = false;
 		node.applied = disk.snapshot?.index ?? 0;
+		const startedAt = node.crashedAt ?? this._now;
+		node.crashedAt = undefined;
 		node.core = new AgreementCore({
 			identity: { id: node.id, incarnation: disk.incarnation, address: node.id },
 			timing: TIMING,
 			hardState: disk.hardState,
-			log: { snapshot: disk.snapshot, entries: disk.entries },
+			log: { snapshot: disk.snapshot, entries: disk.entries, commit: disk.commit },
 			random: () => this._random(),
-			now: this._now
+			now: this._now,
+			startedAt
 		});
 	}
 
@@ -278,10 +292,13 @@
 		}
 		this._send(effects.earlyMessages);
 		if (effects.records.length > 0 && node.crashesBeforeSync) {
-			node.core = undefined;
+			this._crash(node);
 			return;
 		}
-		effects.records.forEach(record => this._write(node.disk, record));
+		if (effects.records.length > 0) {
+			effects.records.forEach(record => this._write(node.disk, record));
+			node.disk.commit = core.commitIndex;
+		}
 		this._send(effects.messages);
 		this._apply(node, effects);
 		if (effects.records.length > 0) {
