--- a/src/plugins/agreement/common/election.ts
+++ b/src/plugins/agreement/common/election.ts
@@ -90,7 +90,7 @@
 		const state = this._state;
 		state.role = ReplicaRole.Candidate;
 		state.setTerm(state.term + 1, state.self.id);
-		state.postponeElection(now);
+		state.repeatElection(now);
 		this._requestVotes(false, now);
 	}
 
--- a/src/plugins/agreement/common/replicaState.ts
+++ b/src/plugins/agreement/common/replicaState.ts
@@ -54,6 +54,9 @@
  */
 const PRE_VOTE_REPEAT_MS = 120;
 
+/** The same between two elections of one replica: the votes of the first must have had time to be synced and to come. */
+const ELECTION_REPEAT_MS = 250;
+
 function noEffects(): Effects {
 	return { earlyMessages: [], records: [], messages: [], committed: [] };
 }
@@ -95,7 +98,7 @@
 		this.heardLeaderAt = start.startedAt ?? start.now;
 		this.electionAt = start.now;
 		this.refreshMembers();
-		this.postponeElection(this.heardLeaderAt);
+		this.repeatPreVote(this.heardLeaderAt + this.timing.electionMinMs);
 		this.deliver(Math.min(start.log.commit ?? 0, this.log.lastIndex));
 	}
 
@@ -195,6 +198,11 @@
 		this.electionAt = now + PRE_VOTE_REPEAT_MS * (1 + this._random());
 	}
 
+	/** Begins anew soon after an election that nobody won, at a time of this replica's own. */
+	repeatElection(now: Millis): void {
+		this.electionAt = now + ELECTION_REPEAT_MS * (1 + this._random());
+	}
+
 	/** Appends entries of this replica's own. */
 	appendOwn(entries: readonly LogEntry[]): void {
 		this.log.append(entries);
--- a/src/plugins/fleet/common/entryLookUp.ts
+++ b/src/plugins/fleet/common/entryLookUp.ts
@@ -22,6 +22,19 @@
 	return isEnough ? near : ready;
 }
 
+/**
+ * What an instance names that has just started: whom it has heard, and whom it knew before and has not heard yet.
+ * @param heard the instances that were heard since the start
+ * @param remembered the instances that were known before it
+ */
+export function withRemembered(
+	heard: readonly EntryDescription[],
+	remembered: readonly EntryDescription[]
+): EntryDescription[] {
+	const isHeard = new Set(heard.map(entry => entry.name));
+	return [...heard, ...remembered.filter(entry => !isHeard.has(entry.name))];
+}
+
 /** Slots needed by the callers of each region: the sum over its entry instances. */
 export function sumDemand(entries: readonly EntryDescription[]): RegionDemand {
 	const sums: Record<string, Record<string, number>> = {};
--- a/src/plugins/fleet/fleet.control.plugin.ts
+++ b/src/plugins/fleet/fleet.control.plugin.ts
@@ -21,7 +21,7 @@
 	constructor(@IFleetControl private readonly _fleet: FleetControlTask) {}
 
 	async start(): Promise<void> {
-		this._fleet.start();
+		await this._fleet.start();
 	}
 }
 
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -11,7 +11,7 @@
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
 import { drawColdSenders } from '../common/coldSenders.js';
-import { entriesFor, sumDemand } from '../common/entryLookUp.js';
+import { entriesFor, sumDemand, withRemembered } from '../common/entryLookUp.js';
 import { FleetUnavailableError, type IFleetControl, type TargetHeartbeat } from '../common/fleetControl.js';
 import { FleetState } from '../common/fleetState.js';
 import {
@@ -37,6 +37,7 @@
 import { HearingClock } from '../common/hearingClock.js';
 import type { PlaceSettings } from '../common/placeSettings.js';
 import { Sightings } from '../common/sightings.js';
+import { EntryRosterFile } from './entryRosterFile.js';
 
 const EXCHANGE_INTERVAL_MS = 250;
 const EXCHANGE_TIMEOUT_MS = 1000;
@@ -69,6 +70,9 @@
 	);
 	private readonly _waiting = new Set<() => void>();
 	private readonly _hearing = new HearingClock();
+	private readonly _roster: EntryRosterFile;
+	/** The entry instances that this one knew before its start. */
+	private _remembered: readonly EntryDescription[] = [];
 	/** Region by hall. */
 	private readonly _halls: ReadonlyMap<string, string>;
 
@@ -79,6 +83,7 @@
 		@ILogService private readonly _log: ILogService
 	) {
 		super();
+		this._roster = new EntryRosterFile(settings.section<{ dataFolder: string }>('agreement').dataFolder, this._log);
 		this._halls = settings.section<PlaceSettings>('places').halls;
 		this._agreement.addPart(this._state);
 		this._register(this._state.onDidChange(() => this._wake()));
@@ -92,7 +97,8 @@
 	}
 
 	/** Starts the exchange with the other control instances. */
-	start(): void {
+	async start(): Promise<void> {
+		this._remembered = await this._roster.read();
 		const timer = setInterval(() => this._exchange(), EXCHANGE_INTERVAL_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
 	}
@@ -167,7 +173,11 @@
 		const now = systemClock.now();
 		this._noteContact(now);
 		const heardAllAt = this._hearing.heardAllAt(now);
-		return heardAllAt === undefined ? [] : entriesFor(this._sightings.liveEntries(heardAllAt), region);
+		const entries =
+			heardAllAt === undefined
+				? withRemembered(this._sightings.liveEntries(now), this._remembered)
+				: this._sightings.liveEntries(heardAllAt);
+		return entriesFor(entries, region);
 	}
 
 	private _noteContact(now: Millis): void {
@@ -276,9 +286,14 @@
 	}
 
 	private _exchange(): void {
-		this._noteContact(systemClock.now());
+		const now = systemClock.now();
+		this._noteContact(now);
+		if (this._hearing.heardAllAt(now) === now) {
+			const ready = this._sightings.liveEntries(now).filter(entry => entry.isReady);
+			void this._roster.write(ready);
+		}
 		const { members, id } = this._agreement.status();
-		const fresh = this._sightings.takeFresh(systemClock.now());
+		const fresh = this._sightings.takeFresh(now);
 		for (const member of members) {
 			if (member.id !== id) {
 				this._calls.call(member.address, exchangeMethod, fresh, EXCHANGE_TIMEOUT_MS).catch(() => undefined);
--- a/src/plugins/fleet/test/entryLookUp.test.ts
+++ b/src/plugins/fleet/test/entryLookUp.test.ts
@@ -6,9 +6,9 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { entriesFor } from '../common/entryLookUp.js';
+import { entriesFor, withRemembered } from '../common/entryLookUp.js';
 import type { EntryDescription } from '../common/fleetTypes.js';
-import { describeEntry } from './describeEntry.js';
+import { describeEntry } from '../../../../test/fakes/describeEntry.js';
 import { HearingClock } from '../common/hearingClock.js';
 import { Sightings } from '../common/sightings.js';
 
@@ -64,3 +64,9 @@
 	clock.note(true, 6100);
 	assert.equal(clock.heardAllAt(6100), 6100);
 });
+
+test('an instance that has just started names those that it knew before, until it hears of them', () => {
+	const remembered = [entry('a'), entry('b')];
+	assert.deepEqual(names(withRemembered([], remembered)), ['a', 'b']);
+	assert.deepEqual(names(entriesFor(withRemembered([entry('a', 'r1', false)], remembered), 'r1')), ['b']);
+});
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -6,7 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { describeEntry } from './describeEntry.js';
+import { describeEntry } from '../../../../test/fakes/describeEntry.js';
 import { FleetView } from '../common/fleetView.js';
 import { TargetPhase, type TargetRecord } from '../common/fleetTypes.js';
 import type { SyncResponse } from '../common/fleetWire.js';
--- a/src/plugins/forwarding/test/coldTargets.test.ts
+++ b/src/plugins/forwarding/test/coldTargets.test.ts
@@ -6,7 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { describeEntry } from '../../fleet/test/describeEntry.js';
+import { describeEntry } from '../../../../test/fakes/describeEntry.js';
 import { drawColdSenders } from '../../fleet/common/coldSenders.js';
 import { FleetView } from '../../fleet/common/fleetView.js';
 import { TargetPhase, type TargetRecord } from '../../fleet/common/fleetTypes.js';
--- a/src/plugins/fleet/test/describeEntry.ts
+++ b/test/fakes/describeEntry.ts
@@ -4,7 +4,7 @@
 
 /** Entry instances for tests. */
 
-import type { EntryDescription } from '../common/fleetTypes.js';
+import type { EntryDescription } from '../../src/plugins/fleet/common/fleetTypes.js';
 
 /** An entry instance that is ready, with what a test changes of it. */
 export function describeEntry(changed: Partial<EntryDescription> = {}): EntryDescription {
