Instances without known slots are asked last, not never, by one that has no targets

Cause (leaving.test.ts, 'no-capacity for a while' at e7 and e8 from the start of the load, once more after the last mend): e8 owns no target and e7 only the one that the test drains at once; both choose whom to ask by the loads that a leader spread, and an instance whose report is not among them yet (or came before it owned its targets) was never asked. Ruled out: fewer tries than instances (four instances in the region, five tries), a lapsed lease (e2 beside them served).

Change: planSpill puts the region's instances of which no slot is known behind those with slots.

--- a/src/plugins/dispatch/common/spill.ts
+++ b/src/plugins/dispatch/common/spill.ts
@@ -48,7 +48,10 @@
 export interface SpillPlan {
 	/** Instances to try for a free slot, best first. */
 	readonly forFreeSlot: readonly DirectoryEntry[];
-	/** Instances in whose queue it may wait, best first; for an instance without targets of its own. */
+	/**
+	 * Instances in whose queue it may wait, best first; for an instance without targets of its own. Those of which no slot
+	 * is known come last: what is known lags, and a refusal by one of them costs less than a refusal of the request.
+	 */
 	readonly forQueue: readonly DirectoryEntry[];
 }
 
@@ -80,8 +83,9 @@
 		});
 	const withFree = scored.filter(item => item.free > 0).sort((a, b) => b.order - a.order);
 	const withSlots = scored.filter(item => item.slots > 0).sort((a, b) => b.slots * random() - a.slots * random());
+	const unknown = scored.filter(item => item.slots === 0);
 	return {
 		forFreeSlot: withFree.slice(0, MAX_FREE_SLOT_TRIES).map(item => item.entry),
-		forQueue: withSlots.slice(0, MAX_QUEUE_TRIES).map(item => item.entry)
+		forQueue: [...withSlots, ...unknown].slice(0, MAX_QUEUE_TRIES).map(item => item.entry)
 	};
 }
