--- a/src/plugins/forwarding/common/partChoice.ts
+++ b/src/plugins/forwarding/common/partChoice.ts
@@ -10,17 +10,16 @@
 const HASH_RANGE = 2 ** 32;
 
 /**
- * The service for a request; parts without any target are passed over, unless all are.
+ * The service for a request. A part without room, or without any target, keeps its share: the operator's weights hold, and
+ * what a part can't take is refused rather than moved to another.
  * @param requestId decides which part; ids of requests are spread evenly
  */
-export function chooseService(route: Route, requestId: string, hasTargets: (service: string) => boolean): string {
+export function chooseService(route: Route, requestId: string): string {
 	const first = route.parts[0]!;
 	if (route.parts.length === 1) {
 		return first.service;
 	}
-	const weighted = route.parts.filter(part => part.weight > 0);
-	const present = weighted.filter(part => hasTargets(part.service));
-	return pickByWeight(present.length > 0 ? present : weighted, hash32(requestId) / HASH_RANGE).service;
+	return pickByWeight(route.parts, hash32(requestId) / HASH_RANGE).service;
 }
 
 function pickByWeight(parts: readonly RoutePart[], position: number): RoutePart {
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -110,7 +110,7 @@
 		} catch {
 			return;
 		}
-		const service = chooseService(route, exchange.requestId, name => this._session.view.targetsOf(name).length > 0);
+		const service = chooseService(route, exchange.requestId);
 		this._notes.noteRequest(service, exchange.arrivedAt);
 		this._allowance(service).noteFirstTry(exchange.arrivedAt);
 		const journey: Journey = {
