A target that was left alone is tried by one request of an instance at a time

Change: until an answer shows that the target is well an instance has one request there at a time. A test fails before (no such bound) and passes after.

--- a/src/plugins/forwarding/common/targetChoice.ts
+++ b/src/plugins/forwarding/common/targetChoice.ts
@@ -153,7 +153,7 @@
 /** The target for a request; undefined when those that the object may use are too full, or none is there. */
 export function chooseTarget(candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
 	const isSound = (candidate: Candidate): boolean =>
-		!candidate.known.isSilent && !candidate.state.health.isSuspect(context.now);
+		!candidate.known.isSilent && candidate.state.health.admits(candidate.state.inFlight, context.now);
 	const sound = candidates.filter(isSound);
 	if (sound.length > 0) {
 		return chooseSound(sound, context);
--- a/src/plugins/forwarding/common/targetHealth.ts
+++ b/src/plugins/forwarding/common/targetHealth.ts
@@ -32,12 +32,23 @@
 	private _suspectUntil: Millis = Number.NEGATIVE_INFINITY;
 	private _usualMs: Millis = 0;
 	private _answers = 0;
+	/** Since the latest suspicion no answer has shown that the target is well. */
+	private _isOnTrial = false;
 
 	/** Whether the target should be left alone where there are others. */
 	isSuspect(now: Millis): boolean {
 		return now < this._suspectUntil;
 	}
 
+	/**
+	 * Whether a request may go to the target. After its time alone one request of this instance at a time tries it, until an
+	 * answer shows that it is well: the others would share its fate.
+	 * @param inFlight requests of this instance that the target has not ended
+	 */
+	admits(inFlight: number, now: Millis): boolean {
+		return !this.isSuspect(now) && (!this._isOnTrial || inFlight === 0);
+	}
+
 	/** Share of failures among the latest requests, 0 to 1. */
 	get failureShare(): number {
 		return this._failureShare;
@@ -83,6 +94,7 @@
 			this._suspect(now);
 		} else if (!this.isSuspect(now)) {
 			this._suspicions = 0;
+			this._isOnTrial = this._isOnTrial && this._usualMs > SLOW_FACTOR * serviceMs;
 		}
 	}
 
@@ -95,5 +107,6 @@
 		this._suspectUntil = now + Math.min(spanMs, LONGEST_SUSPICION_MS);
 		this._failureShare = Math.min(this._failureShare, SHARE_ON_TRIAL);
 		this._answers = 0;
+		this._isOnTrial = true;
 	}
 }
--- a/src/plugins/forwarding/test/targetHealth.test.ts
+++ b/src/plugins/forwarding/test/targetHealth.test.ts
@@ -28,6 +28,19 @@
 	assert.equal(health.isSuspect(500 + 900), false);
 });
 
+test('after its time alone one request at a time tries a target, until an answer shows that it is well', () => {
+	const health = new TargetHealth();
+	health.noteUnreachable(0);
+	assert.equal(health.admits(0, 1), false);
+	assert.equal(health.admits(0, 500), true);
+	assert.equal(health.admits(1, 500), false);
+	health.noteAnswer(600, 150, 600);
+	assert.equal(health.admits(1, 601), false);
+	health.noteAnswer(100, 150, 700);
+	health.noteAnswer(100, 150, 800);
+	assert.equal(health.admits(5, 801), true);
+});
+
 test('a target that loses a few answers among many is kept', () => {
 	const health = new TargetHealth();
 	for (let i = 0; i < 400; i++) {
