--- a/src/kernel/node/httpPeerCalls.ts
+++ b/src/kernel/node/httpPeerCalls.ts
@@ -8,14 +8,13 @@
  */
 
 import { Agent, createServer, type IncomingMessage, request as httpRequest, type ServerResponse } from 'node:http';
-import { decode, encode } from '@msgpack/msgpack';
 import { Disposable, toDisposable } from '../../base/disposable.js';
 import type { IPeerCalls } from '../common/peerCalls.js';
 import type { UnaryMethod } from '../common/peerMethods.js';
 import type { InstanceSettings } from './instanceSettings.js';
+import { decodeMessage, type EncodedMessage, encodeMessage, MAX_MESSAGE_BYTES } from './messageCoding.js';
 import { ISettingsService } from './settingsService.js';
 
-const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 const MAX_IDLE_SOCKETS = 8;
 /** A connection that rested this long is closed by the caller, well before the other side does. */
 const CALLER_IDLE_MS = 20000;
@@ -34,11 +33,6 @@
 	}
 }
 
-function encodeMessage(message: unknown): Buffer {
-	const bytes = encode(message, { ignoreUndefined: true });
-	return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-}
-
 function readAll(message: IncomingMessage, done: (body: Buffer) => void): void {
 	const pieces: Buffer[] = [];
 	let size = 0;
@@ -57,6 +51,13 @@
 	});
 }
 
+function sendText(response: ServerResponse, status: number, text: string): void {
+	if (!response.destroyed) {
+		response.writeHead(status, { 'Content-Length': Buffer.byteLength(text) });
+		response.end(text);
+	}
+}
+
 /** Peer calls over `node:http`. */
 export class HttpPeerCalls extends Disposable implements IPeerCalls {
 	private readonly _handlers = new Map<string, Handler>();
@@ -92,8 +93,7 @@
 		const [host, port] = address.split(':');
 		const { path } = method;
 		return new Promise<S>((resolve, reject) => {
-			const body = encodeMessage(request);
-			const headers = { 'Content-Length': String(body.length) };
+			const { body, headers } = encodeMessage(request);
 			const sent = httpRequest({ agent: this._agent, method: 'POST', host, port, path, headers });
 			const timer = setTimeout(() => {
 				reject(new PeerCallError(path, address, `no answer within ${timeoutMs} ms`));
@@ -108,11 +108,15 @@
 			sent.on('response', response => {
 				response.on('error', error => fail(error.message));
 				readAll(response, answer => {
-					clearTimeout(timer);
-					if (response.statusCode === STATUS_OK) {
-						resolve(decode(answer) as S);
-					} else {
+					if (response.statusCode !== STATUS_OK) {
 						fail(`${response.statusCode} ${answer.toString('utf8')}`);
+						return;
+					}
+					clearTimeout(timer);
+					try {
+						resolve(decodeMessage(answer, response.headers['content-encoding']) as S);
+					} catch (error) {
+						fail(`unreadable answer: ${(error as Error).message}`);
 					}
 				});
 			});
@@ -122,23 +126,25 @@
 
 	private _serve(request: IncomingMessage, response: ServerResponse): void {
 		request.on('error', () => response.destroy());
-		readAll(request, body => void this._answer(request.url ?? '', body, response));
+		readAll(request, body => void this._answer(request, body, response));
 	}
 
-	private async _answer(path: string, body: Buffer, response: ServerResponse): Promise<void> {
-		const handler = this._handlers.get(path);
-		let status = STATUS_OK;
-		let answer: Buffer;
+	private async _answer(request: IncomingMessage, body: Buffer, response: ServerResponse): Promise<void> {
+		const handler = this._handlers.get(request.url ?? '');
+		if (!handler) {
+			sendText(response, STATUS_UNKNOWN_METHOD, 'unknown method');
+			return;
+		}
+		let answer: EncodedMessage;
 		try {
-			answer = handler ? encodeMessage(await handler(decode(body))) : Buffer.from('unknown method');
-			status = handler ? STATUS_OK : STATUS_UNKNOWN_METHOD;
+			answer = encodeMessage(await handler(decodeMessage(body, request.headers['content-encoding'])));
 		} catch (error) {
-			status = STATUS_FAILED;
-			answer = Buffer.from((error as Error).message);
+			sendText(response, STATUS_FAILED, (error as Error).message);
+			return;
 		}
 		if (!response.destroyed) {
-			response.writeHead(status, { 'Content-Length': answer.length });
-			response.end(answer);
+			response.writeHead(STATUS_OK, answer.headers);
+			response.end(answer.body);
 		}
 	}
 }
--- a/src/kernel/test/httpPeerCalls.test.ts
+++ b/src/kernel/test/httpPeerCalls.test.ts
@@ -5,6 +5,7 @@
 /** Calls between processes: answers, failures, silence, and a peer that goes and comes back. */
 
 import assert from 'node:assert/strict';
+import { createServer as createHttpServer } from 'node:http';
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
@@ -57,3 +58,13 @@
 	back.dispose();
 	caller.dispose();
 });
+
+test('an answer that is no message fails the call and nothing else', async () => {
+	const caller = createCalls();
+	const garbling = createHttpServer((_request, response) => response.end(Buffer.from([0xc1])));
+	await new Promise<void>(resolve => garbling.listen(0, '127.0.0.1', () => resolve()));
+	const address = `127.0.0.1:${(garbling.address() as AddressInfo).port}`;
+	await assert.rejects(caller.call(address, echo, { text: 'a' }, 1000), /unreadable answer/);
+	caller.dispose();
+	garbling.close();
+});
