Lines that tell a step of the shares from a spill beside them

No line said whether the shares had moved, or requests had left them because targets were full, and why.

Change: each entry instance counts first tries by the region that the shares gave and by the region of the target, a line a window of the shift bound. A step of the shares beyond a second's pace is logged with its reason, its length, the time since the plan before, the revision and the age of the view.

--- a/src/plugins/forwarding/common/placementPlans.ts
+++ b/src/plugins/forwarding/common/placementPlans.ts
@@ -5,10 +5,18 @@
 /** How this instance divides the requests of each service among regions and halls, planned anew now and then. */
 
 import type { Millis } from '../../../base/clock.js';
+import { Emitter } from '../../../base/event.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { servesItself } from './hallPreference.js';
-import { planShares, type RegionRoom, type RegionShares, SharePacer, type ShiftBounds } from './regionShares.js';
+import {
+	planShares,
+	type RegionRoom,
+	type RegionShares,
+	SharePacer,
+	type ShareStep,
+	type ShiftBounds
+} from './regionShares.js';
 
 const PLAN_AGE_MS = 200;
 
@@ -25,6 +33,12 @@
 	readonly preferredHall: string | undefined;
 }
 
+/** Shares of a service that moved further at once than their pace allows. */
+export interface ServiceShareStep extends ShareStep {
+	readonly service: string;
+	readonly isLarge: boolean;
+}
+
 interface KeptPlan {
 	readonly pacer: SharePacer;
 	plan: PlacementPlan;
@@ -34,6 +48,9 @@
 /** The plans by service, home regions and size of answers. */
 export class PlacementPlans {
 	private readonly _plans = new Map<string, KeptPlan>();
+	private readonly _onDidStepFar = new Emitter<ServiceShareStep>();
+	/** Fires when shares moved further at once than their pace allows within a second. */
+	readonly onDidStepFar = this._onDidStepFar.event;
 
 	/** @param _regions every region, with or without targets */
 	constructor(
@@ -57,6 +74,9 @@
 			kept.plannedAt = now;
 			const wanted = planShares(this._own.region, this._roomsOf(service, route.homeRegions), isLarge);
 			const shares = kept.pacer.follow(wanted, now);
+			if (kept.pacer.longStep) {
+				this._onDidStepFar.fire({ ...kept.pacer.longStep, service, isLarge });
+			}
 			kept.plan = { shares, preferredHall: isLarge ? this._preferredHall(service) : undefined };
 		}
 		return kept.plan;
--- a/src/plugins/forwarding/common/regionShares.ts
+++ b/src/plugins/forwarding/common/regionShares.ts
@@ -39,6 +39,9 @@
  */
 const USED_PART = 0.6;
 
+/** A step that moves more than the pace allows in this time is worth a line in the log: plans follow each 200 ms. */
+const LONG_STEP_MS = 1000;
+
 /** How fast the requests of a region's callers may change the region in which they are served. */
 export interface ShiftBounds {
 	/** Part of a region's requests that may change between one window and the next, 0 to 1. */
@@ -74,19 +77,56 @@
 	return [{ region: own, share: keptHere }, ...shares];
 }
 
+/** Why shares took a step that is longer than the pace allows between two plans that follow at once. */
+export enum StepReason {
+	/** There were no shares before. */
+	First = 'first',
+	/** A region that had a share has no targets any more. */
+	RegionGone = 'region-gone',
+	/** No plan was asked for in a while. */
+	Rest = 'rest'
+}
+
+/** A step of the shares. */
+export interface ShareStep {
+	readonly from: RegionShares;
+	readonly to: RegionShares;
+	/** Part of the objects that changed their region, 0 to 1. */
+	readonly moved: number;
+	/** Time since the plan before. */
+	readonly elapsedMs: Millis;
+	readonly reason: StepReason;
+}
+
 /** Moves shares towards a plan no faster than the pace; a region without any slots is left at once. */
 export class SharePacer {
 	/** Part of the objects that may change their region in a millisecond. */
 	private readonly _pace: number;
 	private _shares: RegionShares = [];
 	private _movedAt: Millis = 0;
+	private _longStep?: ShareStep;
 
 	constructor(bounds: ShiftBounds) {
 		this._pace = (USED_PART * bounds.mostMoved) / bounds.windowMs;
 	}
 
+	/** The last step, if it was longer than the pace allows within a second. */
+	get longStep(): ShareStep | undefined {
+		return this._longStep;
+	}
+
 	/** The shares now. */
 	follow(plan: RegionShares, now: Millis): RegionShares {
+		const from = this._shares;
+		const elapsedMs = now - this._movedAt;
+		const to = this._step(plan, now);
+		const moved = movedPart(from, to);
+		const reason = stepReason(from, to);
+		this._longStep = moved > this._pace * LONG_STEP_MS ? { from, to, moved, elapsedMs, reason } : undefined;
+		return to;
+	}
+
+	private _step(plan: RegionShares, now: Millis): RegionShares {
 		const isKnown = (region: string): boolean => plan.some(share => share.region === region);
 		const isNew = this._shares.length === 0 || this._shares.some(share => share.share > 0 && !isKnown(share.region));
 		const allowed = this._pace * (now - this._movedAt);
@@ -123,7 +163,11 @@
 	return [...present].sort((a, b) => rank(b) - rank(a) || (a < b ? -1 : 1));
 }
 
-function regionAt(shares: RegionShares, position: number): string | undefined {
+/**
+ * The region that the shares give an object.
+ * @param position place of the object in [0, 1)
+ */
+export function regionAt(shares: RegionShares, position: number): string | undefined {
 	let left = position;
 	for (const { region, share } of shares) {
 		left -= share;
@@ -134,6 +178,20 @@
 	return shares[0]?.region;
 }
 
+/** Part of the objects whose region differs between two sets of shares. */
+function movedPart(from: RegionShares, to: RegionShares): number {
+	const before = new Map(from.map(share => [share.region, share.share]));
+	return sum(to.map(share => Math.max(0, share.share - (before.get(share.region) ?? 0))));
+}
+
+function stepReason(from: RegionShares, to: RegionShares): StepReason {
+	if (from.length === 0) {
+		return StepReason.First;
+	}
+	const isGone = from.some(({ region, share }) => share > 0 && !to.some(next => next.region === region));
+	return isGone ? StepReason.RegionGone : StepReason.Rest;
+}
+
 function sum(values: readonly number[]): number {
 	return values.reduce((total, value) => total + value, 0);
 }
--- a/src/plugins/forwarding/common/requestTrace.ts
+++ b/src/plugins/forwarding/common/requestTrace.ts
@@ -10,6 +10,8 @@
 export interface AttemptTrace {
 	readonly target: string;
 	readonly region: string;
+	/** Region that the shares gave the request; undefined where none did. */
+	readonly firstRegion: string | undefined;
 	/** Milliseconds from the arrival of the request to the choice. */
 	readonly atMs: number;
 	/** Requests at the target, as far as known. */
--- a/src/plugins/forwarding/common/targetChoice.ts
+++ b/src/plugins/forwarding/common/targetChoice.ts
@@ -11,7 +11,7 @@
 import type { Millis } from '../../../base/clock.js';
 import { hash32 } from '../../../base/hashing.js';
 import type { KnownTarget } from '../../fleet/common/fleetView.js';
-import { regionOrder, type RegionShares } from './regionShares.js';
+import { regionAt, regionOrder, type RegionShares } from './regionShares.js';
 import type { TargetState } from './targetState.js';
 
 /** A target that may get the request. */
@@ -20,6 +20,12 @@
 	readonly state: TargetState;
 }
 
+/** The candidate that was chosen. */
+export interface ChosenTarget extends Candidate {
+	/** Region that the shares gave the request; undefined where there were none, or no sound target. */
+	readonly firstRegion: string | undefined;
+}
+
 /** What the choice depends on. */
 export interface ChoiceContext {
 	/** Object that the request is about; undefined for none. */
@@ -131,18 +137,19 @@
 	return best;
 }
 
-function chooseSound(sound: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
+function chooseSound(sound: readonly Candidate[], context: ChoiceContext): ChosenTarget | undefined {
 	const { objectKey } = context;
 	const keyHash = objectKey === undefined ? undefined : hash32(objectKey);
 	const position = keyHash === undefined ? Math.random() : mix(keyHash, POSITION_SEED) / HASH_RANGE;
 	const groups = groupByRegion(sound);
 	const isBound = keyHash !== undefined;
 	let limits = isBound ? FILL_LIMITS : UNBOUND_LIMITS;
+	const firstRegion = regionAt(context.shares, position);
 	for (const region of regionOrder(context.shares, position, [...groups.keys()])) {
 		for (const group of splitByHall(groups.get(region)!, context.preferredHall)) {
 			const candidate = firstOpen(group, keyHash, limits, context);
 			if (candidate) {
-				return candidate;
+				return { ...candidate, firstRegion };
 			}
 		}
 		limits = isBound ? SPILL_LIMITS : UNBOUND_LIMITS;
@@ -151,12 +158,13 @@
 }
 
 /** The target for a request; undefined when those that the object may use are too full, or none is there. */
-export function chooseTarget(candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
+export function chooseTarget(candidates: readonly Candidate[], context: ChoiceContext): ChosenTarget | undefined {
 	const isSound = (candidate: Candidate): boolean =>
 		!candidate.known.isSilent && candidate.state.health.admits(candidate.state.inFlight, context.now);
 	const sound = candidates.filter(isSound);
 	if (sound.length > 0) {
 		return chooseSound(sound, context);
 	}
-	return leastFilled(candidates, context);
+	const doubted = leastFilled(candidates, context);
+	return doubted && { ...doubted, firstRegion: undefined };
 }
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -19,12 +19,13 @@
 import { IHeaderNames } from '../common/headerNames.js';
 import { passedHeaders } from '../common/hopHeaders.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
+import { RegionRuns } from '../common/regionRuns.js';
 import { connectTimeoutMs, heldBytes } from '../common/linkPacer.js';
 import { chooseService } from '../common/partChoice.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
-import type { Candidate } from '../common/targetChoice.js';
+import type { ChosenTarget } from '../common/targetChoice.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
 import { describeOutcome, endOf, isFailure, type Journey, refusal } from './journey.js';
@@ -58,6 +59,7 @@
 	private readonly _allowances = new Map<string, RetryAllowance>();
 	private readonly _recorder: RequestRecorder;
 	private readonly _notes = new OutcomeNotes();
+	private readonly _regionRuns = new RegionRuns();
 	private readonly _selector: TargetSelector;
 	private readonly _heldBytes: number;
 	private readonly _nearConnectMs: Millis;
@@ -71,10 +73,10 @@
 		@IHeaderNames private readonly _names: IHeaderNames,
 		@IServiceBounds private readonly _bounds: IServiceBounds,
 		@IMetricsService metrics: IMetricsService,
-		@ILogService log: ILogService
+		@ILogService private readonly _log: ILogService
 	) {
 		super();
-		this._recorder = new RequestRecorder(metrics, log);
+		this._recorder = new RequestRecorder(metrics, this._log);
 		const instance = settings.section<InstanceSettings>('instance');
 		this._region = instance.region;
 		const { linkMbit } = settings.section<FrontSettings>('front');
@@ -91,6 +93,28 @@
 			DEMAND_INTERVAL_MS
 		);
 		this._register(toDisposable(() => clearInterval(timer)));
+		this._watchRegions();
+	}
+
+	/** One line a window says where requests went, and one each step of the shares beyond their pace why. */
+	private _watchRegions(): void {
+		const { view } = this._session;
+		const timer = setInterval(() => {
+			const window = this._regionRuns.take();
+			if (window) {
+				this._log.info('regions', { task: 'forwarding', ...window });
+			}
+		}, this._bounds.shifts.windowMs);
+		this._register(toDisposable(() => clearInterval(timer)));
+		const listener = this._selector.onDidStepFar(step =>
+			this._log.warn('shares moved at once', {
+				task: 'forwarding',
+				...step,
+				revision: view.revision,
+				viewAgeMs: Math.round(this._session.ageMs())
+			})
+		);
+		this._register(listener);
 	}
 
 	async serve(exchange: CallerExchange): Promise<void> {
@@ -171,7 +195,7 @@
 		}
 	}
 
-	private async _attempt(journey: Journey, candidate: Candidate): Promise<AttemptOutcome> {
+	private async _attempt(journey: Journey, candidate: ChosenTarget): Promise<AttemptOutcome> {
 		const { exchange } = journey;
 		const { known, state } = candidate;
 		const [host, port] = known.record.address.split(':') as [string, string];
@@ -196,6 +220,7 @@
 		const trace: AttemptTrace = {
 			target: known.record.id,
 			region: known.region,
+			firstRegion: candidate.firstRegion,
 			atMs: Math.round(now - exchange.arrivedAt),
 			load: Math.round(state.load(now) * 10) / 10,
 			slots: known.record.slots,
@@ -203,6 +228,9 @@
 			outcome: 'unknown',
 			tookMs: 0
 		};
+		if (journey.attempts.length === 0) {
+			this._regionRuns.note(candidate.firstRegion, known.region);
+		}
 		journey.attempts.push(trace);
 		const outcome = await sent.outcome;
 		trace.outcome = describeOutcome(outcome);
--- a/src/plugins/forwarding/node/targetSelector.ts
+++ b/src/plugins/forwarding/node/targetSelector.ts
@@ -8,9 +8,10 @@
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import { RepeatRule } from '../../routes/common/routeTable.js';
 import { findNewcomer } from '../common/newcomers.js';
-import { type Place, PlacementPlans } from '../common/placementPlans.js';
+import type { Event } from '../../../base/event.js';
+import { type Place, PlacementPlans, type ServiceShareStep } from '../common/placementPlans.js';
 import type { ShiftBounds } from '../common/regionShares.js';
-import { type Candidate, chooseTarget } from '../common/targetChoice.js';
+import { type Candidate, chooseTarget, type ChosenTarget } from '../common/targetChoice.js';
 import type { Journey } from './journey.js';
 import { TargetStates } from './targetStates.js';
 
@@ -26,6 +27,8 @@
 export class TargetSelector {
 	private readonly _states: TargetStates;
 	private readonly _plans: PlacementPlans;
+	/** Fires when shares between regions moved further at once than their pace allows within a second. */
+	readonly onDidStepFar: Event<ServiceShareStep>;
 
 	/** @param regions every region, with or without targets */
 	constructor(
@@ -36,10 +39,11 @@
 	) {
 		this._states = new TargetStates(_view);
 		this._plans = new PlacementPlans(_view, _own, regions, shifts);
+		this.onDidStepFar = this._plans.onDidStepFar;
 	}
 
 	/** The target for the next attempt of a request; undefined where none may have it now. */
-	choose(journey: Journey, now: Millis): Candidate | undefined {
+	choose(journey: Journey, now: Millis): ChosenTarget | undefined {
 		const { route, service } = journey;
 		const candidates = this._states.candidates(service, route.homeRegions, journey.tried, now);
 		const chosen = this._newcomer(journey, candidates, now) ?? this._chooseKnown(journey, candidates, now);
@@ -49,7 +53,7 @@
 		return chosen;
 	}
 
-	private _chooseKnown(journey: Journey, candidates: readonly Candidate[], now: Millis): Candidate | undefined {
+	private _chooseKnown(journey: Journey, candidates: readonly Candidate[], now: Millis): ChosenTarget | undefined {
 		const { route, exchange, service } = journey;
 		const isBound = route.isSticky && exchange.objectKey !== undefined;
 		return chooseTarget(candidates, {
@@ -61,18 +65,19 @@
 	}
 
 	/** A target that nobody may have asked yet; only a request that may run again goes there. */
-	private _newcomer(journey: Journey, candidates: readonly Candidate[], now: Millis): Candidate | undefined {
+	private _newcomer(journey: Journey, candidates: readonly Candidate[], now: Millis): ChosenTarget | undefined {
 		if (journey.route.repeatRule !== RepeatRule.Repeatable) {
 			return undefined;
 		}
 		const { regionEntries } = this._view;
-		return findNewcomer(
+		const newcomer = findNewcomer(
 			candidates,
 			this._own.region,
 			this._own.name,
 			regionEntries,
 			candidate => candidate.known.coldUntil <= now || this._mayUseCold(candidate, now)
 		);
+		return newcomer && { ...newcomer, firstRegion: undefined };
 	}
 
 	private _mayUseCold(candidate: Candidate, now: Millis): boolean {
