A line when look-ups of a region name instances of other regions

Cause: whom look-ups name decides from which region's instances a caller's requests are sent, and nothing said when that changed.

Change: control logs each change, with the instances heard, those ready in the region and how long ago it was in touch.

--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -73,6 +73,8 @@
 	private readonly _roster: EntryRosterFile;
 	/** The entry instances that this one knew before its start. */
 	private _remembered: readonly EntryDescription[] = [];
+	/** Regions whose look-ups name instances of other regions. */
+	private readonly _namedElsewhere = new Set<string>();
 	/** Region by hall. */
 	private readonly _halls: ReadonlyMap<string, string>;
 
@@ -177,7 +179,30 @@
 			heardAllAt === undefined
 				? withRemembered(this._sightings.liveEntries(now), this._remembered)
 				: this._sightings.liveEntries(heardAllAt);
-		return entriesFor(entries, region);
+		const named = entriesFor(entries, region);
+		this._noteNamed(region, named, entries);
+		return named;
+	}
+
+	/** Logs when look-ups of a region begin, or cease, to name the instances of other regions. */
+	private _noteNamed(region: string, named: readonly EntryDescription[], heard: readonly EntryDescription[]): void {
+		const isElsewhere = named.some(entry => entry.region !== region);
+		if (isElsewhere === this._namedElsewhere.has(region)) {
+			return;
+		}
+		if (isElsewhere) {
+			this._namedElsewhere.add(region);
+		} else {
+			this._namedElsewhere.delete(region);
+		}
+		this._log.warn(isElsewhere ? 'look-ups name other regions' : 'look-ups name their region again', {
+			task: 'fleet',
+			region,
+			heard: heard.length,
+			ready: heard.filter(entry => entry.isReady).length,
+			readyThere: heard.filter(entry => entry.isReady && entry.region === region).length,
+			contactAgeMs: Math.round(this._agreement.contactAgeMs())
+		});
 	}
 
 	private _noteContact(now: Millis): void {
