--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -233,12 +233,13 @@
 		}
 		journey.attempts.push(trace);
 		const outcome = await sent.outcome;
+		const endedAt = systemClock.now();
 		trace.outcome = describeOutcome(outcome);
-		trace.tookMs = Math.round(systemClock.now() - now);
+		trace.tookMs = Math.round(endedAt - now);
 		exchange.whenLeft(undefined);
 		clearTimeout(timer);
-		this._notes.noteLoad(state, sent.answerHeaders?.[this._names.load]);
-		this._notes.noteOutcome(journey, state, outcome, systemClock.now() - now);
+		this._notes.noteLoad(state, sent.answerHeaders?.[this._names.load], endedAt);
+		this._notes.noteOutcome(journey, state, outcome, endedAt - now, endedAt);
 		if (outcome.type === 'answer') {
 			this._noteSize(journey.route, sent.answerHeaders?.['content-length']);
 		}
--- a/src/plugins/forwarding/node/outcomeNotes.ts
+++ b/src/plugins/forwarding/node/outcomeNotes.ts
@@ -4,7 +4,7 @@
 
 /** What this instance learns of services and targets from the requests that it carries. */
 
-import { type Millis, systemClock } from '../../../base/clock.js';
+import type { Millis } from '../../../base/clock.js';
 import { type AttemptOutcome, NotRunCause, type TargetAnswer } from '../common/attempt.js';
 import { DemandMeter } from '../common/demandMeter.js';
 import { parseLoadWord, type TargetState } from '../common/targetState.js';
@@ -35,19 +35,21 @@
 	}
 
 	/** Takes the load word of an answer in, if there is one. */
-	noteLoad(state: TargetState, load: string | string[] | undefined): void {
+	noteLoad(state: TargetState, load: string | string[] | undefined, now: Millis): void {
 		const word = parseLoadWord(typeof load === 'string' ? load : undefined);
 		if (word) {
-			state.takeLoadWord(word, systemClock.now());
+			state.takeLoadWord(word, now);
 		}
 	}
 
-	/** Takes in what came of one attempt. */
-	noteOutcome(journey: Journey, state: TargetState, outcome: AttemptOutcome, durationMs: Millis): void {
-		const now = systemClock.now();
+	/**
+	 * Takes in what came of one attempt.
+	 * @param durationMs from the choice of the target to the outcome
+	 */
+	noteOutcome(journey: Journey, state: TargetState, outcome: AttemptOutcome, durationMs: Millis, now: Millis): void {
 		switch (outcome.type) {
 			case 'answer':
-				this._noteAnswer(journey.service, state, outcome, durationMs);
+				this._noteAnswer(journey.service, state, outcome, durationMs, now);
 				break;
 			case 'not-run':
 				noteNotRun(state, outcome.cause, now);
@@ -63,8 +65,13 @@
 		}
 	}
 
-	private _noteAnswer(service: string, state: TargetState, answer: TargetAnswer, durationMs: Millis): void {
-		const now = systemClock.now();
+	private _noteAnswer(
+		service: string,
+		state: TargetState,
+		answer: TargetAnswer,
+		durationMs: Millis,
+		now: Millis
+	): void {
 		if (isFailure(answer)) {
 			state.health.noteFailure(now);
 			return;
--- /dev/null
+++ b/src/plugins/forwarding/test/regionCallers.ts
@@ -0,0 +1,330 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * The entry instances of one region with their views and choices, driven by a clock of its own: requests come, targets
+ * answer after a while, control answers every instance. It counts in which region requests run, window by window.
+ */
+
+import type { Millis } from '../../../base/clock.js';
+import { FleetView } from '../../fleet/common/fleetView.js';
+import { type FleetRevision, type TargetRecord, TargetPhase } from '../../fleet/common/fleetTypes.js';
+import type { RegionDemand, SyncResponse } from '../../fleet/common/fleetWire.js';
+import { RepeatRule, type Route, type RouteTable } from '../../routes/common/routeTable.js';
+import { NotRunCause } from '../common/attempt.js';
+import type { TargetState } from '../common/targetState.js';
+import type { CallerExchange } from '../node/callerExchange.js';
+import type { Journey } from '../node/journey.js';
+import { OutcomeNotes } from '../node/outcomeNotes.js';
+import { TargetSelector } from '../node/targetSelector.js';
+
+const REGIONS = ['north', 'central', 'south'] as const;
+/** The region of the callers: few targets, so most of its requests run elsewhere. */
+const OWN = 'central';
+const INSTANCES = 12;
+/** Requests a second of each route and instance. */
+const RATE = 30;
+const STEP_MS = 50;
+const SYNC_MS = 500;
+const ANSWER_MS = 150;
+export const WINDOW_MS: Millis = 2000;
+export const MOST_MOVED = 0.15;
+const MAX_TRIES = 3;
+/** Stands for the region of requests that ran nowhere. */
+const REFUSED = 'refused';
+const SLOTS = 9;
+const OBJECTS = 2000;
+
+/** Targets by region of the two services; they are spread alike, but not in the same proportions. */
+const TARGETS: Readonly<Record<string, Readonly<Record<string, number>>>> = {
+	reads: { north: 40, central: 8, south: 32 },
+	commands: { north: 2, central: 2, south: 30 }
+};
+
+interface Running {
+	readonly endsAt: Millis;
+	readonly end: (now: Millis) => void;
+}
+
+interface Instance {
+	readonly view: FleetView;
+	readonly selector: TargetSelector;
+	readonly notes: OutcomeNotes;
+	running: Running[];
+}
+
+/** What control says and what targets do; tests change it while time goes on. */
+export class RegionCallers {
+	now: Millis = 100000;
+	/** Targets that control calls silent. */
+	readonly silent = new Set<string>();
+	/** Targets that accept no connection. */
+	readonly dark = new Set<string>();
+	/** Targets that turn requests away because they are full. */
+	readonly full = new Set<string>();
+	/** Halls that are drained. */
+	readonly drained = new Set<string>();
+	/** Slots needed in each region, for every service. */
+	need: Readonly<Record<string, number>> = { north: 60, central: 60, south: 60 };
+	/** Services of the routes, with their weights. */
+	routeParts: Readonly<Record<string, Route['parts']>> = {
+		'/reads/': [{ service: 'reads', weight: 1 }],
+		'/commands/': [{ service: 'commands', weight: 1 }]
+	};
+	private readonly _instances: Instance[];
+	private _revision = 1;
+	/** Requests that ended, by window of 200 ms and by the region in which they ran. */
+	private readonly _ends: Map<string, number>[] = [];
+	private readonly _records: TargetRecord[];
+	private _asked = 0;
+
+	constructor() {
+		this._records = Object.entries(TARGETS).flatMap(([service, byRegion]) =>
+			Object.entries(byRegion).flatMap(([region, count]) =>
+				Array.from({ length: count }, (_, i) => describeTarget(service, region, i))
+			)
+		);
+		this._instances = Array.from({ length: INSTANCES }, (_, i) => this._newInstance(i));
+		this._syncAll();
+	}
+
+	/** Ids of the targets of a region, of one service or of all. */
+	targetsOf(region: string, service?: string): string[] {
+		return this._records
+			.filter(record => regionOf(record.hall) === region && (service === undefined || record.service === service))
+			.map(record => record.id);
+	}
+
+	/** Puts a new table in force, and drained halls. */
+	change(): void {
+		this._revision++;
+		this._syncAll();
+	}
+
+	/** An instance is replaced by a fresh process. */
+	restart(index: number): void {
+		this._instances[index] = this._newInstance(index);
+		this._sync(this._instances[index]);
+	}
+
+	/** Lets time go on; callers ask unless they rest. */
+	run(spanMs: Millis, isResting = false): void {
+		const until = this.now + spanMs;
+		while (this.now < until) {
+			this.now += STEP_MS;
+			this._instances.forEach(instance => this._settle(instance));
+			if (this.now % SYNC_MS === 0) {
+				this._syncAll();
+			}
+			if (!isResting) {
+				this._askAll();
+			}
+		}
+	}
+
+	/** The part of the requests that ran in each region, or were refused, over the last span. */
+	shares(spanMs: Millis): Readonly<Record<string, number>> {
+		const counts = this._count(this._bucketNow() - Math.ceil(spanMs / 200), this._bucketNow());
+		const total = [...counts.values()].reduce((sum, count) => sum + count, 0);
+		return Object.fromEntries([...counts].map(([region, count]) => [region, count / total]));
+	}
+
+	/** The greatest part of the requests that changed their region from one window to the next, whose later one begins after a time. */
+	mostMoved(since: Millis): number {
+		const length = WINDOW_MS / 200;
+		let most = 0;
+		for (let end = Math.ceil(since / 200) + length; end <= this._bucketNow(); end++) {
+			const before = this._count(end - 2 * length, end - length);
+			const after = this._count(end - length, end);
+			most = Math.max(most, movedBetween(before, after));
+		}
+		return most;
+	}
+
+	private _newInstance(index: number): Instance {
+		const view = new FleetView(regionOf);
+		const place = { region: OWN, hall: `${OWN}-a`, name: `entry-${index}` };
+		const shifts = { mostMoved: MOST_MOVED, windowMs: WINDOW_MS };
+		const selector = new TargetSelector(view, place, REGIONS, shifts);
+		return { view, selector, notes: new OutcomeNotes(), running: [] };
+	}
+
+	private _syncAll(): void {
+		this._instances.forEach(instance => this._sync(instance));
+	}
+
+	private _sync(instance: Instance): void {
+		instance.view.apply(this._responseTo(instance.view.revision), this.now);
+	}
+
+	private _responseTo(revision: FleetRevision): SyncResponse {
+		const demand: RegionDemand = Object.fromEntries(Object.keys(TARGETS).map(service => [service, this.need]));
+		const halls = REGIONS.flatMap(region => [`${region}-a`, `${region}-b`]);
+		const changedAt = this._revision;
+		const isNews = revision < this._revision;
+		return {
+			changes: {
+				revision: this._revision,
+				isWhole: false,
+				published: isNews ? { table: this._table(), changedAt } : undefined,
+				halls: isNews ? halls.map(hall => ({ hall, isDrained: this.drained.has(hall), changedAt })) : [],
+				targets: isNews ? this._records : []
+			},
+			controls: [],
+			contactAgeMs: 0,
+			entryCount: INSTANCES,
+			regionEntries: this._instances?.map((_, i) => `entry-${i}`) ?? [],
+			silentTargets: [...this.silent],
+			coldTargets: [],
+			demand
+		};
+	}
+
+	private _table(): RouteTable {
+		const services = Object.keys(TARGETS).map(name => ({
+			name,
+			healthPath: '/health',
+			maxConnections: 100,
+			coldStartMs: 0,
+			coldPerSecond: 5
+		}));
+		const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+		return { version: this._revision, routes: this._routes(), services, limits };
+	}
+
+	private _routes(): Route[] {
+		return Object.entries(this.routeParts).map(([pathPrefix, parts]) => ({
+			name: pathPrefix,
+			host: 'h',
+			pathPrefix,
+			repeatRule: RepeatRule.AtMostOnce,
+			timeoutMs: 5000,
+			objectiveMs: 800,
+			rank: 1,
+			parts,
+			attempts: 2,
+			isSticky: true,
+			homeRegions: []
+		}));
+	}
+
+	private _askAll(): void {
+		const routes = this._routes();
+		const count = (RATE * STEP_MS) / 1000;
+		for (const instance of this._instances) {
+			for (const route of routes) {
+				for (let left = count; left > 0; left--) {
+					if (left >= 1 || pseudoRandom(this._asked++) < left) {
+						this._ask(instance, route);
+					}
+				}
+			}
+		}
+	}
+
+	private _ask(instance: Instance, route: Route): void {
+		const number = this._asked++;
+		const position = pseudoRandom(number) * route.parts.reduce((sum, part) => sum + part.weight, 0);
+		const service = position < route.parts[0]!.weight ? route.parts[0]!.service : route.parts.at(-1)!.service;
+		const objectKey = String(Math.floor(pseudoRandom(number + 0.5) * OBJECTS));
+		const exchange = { objectKey, requestId: `request-${number}`, hasLeft: false } as unknown as CallerExchange;
+		const journey = { exchange, route, service, tried: new Set<string>(), attempts: [] } as unknown as Journey;
+		this._try(instance, journey);
+	}
+
+	private _try(instance: Instance, journey: Journey): void {
+		const chosen = instance.selector.choose(journey, this.now);
+		if (!chosen) {
+			this._note(REFUSED);
+			return;
+		}
+		const { known, state } = chosen;
+		const { id } = known.record;
+		journey.tried.add(id);
+		state.inFlight++;
+		const cause = this.dark.has(id) ? NotRunCause.NoConnection : NotRunCause.Full;
+		if (this.dark.has(id) || this.full.has(id)) {
+			const end = (now: Millis): void => this._fail(instance, journey, state, cause, now);
+			instance.running.push({ endsAt: this.now + ANSWER_MS, end });
+			return;
+		}
+		this._note(known.region);
+		const end = (now: Millis): void => {
+			state.inFlight--;
+			const answer = { type: 'answer', status: 200, rawHeaders: [], endsWithConnection: false } as never;
+			instance.notes.noteOutcome(journey, state, answer, ANSWER_MS, now);
+		};
+		instance.running.push({ endsAt: this.now + ANSWER_MS, end });
+	}
+
+	/** Nothing ran; another target is tried, as often as a request may be turned away. */
+	private _fail(instance: Instance, journey: Journey, state: TargetState, cause: NotRunCause, now: Millis): void {
+		state.inFlight--;
+		const outcome = { type: 'not-run', hasArrived: cause === NotRunCause.Full, cause } as const;
+		instance.notes.noteOutcome(journey, state, outcome, ANSWER_MS, now);
+		if (journey.tried.size < MAX_TRIES) {
+			this._try(instance, journey);
+		} else {
+			this._note(REFUSED);
+		}
+	}
+
+	private _settle(instance: Instance): void {
+		const ended = instance.running.filter(request => request.endsAt <= this.now);
+		instance.running = instance.running.filter(request => request.endsAt > this.now);
+		ended.forEach(request => request.end(this.now));
+	}
+
+	private _bucketNow(): number {
+		return Math.floor(this.now / 200);
+	}
+
+	private _note(region: string): void {
+		const counts = (this._ends[this._bucketNow()] ??= new Map<string, number>());
+		counts.set(region, (counts.get(region) ?? 0) + 1);
+	}
+
+	private _count(from: number, to: number): Map<string, number> {
+		const sums = new Map<string, number>();
+		for (let bucket = from; bucket < to; bucket++) {
+			this._ends[bucket]?.forEach((count, region) => sums.set(region, (sums.get(region) ?? 0) + count));
+		}
+		return sums;
+	}
+}
+
+function regionOf(hall: string): string {
+	return hall.slice(0, -2);
+}
+
+function describeTarget(service: string, region: string, index: number): TargetRecord {
+	return {
+		id: `${service}-${region}-${index}`,
+		service,
+		address: '127.0.0.1:1',
+		hall: `${region}-${index % 2 === 0 ? 'a' : 'b'}`,
+		version: 'v',
+		slots: SLOTS,
+		phase: TargetPhase.Serving,
+		changedAt: 1,
+		coldSenders: []
+	};
+}
+
+function movedBetween(before: Map<string, number>, after: Map<string, number>): number {
+	const totalOf = (counts: Map<string, number>): number => [...counts.values()].reduce((sum, count) => sum + count, 0);
+	const [was, is] = [totalOf(before), totalOf(after)];
+	if (was === 0 || is === 0) {
+		return 0;
+	}
+	const ran = [...after].filter(([region]) => region !== REFUSED);
+	const gains = ran.map(([region, count]) => Math.max(0, count / is - (before.get(region) ?? 0) / was));
+	return gains.reduce((sum, gain) => sum + gain, 0);
+}
+
+/** A repeatable number in [0, 1). */
+function pseudoRandom(seed: number): number {
+	const value = Math.sin(seed * 12.9898) * 43758.5453;
+	return value - Math.floor(value);
+}
