A route's requests change their region at the pace, whatever made them

Cause, reproduced: the pace held for the planned shares of a service only. Beside it requests left a crowded region without any bound (the incident), a region that dropped out of a passing view was left at once, and a route that went to another service took on that service's shares at once. The class: what is planned was bounded, not what runs.

SharePacer stands by itself and paces each route's requests to each of its services; a route that is divided anew begins from where its requests ran. Only targets that are lost (silent, cold, drained, gone) let more than the pace go, and no more than went to them; the way back is paced; a rest saves up one window. A crowded region gives away at the pace what it can't take. Requests that leave their region beside the shares draw on a small allowance (SpillAllowance), on every try; a new target gets its first request only from one that belongs there. Requests that may not leave are refused at once. Control calls targets silent only where it hears most other control instances; an answer of one that does not leaves an entry instance's view of silence, needs and numbers alone; a word that a whole region is silent does not count while it answers here. An answer that came twice left the silence of targets unnoticed until the next change (found by a test); mended.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -21,6 +21,21 @@
 	readonly hasJoined: boolean;
 }
 
+/** What an instance's own requests say of targets. */
+export interface ITargetWitness {
+	/** When a target last answered; undefined for never. */
+	answeredAt(id: string): Millis | undefined;
+	/** When a connection to a target last did not come up; undefined for never. */
+	unreachableAt(id: string): Millis | undefined;
+}
+
+/**
+ * An answer or a failed connection counts against control's word on silence for this long. Less than the three seconds that
+ * pass at least between a target's last answer and the word that it is silent: a heartbeat is overdue after 4.5 s, and they
+ * come every 1.5 s.
+ */
+const WITNESS_AGE_MS = 2500;
+
 /** The fleet as one entry instance sees it. */
 export class FleetView {
 	private _revision: FleetRevision = 0;
@@ -31,6 +46,9 @@
 	private _entryCount = 1;
 	private _regionEntries: readonly string[] = [];
 	private _demand: RegionDemand = {};
+	private _hasHeardAll = false;
+	private _contradicted: ReadonlySet<string> = new Set();
+	private _witness?: ITargetWitness;
 
 	/** @param _regionOf the region of a hall; undefined for a hall that is not known */
 	constructor(private readonly _regionOf: (hall: string) => string | undefined) {}
@@ -55,6 +73,11 @@
 		return this._regionEntries;
 	}
 
+	/** Regions in which control's latest word on silent targets is not believed, since they answer here. */
+	get contradictedRegions(): ReadonlySet<string> {
+		return this._contradicted;
+	}
+
 	/** Slots of a service that a region's callers need; undefined where control did not say. */
 	demandOf(service: string, region: string): number | undefined {
 		return this._demand[service]?.[region];
@@ -75,17 +98,21 @@
 		return this._targets.get(id);
 	}
 
-	/** Takes in an answer. An answer with an older revision changes nothing. */
+	/**
+	 * Takes in an answer. One with an older revision changes nothing; one with the same revision, which may come twice where an
+	 * answer was late, brings only what was heard of late.
+	 */
 	apply(response: SyncResponse, now: Millis): void {
 		if (response.changes.revision < this._revision) {
 			return;
 		}
-		this._applyChanges(response.changes, now);
-		this._entryCount = Math.max(1, response.entryCount);
-		this._regionEntries = response.regionEntries;
-		this._demand = response.demand;
-		const silent = new Set(response.silentTargets);
-		this._targets.forEach((target, id) => (target.isSilent = silent.has(id)));
+		if (response.changes.revision > this._revision) {
+			this._applyChanges(response.changes, now);
+		}
+		if (response.hasHeardAll || !this._hasHeardAll) {
+			this._hasHeardAll = response.hasHeardAll;
+			this._applyHearsay(response, now);
+		}
 		for (const cold of response.coldTargets) {
 			const target = this._targets.get(cold.id);
 			if (target) {
@@ -94,9 +121,43 @@
 		}
 	}
 
+	/** Names who knows of targets by requests of its own. */
+	setWitness(witness: ITargetWitness): void {
+		this._witness = witness;
+	}
+
+	/** Takes in what the answerer heard from others. */
+	private _applyHearsay(response: SyncResponse, now: Millis): void {
+		this._entryCount = Math.max(1, response.entryCount);
+		this._regionEntries = response.regionEntries;
+		this._demand = response.demand;
+		const silent = response.hasHeardAll ? new Set(response.silentTargets) : new Set<string>();
+		this._contradicted = this._findContradicted(silent, now);
+		for (const [id, target] of this._targets) {
+			target.isSilent = silent.has(id) && !this._contradicted.has(target.region);
+		}
+	}
+
+	/**
+	 * Regions whose targets are called silent while they answer here. More answers than failed connections of late, among the
+	 * targets that are called silent, say that the word is wrong about all of them: it comes from somebody who does not hear
+	 * the region.
+	 */
+	private _findContradicted(silent: ReadonlySet<string>, now: Millis): ReadonlySet<string> {
+		const balance = new Map<string, number>();
+		for (const id of silent) {
+			const target = this._targets.get(id);
+			if (target) {
+				const said = isRecent(this._witness?.answeredAt(id), now) ? 1 : 0;
+				const denied = isRecent(this._witness?.unreachableAt(id), now) ? 1 : 0;
+				balance.set(target.region, (balance.get(target.region) ?? 0) + said - denied);
+			}
+		}
+		return new Set([...balance].filter(([, count]) => count > 0).map(([region]) => region));
+	}
+
 	private _applyChanges(changes: FleetChanges, now: Millis): void {
 		const previous = this._revision;
-		const isNews = changes.revision > previous;
 		this._revision = changes.revision;
 		if (changes.published && changes.published.table.version > (this._routes?.table.version ?? 0)) {
 			this._routes = new RouteIndex(changes.published.table);
@@ -110,9 +171,7 @@
 		for (const hall of changes.halls) {
 			this._applyHall(hall.hall, hall.isDrained, now);
 		}
-		if (isNews) {
-			this._groupByService();
-		}
+		this._groupByService();
 	}
 
 	/**
@@ -165,3 +224,7 @@
 		}
 	}
 }
+
+function isRecent(at: Millis | undefined, now: Millis): boolean {
+	return at !== undefined && now - at <= WITNESS_AGE_MS;
+}
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -35,6 +35,11 @@
 	readonly controls: readonly string[];
 	/** How long ago the answerer was known to be current. */
 	readonly contactAgeMs: Millis;
+	/**
+	 * Whether the answerer has heard of all that the others hear. Otherwise what it says of entry instances, of silence and
+	 * of needs is a part of what there is, and only somebody who knows nothing goes by it.
+	 */
+	readonly hasHeardAll: boolean;
 	/** Number of entry instances in the system. */
 	readonly entryCount: number;
 	/** Names of the entry instances of the caller's region. */
@@ -59,6 +64,8 @@
 
 /** What a control instance heard itself since the last exchange. */
 export interface ExchangeRequest {
+	/** Id of the control instance that heard it. */
+	readonly from: string;
 	readonly entries: readonly EntrySighting[];
 	readonly heartbeats: readonly HeartbeatSighting[];
 }
--- a/src/plugins/fleet/common/sightings.ts
+++ b/src/plugins/fleet/common/sightings.ts
@@ -19,6 +19,9 @@
 	readonly targetSilentMs: Millis;
 }
 
+/** Within this time a target that goes on says a heartbeat that is heard: they come every 1.5 s, and may need a second try. */
+const REHEARD_MS = 2000;
+
 interface SeenEntry {
 	description: EntryDescription;
 	seenAt: Millis;
@@ -70,13 +73,13 @@
 	}
 
 	/** Takes in what another control instance heard. */
-	merge(exchange: ExchangeRequest, now: Millis): void {
+	merge(exchange: Omit<ExchangeRequest, 'from'>, now: Millis): void {
 		exchange.entries.forEach(sighting => this._mergeEntry(sighting, now));
 		exchange.heartbeats.forEach(sighting => this._mergeHeartbeat(sighting, now));
 	}
 
 	/** What was heard here since the last call. */
-	takeFresh(now: Millis): ExchangeRequest {
+	takeFresh(now: Millis): Omit<ExchangeRequest, 'from'> {
 		const entries: EntrySighting[] = [];
 		for (const seen of this._entries.values()) {
 			if (seen.isFresh) {
@@ -118,10 +121,13 @@
 		return true;
 	}
 
-	/** Whether a target's heartbeats are overdue. */
-	isSilent(id: string, now: Millis): boolean {
+	/**
+	 * Whether a target's heartbeats are overdue.
+	 * @param hearingSince since when all heartbeats are heard of here: those of the time before may have been missed
+	 */
+	isSilent(id: string, now: Millis, hearingSince: Millis = Number.NEGATIVE_INFINITY): boolean {
 		const seenAt = this._targets.get(id)?.seenAt ?? this._startedAt;
-		return now - seenAt > this._timing.targetSilentMs;
+		return now - seenAt > this._timing.targetSilentMs && now - hearingSince > REHEARD_MS;
 	}
 
 	/** Targets that are still cold. */
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -73,6 +73,8 @@
 	private readonly _roster: EntryRosterFile;
 	/** The entry instances that this one knew before its start. */
 	private _remembered: readonly EntryDescription[] = [];
+	/** When each other control instance last said what it hears. */
+	private readonly _heardFrom = new Map<string, Millis>();
 	/** Regions whose look-ups name instances of other regions. */
 	private readonly _namedElsewhere = new Set<string>();
 	/** Region by hall. */
@@ -91,7 +93,9 @@
 		this._register(this._state.onDidChange(() => this._wake()));
 		this._calls.handleUnary(syncMethod, request => this._sync(request));
 		this._calls.handleUnary(exchangeMethod, async request => {
-			this._sightings.merge(request, systemClock.now());
+			const now = systemClock.now();
+			this._heardFrom.set(request.from, now);
+			this._sightings.merge(request, now);
 			return { received: true as const };
 		});
 		this._calls.handleUnary(orderMethod, async request => ({ result: await this._orderHere(request.command) }));
@@ -206,7 +210,16 @@
 	}
 
 	private _noteContact(now: Millis): void {
-		this._hearing.note(this._agreement.contactAgeMs() <= IN_TOUCH_MS, now);
+		this._hearing.note(this._agreement.contactAgeMs() <= IN_TOUCH_MS && this._hearsMostOthers(now), now);
+	}
+
+	/** Whether most of the other control instances told what they hear of late. */
+	private _hearsMostOthers(now: Millis): boolean {
+		const { members, id } = this._agreement.status();
+		const others = members.filter(member => member.id !== id);
+		const isHeard = (member: { id: string }): boolean =>
+			now - (this._heardFrom.get(member.id) ?? Number.NEGATIVE_INFINITY) <= EXCHANGE_TIMEOUT_MS;
+		return 2 * others.filter(isHeard).length >= others.length;
 	}
 
 	private _introduce(description: TargetDescription): Pick<TargetChange, 'description' | 'coldSenders'> {
@@ -260,13 +273,17 @@
 			await this._waitForChange(Math.min(request.waitMs, MAX_WAIT_MS));
 		}
 		const now = systemClock.now();
-		const entries = this._sightings.liveEntries(now).filter(entry => entry.isReady);
+		this._noteContact(now);
+		const hasHeardAll = this._hearing.hearingSince !== undefined;
+		const heard = this._sightings.liveEntries(now);
+		const entries = heard.filter(entry => entry.isReady);
 		const near = entries.filter(entry => entry.region === request.entry.region);
 		return {
 			changes: this._state.changesAfter(request.entry.revision),
 			controls: this._agreement.status().members.map(member => member.address),
 			contactAgeMs: this._agreement.contactAgeMs(),
-			entryCount: entries.length,
+			hasHeardAll,
+			entryCount: hasHeardAll ? entries.length : withRemembered(heard, this._remembered).length,
 			regionEntries: near.map(entry => entry.name),
 			silentTargets: this._silentTargets(now),
 			coldTargets: this._sightings.coldTargets(now),
@@ -286,8 +303,12 @@
 
 	private _silentTargets(now: number): string[] {
 		const silent: string[] = [];
+		const { hearingSince } = this._hearing;
+		if (hearingSince === undefined) {
+			return silent;
+		}
 		for (const target of this._state.targets) {
-			if (target.phase !== TargetPhase.Gone && this._sightings.isSilent(target.id, now)) {
+			if (target.phase !== TargetPhase.Gone && this._sightings.isSilent(target.id, now, hearingSince)) {
 				silent.push(target.id);
 			}
 		}
@@ -318,7 +339,7 @@
 			void this._roster.write(ready);
 		}
 		const { members, id } = this._agreement.status();
-		const fresh = this._sightings.takeFresh(now);
+		const fresh = { from: id, ...this._sightings.takeFresh(now) };
 		for (const member of members) {
 			if (member.id !== id) {
 				this._calls.call(member.address, exchangeMethod, fresh, EXCHANGE_TIMEOUT_MS).catch(() => undefined);
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -152,7 +152,9 @@
 	private _take(address: string, response: SyncResponse, onWayMs: Millis): void {
 		const now = systemClock.now();
 		const before = this.view.revision;
+		const contradicted = [...this.view.contradictedRegions].join(',');
 		this.view.apply(response, now);
+		this._noteContradiction(address, response, contradicted);
 		if (response.controls.length > 0) {
 			this._controls = response.controls;
 		}
@@ -173,6 +175,20 @@
 		}
 	}
 
+	/** Logs when control's word on silent targets begins, or ceases, to be contradicted by the requests of this instance. */
+	private _noteContradiction(control: string, response: SyncResponse, before: string): void {
+		const regions = [...this.view.contradictedRegions];
+		if (regions.join(',') !== before) {
+			this._log.warn('silence contradicted', {
+				task: 'fleet',
+				control,
+				regions,
+				silent: response.silentTargets.length,
+				contactAgeMs: Math.round(response.contactAgeMs)
+			});
+		}
+	}
+
 	private _noticeFailure(address: string): void {
 		this._preferred = undefined;
 		if (this._isInTouch) {
--- a/src/plugins/fleet/test/entryLookUp.test.ts
+++ b/src/plugins/fleet/test/entryLookUp.test.ts
@@ -70,3 +70,15 @@
 	assert.deepEqual(names(withRemembered([], remembered)), ['a', 'b']);
 	assert.deepEqual(names(entriesFor(withRemembered([entry('a', 'r1', false)], remembered), 'r1')), ['b']);
 });
+
+test('all are heard of since the time in touch was long enough, and no more once touch is lost', () => {
+	const clock = new HearingClock();
+	clock.note(true, 100);
+	assert.equal(clock.hearingSince, undefined);
+	clock.note(true, 1200);
+	assert.equal(clock.hearingSince, 1100);
+	clock.note(false, 1400);
+	assert.equal(clock.hearingSince, undefined);
+	clock.note(true, 1500);
+	assert.equal(clock.hearingSince, undefined);
+});
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -40,6 +40,7 @@
 		changes: { revision, isWhole: false, published, halls: [], targets: [], ...change },
 		controls: [],
 		contactAgeMs: 0,
+		hasHeardAll: true,
 		entryCount: 3,
 		regionEntries: [],
 		silentTargets: [],
@@ -123,3 +124,54 @@
 	assert.equal(here.isInForce(5, 600), false);
 	assert.equal(here.isInForce(5, 1600), true);
 });
+
+test('a word that targets are silent does not count in a region whose targets answer here', () => {
+	const view = new FleetView(() => 'r');
+	const answered = new Map<string, number>([['a', 9000]]);
+	const unreachable = new Map<string, number>();
+	view.setWitness({ answeredAt: id => answered.get(id), unreachableAt: id => unreachable.get(id) });
+	const silent = { ...response(1, { targets: [target('a'), target('b')] }), silentTargets: ['a', 'b'] };
+	view.apply(silent, 10000);
+	assert.deepEqual(
+		view.targetsOf('s').map(known => known.isSilent),
+		[false, false]
+	);
+	unreachable.set('b', 9500);
+	view.apply(silent, 10500);
+	assert.deepEqual(
+		view.targetsOf('s').map(known => known.isSilent),
+		[true, true],
+		'as many failed connections as answers leave the word in force'
+	);
+	unreachable.clear();
+	view.apply(silent, 12000);
+	assert.equal(view.target('a')?.isSilent, true, 'an answer of long ago says nothing');
+});
+
+test('who has not heard all does not change what is known of silence, needs and instances', () => {
+	const view = new FleetView(() => 'r');
+	const known = { ...response(1, { targets: [target('a')] }), demand: { s: { r: 5 } }, entryCount: 30 };
+	view.apply(known, 1000);
+	const partial = { ...known, hasHeardAll: false, silentTargets: ['a'], demand: {}, entryCount: 2 };
+	view.apply(partial, 2000);
+	assert.equal(view.target('a')?.isSilent, false);
+	assert.equal(view.demandOf('s', 'r'), 5);
+	assert.equal(view.entryCount, 30);
+});
+
+test('a control instance that was deaf for a while calls nobody silent until it could have heard them again', () => {
+	const sightings = new Sightings({ entrySilentMs: 1000, targetSilentMs: 4500 }, 0);
+	sightings.seeHeartbeat('a', 1, 0, 1000);
+	assert.equal(sightings.isSilent('a', 6000, 0), true);
+	assert.equal(sightings.isSilent('a', 6000, 5000), false);
+	assert.equal(sightings.isSilent('a', 7500, 5000), true);
+});
+
+test('changes that come twice leave silence in force for the targets that requests choose from', () => {
+	const view = new FleetView(() => 'r');
+	const changes = { targets: [target('a')] };
+	view.apply(response(1, changes), 1000);
+	view.apply(response(1, changes), 1100);
+	view.apply({ ...response(1), silentTargets: ['a'] }, 2000);
+	assert.equal(view.targetsOf('s')[0]?.isSilent, true);
+});
--- a/src/plugins/forwarding/common/placementPlans.ts
+++ b/src/plugins/forwarding/common/placementPlans.ts
@@ -9,14 +9,10 @@
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { servesItself } from './hallPreference.js';
-import {
-	planShares,
-	type RegionRoom,
-	type RegionShares,
-	SharePacer,
-	type ShareStep,
-	type ShiftBounds
-} from './regionShares.js';
+import { RegionCrowding } from './regionCrowding.js';
+import { RegionRooms } from './regionRooms.js';
+import { planShares, type RegionShares, shareOf } from './regionShares.js';
+import { SharePacer, type ShareStep, type ShiftBounds, type WantedShares } from './sharePacer.js';
 
 const PLAN_AGE_MS = 200;
 
@@ -33,23 +29,48 @@
 	readonly preferredHall: string | undefined;
 }
 
-/** Shares of a service that moved further at once than their pace allows. */
-export interface ServiceShareStep extends ShareStep {
+/** Shares of a route's requests to a service that moved further at once than their pace allows. */
+export interface RouteShareStep extends ShareStep {
+	readonly route: string;
 	readonly service: string;
-	readonly isLarge: boolean;
 }
 
-interface KeptPlan {
+/** What is wanted for a service by all routes with the same homes and size of answers. */
+interface ServicePlan {
+	readonly rooms: RegionRooms;
+	readonly crowding: RegionCrowding;
+	wanted: WantedShares;
+	preferredHall: string | undefined;
+	plannedAt: Millis;
+}
+
+/** The shares of one route's requests to one service. */
+interface RoutePart {
 	readonly pacer: SharePacer;
 	plan: PlacementPlan;
-	plannedAt: Millis;
+	followedAt: Millis;
+}
+
+/** A route with the parts that it has had since its table last changed them. */
+interface RouteShares {
+	/** The services with their weights and the homes, as one text. */
+	readonly division: string;
+	readonly route: Route;
+	/** How its requests were divided among regions when the division changed; empty for a route that is new. */
+	readonly start: RegionShares;
+	readonly parts: Map<string, RoutePart>;
 }
 
-/** The plans by service, home regions and size of answers. */
+/**
+ * The plans by service, home regions and size of answers, and the shares by route. The plan of a service is the same for
+ * all its routes, but each route's requests have their own way there: when a table sends them to another service, or
+ * divides them anew, they begin from the regions where they ran until then.
+ */
 export class PlacementPlans {
-	private readonly _plans = new Map<string, KeptPlan>();
-	private readonly _onDidStepFar = new Emitter<ServiceShareStep>();
-	/** Fires when shares moved further at once than their pace allows within a second. */
+	private readonly _services = new Map<string, ServicePlan>();
+	private readonly _routes = new Map<string, RouteShares>();
+	private readonly _onDidStepFar = new Emitter<RouteShareStep>();
+	/** Fires when shares moved further at once than their pace allows. */
 	readonly onDidStepFar = this._onDidStepFar.event;
 
 	/** @param _regions every region, with or without targets */
@@ -62,39 +83,72 @@
 
 	/** The plan for a route's requests to one of its services. */
 	planFor(service: string, route: Route, now: Millis): PlacementPlan {
-		const isLarge = route.repeatRule === RepeatRule.LargeAnswer;
-		const key = `${service} ${route.homeRegions.join(',')} ${isLarge}`;
-		let kept = this._plans.get(key);
-		if (!kept) {
-			const plan = { shares: [], preferredHall: undefined };
-			kept = { pacer: new SharePacer(this._shifts), plan, plannedAt: Number.NEGATIVE_INFINITY };
-			this._plans.set(key, kept);
-		}
-		if (now - kept.plannedAt > PLAN_AGE_MS) {
-			kept.plannedAt = now;
-			const wanted = planShares(this._own.region, this._roomsOf(service, route.homeRegions), isLarge);
-			const shares = kept.pacer.follow(wanted, now);
-			if (kept.pacer.longStep) {
-				this._onDidStepFar.fire({ ...kept.pacer.longStep, service, isLarge });
+		const part = this._partOf(service, route);
+		if (now - part.followedAt > PLAN_AGE_MS) {
+			part.followedAt = now;
+			const { wanted, preferredHall } = this._servicePlan(service, route, now);
+			const step = part.pacer.follow(wanted, now);
+			part.plan = { shares: part.pacer.shares, preferredHall };
+			if (step) {
+				this._onDidStepFar.fire({ ...step, route: route.name, service });
 			}
-			kept.plan = { shares, preferredHall: isLarge ? this._preferredHall(service) : undefined };
 		}
-		return kept.plan;
+		return part.plan;
 	}
 
-	private _roomsOf(service: string, homeRegions: readonly string[]): Map<string, RegionRoom> {
-		const view = this._view;
-		const slots = new Map<string, number>();
-		for (const { record, region, isSilent } of view.targetsOf(service)) {
-			const isAtHome = homeRegions.length === 0 || homeRegions.includes(region);
-			if (isAtHome && !isSilent && !view.isDrained(record.hall)) {
-				slots.set(region, (slots.get(region) ?? 0) + record.slots);
-			}
+	/**
+	 * A request looked for a target in the region that its shares gave it.
+	 * @param isTurnedAway whether none there could take it
+	 */
+	noteLookedFor(service: string, route: Route, region: string, isTurnedAway: boolean, now: Millis): void {
+		this._servicePlan(service, route, now).crowding.note(region, isTurnedAway, now);
+	}
+
+	private _partOf(service: string, route: Route): RoutePart {
+		let shares = this._routes.get(route.name);
+		if (!shares || (shares.route !== route && shares.division !== divisionOf(route))) {
+			shares = { division: divisionOf(route), route, start: shares ? mixOf(shares) : [], parts: new Map() };
+			this._routes.set(route.name, shares);
 		}
-		const regions = new Set([...this._regions, ...slots.keys()]);
-		return new Map(
-			[...regions].map(region => [region, { slots: slots.get(region) ?? 0, demand: view.demandOf(service, region) }])
-		);
+		let part = shares.parts.get(service);
+		if (!part) {
+			const plan = { shares: shares.start, preferredHall: undefined };
+			const pacer = new SharePacer(this._shifts, shares.start);
+			part = { pacer, plan, followedAt: Number.NEGATIVE_INFINITY };
+			shares.parts.set(service, part);
+		}
+		return part;
+	}
+
+	private _servicePlan(service: string, route: Route, now: Millis): ServicePlan {
+		const isLarge = route.repeatRule === RepeatRule.LargeAnswer;
+		const key = `${service} ${route.homeRegions.join(',')} ${isLarge}`;
+		let plan = this._services.get(key);
+		if (!plan) {
+			const rooms = new RegionRooms(this._view, service, this._regions, route.homeRegions);
+			const wanted = { shares: [], lost: new Map(), crowded: new Map(), slots: new Map() };
+			plan = {
+				rooms,
+				crowding: new RegionCrowding(),
+				wanted,
+				preferredHall: undefined,
+				plannedAt: Number.NEGATIVE_INFINITY
+			};
+			this._services.set(key, plan);
+		}
+		if (now - plan.plannedAt > PLAN_AGE_MS) {
+			plan.plannedAt = now;
+			plan.rooms.update(now);
+			const { rooms, lost } = plan.rooms;
+			plan.wanted = {
+				shares: planShares(this._own.region, rooms, isLarge),
+				lost,
+				crowded: plan.crowding.parts(now),
+				slots: new Map([...rooms].map(([region, room]) => [region, room.slots]))
+			};
+			plan.preferredHall = isLarge ? this._preferredHall(service) : undefined;
+		}
+		return plan;
 	}
 
 	private _preferredHall(service: string): string | undefined {
@@ -107,3 +161,24 @@
 		return servesItself(this._own.hall, slotsByHall) ? this._own.hall : undefined;
 	}
 }
+
+function divisionOf(route: Route): string {
+	const parts = route.parts.map(({ service, weight }) => `${service}=${weight}`);
+	return `${parts.join(' ')} in ${route.homeRegions.join(' ')}`;
+}
+
+/** How a route's requests are divided among regions, over all its parts that had requests. */
+function mixOf({ route, start, parts }: RouteShares): RegionShares {
+	const weighted = route.parts.flatMap(({ service, weight }) => {
+		const shares = parts.get(service)?.pacer.shares ?? [];
+		return shares.length > 0 ? [{ shares, weight }] : [];
+	});
+	const total = weighted.reduce((sum, { weight }) => sum + weight, 0);
+	if (total === 0) {
+		return start;
+	}
+	const regions = [...new Set(weighted.flatMap(({ shares }) => shares.map(({ region }) => region)))];
+	const shareIn = (region: string): number =>
+		weighted.reduce((sum, { shares, weight }) => sum + (weight / total) * shareOf(shares, region), 0);
+	return regions.map(region => ({ region, share: shareIn(region) }));
+}
--- a/src/plugins/forwarding/common/serviceBounds.ts
+++ b/src/plugins/forwarding/common/serviceBounds.ts
@@ -6,8 +6,8 @@
 
 import type { Millis } from '../../../base/clock.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
-import type { ShiftBounds } from './regionShares.js';
 import type { RetryBounds } from './retryAllowance.js';
+import type { ShiftBounds } from './sharePacer.js';
 
 /** The bounds in force. */
 export interface IServiceBounds {
--- a/src/plugins/forwarding/common/targetChoice.ts
+++ b/src/plugins/forwarding/common/targetChoice.ts
@@ -22,8 +22,10 @@
 
 /** The candidate that was chosen. */
 export interface ChosenTarget extends Candidate {
-	/** Region that the shares gave the request; undefined where there were none, or no sound target. */
+	/** Region that the shares gave the request; undefined where there were none. */
 	readonly firstRegion: string | undefined;
+	/** Whether another region was chosen though that one stands. */
+	readonly isSpill: boolean;
 }
 
 /** What the choice depends on. */
@@ -35,6 +37,12 @@
 	/** Hall whose targets go before the others of its region; undefined for none. */
 	readonly preferredHall?: string;
 	readonly now: Millis;
+	/** Place of the object, or of a request without one, among the regions, in [0, 1). */
+	readonly position: number;
+	/** Regions that have targets for the request, tried or not, which are not known to be gone. */
+	readonly standing: ReadonlySet<string>;
+	/** Whether the request may leave the region that the shares gave it while that one stands. */
+	readonly maySpill: boolean;
 	/** Whether a cold target may be given a request now. */
 	mayUseCold(candidate: Candidate): boolean;
 }
@@ -122,8 +130,10 @@
 	context: ChoiceContext
 ): Candidate | undefined {
 	const { now } = context;
-	const targets = firstTargets(candidates, keyHash, limits.length, now);
-	return targets.find((candidate, place) => fill(candidate, now) < limits[place]! && isUsable(candidate, context));
+	// A cold target that takes nothing now is passed over: its objects go to the next one, and stay in their region.
+	const usable = candidates.filter(candidate => isUsable(candidate, context));
+	const targets = firstTargets(usable, keyHash, limits.length, now);
+	return targets.find((candidate, place) => fill(candidate, now) < limits[place]!);
 }
 
 function leastFilled(candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
@@ -137,19 +147,34 @@
 	return best;
 }
 
-function chooseSound(sound: readonly Candidate[], context: ChoiceContext): ChosenTarget | undefined {
-	const { objectKey } = context;
-	const keyHash = objectKey === undefined ? undefined : hash32(objectKey);
-	const position = keyHash === undefined ? Math.random() : mix(keyHash, POSITION_SEED) / HASH_RANGE;
-	const groups = groupByRegion(sound);
+/**
+ * A place among the regions, in [0, 1).
+ * @param key the object, or the id of a request without one
+ */
+export function placeAmongRegions(key: string): number {
+	return mix(hash32(key), POSITION_SEED) / HASH_RANGE;
+}
+
+/** The regions for a request in their order; only the first one where it may not leave that. */
+function regionsFor(context: ChoiceContext, firstRegion: string | undefined, present: readonly string[]): string[] {
+	const isHeld = firstRegion !== undefined && context.standing.has(firstRegion) && !context.maySpill;
+	const order = regionOrder(context.shares, firstRegion, present);
+	return isHeld ? order.filter(region => region === firstRegion) : order;
+}
+
+function chooseSound(
+	groups: ReadonlyMap<string, readonly Candidate[]>,
+	regions: readonly string[],
+	keyHash: number | undefined,
+	context: ChoiceContext
+): Candidate | undefined {
 	const isBound = keyHash !== undefined;
 	let limits = isBound ? FILL_LIMITS : UNBOUND_LIMITS;
-	const firstRegion = regionAt(context.shares, position);
-	for (const region of regionOrder(context.shares, position, [...groups.keys()])) {
+	for (const region of regions) {
 		for (const group of splitByHall(groups.get(region)!, context.preferredHall)) {
 			const candidate = firstOpen(group, keyHash, limits, context);
 			if (candidate) {
-				return { ...candidate, firstRegion };
+				return candidate;
 			}
 		}
 		limits = isBound ? SPILL_LIMITS : UNBOUND_LIMITS;
@@ -157,14 +182,32 @@
 	return undefined;
 }
 
-/** The target for a request; undefined when those that the object may use are too full, or none is there. */
+/**
+ * The target for a request; undefined when those that the object may use are too full, or none is there. Targets that
+ * failed are asked only where the request has no sound one to go to.
+ */
 export function chooseTarget(candidates: readonly Candidate[], context: ChoiceContext): ChosenTarget | undefined {
-	const isSound = (candidate: Candidate): boolean =>
-		!candidate.known.isSilent && candidate.state.health.admits(candidate.state.inFlight, context.now);
-	const sound = candidates.filter(isSound);
-	if (sound.length > 0) {
-		return chooseSound(sound, context);
+	const { objectKey, now } = context;
+	const keyHash = objectKey === undefined ? undefined : hash32(objectKey);
+	const firstRegion = regionAt(context.shares, context.position);
+	const groups = groupByRegion(candidates.filter(candidate => isSound(candidate, now)));
+	const present = [...new Set(candidates.map(({ known }) => known.region))];
+	const regions = regionsFor(context, firstRegion, present);
+	const sound = regions.filter(region => groups.has(region));
+	const chosen =
+		sound.length > 0
+			? chooseSound(groups, sound, keyHash, context)
+			: leastFilled(
+					candidates.filter(({ known }) => regions.includes(known.region)),
+					context
+				);
+	if (!chosen) {
+		return undefined;
 	}
-	const doubted = leastFilled(candidates, context);
-	return doubted && { ...doubted, firstRegion: undefined };
+	const isSpill = firstRegion !== undefined && chosen.known.region !== firstRegion && context.standing.has(firstRegion);
+	return { ...chosen, firstRegion, isSpill };
+}
+
+function isSound({ known, state }: Candidate, now: Millis): boolean {
+	return !known.isSilent && state.health.admits(state.inFlight, now);
 }
--- a/src/plugins/forwarding/common/targetState.ts
+++ b/src/plugins/forwarding/common/targetState.ts
@@ -10,6 +10,9 @@
 /** A load word older than this says nothing any more. */
 const LOAD_WORD_AGE_MS = 1500;
 
+/** A connection that did not come up says for this long that a target is out of reach; a new one is tried before. */
+const UNREACHABLE_MS = 4000;
+
 /** Load as a target told it. */
 export interface LoadWord {
 	readonly running: number;
@@ -36,6 +39,10 @@
 	isUsed = false;
 	/** Another target has the address now; this one will not be met again. */
 	isReplaced = false;
+	/** When it last answered anything; undefined for never. */
+	answeredAt: Millis | undefined;
+	/** When a connection last did not come up; undefined for never. */
+	unreachableAt: Millis | undefined;
 	private _othersLoad = 0;
 	private _toldAt: Millis = Number.NEGATIVE_INFINITY;
 	private _coldTokens = 1;
@@ -46,6 +53,13 @@
 		readonly slots: number
 	) {}
 
+	/** Whether the latest connection to it did not come up, a short time ago. */
+	isUnreachable(now: Millis): boolean {
+		const { unreachableAt, answeredAt } = this;
+		const isRecent = unreachableAt !== undefined && now - unreachableAt <= UNREACHABLE_MS;
+		return isRecent && (answeredAt === undefined || answeredAt < unreachableAt);
+	}
+
 	/** Requests at the target, those of other instances included, as far as known. */
 	load(now: Millis): number {
 		const age = now - this._toldAt;
--- a/src/plugins/forwarding/node/outcomeNotes.ts
+++ b/src/plugins/forwarding/node/outcomeNotes.ts
@@ -47,6 +47,7 @@
 	 * @param durationMs from the choice of the target to the outcome
 	 */
 	noteOutcome(journey: Journey, state: TargetState, outcome: AttemptOutcome, durationMs: Millis, now: Millis): void {
+		noteContact(state, outcome, now);
 		switch (outcome.type) {
 			case 'answer':
 				this._noteAnswer(journey.service, state, outcome, durationMs, now);
@@ -82,6 +83,15 @@
 	}
 }
 
+/** Whether the target is there at all, however it answered. */
+function noteContact(state: TargetState, outcome: AttemptOutcome, now: Millis): void {
+	if (outcome.type === 'answer' || (outcome.type === 'not-run' && outcome.hasArrived)) {
+		state.answeredAt = now;
+	} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.NoConnection) {
+		state.unreachableAt = now;
+	}
+}
+
 function noteNotRun(state: TargetState, cause: NotRunCause, now: Millis): void {
 	switch (cause) {
 		case NotRunCause.Full:
--- a/src/plugins/forwarding/node/targetSelector.ts
+++ b/src/plugins/forwarding/node/targetSelector.ts
@@ -6,12 +6,20 @@
 
 import type { Millis } from '../../../base/clock.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
-import { RepeatRule } from '../../routes/common/routeTable.js';
+import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { findNewcomer } from '../common/newcomers.js';
 import type { Event } from '../../../base/event.js';
-import { type Place, PlacementPlans, type ServiceShareStep } from '../common/placementPlans.js';
-import type { ShiftBounds } from '../common/regionShares.js';
-import { type Candidate, chooseTarget, type ChosenTarget } from '../common/targetChoice.js';
+import { type Place, PlacementPlans, type RouteShareStep } from '../common/placementPlans.js';
+import { regionAt } from '../common/regionShares.js';
+import type { ShiftBounds } from '../common/sharePacer.js';
+import { SpillAllowance } from '../common/spillAllowance.js';
+import {
+	type Candidate,
+	chooseTarget,
+	type ChoiceContext,
+	type ChosenTarget,
+	placeAmongRegions
+} from '../common/targetChoice.js';
 import type { Journey } from './journey.js';
 import { TargetStates } from './targetStates.js';
 
@@ -27,8 +35,9 @@
 export class TargetSelector {
 	private readonly _states: TargetStates;
 	private readonly _plans: PlacementPlans;
-	/** Fires when shares between regions moved further at once than their pace allows within a second. */
-	readonly onDidStepFar: Event<ServiceShareStep>;
+	private readonly _spill: SpillAllowance;
+	/** Fires when shares between regions moved further at once than their pace allows. */
+	readonly onDidStepFar: Event<RouteShareStep>;
 
 	/** @param regions every region, with or without targets */
 	constructor(
@@ -39,45 +48,68 @@
 	) {
 		this._states = new TargetStates(_view);
 		this._plans = new PlacementPlans(_view, _own, regions, shifts);
+		this._spill = new SpillAllowance(shifts.mostMoved);
 		this.onDidStepFar = this._plans.onDidStepFar;
 	}
 
 	/** The target for the next attempt of a request; undefined where none may have it now. */
 	choose(journey: Journey, now: Millis): ChosenTarget | undefined {
-		const { route, service } = journey;
-		const candidates = this._states.candidates(service, route.homeRegions, journey.tried, now);
-		const chosen = this._newcomer(journey, candidates, now) ?? this._chooseKnown(journey, candidates, now);
-		if (chosen && chosen.known.coldUntil > now) {
-			chosen.state.takeColdToken(this._coldPace(chosen), now);
-		}
-		return chosen;
-	}
-
-	private _chooseKnown(journey: Journey, candidates: readonly Candidate[], now: Millis): ChosenTarget | undefined {
-		const { route, exchange, service } = journey;
+		const { route, service, exchange } = journey;
+		const { candidates, standing } = this._states.candidates(service, route.homeRegions, journey.tried, now);
 		const isBound = route.isSticky && exchange.objectKey !== undefined;
-		return chooseTarget(candidates, {
-			objectKey: isBound ? `${route.pathPrefix} ${exchange.objectKey}` : undefined,
+		const objectKey = isBound ? `${route.pathPrefix} ${exchange.objectKey}` : undefined;
+		const context: ChoiceContext = {
+			objectKey,
+			position: placeAmongRegions(objectKey ?? exchange.requestId),
+			standing,
+			maySpill: this._spill.hasLeave,
 			...this._plans.planFor(service, route, now),
 			now,
 			mayUseCold: candidate => this._mayUseCold(candidate, now)
-		});
+		};
+		const chosen = this._newcomer(route, candidates, context) ?? chooseTarget(candidates, context);
+		this._noteLookedFor(journey, context, chosen);
+		if (chosen) {
+			this._noteChoice(journey, chosen, now);
+		}
+		return chosen;
+	}
+
+	/** Each try counts: one that a full target turned away looks once more. */
+	private _noteLookedFor({ service, route }: Journey, context: ChoiceContext, chosen: ChosenTarget | undefined): void {
+		const { shares, position, standing, now } = context;
+		const region = regionAt(shares, position);
+		if (region !== undefined && standing.has(region)) {
+			this._plans.noteLookedFor(service, route, region, chosen?.known.region !== region, now);
+		}
+	}
+
+	private _noteChoice(journey: Journey, chosen: ChosenTarget, now: Millis): void {
+		if (chosen.known.coldUntil > now) {
+			chosen.state.takeColdToken(this._coldPace(chosen), now);
+		}
+		if (journey.attempts.length === 0) {
+			this._spill.noteRequest();
+		}
+		if (chosen.isSpill) {
+			this._spill.take();
+		}
 	}
 
-	/** A target that nobody may have asked yet; only a request that may run again goes there. */
-	private _newcomer(journey: Journey, candidates: readonly Candidate[], now: Millis): ChosenTarget | undefined {
-		if (journey.route.repeatRule !== RepeatRule.Repeatable) {
+	/** A target that nobody may have asked yet; only a request that may run again, and belongs here, goes there. */
+	private _newcomer(
+		route: Route,
+		candidates: readonly Candidate[],
+		{ shares, position, now }: ChoiceContext
+	): ChosenTarget | undefined {
+		const firstRegion = regionAt(shares, position);
+		if (route.repeatRule !== RepeatRule.Repeatable || firstRegion !== this._own.region) {
 			return undefined;
 		}
-		const { regionEntries } = this._view;
-		const newcomer = findNewcomer(
-			candidates,
-			this._own.region,
-			this._own.name,
-			regionEntries,
-			candidate => candidate.known.coldUntil <= now || this._mayUseCold(candidate, now)
-		);
-		return newcomer && { ...newcomer, firstRegion: undefined };
+		const isUsable = (candidate: Candidate): boolean =>
+			candidate.known.coldUntil <= now || this._mayUseCold(candidate, now);
+		const newcomer = findNewcomer(candidates, this._own.region, this._own.name, this._view.regionEntries, isUsable);
+		return newcomer && { ...newcomer, firstRegion, isSpill: false };
 	}
 
 	private _mayUseCold(candidate: Candidate, now: Millis): boolean {
--- a/src/plugins/forwarding/node/targetStates.ts
+++ b/src/plugins/forwarding/node/targetStates.ts
@@ -5,18 +5,35 @@
 /** The states of all targets at this instance, and the candidates for a request. */
 
 import { type Millis } from '../../../base/clock.js';
-import type { FleetView, KnownTarget } from '../../fleet/common/fleetView.js';
+import type { FleetView, ITargetWitness, KnownTarget } from '../../fleet/common/fleetView.js';
 import type { Candidate } from '../common/targetChoice.js';
 import { TargetState } from '../common/targetState.js';
 
 const SWEEP_INTERVAL_MS = 10000;
 
+/** What a request may choose from. */
+export interface Candidates {
+	readonly candidates: readonly Candidate[];
+	/** Regions with targets, tried or not, that are neither silent nor out of reach. */
+	readonly standing: ReadonlySet<string>;
+}
+
 /** States by target id; those of targets that are gone are dropped. */
-export class TargetStates {
+export class TargetStates implements ITargetWitness {
 	private readonly _states = new Map<string, TargetState>();
 	private _sweptAt: Millis = 0;
 
-	constructor(private readonly _view: FleetView) {}
+	constructor(private readonly _view: FleetView) {
+		_view.setWitness(this);
+	}
+
+	answeredAt(id: string): Millis | undefined {
+		return this._states.get(id)?.answeredAt;
+	}
+
+	unreachableAt(id: string): Millis | undefined {
+		return this._states.get(id)?.unreachableAt;
+	}
 
 	/** The state of one target. */
 	stateOf(target: KnownTarget): TargetState {
@@ -28,20 +45,28 @@
 		return state;
 	}
 
-	/** Targets of a service that may get a request. */
-	candidates(service: string, homeRegions: readonly string[], tried: ReadonlySet<string>, now: Millis): Candidate[] {
+	/** Targets of a service that may get a request, and the regions that are not known to be without any. */
+	candidates(service: string, homeRegions: readonly string[], tried: ReadonlySet<string>, now: Millis): Candidates {
 		this._sweep(now);
 		const candidates: Candidate[] = [];
+		const standing = new Set<string>();
 		for (const known of this._view.targetsOf(service)) {
 			const isAtHome = homeRegions.length === 0 || homeRegions.includes(known.region);
-			if (isAtHome && !tried.has(known.record.id) && !this._view.isDrained(known.record.hall)) {
-				const state = this.stateOf(known);
-				if (!state.isReplaced) {
-					candidates.push({ known, state });
-				}
+			if (!isAtHome || this._view.isDrained(known.record.hall)) {
+				continue;
+			}
+			const state = this.stateOf(known);
+			if (state.isReplaced) {
+				continue;
+			}
+			if (!known.isSilent && !state.isUnreachable(now)) {
+				standing.add(known.region);
+			}
+			if (!tried.has(known.record.id)) {
+				candidates.push({ known, state });
 			}
 		}
-		return candidates;
+		return { candidates, standing };
 	}
 
 	private _sweep(now: Millis): void {
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -7,7 +7,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { DemandMeter } from '../common/demandMeter.js';
-import { planShares, type RegionShares, SharePacer } from '../common/regionShares.js';
+import { planShares, type RegionShares } from '../common/regionShares.js';
+import { SharePacer } from '../common/sharePacer.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { type Candidate, chooseTarget } from '../common/targetChoice.js';
 import { parseLoadWord, TargetState } from '../common/targetState.js';
@@ -37,7 +38,15 @@
 }
 
 function choose(candidates: Candidate[], objectKey: string | undefined, shares = HERE, mayUseCold = false) {
-	return chooseTarget(candidates, { objectKey, shares, now: 1000, mayUseCold: () => mayUseCold })?.known.record.id;
+	return chooseTarget(candidates, {
+		objectKey,
+		shares,
+		now: 1000,
+		position: Math.random(),
+		standing: new Set<string>(),
+		maySpill: true,
+		mayUseCold: () => mayUseCold
+	})?.known.record.id;
 }
 
 test('an object keeps its target while others come and go', () => {
@@ -141,10 +150,21 @@
 		{ region: 'r1', share: here },
 		{ region: 'r2', share: 1 - here }
 	];
-	assert.equal(pacer.follow(at(1), 0)[0]!.share, 1);
-	const after = pacer.follow(at(0.2), 2000)[0]!.share;
-	assert.ok(Math.abs(after - (1 - 0.6 * 0.15)) < 1e-9, `${after}`);
-	assert.deepEqual(pacer.follow([{ region: 'r2', share: 1 }], 2100), [{ region: 'r2', share: 1 }]);
+	const SLOTS = new Map([
+		['r1', 9],
+		['r2', 9]
+	]);
+	const hereAfter = (wanted: RegionShares, now: number, lost = new Map<string, number>()): number => {
+		pacer.follow({ shares: wanted, lost, crowded: new Map(), slots: SLOTS }, now);
+		return pacer.shares.find(({ region }) => region === 'r1')?.share ?? 0;
+	};
+	assert.equal(hereAfter(at(1), 0), 1);
+	const after = hereAfter(at(0.2), 2000);
+	assert.ok(Math.abs(after - (1 - 0.55 * 0.15)) < 1e-9, `${after}`);
+	const rested = hereAfter(at(0.2), 60000);
+	assert.ok(Math.abs(rested - (1 - 2 * 0.55 * 0.15)) < 1e-9, `a rest saves up one window: ${rested}`);
+	assert.equal(hereAfter([{ region: 'r2', share: 1 }], 60100, new Map([['r1', 1]])), 0);
+	assert.ok(hereAfter(at(1), 60200) <= 0.05 * 0.0825 + 1e-9, 'and comes back at the pace');
 });
 
 test('the need of slots is the rate times what a request takes when nothing holds it up', () => {
--- a/src/plugins/forwarding/test/coldTargets.test.ts
+++ b/src/plugins/forwarding/test/coldTargets.test.ts
@@ -48,6 +48,7 @@
 		changes: { revision, isWhole: false, published, halls: [], targets },
 		controls: [],
 		contactAgeMs: 0,
+		hasHeardAll: true,
 		entryCount: 26,
 		regionEntries,
 		silentTargets: [],
@@ -64,8 +65,8 @@
 }
 
 function journeyFor(object: number): Journey {
-	const exchange = { objectKey: `o${object}` };
-	return { route: ROUTE, service: 's', exchange, tried: new Set() } as unknown as Journey;
+	const exchange = { objectKey: `o${object}`, requestId: `request-${object}` };
+	return { route: ROUTE, service: 's', exchange, tried: new Set(), attempts: [] } as unknown as Journey;
 }
 
 /** Requests that all selectors together send in one second, each trying every 50 ms. */
--- a/src/plugins/forwarding/test/placement.test.ts
+++ b/src/plugins/forwarding/test/placement.test.ts
@@ -85,6 +85,9 @@
 			shares: [{ region: 'r1', share: 1 }],
 			preferredHall: 'h1',
 			now: 1000,
+			position: 0,
+			standing: new Set<string>(),
+			maySpill: true,
 			mayUseCold: () => false
 		})?.known.record.id;
 	assert.match(choose()!, /^near/);
--- a/src/plugins/forwarding/test/regionCallers.ts
+++ b/src/plugins/forwarding/test/regionCallers.ts
@@ -181,6 +181,7 @@
 			},
 			controls: [],
 			contactAgeMs: 0,
+			hasHeardAll: true,
 			entryCount: INSTANCES,
 			regionEntries: this._instances?.map((_, i) => `entry-${i}`) ?? [],
 			silentTargets: [...this.silent],
