Teams are part of the route table: keys, names, homes

Cause: on the deployment with teams the caller's key went on to targets, a key that nobody holds was served, and the homes of teams were not known; tables with teams were read and their teams passed over.

Change: a table carries its teams (digests of keys, rank, limit, homes), read by field in the adapter; two teams with one key are refused by name of the teams. An entry instance finds the team by the key's digest, compared in constant time, refuses unknown, missing and empty keys with 401 unless the route is public, sends the team's name and never the key, and asks again before each further try. Homes of route and team both bind for targets and shares; none in common is a 403. Limits of teams are read and not yet held; ranks are not yet used.

--- a/src/base/verdict.ts
+++ b/src/base/verdict.ts
@@ -19,6 +19,12 @@
 	BadRequest = 'bad-request',
 	UnknownService = 'unknown-service',
 	UnknownGroup = 'unknown-group',
+	/** The caller showed no key, or one that no team holds. */
+	UnknownKey = 'unknown-key',
+	/** The homes of its route and of its team have no region in common. */
+	NoHomeRegion = 'no-home-region',
+	/** Its team has used up its limit. */
+	OverLimit = 'over-limit',
 	BodyTooLarge = 'body-too-large',
 	NoConfiguration = 'no-configuration',
 	NoCapacity = 'no-capacity',
--- a/src/plugins/fleet/test/fleetState.test.ts
+++ b/src/plugins/fleet/test/fleetState.test.ts
@@ -13,7 +13,7 @@
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 
 function publish(state: FleetState, version: number, base: number, digest = `d${version}`) {
-	const table: RouteTable = { version, routes: [], services: [], limits: LIMITS };
+	const table: RouteTable = { version, routes: [], services: [], teams: undefined, limits: LIMITS };
 	return state.apply({ type: 'publishTable', base, table, document: `document ${version}`, digest });
 }
 
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -35,7 +35,7 @@
 ) {
 	const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 	const service = { name: 's', healthPath: '/', maxConnections: 1, coldStartMs: COLD_START_MS, coldPerSecond: 1 };
-	const published = { table: { version: 1, routes: [], services: [service], limits }, changedAt: 1 };
+	const published = { table: { version: 1, routes: [], services: [service], teams: undefined, limits }, changedAt: 1 };
 	return {
 		changes: { revision, isWhole: false, published, halls: [], targets: [], ...change },
 		controls: [],
--- a/src/plugins/forwarding/common/headerNames.ts
+++ b/src/plugins/forwarding/common/headerNames.ts
@@ -14,6 +14,10 @@
 	readonly remainingMs: string;
 	/** Cookie with the object that a request is about. */
 	readonly objectCookie: string;
+	/** The key by which a caller shows for which team it asks; it stays here. */
+	readonly teamKey: string;
+	/** The team on whose behalf a request is sent to a target; what the caller wrote there does not count. */
+	readonly team: string;
 	/** The target that a request is meant for. */
 	readonly expectedTarget: string;
 	/** In an answer: the target did not run the request. */
--- a/src/plugins/forwarding/common/placementPlans.ts
+++ b/src/plugins/forwarding/common/placementPlans.ts
@@ -22,6 +22,13 @@
 	readonly hall: string;
 }
 
+/** Requests of a route that may be served in the same regions. */
+export interface PlacedRoute {
+	readonly route: Route;
+	/** Homes of the route and of the team; empty for any region. */
+	readonly homeRegions: readonly string[];
+}
+
 /** Where the requests of a route go. */
 export interface PlacementPlan {
 	readonly shares: RegionShares;
@@ -51,9 +58,9 @@
 	followedAt: Millis;
 }
 
-/** A route with the parts that it has had since its table last changed them. */
+/** A route's requests with the same homes, and the parts that it has had since its table last changed them. */
 interface RouteShares {
-	/** The services with their weights and the homes, as one text. */
+	/** The services with their weights, as one text. */
 	readonly division: string;
 	readonly route: Route;
 	/** How its requests were divided among regions when the division changed; empty for a route that is new. */
@@ -82,11 +89,12 @@
 	) {}
 
 	/** The plan for a route's requests to one of its services. */
-	planFor(service: string, route: Route, now: Millis): PlacementPlan {
-		const part = this._partOf(service, route);
+	planFor(service: string, { route, homeRegions }: PlacedRoute, now: Millis): PlacementPlan {
+		const placed = { route, homeRegions };
+		const part = this._partOf(service, placed);
 		if (now - part.followedAt > PLAN_AGE_MS) {
 			part.followedAt = now;
-			const { wanted, preferredHall } = this._servicePlan(service, route, now);
+			const { wanted, preferredHall } = this._servicePlan(service, placed, now);
 			const step = part.pacer.follow(wanted, now);
 			part.plan = { shares: part.pacer.shares, preferredHall };
 			if (step) {
@@ -100,15 +108,16 @@
 	 * A request looked for a target in the region that its shares gave it.
 	 * @param isTurnedAway whether none there could take it
 	 */
-	noteLookedFor(service: string, route: Route, region: string, isTurnedAway: boolean, now: Millis): void {
-		this._servicePlan(service, route, now).crowding.note(region, isTurnedAway, now);
+	noteLookedFor(service: string, placed: PlacedRoute, region: string, isTurnedAway: boolean, now: Millis): void {
+		this._servicePlan(service, placed, now).crowding.note(region, isTurnedAway, now);
 	}
 
-	private _partOf(service: string, route: Route): RoutePart {
-		let shares = this._routes.get(route.name);
+	private _partOf(service: string, { route, homeRegions }: PlacedRoute): RoutePart {
+		const key = `${route.name} ${homeRegions.join(' ')}`;
+		let shares = this._routes.get(key);
 		if (!shares || (shares.route !== route && shares.division !== divisionOf(route))) {
 			shares = { division: divisionOf(route), route, start: shares ? mixOf(shares) : [], parts: new Map() };
-			this._routes.set(route.name, shares);
+			this._routes.set(key, shares);
 		}
 		let part = shares.parts.get(service);
 		if (!part) {
@@ -120,12 +129,12 @@
 		return part;
 	}
 
-	private _servicePlan(service: string, route: Route, now: Millis): ServicePlan {
+	private _servicePlan(service: string, { route, homeRegions }: PlacedRoute, now: Millis): ServicePlan {
 		const isLarge = route.repeatRule === RepeatRule.LargeAnswer;
-		const key = `${service} ${route.homeRegions.join(',')} ${isLarge}`;
+		const key = `${service} ${homeRegions.join(',')} ${isLarge}`;
 		let plan = this._services.get(key);
 		if (!plan) {
-			const rooms = new RegionRooms(this._view, service, this._regions, route.homeRegions);
+			const rooms = new RegionRooms(this._view, service, this._regions, homeRegions);
 			const wanted = { shares: [], lost: new Map(), crowded: new Map(), slots: new Map() };
 			plan = {
 				rooms,
@@ -164,7 +173,7 @@
 
 function divisionOf(route: Route): string {
 	const parts = route.parts.map(({ service, weight }) => `${service}=${weight}`);
-	return `${parts.join(' ')} in ${route.homeRegions.join(' ')}`;
+	return parts.join(' ');
 }
 
 /** How a route's requests are divided among regions, over all its parts that had requests. */
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -8,6 +8,7 @@
 import type { Readable } from 'node:stream';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import type { RefusalReason, Verdict } from '../../../base/verdict.js';
+import { digestKey } from '../../routes/common/teamIndex.js';
 import type { TargetAnswer } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { cookieValue, passedHeaders } from '../common/hopHeaders.js';
@@ -33,6 +34,8 @@
 	/** Milliseconds that the caller waits; infinite where it does not say. */
 	readonly remainingMs: Millis;
 	readonly objectKey: string | undefined;
+	/** Digest of the key that the caller showed; undefined for none, or an empty one. */
+	readonly keyDigest: string | undefined;
 	private _onLeft: (() => void) | undefined;
 	private _hasLeft = false;
 	private _onClosed: (() => void) | undefined;
@@ -47,6 +50,8 @@
 		this.requestId = String(request.headers[names.requestId] ?? '');
 		this.remainingMs = Number.isFinite(remaining) ? remaining : Number.POSITIVE_INFINITY;
 		this.objectKey = cookieValue(request.rawHeaders, names.objectCookie);
+		const key = request.headers[names.teamKey];
+		this.keyDigest = typeof key === 'string' && key !== '' ? digestKey(key) : undefined;
 		_response.on('close', () => this._noticeClose());
 	}
 
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -14,6 +14,7 @@
 import type { PlaceSettings } from '../../fleet/common/placeSettings.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
+import { accessOf } from '../../routes/common/teamAccess.js';
 import type { AttemptOutcome, NotRun, TargetAnswer } from '../common/attempt.js';
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
@@ -28,7 +29,7 @@
 import type { ChosenTarget } from '../common/targetChoice.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
-import { describeOutcome, endOf, isFailure, type Journey, refusal } from './journey.js';
+import { denial, describeOutcome, endOf, isFailure, type Journey, refusal } from './journey.js';
 import { OutcomeNotes } from './outcomeNotes.js';
 import { RequestBody } from './requestBody.js';
 import { RequestEnd, RequestRecorder } from './requestRecorder.js';
@@ -86,7 +87,8 @@
 		this._largeAnswers = new LargeAnswerGate(linkMbit);
 		const regions = [...new Set(settings.section<PlaceSettings>('places').halls.values())];
 		this._selector = new TargetSelector(this._session.view, instance, regions, this._bounds.shifts);
-		this._droppedHeaders = new Set([this._names.remainingMs, this._names.expectedTarget]);
+		const { remainingMs, expectedTarget, teamKey, team } = this._names;
+		this._droppedHeaders = new Set([remainingMs, expectedTarget, teamKey, team]);
 		this._register(toDisposable(() => this._agent.destroy()));
 		const timer = setInterval(
 			() => this._session.setDemand(this._notes.slotsNeeded(systemClock.now())),
@@ -128,6 +130,11 @@
 			exchange.refuse({ status: 404, verdict: 'not-run', reason: 'no-route' });
 			return;
 		}
+		const access = accessOf(routes, route, exchange.keyDigest);
+		if (!access.isGranted) {
+			exchange.refuse(denial(access));
+			return;
+		}
 		let body: RequestBody;
 		try {
 			body = await RequestBody.read(exchange.request);
@@ -140,6 +147,8 @@
 		const journey: Journey = {
 			exchange,
 			route,
+			homeRegions: access.homeRegions,
+			team: access.team,
 			service,
 			body,
 			deadline: exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs),
@@ -178,6 +187,11 @@
 				this._giveUp(journey, refusal(RefusalReason.DeadlinePassed, RETRY_SOON_MS));
 				return;
 			}
+			const denied = this._deniedNow(journey);
+			if (denied) {
+				this._giveUp(journey, denied);
+				return;
+			}
 			const candidate = this._selector.choose(journey, now);
 			if (!candidate) {
 				this._giveUp(journey, refusal(RefusalReason.NoCapacity, RETRY_SOON_MS));
@@ -195,6 +209,13 @@
 		}
 	}
 
+	/** A key may be taken away while its requests wait for another try; undefined where it still holds. */
+	private _deniedNow({ route, exchange }: Journey): OwnAnswer | undefined {
+		const { routes } = this._session.view;
+		const access = routes && accessOf(routes, route, exchange.keyDigest);
+		return access && !access.isGranted ? denial(access) : undefined;
+	}
+
 	private async _attempt(journey: Journey, candidate: ChosenTarget): Promise<AttemptOutcome> {
 		const { exchange } = journey;
 		const { known, state } = candidate;
@@ -257,6 +278,9 @@
 		const headers = passedHeaders(journey.exchange.request.rawHeaders, this._droppedHeaders);
 		const leftMs = Math.max(1, Math.floor(journey.deadline - now));
 		headers.push(this._names.remainingMs, String(leftMs), this._names.expectedTarget, targetId);
+		if (journey.team) {
+			headers.push(this._names.team, journey.team.name);
+		}
 		if (journey.exchange.request.headers['transfer-encoding'] !== undefined) {
 			const { heldLength } = journey.body;
 			const framing =
@@ -344,9 +368,20 @@
 	}
 
 	private _record(journey: Journey, end: RequestEnd, status?: number, reason?: string): void {
-		const { exchange, route, service, attempts } = journey;
+		const { exchange, route, service, team, attempts } = journey;
 		const tableVersion = this._session.view.routes?.table.version;
 		const viewAgeMs = this._session.ageMs();
-		this._recorder.record({ exchange, route, service, end, status, reason, attempts, viewAgeMs, tableVersion });
+		this._recorder.record({
+			exchange,
+			route,
+			service,
+			team: team?.name,
+			end,
+			status,
+			reason,
+			attempts,
+			viewAgeMs,
+			tableVersion
+		});
 	}
 }
--- a/src/plugins/forwarding/node/journey.ts
+++ b/src/plugins/forwarding/node/journey.ts
@@ -6,7 +6,8 @@
 
 import type { Millis } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
-import type { Route } from '../../routes/common/routeTable.js';
+import type { Route, Team } from '../../routes/common/routeTable.js';
+import type { DeniedAccess } from '../../routes/common/teamAccess.js';
 import type { AttemptOutcome, TargetAnswer } from '../common/attempt.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
@@ -15,11 +16,17 @@
 
 /** Statuses from here on say that a target failed. */
 const STATUS_FAILURES = 500;
+const STATUS_UNKNOWN_KEY = 401;
+const STATUS_FORBIDDEN = 403;
 
 /** One request on its way. */
 export interface Journey {
 	readonly exchange: CallerExchange;
 	readonly route: Route;
+	/** Regions in which it may be served; empty means any. */
+	readonly homeRegions: readonly string[];
+	/** The team on whose behalf it is sent; undefined for nobody's. */
+	readonly team: Team | undefined;
 	readonly service: string;
 	readonly body: RequestBody;
 	readonly deadline: Millis;
@@ -60,6 +67,12 @@
 	return answer.reason === RefusalReason.DeadlinePassed ? RequestEnd.TimeOver : RequestEnd.Broken;
 }
 
+/** The answer to a request that may not be served; asking again does not help. */
+export function denial({ reason }: DeniedAccess): OwnAnswer {
+	const status = reason === RefusalReason.UnknownKey ? STATUS_UNKNOWN_KEY : STATUS_FORBIDDEN;
+	return { status, verdict: 'not-run', reason };
+}
+
 /** A refusal: nothing has run, and asking again may help. */
 export function refusal(reason: RefusalReason, retryAfterMs: Millis): OwnAnswer {
 	return { status: 503, verdict: 'not-run', reason, retryAfterMs };
--- a/src/plugins/forwarding/node/requestRecorder.ts
+++ b/src/plugins/forwarding/node/requestRecorder.ts
@@ -29,6 +29,8 @@
 	readonly exchange: CallerExchange;
 	readonly route: Route;
 	readonly service: string;
+	/** Name of the team on whose behalf it was sent. */
+	readonly team: string | undefined;
 	readonly end: RequestEnd;
 	readonly status?: number;
 	readonly reason?: string;
@@ -97,6 +99,7 @@
 			requestId: exchange.requestId,
 			route: route.name,
 			service,
+			team: ended.team,
 			object: exchange.objectKey,
 			end,
 			status: ended.status,
--- a/src/plugins/forwarding/node/targetSelector.ts
+++ b/src/plugins/forwarding/node/targetSelector.ts
@@ -54,8 +54,8 @@
 
 	/** The target for the next attempt of a request; undefined where none may have it now. */
 	choose(journey: Journey, now: Millis): ChosenTarget | undefined {
-		const { route, service, exchange } = journey;
-		const { candidates, standing } = this._states.candidates(service, route.homeRegions, journey.tried, now);
+		const { route, service, exchange, homeRegions, tried } = journey;
+		const { candidates, standing } = this._states.candidates(service, homeRegions, tried, now);
 		const isBound = route.isSticky && exchange.objectKey !== undefined;
 		const objectKey = isBound ? `${route.pathPrefix} ${exchange.objectKey}` : undefined;
 		const context: ChoiceContext = {
@@ -63,7 +63,7 @@
 			position: placeAmongRegions(objectKey ?? exchange.requestId),
 			standing,
 			maySpill: this._spill.hasLeave,
-			...this._plans.planFor(service, route, now),
+			...this._plans.planFor(service, journey, now),
 			now,
 			mayUseCold: candidate => this._mayUseCold(candidate, now)
 		};
@@ -76,11 +76,11 @@
 	}
 
 	/** Each try counts: one that a full target turned away looks once more. */
-	private _noteLookedFor({ service, route }: Journey, context: ChoiceContext, chosen: ChosenTarget | undefined): void {
+	private _noteLookedFor(journey: Journey, context: ChoiceContext, chosen: ChosenTarget | undefined): void {
 		const { shares, position, standing, now } = context;
 		const region = regionAt(shares, position);
 		if (region !== undefined && standing.has(region)) {
-			this._plans.noteLookedFor(service, route, region, chosen?.known.region !== region, now);
+			this._plans.noteLookedFor(journey.service, journey, region, chosen?.known.region !== region, now);
 		}
 	}
 
--- a/src/plugins/forwarding/test/coldTargets.test.ts
+++ b/src/plugins/forwarding/test/coldTargets.test.ts
@@ -31,7 +31,8 @@
 	parts: [{ service: 's', weight: 1 }],
 	attempts: 2,
 	isSticky: true,
-	homeRegions: []
+	homeRegions: [],
+	isPublic: true
 };
 
 function target(id: string, coldSenders: readonly string[]): TargetRecord {
@@ -43,7 +44,10 @@
 	const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 	const cold = { coldStartMs: COLD_START_MS, coldPerSecond: COLD_PER_SECOND };
 	const service = { name: 's', healthPath: '/', maxConnections: 1, ...cold };
-	const published = { table: { version: 1, routes: [ROUTE], services: [service], limits }, changedAt: 1 };
+	const published = {
+		table: { version: 1, routes: [ROUTE], services: [service], teams: undefined, limits },
+		changedAt: 1
+	};
 	return {
 		changes: { revision, isWhole: false, published, halls: [], targets },
 		controls: [],
@@ -66,7 +70,14 @@
 
 function journeyFor(object: number): Journey {
 	const exchange = { objectKey: `o${object}`, requestId: `request-${object}` };
-	return { route: ROUTE, service: 's', exchange, tried: new Set(), attempts: [] } as unknown as Journey;
+	return {
+		route: ROUTE,
+		homeRegions: [],
+		service: 's',
+		exchange,
+		tried: new Set(),
+		attempts: []
+	} as unknown as Journey;
 }
 
 /** Requests that all selectors together send in one second, each trying every 50 ms. */
--- a/src/plugins/forwarding/test/partChoice.test.ts
+++ b/src/plugins/forwarding/test/partChoice.test.ts
@@ -25,6 +25,7 @@
 		attempts: 2,
 		isSticky: false,
 		homeRegions: [],
+		isPublic: true,
 		parts
 	};
 }
--- a/src/plugins/forwarding/test/regionCallers.ts
+++ b/src/plugins/forwarding/test/regionCallers.ts
@@ -199,7 +199,7 @@
 			coldPerSecond: 5
 		}));
 		const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-		return { version: this._revision, routes: this._routes(), services, limits };
+		return { version: this._revision, routes: this._routes(), services, teams: undefined, limits };
 	}
 
 	private _routes(): Route[] {
@@ -214,7 +214,8 @@
 			parts,
 			attempts: 2,
 			isSticky: true,
-			homeRegions: []
+			homeRegions: [],
+			isPublic: true
 		}));
 	}
 
@@ -238,7 +239,14 @@
 		const service = position < route.parts[0]!.weight ? route.parts[0]!.service : route.parts.at(-1)!.service;
 		const objectKey = String(Math.floor(pseudoRandom(number + 0.5) * OBJECTS));
 		const exchange = { objectKey, requestId: `request-${number}`, hasLeft: false } as unknown as CallerExchange;
-		const journey = { exchange, route, service, tried: new Set<string>(), attempts: [] } as unknown as Journey;
+		const journey = {
+			exchange,
+			route,
+			homeRegions: [],
+			service,
+			tried: new Set<string>(),
+			attempts: []
+		} as unknown as Journey;
 		this._try(instance, journey);
 	}
 
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -17,6 +17,8 @@
 	requestId: 'request-id',
 	remainingMs: 'remaining',
 	objectCookie: 'object',
+	teamKey: 'key',
+	team: 'team',
 	expectedTarget: 'expected',
 	notRun: 'not-run',
 	load: 'load',
--- a/src/plugins/routes/common/routeIndex.ts
+++ b/src/plugins/routes/common/routeIndex.ts
@@ -5,13 +5,17 @@
 /** Finds the route of a request: the longest path prefix among the routes of its host. */
 
 import type { Route, RouteTable, ServiceDefinition } from './routeTable.js';
+import { TeamIndex } from './teamIndex.js';
 
 /** A route table prepared for look-ups. */
 export class RouteIndex {
 	private readonly _byHost = new Map<string, Map<string, Route>>();
 	private readonly _services = new Map<string, ServiceDefinition>();
+	/** The teams; undefined where requests need no key. */
+	readonly teams: TeamIndex | undefined;
 
 	constructor(readonly table: RouteTable) {
+		this.teams = table.teams && new TeamIndex(table.teams);
 		for (const route of table.routes) {
 			const host = route.host.toLowerCase();
 			let prefixes = this._byHost.get(host);
--- a/src/plugins/routes/common/routeTable.ts
+++ b/src/plugins/routes/common/routeTable.ts
@@ -44,6 +44,29 @@
 	readonly isSticky: boolean;
 	/** Regions in which its requests may be served; empty means any. */
 	readonly homeRegions: readonly string[];
+	/** Whether a request needs no team's key. */
+	readonly isPublic: boolean;
+}
+
+/** How many requests a team may send, over all instances together. */
+export interface TeamLimit {
+	/** Requests a second, more than 0. */
+	readonly perSecond: number;
+	/** Requests beyond the rate that may come at once. */
+	readonly burst: number;
+}
+
+/** A team: whoever holds one of its keys asks on its behalf. */
+export interface Team {
+	readonly name: string;
+	/** Digests of its keys (`digestKey`); the keys themselves stay with whoever published the table. */
+	readonly keyDigests: readonly string[];
+	/** 0 is the most urgent; it goes before the rank of the route. */
+	readonly rank: number;
+	/** Undefined for none. */
+	readonly limit: TeamLimit | undefined;
+	/** Regions in which its requests may be served; empty means any. */
+	readonly homeRegions: readonly string[];
 }
 
 /** One service and how its targets are to be treated. */
@@ -72,5 +95,7 @@
 	readonly version: number;
 	readonly routes: readonly Route[];
 	readonly services: readonly ServiceDefinition[];
+	/** The teams; undefined where requests need no key. */
+	readonly teams: readonly Team[] | undefined;
 	readonly limits: CallerLimits;
 }
--- a/src/plugins/routes/common/routeTableCheck.ts
+++ b/src/plugins/routes/common/routeTableCheck.ts
@@ -4,7 +4,7 @@
 
 /** Decides whether a route table may be published. */
 
-import type { Route, RouteTable, ServiceDefinition } from './routeTable.js';
+import type { Route, RouteTable, ServiceDefinition, Team } from './routeTable.js';
 
 /** One fault: the field and what is allowed there. */
 export interface RouteTableFault {
@@ -62,6 +62,29 @@
 	}
 }
 
+function checkTeam(team: Team, faults: RouteTableFault[]): void {
+	if (team.name === '') {
+		faults.push({ field: 'team name', allowed: 'a text that is not empty' });
+	}
+	if (team.limit && !(team.limit.perSecond > 0 && team.limit.burst >= 0)) {
+		faults.push({ field: `team '${team.name}' limit`, allowed: 'a rate above 0 and a burst of 0 or more' });
+	}
+}
+
+/** A key tells one team; who holds it is named without the key. */
+function checkKeys(teams: readonly Team[], faults: RouteTableFault[]): void {
+	const holders = new Map<string, string>();
+	for (const { name, keyDigests } of teams) {
+		for (const digest of keyDigests) {
+			const holder = holders.get(digest);
+			if (holder !== undefined && holder !== name) {
+				faults.push({ field: `team '${name}' keys`, allowed: `none that team '${holder}' has` });
+			}
+			holders.set(digest, name);
+		}
+	}
+}
+
 function findRepeated(values: readonly string[], field: string, faults: RouteTableFault[]): void {
 	const seen = new Set<string>();
 	for (const value of values) {
@@ -81,6 +104,14 @@
 	const services = new Set(table.services.map(service => service.name));
 	table.services.forEach(service => checkService(service, faults));
 	table.routes.forEach(route => checkRoute(route, services, faults));
+	const teams = table.teams ?? [];
+	teams.forEach(team => checkTeam(team, faults));
+	checkKeys(teams, faults);
+	findRepeated(
+		teams.map(team => team.name),
+		'team',
+		faults
+	);
 	findRepeated(
 		table.services.map(service => service.name),
 		'service',
--- a/src/plugins/routes/test/routes.test.ts
+++ b/src/plugins/routes/test/routes.test.ts
@@ -23,6 +23,7 @@
 		attempts: 2,
 		isSticky: false,
 		homeRegions: [],
+		isPublic: false,
 		...change
 	};
 }
@@ -32,6 +33,7 @@
 		version: 1,
 		routes,
 		services: [{ name: 's', healthPath: '/health', maxConnections: 10, coldStartMs: 0, coldPerSecond: 1 }],
+		teams: undefined,
 		limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 	};
 }
--- a/test/platform/discoveredSystem.ts
+++ b/test/platform/discoveredSystem.ts
@@ -272,10 +272,24 @@
 	readonly service: string;
 	readonly timeout?: string;
 	readonly attempts?: number;
+	readonly isPublic?: boolean;
+}
+
+/** A team of a document. */
+export interface DocumentTeam {
+	readonly name: string;
+	readonly keys: readonly string[];
+	readonly homes?: readonly string[];
+	readonly perSecond?: number;
+	readonly burst?: number;
 }
 
 /** A configuration document as the platform sends it. */
-export function routeDocument(version: number, routes: readonly DocumentRoute[]): string {
+export function routeDocument(
+	version: number,
+	routes: readonly DocumentRoute[],
+	teams?: readonly DocumentTeam[]
+): string {
 	const services = [...new Set(routes.map(route => route.service))];
 	return JSON.stringify({
 		version,
@@ -290,6 +304,7 @@
 				'priority',
 				'service',
 				'attempts',
+				'public',
 				'sticky',
 				'home_regions',
 				'split'
@@ -304,6 +319,7 @@
 				1,
 				route.service,
 				route.attempts ?? 2,
+				route.isPublic ?? false,
 				true,
 				[],
 				null
@@ -313,6 +329,10 @@
 			columns: ['name', 'health_path', 'max_conns', 'protocol', 'tls', 'cold_start', 'cold_per_s'],
 			rows: services.map(name => [name, '/health', 330, 'h1', false, '3s', 14])
 		},
+		tenants: teams && {
+			columns: ['name', 'api_keys', 'priority', 'rate_per_s', 'burst', 'home_regions'],
+			rows: teams.map(team => [team.name, team.keys, 1, team.perSecond ?? null, team.burst ?? null, team.homes ?? []])
+		},
 		limits: { max_header_bytes: 16384, max_body_bytes: 67108864, header_timeout: '3000ms', idle_timeout: '15000ms' }
 	});
 }
--- a/test/platform/standInTarget.ts
+++ b/test/platform/standInTarget.ts
@@ -17,6 +17,8 @@
 	readonly body: string;
 	readonly remainingMs: number;
 	readonly expected: string;
+	/** The headers, by name in lower case. */
+	readonly headers: IncomingMessage['headers'];
 	/** Whether the caller's side closed before the answer. */
 	closedEarly: boolean;
 }
@@ -77,6 +79,7 @@
 			body: Buffer.concat(pieces).toString('utf8'),
 			remainingMs: Number(request.headers['deadline-ms']),
 			expected: String(request.headers['expect-instance']),
+			headers: request.headers,
 			closedEarly: false
 		};
 		response.setHeader('Request-Id', seen.id);
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -28,6 +28,7 @@
 		body: '',
 		remainingMs: 1,
 		expected: 't-1',
+		headers: {},
 		closedEarly: false
 	};
 	return { ...seen, target: 't-1' };
