--- a/src/plugins/forwarding/common/sharePacer.ts
+++ b/src/plugins/forwarding/common/sharePacer.ts
@@ -34,7 +34,7 @@
 	readonly to: RegionShares;
 	/** Part of the objects that changed their region, 0 to 1. */
 	readonly moved: number;
-	/** Regions that lost targets, with the part that is lost; empty for the first shares of all. */
+	/** Regions that lost targets, with the part that is lost. */
 	readonly lost: Readonly<Record<string, number>>;
 }
 
@@ -84,10 +84,10 @@
 		const left = isNew ? wanted.shares : this._leaveLost(wanted);
 		this._shares = approach(left, relieve(left, wanted), this._pace * elapsedMs);
 		this._followed = wanted.lost;
-		const isFar = isNew || left !== from;
-		return isFar
-			? { from, to: this._shares, moved: movedPart(from, this._shares), lost: Object.fromEntries(wanted.lost) }
-			: undefined;
+		if (isNew || left === from) {
+			return undefined;
+		}
+		return { from, to: this._shares, moved: movedPart(from, this._shares), lost: Object.fromEntries(wanted.lost) };
 	}
 
 	/** The shares without what went to targets that were lost since the last time. */
--- a/src/plugins/forwarding/common/targetChoice.ts
+++ b/src/plugins/forwarding/common/targetChoice.ts
@@ -155,7 +155,10 @@
 	return mix(hash32(key), POSITION_SEED) / HASH_RANGE;
 }
 
-/** The regions for a request in their order; only the first one where it may not leave that. */
+/**
+ * The regions for a request in their order; only the first one where it may not leave that. Without this bound a surge of
+ * callers moved a third of a region's requests to another one within 2 s, and their objects away from targets that had them.
+ */
 function regionsFor(context: ChoiceContext, firstRegion: string | undefined, present: readonly string[]): string[] {
 	const isHeld = firstRegion !== undefined && context.standing.has(firstRegion) && !context.maySpill;
 	const order = regionOrder(context.shares, firstRegion, present);
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -18,9 +18,7 @@
 import type { AttemptOutcome, NotRun, TargetAnswer } from '../common/attempt.js';
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
-import { passedHeaders } from '../common/hopHeaders.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
-import { RegionRuns } from '../common/regionRuns.js';
 import { connectTimeoutMs, heldBytes } from '../common/linkPacer.js';
 import { chooseService } from '../common/partChoice.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
@@ -31,10 +29,12 @@
 import type { IForwarding } from './forwarding.js';
 import { denial, describeOutcome, endOf, isFailure, type Journey, refusal } from './journey.js';
 import { OutcomeNotes } from './outcomeNotes.js';
+import { RegionWatch } from './regionWatch.js';
 import { RequestBody } from './requestBody.js';
 import { RequestEnd, RequestRecorder } from './requestRecorder.js';
 import { TargetAgent } from './targetAgent.js';
 import { TargetExchange } from './targetExchange.js';
+import { TargetHeaders } from './targetHeaders.js';
 import { TargetSelector } from './targetSelector.js';
 
 /** Time for a connection to come up within a region and to another one, where the link is free. */
@@ -60,13 +60,13 @@
 	private readonly _allowances = new Map<string, RetryAllowance>();
 	private readonly _recorder: RequestRecorder;
 	private readonly _notes = new OutcomeNotes();
-	private readonly _regionRuns = new RegionRuns();
+	private readonly _regions: RegionWatch;
 	private readonly _selector: TargetSelector;
 	private readonly _heldBytes: number;
 	private readonly _nearConnectMs: Millis;
 	private readonly _farConnectMs: Millis;
 	private readonly _largeAnswers: LargeAnswerGate;
-	private readonly _droppedHeaders: ReadonlySet<string>;
+	private readonly _headers: TargetHeaders;
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
@@ -74,10 +74,10 @@
 		@IHeaderNames private readonly _names: IHeaderNames,
 		@IServiceBounds private readonly _bounds: IServiceBounds,
 		@IMetricsService metrics: IMetricsService,
-		@ILogService private readonly _log: ILogService
+		@ILogService log: ILogService
 	) {
 		super();
-		this._recorder = new RequestRecorder(metrics, this._log);
+		this._recorder = new RequestRecorder(metrics, log);
 		const instance = settings.section<InstanceSettings>('instance');
 		this._region = instance.region;
 		const { linkMbit } = settings.section<FrontSettings>('front');
@@ -87,36 +87,15 @@
 		this._largeAnswers = new LargeAnswerGate(linkMbit);
 		const regions = [...new Set(settings.section<PlaceSettings>('places').halls.values())];
 		this._selector = new TargetSelector(this._session.view, instance, regions, this._bounds.shifts);
-		const { remainingMs, expectedTarget, teamKey, team } = this._names;
-		this._droppedHeaders = new Set([remainingMs, expectedTarget, teamKey, team]);
+		this._headers = new TargetHeaders(this._names);
 		this._register(toDisposable(() => this._agent.destroy()));
 		const timer = setInterval(
 			() => this._session.setDemand(this._notes.slotsNeeded(systemClock.now())),
 			DEMAND_INTERVAL_MS
 		);
 		this._register(toDisposable(() => clearInterval(timer)));
-		this._watchRegions();
-	}
-
-	/** One line a window says where requests went, and one each step of the shares beyond their pace why. */
-	private _watchRegions(): void {
-		const { view } = this._session;
-		const timer = setInterval(() => {
-			const window = this._regionRuns.take();
-			if (window) {
-				this._log.info('regions', { task: 'forwarding', ...window });
-			}
-		}, this._bounds.shifts.windowMs);
-		this._register(toDisposable(() => clearInterval(timer)));
-		const listener = this._selector.onDidStepFar(step =>
-			this._log.warn('shares moved at once', {
-				task: 'forwarding',
-				...step,
-				revision: view.revision,
-				viewAgeMs: Math.round(this._session.ageMs())
-			})
-		);
-		this._register(listener);
+		const { onDidStepFar } = this._selector;
+		this._regions = this._register(new RegionWatch(_session, log, this._bounds.shifts.windowMs, onDidStepFar));
 	}
 
 	async serve(exchange: CallerExchange): Promise<void> {
@@ -228,7 +207,7 @@
 			port: Number(port),
 			method: exchange.request.method ?? 'GET',
 			path: exchange.path,
-			rawHeaders: this._headersFor(journey, known.record.id, now),
+			rawHeaders: this._headers.headersFor(journey, known.record.id, now),
 			body: journey.body,
 			connectTimeoutMs: known.region === this._region ? this._nearConnectMs : this._farConnectMs,
 			heldBytes: this._heldBytes
@@ -250,7 +229,7 @@
 			tookMs: 0
 		};
 		if (journey.attempts.length === 0) {
-			this._regionRuns.note(candidate.firstRegion, known.region);
+			this._regions.noteFirstTry(candidate.firstRegion, known.region);
 		}
 		journey.attempts.push(trace);
 		const outcome = await sent.outcome;
@@ -274,22 +253,6 @@
 		}
 	}
 
-	private _headersFor(journey: Journey, targetId: string, now: Millis): string[] {
-		const headers = passedHeaders(journey.exchange.request.rawHeaders, this._droppedHeaders);
-		const leftMs = Math.max(1, Math.floor(journey.deadline - now));
-		headers.push(this._names.remainingMs, String(leftMs), this._names.expectedTarget, targetId);
-		if (journey.team) {
-			headers.push(this._names.team, journey.team.name);
-		}
-		if (journey.exchange.request.headers['transfer-encoding'] !== undefined) {
-			const { heldLength } = journey.body;
-			const framing =
-				heldLength === undefined ? ['Transfer-Encoding', 'chunked'] : ['Content-Length', String(heldLength)];
-			headers.push(...framing);
-		}
-		return headers;
-	}
-
 	/** Decides what follows an attempt: another one, an answer of the system's own, or nothing more. */
 	private _settle(journey: Journey, outcome: AttemptOutcome): OwnAnswer | 'again' | undefined {
 		switch (outcome.type) {
--- a/src/plugins/forwarding/test/regionMoves.test.ts
+++ b/src/plugins/forwarding/test/regionMoves.test.ts
@@ -2,7 +2,16 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** How fast a region's requests may change the region in which they run, counted from outside over all its instances. */
+/**
+ * How fast a region's requests may change the region in which they run, counted from outside over all its instances.
+ *
+ * Symptom: 35 in 100 of the requests from a region with few targets changed their region within 2 s, 15 are allowed, while
+ * nothing failed. Sequence: callers of one of its data halls were three times as many for 3 s; its targets were full within
+ * a second; requests went to the next region with room, and came back as soon as there was room again. Cause: the pace held
+ * for the planned shares, and no bound held for requests that left them; the same gap let a passing view of the fleet, and a
+ * new table, move everything at once. The lines that settled it: in the two seconds of the surge the shares had 84 of 100
+ * requests at home (82 before), 54 were sent there, and 30 in 100 are counted as `central>north` under `spilled`.
+ */
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
