A heartbeat that was held up until another target had its address changes nothing

Cause: heartbeats may arrive after their sender crashed and another target registered at its address. A known sender counted as heard, so requests went to it and came back from the other; an unknown one was registered.

Change: the state knows who registered last at an address. Heartbeats of those who registered there before are passed over, with a line; at an address whose target is heard, a new one is registered once it says so again a second later.

--- a/src/plugins/fleet/common/fleetState.ts
+++ b/src/plugins/fleet/common/fleetState.ts
@@ -55,7 +55,10 @@
 	private _published?: PublishedTable;
 	private _digests = new Map<number, string>();
 	private _halls = new Map<string, HallRecord>();
+	/** In the order in which they registered. */
 	private _targets = new Map<string, TargetRecord>();
+	/** Ids of the targets that registered last, by address. */
+	private readonly _holders = new Map<string, string>();
 
 	/** Revision of the last change. */
 	get revision(): FleetRevision {
@@ -77,6 +80,12 @@
 		return this._targets.values();
 	}
 
+	/** The target that registered last at an address; undefined for nobody, or for one that is gone. */
+	holderOf(address: string): string | undefined {
+		const id = this._holders.get(address);
+		return id !== undefined && this._targets.get(id)?.phase !== TargetPhase.Gone ? id : undefined;
+	}
+
 	/** Whether a hall is drained. */
 	isDrained(hall: string): boolean {
 		return this._halls.get(hall)?.isDrained ?? false;
@@ -127,6 +136,8 @@
 		this._digests = new Map(state.digests);
 		this._halls = new Map(state.halls.map(hall => [hall.hall, hall]));
 		this._targets = new Map(state.targets.map(target => [target.id, target]));
+		this._holders.clear();
+		state.targets.forEach(({ address, id }) => this._holders.set(address, id));
 		this._onDidChange.fire(this._revision);
 	}
 
@@ -184,6 +195,9 @@
 		const unknown = { id: change.id, service: '', address: '', hall: '', version: '', slots: 0 };
 		const known = this._targets.get(change.id);
 		const description = change.description ?? known ?? unknown;
+		if (!known) {
+			this._holders.set(description.address, change.id);
+		}
 		const coldSenders = known?.coldSenders ?? change.coldSenders ?? [];
 		this._targets.set(change.id, { ...description, coldSenders, phase: change.phase, changedAt: this._revision });
 	}
@@ -196,6 +210,9 @@
 			}
 			if (target.phase === TargetPhase.Gone) {
 				this._targets.delete(target.id);
+				if (this._holders.get(target.address) === target.id) {
+					this._holders.delete(target.address);
+				}
 				this._forgotten = Math.max(this._forgotten, target.changedAt);
 				excess--;
 			}
--- a/src/plugins/fleet/common/sightings.ts
+++ b/src/plugins/fleet/common/sightings.ts
@@ -67,6 +67,11 @@
 		return true;
 	}
 
+	/** When a target's latest heartbeat was heard; undefined for never. */
+	heardAt(id: string): Millis | undefined {
+		return this._targets.get(id)?.seenAt;
+	}
+
 	/** A target is gone for good. */
 	forgetTarget(id: string): void {
 		this._targets.delete(id);
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -11,6 +11,7 @@
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
 import { drawColdSenders } from '../common/coldSenders.js';
+import { EarlierLives } from '../common/earlierLives.js';
 import { entriesFor, sumDemand, withRemembered } from '../common/entryLookUp.js';
 import { FleetUnavailableError, type IFleetControl, type TargetHeartbeat } from '../common/fleetControl.js';
 import { FleetState } from '../common/fleetState.js';
@@ -70,6 +71,7 @@
 	);
 	private readonly _waiting = new Set<() => void>();
 	private readonly _hearing = new HearingClock();
+	private readonly _earlierLives = new EarlierLives();
 	private readonly _roster: EntryRosterFile;
 	/** The entry instances that this one knew before its start. */
 	private _remembered: readonly EntryDescription[] = [];
@@ -155,6 +157,9 @@
 			return;
 		}
 		const now = systemClock.now();
+		if (this._isOfEarlierLife(heartbeat.description, known !== undefined, now)) {
+			return;
+		}
 		const isNewest = this._sightings.seeHeartbeat(id, heartbeat.sequence, heartbeat.coldLeftMs, now);
 		const phase = heartbeat.isLeaving ? TargetPhase.Leaving : TargetPhase.Serving;
 		const isNews = !known || (heartbeat.isLeaving && known.phase === TargetPhase.Serving);
@@ -165,6 +170,16 @@
 		}
 	}
 
+	private _isOfEarlierLife({ id, address }: TargetDescription, isKnown: boolean, now: Millis): boolean {
+		const holderId = this._state.holderOf(address);
+		const holder = holderId === undefined ? undefined : { id: holderId, heardAt: this._sightings.heardAt(holderId) };
+		if (!this._earlierLives.isStale(id, isKnown, holder, now)) {
+			return false;
+		}
+		this._log.info('heartbeat passed over', { task: 'fleet', target: id, address, holder: holderId, isKnown });
+		return true;
+	}
+
 	async removeTarget(id: string): Promise<void> {
 		const known = this._state.target(id);
 		if (known?.phase === TargetPhase.Gone) {
