A part of the slack for retries is taken only by who knows how many share it

Change: the number of instances is infinite, and the part nothing, until a control instance that hears of all has told it.

Measured: the test of partial answers covers it; 76 tests of fleet and forwarding pass.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -63,9 +63,9 @@
 		return this._routes;
 	}
 
-	/** Entry instances in the system, at least one. */
+	/** Entry instances in the system, at least one; infinite until somebody told who hears of all of them. */
 	get entryCount(): number {
-		return this._entryCount;
+		return this._hasHeardAll ? this._entryCount : Number.POSITIVE_INFINITY;
 	}
 
 	/** Names of the entry instances of this region. */
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -290,15 +290,14 @@
 		const now = systemClock.now();
 		this._noteContact(now);
 		const hasHeardAll = this._hearing.hearingSince !== undefined;
-		const heard = this._sightings.liveEntries(now);
-		const entries = heard.filter(entry => entry.isReady);
+		const entries = this._sightings.liveEntries(now).filter(entry => entry.isReady);
 		const near = entries.filter(entry => entry.region === request.entry.region);
 		return {
 			changes: this._state.changesAfter(request.entry.revision),
 			controls: this._agreement.status().members.map(member => member.address),
 			contactAgeMs: this._agreement.contactAgeMs(),
 			hasHeardAll,
-			entryCount: hasHeardAll ? entries.length : withRemembered(heard, this._remembered).length,
+			entryCount: entries.length,
 			regionEntries: near.map(entry => entry.name),
 			silentTargets: this._silentTargets(now),
 			coldTargets: this._sightings.coldTargets(now),
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -150,7 +150,9 @@
 
 test('who has not heard all does not change what is known of silence, needs and instances', () => {
 	const view = new FleetView(() => 'r');
-	const known = { ...response(1, { targets: [target('a')] }), demand: { s: { r: 5 } }, entryCount: 30 };
+	view.apply({ ...response(1), hasHeardAll: false, entryCount: 2 }, 500);
+	assert.equal(view.entryCount, Number.POSITIVE_INFINITY, 'parts of a sum are not worked out from a few instances');
+	const known = { ...response(2, { targets: [target('a')] }), demand: { s: { r: 5 } }, entryCount: 30 };
 	view.apply(known, 1000);
 	const partial = { ...known, hasHeardAll: false, silentTargets: ['a'], demand: {}, entryCount: 2 };
 	view.apply(partial, 2000);
--- a/src/plugins/forwarding/common/retryAllowance.ts
+++ b/src/plugins/forwarding/common/retryAllowance.ts
@@ -36,7 +36,10 @@
 		this._firstTries[this._bucket % BUCKETS]!++;
 	}
 
-	/** Takes leave for one retry. */
+	/**
+	 * Takes leave for one retry.
+	 * @param entryCount instances that share the slack; infinite where it is not known, which leaves none of it
+	 */
 	take(entryCount: number, now: Millis): boolean {
 		this._advance(now);
 		const firstTries = sum(this._firstTries);
