One sample table for the tests of routes and teams

Cause: the same route and table stood in two test files. Change: sampleTable.ts; the tests keep what they assert.

--- a/src/plugins/routes/test/routes.test.ts
+++ b/src/plugins/routes/test/routes.test.ts
@@ -7,35 +7,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RouteIndex } from '../common/routeIndex.js';
-import { RepeatRule, type Route, type RouteTable } from '../common/routeTable.js';
+import type { Route, RouteTable } from '../common/routeTable.js';
 import { checkRouteTable } from '../common/routeTableCheck.js';
+import { SAMPLE_ROUTE, sampleTable } from './sampleTable.js';
 
 function route(change: Partial<Route>): Route {
-	return {
-		name: 'r',
-		host: 'shop.example',
-		pathPrefix: '/a/',
-		repeatRule: RepeatRule.Repeatable,
-		timeoutMs: 1000,
-		objectiveMs: 100,
-		rank: 1,
-		parts: [{ service: 's', weight: 1 }],
-		attempts: 2,
-		isSticky: false,
-		homeRegions: [],
-		isPublic: false,
-		...change
-	};
+	return { ...SAMPLE_ROUTE, ...change };
 }
 
 function table(...routes: Route[]): RouteTable {
-	return {
-		version: 1,
-		routes,
-		services: [{ name: 's', healthPath: '/health', maxConnections: 10, coldStartMs: 0, coldPerSecond: 1 }],
-		teams: undefined,
-		limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
-	};
+	return sampleTable(routes);
 }
 
 test('a sound table has no fault', () => {
--- a/src/plugins/routes/test/teams.test.ts
+++ b/src/plugins/routes/test/teams.test.ts
@@ -8,42 +8,22 @@
 import { test } from 'node:test';
 import { RefusalReason } from '../../../base/verdict.js';
 import { RouteIndex } from '../common/routeIndex.js';
-import { RepeatRule, type Route, type RouteTable, type Team } from '../common/routeTable.js';
+import type { Route, RouteTable, Team } from '../common/routeTable.js';
 import { checkRouteTable } from '../common/routeTableCheck.js';
 import { accessOf } from '../common/teamAccess.js';
 import { digestKey } from '../common/teamIndex.js';
-
-const ROUTE: Route = {
-	name: 'r',
-	host: 'shop.example',
-	pathPrefix: '/a/',
-	repeatRule: RepeatRule.Repeatable,
-	timeoutMs: 1000,
-	objectiveMs: 100,
-	rank: 1,
-	parts: [{ service: 's', weight: 1 }],
-	attempts: 2,
-	isSticky: false,
-	homeRegions: [],
-	isPublic: false
-};
+import { SAMPLE_ROUTE, sampleTable } from './sampleTable.js';
 
 function team(name: string, keys: readonly string[], change: Partial<Team> = {}): Team {
 	return { name, keyDigests: keys.map(digestKey), rank: 1, limit: undefined, homeRegions: [], ...change };
 }
 
 function table(teams: readonly Team[] | undefined): RouteTable {
-	return {
-		version: 1,
-		routes: [ROUTE],
-		services: [{ name: 's', healthPath: '/health', maxConnections: 10, coldStartMs: 0, coldPerSecond: 1 }],
-		teams,
-		limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
-	};
+	return sampleTable([SAMPLE_ROUTE], teams);
 }
 
 function access(teams: readonly Team[] | undefined, key: string | undefined, route: Partial<Route> = {}) {
-	return accessOf(new RouteIndex(table(teams)), { ...ROUTE, ...route }, key && digestKey(key));
+	return accessOf(new RouteIndex(table(teams)), { ...SAMPLE_ROUTE, ...route }, key && digestKey(key));
 }
 
 test('a key tells its team; unknown and missing ones are refused, unless the route is public', () => {
