Trial: needs of limits are asked for at once, beside the renewals

Change: needs have a call of their own, several at once, gathered for 3 ms; the ledger counts what is on its way beside a renewal.

Measured: nine tests of the sum pass.

--- a/src/plugins/limits/common/creditLedger.ts
+++ b/src/plugins/limits/common/creditLedger.ts
@@ -19,14 +19,17 @@
 	STANDING_MS,
 	STANDING_PART
 } from './limitTerms.js';
-import type { CreditAsk, CreditGrant } from './limitWire.js';
+import type { CreditAsk, CreditGrant, CreditNeed, NeedGrant } from './limitWire.js';
 
 /** Credits ahead of need are given while this part of the capacity is at hand; the rest is for requests that wait. */
-const AHEAD_FROM_PART = 0.5;
+const AHEAD_FROM_PART = 0.6;
 /** Part of what is at hand that one renewal gets ahead of need, so that those who ask later find some. */
 const AHEAD_PART = 0.25;
 
-const NOTHING: CreditGrant = { granted: 0, standing: 0, roomInMs: 0 };
+/** A renewal that was written before the answer to a need came does not count what that gave; it is counted beside it. */
+const ON_THE_WAY_MS = 600;
+
+const NOTHING: CreditGrant = { granted: 0, standing: 0 };
 
 interface Holder {
 	/** Credits that it may have. */
@@ -37,6 +40,14 @@
 	standing: number;
 	/** What was kept back for that since it was heard. */
 	reserved: number;
+	/** What was given for requests that waited and has not been told to have come, oldest first. */
+	given: readonly { readonly at: Millis; readonly credits: number }[];
+	/** How many times it had got such credits, as it said last; undefined before it said so. */
+	needsAnswered: number | undefined;
+}
+
+function newHolder(credits: number, standing: number, now: Millis): Holder {
+	return { credits, lapsesAt: now, heardAt: now, standing, reserved: 0, given: [], needsAnswered: undefined };
 }
 
 /** The credits of one team. */
@@ -55,14 +66,29 @@
 		const holder = this._hear(holderId, ask, now);
 		const out = this._sum(other => other.credits);
 		this._level = Math.min(this._level, Math.max(0, capacity - out));
-		const granted = this._grant(ask, capacity);
+		const granted = this._grantAhead(ask, capacity);
 		holder.credits += granted;
 		holder.lapsesAt = now + CREDIT_LIFE_MS + LAPSE_MARGIN_MS;
 		const others = this._sum(other => other.standing) - holder.standing;
 		holder.standing = Math.max(0, Math.min(ask.perSecond, STANDING_PART * limit.perSecond - others));
-		const missing = Math.max(0, ask.needed - granted);
+		return { granted, standing: holder.standing };
+	}
+
+	/** Credits for requests that wait, as far as they are at hand. */
+	need(holderId: string, needed: number, limit: TeamLimit, capacity: number, now: Millis): NeedGrant {
+		this._advance(limit, capacity, now);
+		const granted = Math.max(0, Math.min(needed, Math.floor(this._level)));
+		this._level -= granted;
+		if (granted > 0) {
+			const holder = this._holders.get(holderId) ?? newHolder(0, 0, now);
+			holder.credits += granted;
+			holder.lapsesAt = now + CREDIT_LIFE_MS + LAPSE_MARGIN_MS;
+			holder.given = [...holder.given, { at: now, credits: granted }];
+			this._holders.set(holderId, holder);
+		}
+		const missing = needed - granted;
 		const roomInMs = missing === 0 ? 0 : Math.ceil(((missing - this._level) / limit.perSecond) * 1000);
-		return { granted, standing: holder.standing, roomInMs };
+		return { granted, roomInMs };
 	}
 
 	/** Takes in what a holder says. One that is not known may hold credits of the leader before. */
@@ -70,19 +96,23 @@
 		const known = this._holders.get(id);
 		this._level += Math.min(ask.returned, known?.credits ?? 0);
 		this._level += (known?.reserved ?? 0) - ask.minted;
-		const holder = { credits: ask.held, lapsesAt: now, heardAt: now, standing: known?.standing ?? 0, reserved: 0 };
+		const holder = newHolder(ask.held, known?.standing ?? 0, now);
+		if (known) {
+			const seen = known.needsAnswered === undefined ? 0 : ask.needsAnswered - known.needsAnswered;
+			holder.given = known.given.slice(seen).filter(({ at }) => now - at < ON_THE_WAY_MS);
+		}
+		holder.needsAnswered = ask.needsAnswered;
+		holder.credits += holder.given.reduce((sum, { credits }) => sum + credits, 0);
 		this._holders.set(id, holder);
 		return holder;
 	}
 
-	private _grant({ held, needed, wanted }: CreditAsk, capacity: number): number {
+	private _grantAhead({ held, wanted }: CreditAsk, capacity: number): number {
 		const atHand = Math.max(0, Math.floor(this._level));
-		const forNeed = Math.min(needed, atHand);
-		const left = atHand - forNeed;
-		const mayHaveAhead = left >= AHEAD_FROM_PART * capacity ? Math.ceil(AHEAD_PART * left) : 0;
+		const mayHaveAhead = atHand >= AHEAD_FROM_PART * capacity ? Math.ceil(AHEAD_PART * atHand) : 0;
 		const ahead = Math.max(0, Math.min(wanted - held, mayHaveAhead));
-		this._level -= forNeed + ahead;
-		return forNeed + ahead;
+		this._level -= ahead;
+		return ahead;
 	}
 
 	private _advance(limit: TeamLimit, capacity: number, now: Millis): void {
@@ -161,16 +191,38 @@
 		return asks.map(ask => this._settle(holder, ask, limitOf(ask.team), now));
 	}
 
+	/**
+	 * Gives credits to requests that wait at one holder.
+	 * @returns the grants, in the order of the needs
+	 */
+	need(
+		holder: string,
+		needs: readonly CreditNeed[],
+		limitOf: (team: string) => TeamLimit | undefined,
+		now: Millis
+	): NeedGrant[] {
+		return needs.map(({ team, needed }) => {
+			const limit = limitOf(team);
+			return limit
+				? this._accountOf(team).need(holder, needed, limit, creditCapacity(limit, this._terms), now)
+				: { granted: 0, roomInMs: 0 };
+		});
+	}
+
 	private _settle(holder: string, ask: CreditAsk, limit: TeamLimit | undefined, now: Millis): CreditGrant {
 		if (!limit) {
 			this._accounts.delete(ask.team);
 			return NOTHING;
 		}
-		let account = this._accounts.get(ask.team);
+		return this._accountOf(ask.team).settle(holder, ask, limit, creditCapacity(limit, this._terms), now);
+	}
+
+	private _accountOf(team: string): TeamAccount {
+		let account = this._accounts.get(team);
 		if (!account) {
 			account = new TeamAccount(this._startedAt, this._startedAt);
-			this._accounts.set(ask.team, account);
+			this._accounts.set(team, account);
 		}
-		return account.settle(holder, ask, limit, creditCapacity(limit, this._terms), now);
+		return account;
 	}
 }
--- a/src/plugins/limits/common/limitWire.ts
+++ b/src/plugins/limits/common/limitWire.ts
@@ -17,8 +17,8 @@
 	readonly returned: number;
 	/** Requests that it let pass by its standing rate since the last answer. */
 	readonly minted: number;
-	/** Requests that wait for a credit now. */
-	readonly needed: number;
+	/** How many times it got credits for requests that waited, from this leader or one before. */
+	readonly needsAnswered: number;
 	/** Credits that it would like to hold for what comes next. */
 	readonly wanted: number;
 	/** Requests a second that its callers sent lately, those that were refused included. */
@@ -30,10 +30,32 @@
 	readonly granted: number;
 	/** Requests a second that it may let pass for a while when it gets no further answer. */
 	readonly standing: number;
+}
+
+/** Credits for requests of one team that wait. */
+export interface CreditNeed {
+	readonly team: string;
+	readonly needed: number;
+}
+
+/** What they get; several needs of one instance may be on their way at once. */
+export interface NeedGrant {
+	readonly granted: number;
 	/** When there may be a credit for what was not granted; 0 where all was. */
 	readonly roomInMs: Millis;
 }
 
+/** Asks for credits that requests wait for. */
+export interface NeedRequest extends LeaderRequest {
+	readonly holder: string;
+	readonly needs: readonly CreditNeed[];
+}
+
+/** The grants, in the order of the needs; absent where no leader could be asked. */
+export interface NeedResponse {
+	readonly grants?: readonly NeedGrant[];
+}
+
 /** A renewal. */
 export interface RenewRequest extends LeaderRequest {
 	/** Name and incarnation of the instance. */
@@ -50,3 +72,5 @@
 
 /** Renews the credits of an instance. */
 export const renewMethod = defineUnary<RenewRequest, RenewResponse>('limits', 'Renew');
+/** Asks for credits at once. */
+export const needMethod = defineUnary<NeedRequest, NeedResponse>('limits', 'Need');
--- a/src/plugins/limits/common/teamCredits.ts
+++ b/src/plugins/limits/common/teamCredits.ts
@@ -30,11 +30,12 @@
 	private _saved = 0;
 	private _savedAt: Millis = 0;
 	private _minted = 0;
+	private _needsAnswered = 0;
 	private _requests = 0;
 	private _countedAt: Millis = 0;
 	private _requestedAt: Millis = Number.NEGATIVE_INFINITY;
 
-	/** Requests that wait for a credit. */
+	/** Requests that wait for a credit and have not been asked for. */
 	waiting = 0;
 	/** Until then nothing is asked for requests that find no credit. */
 	emptyUntil: Millis = Number.NEGATIVE_INFINITY;
@@ -66,7 +67,7 @@
 		this._credits++;
 	}
 
-	/** Whether there is nothing left to say of the team. */
+	/** Whether there is nothing to say of the team. */
 	isIdle(now: Millis): boolean {
 		return now - this._requestedAt > IDLE_MS && this._minted === 0 && !this._holds(now) && this.waiting === 0;
 	}
@@ -80,7 +81,8 @@
 		const wanted = isIdle ? 0 : Math.ceil((perSecond * AHEAD_MS) / 1000 + LEAST_AHEAD);
 		const returned = Math.max(0, held - 2 * wanted);
 		this._credits = held - returned;
-		return { team, held: held - returned, returned, minted: this._minted, needed: this.waiting, wanted, perSecond };
+		const needsAnswered = this._needsAnswered;
+		return { team, held: held - returned, returned, minted: this._minted, needsAnswered, wanted, perSecond };
 	}
 
 	/**
@@ -97,6 +99,18 @@
 		this._minted -= ask.minted;
 	}
 
+	/**
+	 * Takes what was given to requests that waited.
+	 * @param sentAt when it was asked for
+	 */
+	add(granted: number, sentAt: Millis): void {
+		if (granted > 0) {
+			this._needsAnswered++;
+			this._credits = (sentAt < this._lapsesAt ? this._credits : 0) + granted;
+			this._lapsesAt = Math.max(this._lapsesAt, sentAt + CREDIT_LIFE_MS);
+		}
+	}
+
 	/** A table gave the team less than before: what is held shrinks alike. */
 	shrink(part: number): void {
 		this._credits = Math.floor(this._credits * part);
--- a/src/plugins/limits/node/limitControlTask.ts
+++ b/src/plugins/limits/node/limitControlTask.ts
@@ -10,13 +10,22 @@
 import { IAgreement } from '../../agreement/common/agreement.js';
 import { ILeaderGate } from '../../agreement/common/leaderGate.js';
 import { IFleetControl } from '../../fleet/common/fleetControl.js';
+import type { TeamLimit } from '../../routes/common/routeTable.js';
 import { CreditLedger } from '../common/creditLedger.js';
 import { ILimitTerms } from '../common/limitTerms.js';
-import { renewMethod, type RenewRequest, type RenewResponse } from '../common/limitWire.js';
+import {
+	needMethod,
+	type NeedRequest,
+	type NeedResponse,
+	renewMethod,
+	type RenewRequest,
+	type RenewResponse
+} from '../common/limitWire.js';
 
 /** Answers renewals while this instance leads. */
 export class LimitControlTask extends Disposable {
 	private _ledger: CreditLedger | undefined;
+	private readonly _limitOf = (team: string): TeamLimit | undefined => this._fleet.team(team)?.limit;
 
 	constructor(
 		@ILeaderGate gate: ILeaderGate,
@@ -27,6 +36,7 @@
 	) {
 		super();
 		gate.handle(renewMethod, async request => this._renew(request), {});
+		gate.handle(needMethod, async request => this._need(request), {});
 		this._register(agreement.onDidChangeLeadership(isLeader => this._startLedger(isLeader)));
 	}
 
@@ -39,7 +49,10 @@
 	}
 
 	private _renew({ holder, sequence, asks }: RenewRequest): RenewResponse {
-		const limitOf = (team: string) => this._fleet.team(team)?.limit;
-		return { grants: this._ledger?.renew(holder, sequence, asks, limitOf, systemClock.now()) };
+		return { grants: this._ledger?.renew(holder, sequence, asks, this._limitOf, systemClock.now()) };
+	}
+
+	private _need({ holder, needs }: NeedRequest): NeedResponse {
+		return { grants: this._ledger?.need(holder, needs, this._limitOf, systemClock.now()) };
 	}
 }
--- a/src/plugins/limits/node/teamLimitsTask.ts
+++ b/src/plugins/limits/node/teamLimitsTask.ts
@@ -7,13 +7,14 @@
 import { randomUUID } from 'node:crypto';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import type { UnaryMethod } from '../../../kernel/common/peerMethods.js';
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { InstanceSettings } from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
 import type { Team } from '../../routes/common/routeTable.js';
-import { renewMethod, type CreditAsk, type RenewRequest } from '../common/limitWire.js';
+import { type CreditNeed, type NeedGrant, needMethod, renewMethod } from '../common/limitWire.js';
 import { TeamCredits } from '../common/teamCredits.js';
 import { type ITeamLimits, type LimitAnswer, LimitVerdict } from '../common/teamLimits.js';
 
@@ -21,8 +22,12 @@
 const RENEW_MS = 1000;
 /** Longest that a request waits for a credit: a call to the leader in another region and back, twice. */
 const WAIT_MS = 300;
-/** An answer to a renewal that is late counts all the same: on a crowded link every one may be late. */
-const ANSWER_MS = 1500;
+/** Requests that begin to wait within this time share a call. */
+const GATHER_MS = 3;
+/** An answer to a need that comes later than this is not counted; the ledger counts what it gave beside renewals for longer. */
+const NEED_ANSWER_MS = 500;
+/** A renewal that is answered late counts all the same: on a crowded link every one may be late. */
+const RENEW_ANSWER_MS = 1500;
 /** A team that was told to be over its limit does not ask again before this. */
 const EMPTY_PAUSE_MS = 200;
 const LEAST_RETRY_MS = 100;
@@ -37,7 +42,8 @@
 	private readonly _credits = new Map<string, TeamCredits>();
 	private readonly _ratesSeen = new Map<string, number>();
 	private _sequence = 0;
-	private _renewal: Promise<boolean> | undefined;
+	/** The call that gathers what requests need. */
+	private _needs: Promise<boolean> | undefined;
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
@@ -47,7 +53,7 @@
 	) {
 		super();
 		this._holder = `${settings.section<InstanceSettings>('instance').name} ${randomUUID()}`;
-		const timer = setInterval(() => void this._renewIdle(), RENEW_MS);
+		const timer = setInterval(() => void this._renew(), RENEW_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
 	}
 
@@ -79,8 +85,8 @@
 
 	private async _askFor(credits: TeamCredits): Promise<LimitAnswer> {
 		credits.waiting++;
-		const isAnswered = await Promise.race([this._renewAfresh(), pause(WAIT_MS)]);
-		credits.waiting--;
+		this._needs ??= this._callForNeeds();
+		const isAnswered = await Promise.race([this._needs, pause(WAIT_MS)]);
 		const now = systemClock.now();
 		if (credits.take(now)) {
 			return ADMITTED;
@@ -90,55 +96,55 @@
 			: { verdict: LimitVerdict.Unknown, retryAfterMs: UNKNOWN_RETRY_MS };
 	}
 
-	/** A renewal that is under way was written before the request came that needs one. */
-	private async _renewAfresh(): Promise<boolean> {
-		await this._renewal;
-		return this._renew();
+	/** One call for all requests that begin to wait within a moment; resolves with whether the leader answered. */
+	private async _callForNeeds(): Promise<boolean> {
+		await pause(GATHER_MS);
+		this._needs = undefined;
+		const waiting = [...this._credits].filter(([, credits]) => credits.waiting > 0);
+		const needs = waiting.map(([team, credits]) => ({ team, needed: credits.waiting }));
+		waiting.forEach(([, credits]) => (credits.waiting = 0));
+		const sentAt = systemClock.now();
+		const grants = await this._call(needMethod, { holder: this._holder, needs }, NEED_ANSWER_MS);
+		grants?.forEach((grant, i) => this._takeNeed(needs[i]!, grant, sentAt));
+		return grants !== undefined;
 	}
 
-	/** The renewal under way, or a new one; resolves with whether the leader answered. */
-	private _renew(): Promise<boolean> {
-		this._renewal ??= this._callLeader().finally(() => (this._renewal = undefined));
-		return this._renewal;
+	private _takeNeed(need: CreditNeed, grant: NeedGrant, sentAt: Millis): void {
+		const credits = this._credits.get(need.team);
+		credits?.add(grant.granted, sentAt);
+		if (credits && grant.roomInMs > 0) {
+			credits.emptyUntil = systemClock.now() + Math.min(MOST_RETRY_MS, Math.max(EMPTY_PAUSE_MS, grant.roomInMs));
+			this._log.info('over limit', { task: 'limits', ...need, ...grant });
+		}
 	}
 
-	private async _renewIdle(): Promise<void> {
-		const now = systemClock.now();
-		for (const [name, credits] of this._credits) {
-			if (credits.isIdle(now)) {
-				this._credits.delete(name);
-			}
-		}
-		if (this._credits.size > 0) {
-			await this._renew();
+	private async _renew(): Promise<void> {
+		const sentAt = systemClock.now();
+		const active = [...this._credits].filter(([, credits]) => !credits.isIdle(sentAt));
+		if (active.length === 0) {
+			return;
 		}
+		const asks = active.map(([team, credits]) => credits.ask(team, sentAt));
+		const request = { holder: this._holder, sequence: ++this._sequence, asks };
+		const grants = await this._call(renewMethod, request, RENEW_ANSWER_MS);
+		grants?.forEach((grant, i) => this._credits.get(asks[i]!.team)?.takeGrant(asks[i]!, grant, sentAt));
 	}
 
-	private async _callLeader(): Promise<boolean> {
+	/** What the leader grants; undefined where it could not be asked. */
+	private async _call<Q, G>(
+		method: UnaryMethod<Q, { readonly grants?: G }>,
+		request: Q,
+		timeoutMs: Millis
+	): Promise<G | undefined> {
 		const control = this._session.controlAddress;
 		if (control === undefined) {
-			return false;
+			return undefined;
 		}
-		const sentAt = systemClock.now();
-		const asks = [...this._credits].map(([team, credits]) => credits.ask(team, sentAt));
-		const request: RenewRequest = { holder: this._holder, sequence: ++this._sequence, asks };
 		try {
-			const { grants } = await this._calls.call(control, renewMethod, request, ANSWER_MS);
-			grants?.forEach((grant, i) => this._take(asks[i]!, grant, sentAt));
-			return grants !== undefined;
+			return (await this._calls.call(control, method, request, timeoutMs)).grants;
 		} catch (error) {
 			this._log.warn('credits not renewed', { task: 'limits', control, reason: (error as Error).message });
-			return false;
-		}
-	}
-
-	private _take(ask: CreditAsk, grant: Parameters<TeamCredits['takeGrant']>[1], sentAt: Millis): void {
-		const credits = this._credits.get(ask.team);
-		credits?.takeGrant(ask, grant, sentAt);
-		if (credits && grant.roomInMs > 0) {
-			const waitMs = Math.min(MOST_RETRY_MS, Math.max(EMPTY_PAUSE_MS, grant.roomInMs));
-			credits.emptyUntil = systemClock.now() + waitMs;
-			this._log.info('over limit', { task: 'limits', team: ask.team, ask, grant });
+			return undefined;
 		}
 	}
 
--- a/src/plugins/limits/test/limits.test.ts
+++ b/src/plugins/limits/test/limits.test.ts
@@ -65,9 +65,7 @@
 		const { credits } = this._holders[index]!;
 		credits.noteRequest(this.now);
 		if (!credits.take(this.now)) {
-			credits.waiting = 1;
-			this.renew(index, 'answered');
-			credits.waiting = 0;
+			this.need(index, 1, 'answered');
 			if (!credits.take(this.now)) {
 				this.turnedAway++;
 				return;
@@ -92,6 +90,21 @@
 		}
 	}
 
+	/** A need that is answered late, after a renewal that was written before its answer came. */
+	need(index: number, count: number, fate: 'answered' | 'answer lost' | 'after a renewal'): void {
+		const holder = this._holders[index]!;
+		const sentAt = this.now;
+		const early = fate === 'after a renewal' ? holder.renewal(this.now) : undefined;
+		const [grant] = this._ledger.need(holder.id, [{ team: TEAM, needed: count }], () => this.limit, this.now);
+		const renewed = early && this._settle(holder, early.sequence, early.ask);
+		if (fate !== 'answer lost') {
+			holder.credits.add(grant!.granted, sentAt);
+		}
+		if (early && renewed) {
+			holder.credits.takeGrant(early.ask, renewed, sentAt);
+		}
+	}
+
 	restart(index: number): void {
 		this._holders[index] = new Holder(`e${index} again ${++this._restarts}`);
 	}
@@ -146,6 +159,15 @@
 			fate: fc.constantFrom('answered', 'answered', 'lost', 'answer lost', 'twice')
 		})
 	},
+	{
+		weight: 5,
+		arbitrary: fc.record({
+			type: fc.constant('need' as const),
+			index: holderIndex,
+			count: fc.integer({ min: 1, max: 5 }),
+			fate: fc.constantFrom('answered', 'answer lost', 'after a renewal')
+		})
+	},
 	{ weight: 1, arbitrary: fc.record({ type: fc.constant('restart' as const), index: holderIndex }) },
 	{ weight: 2, arbitrary: fc.record({ type: fc.constant('renewAll' as const) }) }
 );
@@ -162,6 +184,9 @@
 			case 'renew':
 				fleet.renew(item.index, item.fate);
 				break;
+			case 'need':
+				fleet.need(item.index, item.count, item.fate);
+				break;
 			case 'restart':
 				fleet.restart(item.index);
 				break;
@@ -216,6 +241,9 @@
 			}
 			if (!cutOff.includes(i)) {
 				fleet.renew(i, 'answered');
+				if (!idle.includes(i)) {
+					fleet.need(i, 5, 'answered');
+				}
 			}
 		}
 	}
