--- a/src/plugins/agreement/node/leaderGate.ts
+++ b/src/plugins/agreement/node/leaderGate.ts
@@ -31,20 +31,12 @@
 				const answer = await onLeader(request);
 				return this._agreement.hasLease() ? answer : nobody;
 			}
-			const address = this._leaderAddress();
-			if (address === undefined || request.isForwarded) {
+			const { leader, id } = this._agreement.status();
+			const peer = leader === undefined || leader === id ? undefined : this._controls.get(leader);
+			if (!peer || request.isForwarded) {
 				return nobody;
 			}
-			return this._wire.call(address, method, { ...request, isForwarded: true }, FORWARD_TIMEOUT_MS);
+			return this._wire.call(peer.address, method, { ...request, isForwarded: true }, FORWARD_TIMEOUT_MS);
 		});
 	}
-
-	/** The settings win over the log; where members are learned, the log has them. Undefined where no other one leads. */
-	private _leaderAddress(): string | undefined {
-		const { leader, id, members } = this._agreement.status();
-		if (leader === undefined || leader === id) {
-			return undefined;
-		}
-		return this._controls.get(leader)?.address ?? members.find(member => member.id === leader)?.address;
-	}
 }
--- a/src/plugins/fleet/common/fleetSession.ts
+++ b/src/plugins/fleet/common/fleetSession.ts
@@ -12,8 +12,6 @@
 export interface IFleetSession {
 	/** The fleet as it is known here. */
 	readonly view: FleetView;
-	/** Peer address of the control instance that answers this one; undefined while none does. */
-	readonly controlAddress: string | undefined;
 	/** How long ago the view was known to be current. */
 	ageMs(): Millis;
 	/** Says to control how many slots this instance's callers need, by service; sent with the next call. */
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -9,7 +9,6 @@
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
-import type { Team } from '../../routes/common/routeTable.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
 import { drawColdSenders } from '../common/coldSenders.js';
 import { EarlierLives } from '../common/earlierLives.js';
@@ -191,10 +190,6 @@
 		this._sightings.forgetTarget(id);
 	}
 
-	team(name: string): Team | undefined {
-		return this._state.published?.table.teams?.find(team => team.name === name);
-	}
-
 	lookUp(region: string, _hall: string): EntryDescription[] {
 		const now = systemClock.now();
 		this._noteContact(now);
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -67,10 +67,6 @@
 		void this._run();
 	}
 
-	get controlAddress(): string | undefined {
-		return this._preferred;
-	}
-
 	ageMs(): Millis {
 		return systemClock.now() - this._currentAt;
 	}
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -13,7 +13,6 @@
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import type { PlaceSettings } from '../../fleet/common/placeSettings.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
-import { ITeamLimits, LimitVerdict } from '../../limits/common/teamLimits.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { accessOf } from '../../routes/common/teamAccess.js';
 import type { AttemptOutcome, NotRun, TargetAnswer } from '../common/attempt.js';
@@ -28,16 +27,7 @@
 import type { ChosenTarget } from '../common/targetChoice.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
-import {
-	denial,
-	describeOutcome,
-	endOf,
-	isFailure,
-	type Journey,
-	limitRefusal,
-	mayHaveRun,
-	refusal
-} from './journey.js';
+import { denial, describeOutcome, endOf, isFailure, type Journey, refusal } from './journey.js';
 import { OutcomeNotes } from './outcomeNotes.js';
 import { RegionWatch } from './regionWatch.js';
 import { RequestBody } from './requestBody.js';
@@ -83,7 +73,6 @@
 		@IFleetSession private readonly _session: IFleetSession,
 		@IHeaderNames private readonly _names: IHeaderNames,
 		@IServiceBounds private readonly _bounds: IServiceBounds,
-		@ITeamLimits private readonly _limits: ITeamLimits,
 		@IMetricsService metrics: IMetricsService,
 		@ILogService log: ILogService
 	) {
@@ -144,31 +133,16 @@
 			deadline: exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs),
 			tried: new Set(),
 			arrivals: 0,
-			mayHaveRun: false,
 			refusals: 0,
 			noConnections: 0,
 			attempts: []
 		};
-		await this._serveWithinLimit(journey);
-		body.discardRest();
-	}
-
-	/** A request takes one credit of its team, and gives it back if no target may have run it. */
-	private async _serveWithinLimit(journey: Journey): Promise<void> {
-		const { team } = journey;
-		const leave = team && (await this._limits.admit(team));
-		if (leave && leave.verdict !== LimitVerdict.Admitted) {
-			this._giveUp(journey, limitRefusal(leave));
-			return;
-		}
-		if (this._admitsLarge(journey.exchange, journey.route)) {
+		if (this._admitsLarge(exchange, route)) {
 			await this._travel(journey);
 		} else {
 			this._giveUp(journey, refusal(RefusalReason.LinkFull, RETRY_SOON_MS));
 		}
-		if (team && !journey.mayHaveRun) {
-			this._limits.giveBack(team);
-		}
+		body.discardRest();
 	}
 
 	/** Keeps room on the link for a large answer until its caller has it. */
@@ -261,7 +235,6 @@
 		const outcome = await sent.outcome;
 		const endedAt = systemClock.now();
 		trace.outcome = describeOutcome(outcome);
-		journey.mayHaveRun ||= mayHaveRun(outcome);
 		trace.tookMs = Math.round(endedAt - now);
 		exchange.whenLeft(undefined);
 		clearTimeout(timer);
@@ -333,8 +306,7 @@
 			journey.arrivals < journey.route.attempts &&
 			journey.refusals < MAX_REFUSALS &&
 			journey.body.isAvailable &&
-			this._allowance(journey.service).take(this._session.view.entryCount, systemClock.now()) &&
-			(!journey.mayHaveRun || !journey.team || this._limits.admitAgain(journey.team))
+			this._allowance(journey.service).take(this._session.view.entryCount, systemClock.now())
 		);
 	}
 
