A planned stop closes only connections on which no answer is on its way

Cause: see the test. closeIdleConnections, and the HTTP server's own close, take a connection for idle once the program has ended the answer; at a stop they cut off what still waits for the link. The same stood in the listener for operators, targets and metrics.

Change: IdleConnections follows each connection until its answer has left for good; both listeners stop and close by it.

--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -9,6 +9,7 @@
 import { readFileSync } from 'node:fs';
 import polka from 'polka';
 import { Disposable, toDisposable } from '../../base/disposable.js';
+import { IdleConnections } from './idleConnections.js';
 import type { IMetricsService } from './metricsService.js';
 import { BodyTooLargeError } from './bodyTooLargeError.js';
 
@@ -47,6 +48,7 @@
 /** One HTTP listener. */
 export class HttpListener extends Disposable {
 	private readonly _server: Server;
+	private readonly _idle: IdleConnections;
 	private readonly _app: polka.Polka;
 	private _inFlight = 0;
 	private _closing = false;
@@ -58,6 +60,7 @@
 		this._server = tls
 			? createTlsServer({ ...limits, cert: readFileSync(tls.certificateFile), key: readFileSync(tls.keyFile) })
 			: createServer(limits);
+		this._idle = new IdleConnections(this._server);
 		this._server.headersTimeout = HEADERS_TIMEOUT_MS;
 		this._server.requestTimeout = REQUEST_TIMEOUT_MS;
 		this._server.maxConnections = _options.maxConnections;
@@ -110,11 +113,11 @@
 	/** Takes no new connections and resolves when all answers are finished. */
 	async finish(): Promise<void> {
 		this._closing = true;
-		this._server.close();
-		this._server.closeIdleConnections();
+		this._idle.stopListening();
+		this._idle.close();
 		while (this._inFlight > 0) {
 			await new Promise(resolve => setTimeout(resolve, CLOSE_POLL_MS));
-			this._server.closeIdleConnections();
+			this._idle.close();
 		}
 	}
 
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -8,6 +8,7 @@
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { HttpListener } from '../../../kernel/node/httpListener.js';
+import { IdleConnections } from '../../../kernel/node/idleConnections.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
@@ -38,6 +39,7 @@
 export class FrontListener extends Disposable {
 	private readonly _settings: FrontSettings;
 	private readonly _server: Server;
+	private readonly _idle: IdleConnections;
 	private readonly _ready: HttpListener;
 	private readonly _link: LinkScheduler;
 	private _inFlight = 0;
@@ -57,6 +59,7 @@
 		this._settings = settings.section<FrontSettings>('front');
 		this._link = new LinkScheduler(new LinkPacer(this._settings.linkMbit));
 		this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_MS });
+		this._idle = new IdleConnections(this._server);
 		this._server.requestTimeout = 0;
 		this._server.maxConnections = this._settings.maxConnections;
 		this._server.on('request', (request, response) => this._onRequest(request, response));
@@ -90,15 +93,15 @@
 		const startedAt = systemClock.now();
 		this._isStopping = true;
 		this._session.setReady(false);
-		this._server.closeIdleConnections();
+		this._idle.close();
 		const stopAt = startedAt + this._bounds.stopGraceMs - STOP_MARGIN_MS;
 		for (;;) {
 			const age = systemClock.now() - startedAt;
 			const isAccepting = age < Math.min(ACCEPT_WHILE_STOPPING_MS, this._bounds.stopGraceMs / 2);
 			if (!isAccepting && this._isListening) {
 				this._isListening = false;
-				this._server.close();
-				this._server.closeIdleConnections();
+				this._idle.stopListening();
+				this._idle.close();
 			}
 			if ((!isAccepting && this._inFlight === 0) || systemClock.now() > stopAt) {
 				break;
