An entry instance asks the nearest control instance; what is not news is told less often

Cause: each entry instance kept to the first seed that answered, wherever that was. On a fleet of hundreds three control instances bore the calls of all (0.32 core at the busiest, 0.076 on average), two of three calls crossed regions, and every word of an instance, two a second, went from each control instance to all others.

Control instances pass an entry instance on at once when it says something new, else every 700 ms.

--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -22,6 +22,14 @@
 	readonly waitMs: Millis;
 }
 
+/** A control instance and where it is. */
+export interface ControlAddress {
+	/** Address for calls between processes. */
+	readonly address: string;
+	/** Its data hall, where it is known. */
+	readonly hall?: string;
+}
+
 /** A target that is cold, and for how much longer. */
 export interface ColdTarget {
 	readonly id: string;
@@ -31,8 +39,7 @@
 /** What the control instance knows. */
 export interface SyncResponse {
 	readonly changes: FleetChanges;
-	/** Peer addresses of the control instances. */
-	readonly controls: readonly string[];
+	readonly controls: readonly ControlAddress[];
 	/** How long ago the answerer was known to be current. */
 	readonly contactAgeMs: Millis;
 	/**
--- a/src/plugins/fleet/common/sightings.ts
+++ b/src/plugins/fleet/common/sightings.ts
@@ -22,11 +22,19 @@
 /** Within this time a target that goes on says a heartbeat that is heard: they come every 1.5 s, and may need a second try. */
 const REHEARD_MS = 2000;
 
+/**
+ * An entry instance that says nothing new is passed on at most this often. It speaks twice a second, so that each word would
+ * cross the regions; two of these spans and the way are still shorter than the silence after which it is no longer named.
+ */
+const REPEAT_ENTRY_MS = 700;
+
 interface SeenEntry {
 	description: EntryDescription;
 	seenAt: Millis;
 	/** Heard here since the last exchange. */
 	isFresh: boolean;
+	/** What the others were told last, and when. */
+	told?: { readonly description: EntryDescription; readonly at: Millis };
 }
 
 interface SeenTarget {
@@ -50,7 +58,8 @@
 	/** An entry instance spoke to this control instance. */
 	seeEntry(description: EntryDescription, now: Millis): void {
 		if (!this._isOvertaken(description)) {
-			this._entries.set(description.name, { description, seenAt: now, isFresh: true });
+			const { told } = this._entries.get(description.name) ?? {};
+			this._entries.set(description.name, { description, seenAt: now, isFresh: true, told });
 		}
 	}
 
@@ -87,8 +96,9 @@
 	takeFresh(now: Millis): Omit<ExchangeRequest, 'from'> {
 		const entries: EntrySighting[] = [];
 		for (const seen of this._entries.values()) {
-			if (seen.isFresh) {
+			if (seen.isFresh && isDue(seen, now)) {
 				seen.isFresh = false;
+				seen.told = { description: seen.description, at: now };
 				entries.push({ ...seen.description, ageMs: now - seen.seenAt });
 			}
 		}
@@ -175,3 +185,16 @@
 		});
 	}
 }
+
+/** Whether the others are to be told of an entry instance now: it says something new, or it is time to say it again. */
+function isDue({ description, told }: SeenEntry, now: Millis): boolean {
+	if (!told || now - told.at >= REPEAT_ENTRY_MS) {
+		return true;
+	}
+	const before = told.description;
+	return (
+		before.incarnation !== description.incarnation ||
+		before.revision !== description.revision ||
+		before.isReady !== description.isReady
+	);
+}
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -294,7 +294,7 @@
 		const near = entries.filter(entry => entry.region === request.entry.region);
 		return {
 			changes: this._state.changesAfter(request.entry.revision),
-			controls: this._agreement.status().members.map(member => member.address),
+			controls: this._agreement.status().members.map(({ address, hall }) => ({ address, hall })),
 			contactAgeMs: this._agreement.contactAgeMs(),
 			hasHeardAll,
 			entryCount: entries.length,
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -19,8 +19,9 @@
 import { ILogService } from '../../../kernel/node/logService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import type { IFleetSession } from '../common/fleetSession.js';
+import { ControlOrder } from '../common/controlOrder.js';
 import { FleetView } from '../common/fleetView.js';
-import { syncMethod, type SyncRequest, type SyncResponse } from '../common/fleetWire.js';
+import { type ControlAddress, syncMethod, type SyncRequest, type SyncResponse } from '../common/fleetWire.js';
 import type { PlaceSettings } from '../common/placeSettings.js';
 
 /** How long control may hold an answer back while nothing changes. */
@@ -39,9 +40,9 @@
 	private readonly _instance: InstanceSettings;
 	private readonly _incarnation = randomUUID();
 	private readonly _callerAddress: string;
-	private _controls: readonly string[] = [];
-	private _preferred?: string;
-	private _turn = 0;
+	private readonly _order: ControlOrder;
+	/** The control instances, as one of them named them last. */
+	private _controls: readonly ControlAddress[] = [];
 	private _sequence = 0;
 	private _isReady = false;
 	private _demand: Readonly<Record<string, number>> = {};
@@ -59,6 +60,7 @@
 		this._callerAddress = _settings.section<{ callerAddress: string }>('front').callerAddress;
 		const { halls } = _settings.section<PlaceSettings>('places');
 		this.view = new FleetView(hall => halls.get(hall));
+		this._order = new ControlOrder(this._instance, hall => halls.get(hall));
 		this._register(toDisposable(() => (this._isStopped = true)));
 	}
 
@@ -76,8 +78,8 @@
 			return;
 		}
 		this._isReady = isReady;
-		if (this._preferred) {
-			this._ask(this._preferred, 0).catch(() => undefined);
+		if (this._order.settledOn !== undefined) {
+			this._ask(this._order.settledOn, 0).catch(() => undefined);
 		}
 	}
 
@@ -87,28 +89,31 @@
 
 	private async _run(): Promise<void> {
 		while (!this._isStopped) {
-			const address = this._nextControl();
-			const waitMs = this._preferred ? WAIT_MS : 0;
-			const answered = this._askAndFollow(address, waitMs);
-			const isInTime = await Promise.race([answered, pause(waitMs + ANSWER_MARGIN_MS)]);
-			if (!isInTime) {
-				this._noticeFailure(address);
+			const now = systemClock.now();
+			if (this._order.settledOn === undefined) {
+				this._learnControls();
 			}
-			if (!this._preferred) {
+			const address = this._order.next(now);
+			const nearer = this._order.takeNearer(now);
+			if (nearer !== undefined) {
+				void this._askAndFollow(nearer, 0);
+			}
+			if (address !== undefined) {
+				await this._askInTime(address);
+			}
+			if (this._order.settledOn === undefined) {
 				await pause(RETRY_PAUSE_MS);
 			}
 		}
 	}
 
-	/** The control instance that answered last; else the next of all that are known, those of this hall's seeds included. */
-	private _nextControl(): string {
-		if (this._preferred) {
-			return this._preferred;
+	private async _askInTime(address: string): Promise<void> {
+		const waitMs = this._order.settledOn === undefined ? 0 : WAIT_MS;
+		const answered = this._askAndFollow(address, waitMs);
+		const isInTime = await Promise.race([answered, pause(waitMs + ANSWER_MARGIN_MS)]);
+		if (!isInTime) {
+			this._noticeFailure(address);
 		}
-		const discovery = this._settings.section<DiscoverySettings>('discovery');
-		const seeds = seedPeerAddresses(discovery, this._instance.peerAddress);
-		const known = [...new Set([...this._controls, ...seeds])];
-		return known[this._turn++ % known.length]!;
 	}
 
 	/** Asks a control instance and goes on with it if its answer is current; true where an answer came, late or not. */
@@ -116,16 +121,23 @@
 		try {
 			const isCurrent = await this._ask(address, waitMs);
 			if (isCurrent) {
-				this._preferred = address;
-			} else if (this._preferred === address) {
-				this._preferred = undefined;
+				this._order.noteCurrent(address);
+			} else {
+				this._order.noteFailure(address, systemClock.now());
 			}
 			return true;
 		} catch {
+			this._order.noteFailure(address, systemClock.now());
 			return false;
 		}
 	}
 
+	/** The seeds, as the settings have them now, stay in the order: they may be all that is left of the control instances. */
+	private _learnControls(): void {
+		const discovery = this._settings.section<DiscoverySettings>('discovery');
+		this._order.learn(this._controls, seedPeerAddresses(discovery, this._instance.peerAddress));
+	}
+
 	/** @returns whether the answer is current */
 	private async _ask(address: string, waitMs: Millis): Promise<boolean> {
 		const request: SyncRequest = {
@@ -157,6 +169,7 @@
 		this._noteContradiction(address, response, contradicted);
 		if (response.controls.length > 0) {
 			this._controls = response.controls;
+			this._learnControls();
 		}
 		if (this.view.revision !== before) {
 			this._log.info('fleet changed', {
@@ -190,7 +203,7 @@
 	}
 
 	private _noticeFailure(address: string): void {
-		this._preferred = undefined;
+		this._order.noteFailure(address, systemClock.now());
 		if (this._isInTouch) {
 			this._isInTouch = false;
 			this._log.warn('control lost', { task: 'fleet', control: address, viewAgeMs: Math.round(this.ageMs()) });
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -177,3 +177,16 @@
 	view.apply({ ...response(1), silentTargets: ['a'] }, 2000);
 	assert.equal(view.targetsOf('s')[0]?.isSilent, true);
 });
+
+test('an entry instance that says nothing new is passed on now and then, news at once', () => {
+	const sightings = new Sightings({ entrySilentMs: 2500, targetSilentMs: 4500 }, 0);
+	const passedOn = (now: number, revision: number): number => {
+		sightings.seeEntry(describeEntry({ sequence: now, revision }), now);
+		return sightings.takeFresh(now).entries.length;
+	};
+	assert.deepEqual(
+		[0, 250, 500, 750, 1000].map(now => passedOn(now, 1)),
+		[1, 0, 0, 1, 0]
+	);
+	assert.equal(passedOn(1250, 2), 1);
+});
