The fleet's control task is three: orders, targets, sightings

One file of 363 lines handed orders to the leader, made the words of targets into orders, kept sightings, answered entry instances and look-ups.

--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** The fleet's control side: hands orders to the leader, keeps sightings, answers entry instances. */
+/** The fleet's control side: keeps sightings, tells the others of them, answers entry instances and look-ups. */
 
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
@@ -10,39 +10,26 @@
 import { ILogService } from '../../../kernel/node/logService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
-import { drawColdSenders } from '../common/coldSenders.js';
-import { EarlierLives } from '../common/earlierLives.js';
 import { entriesFor, sumDemand, withRemembered } from '../common/entryLookUp.js';
 import { FleetUnavailableError, type IFleetControl, type TargetHeartbeat } from '../common/fleetControl.js';
 import { FleetState } from '../common/fleetState.js';
 import {
 	type EntryDescription,
-	FLEET_PART,
 	type FleetCommand,
 	type FleetResult,
-	type FleetRevision,
 	type PublishedTable,
-	type TargetChange,
-	type TargetDescription,
 	TargetPhase
 } from '../common/fleetTypes.js';
-import {
-	exchangeMethod,
-	orderMethod,
-	readTableMethod,
-	type ReadTableResponse,
-	syncMethod,
-	type SyncRequest,
-	type SyncResponse
-} from '../common/fleetWire.js';
+import { exchangeMethod, syncMethod, type SyncRequest, type SyncResponse } from '../common/fleetWire.js';
 import { HearingClock } from '../common/hearingClock.js';
 import type { PlaceSettings } from '../common/placeSettings.js';
 import { Sightings } from '../common/sightings.js';
 import { EntryRosterFile } from './entryRosterFile.js';
+import { FleetOrders } from './fleetOrders.js';
+import { TargetRegistrar } from './targetRegistrar.js';
 
 const EXCHANGE_INTERVAL_MS = 250;
 const EXCHANGE_TIMEOUT_MS = 1000;
-const LEADER_CALL_TIMEOUT_MS = 800;
 /** A control instance that was not in touch with its leader for this long takes no heartbeats. */
 const CUT_OFF_MS = 1500;
 /** Within this time of its leader's word, what an instance hears of the others is taken to be all there is. */
@@ -50,18 +37,6 @@
 const MAX_WAIT_MS = 2000;
 const ENTRY_SILENT_MS = 2500;
 const TARGET_SILENT_MS = 4500;
-/**
- * An acknowledgement binds: it waits until the entry instances say that they act by the change, but no longer than this
- * from the arrival of the order, since one that is cut off says nothing. Less than a second, after which whoever waits
- * would ask another instance.
- */
-const IN_FORCE_WAIT_MS: Readonly<Record<FleetCommand['type'], Millis>> = {
-	publishTable: 700,
-	setHall: 600,
-	changeTargets: 600
-};
-const IN_FORCE_POLL_MS = 20;
-
 /** The fleet on a control instance. */
 export class FleetControlTask extends Disposable implements IFleetControl {
 	private readonly _state = new FleetState();
@@ -71,7 +46,10 @@
 	);
 	private readonly _waiting = new Set<() => void>();
 	private readonly _hearing = new HearingClock();
-	private readonly _earlierLives = new EarlierLives();
+	private readonly _orders: FleetOrders;
+	private readonly _registrar: TargetRegistrar;
+	/** Region by hall. */
+	private readonly _halls: ReadonlyMap<string, string>;
 	private readonly _roster: EntryRosterFile;
 	/** The entry instances that this one knew before its start. */
 	private _remembered: readonly EntryDescription[] = [];
@@ -79,8 +57,6 @@
 	private readonly _heardFrom = new Map<string, Millis>();
 	/** Regions whose look-ups name instances of other regions. */
 	private readonly _namedElsewhere = new Set<string>();
-	/** Region by hall. */
-	private readonly _halls: ReadonlyMap<string, string>;
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
@@ -90,7 +66,9 @@
 	) {
 		super();
 		this._roster = new EntryRosterFile(settings.section<{ dataFolder: string }>('agreement').dataFolder, this._log);
+		this._orders = new FleetOrders(this._calls, this._agreement, this._state, this._sightings);
 		this._halls = settings.section<PlaceSettings>('places').halls;
+		this._registrar = new TargetRegistrar(this._state, this._sightings, this._orders, this._halls, this._log);
 		this._agreement.addPart(this._state);
 		this._register(this._state.onDidChange(() => this._wake()));
 		this._calls.handleUnary(syncMethod, request => this._sync(request));
@@ -100,8 +78,6 @@
 			this._sightings.merge(request, now);
 			return { received: true as const };
 		});
-		this._calls.handleUnary(orderMethod, async request => ({ result: await this._orderHere(request.command) }));
-		this._calls.handleUnary(readTableMethod, async () => this._readHere());
 	}
 
 	/** Starts the exchange with the other control instances. */
@@ -111,83 +87,23 @@
 		this._register(toDisposable(() => clearInterval(timer)));
 	}
 
-	async order(command: FleetCommand): Promise<FleetResult> {
-		const arrivedAt = systemClock.now();
-		const result = await this._orderAtLeader(command);
-		if (result.ok) {
-			await this._untilInForce(result.revision, arrivedAt + IN_FORCE_WAIT_MS[command.type]);
-		}
-		return result;
-	}
-
-	private async _orderAtLeader(command: FleetCommand): Promise<FleetResult> {
-		const here = await this._orderHere(command);
-		if (here) {
-			return here;
-		}
-		const answer = await this._callLeader(address =>
-			this._calls.call(address, orderMethod, { command }, LEADER_CALL_TIMEOUT_MS)
-		);
-		if (!answer.result) {
-			throw new FleetUnavailableError('the instance that was asked does not lead');
-		}
-		return answer.result;
+	order(command: FleetCommand): Promise<FleetResult> {
+		return this._orders.order(command);
 	}
 
-	async readTable(): Promise<PublishedTable | undefined> {
-		let answer = this._readHere();
-		if (!answer.isLeader) {
-			answer = await this._callLeader(address =>
-				this._calls.call(address, readTableMethod, { kind: 'table' }, LEADER_CALL_TIMEOUT_MS)
-			);
-		}
-		if (!answer.isLeader) {
-			throw new FleetUnavailableError('no leader could be asked');
-		}
-		return answer.published;
+	readTable(): Promise<PublishedTable | undefined> {
+		return this._orders.readTable();
 	}
 
 	async heartbeat(heartbeat: TargetHeartbeat): Promise<void> {
 		if (this._agreement.contactAgeMs() > CUT_OFF_MS) {
 			throw new FleetUnavailableError('this control instance is cut off');
 		}
-		const { id } = heartbeat.description;
-		const known = this._state.target(id);
-		if (known?.phase === TargetPhase.Gone) {
-			return;
-		}
-		const now = systemClock.now();
-		if (this._isOfEarlierLife(heartbeat.description, known !== undefined, now)) {
-			return;
-		}
-		const isNewest = this._sightings.seeHeartbeat(id, heartbeat.sequence, heartbeat.coldLeftMs, now);
-		const phase = heartbeat.isLeaving ? TargetPhase.Leaving : TargetPhase.Serving;
-		const isNews = !known || (heartbeat.isLeaving && known.phase === TargetPhase.Serving);
-		if (isNews && (isNewest || heartbeat.isLeaving)) {
-			await this._changeTarget({ id, phase, ...(known ? {} : this._introduce(heartbeat.description)) });
-		} else if (known?.phase === TargetPhase.Leaving) {
-			await this._untilInForce(known.changedAt, systemClock.now() + IN_FORCE_WAIT_MS.changeTargets);
-		}
-	}
-
-	private _isOfEarlierLife({ id, address }: TargetDescription, isKnown: boolean, now: Millis): boolean {
-		const holderId = this._state.holderOf(address);
-		const holder = holderId === undefined ? undefined : { id: holderId, heardAt: this._sightings.heardAt(holderId) };
-		if (!this._earlierLives.isStale(id, isKnown, holder, now)) {
-			return false;
-		}
-		this._log.info('heartbeat passed over', { task: 'fleet', target: id, address, holder: holderId, isKnown });
-		return true;
+		await this._registrar.heartbeat(heartbeat);
 	}
 
-	async removeTarget(id: string): Promise<void> {
-		const known = this._state.target(id);
-		if (known?.phase === TargetPhase.Gone) {
-			await this._untilInForce(known.changedAt, systemClock.now() + IN_FORCE_WAIT_MS.changeTargets);
-		} else {
-			await this._changeTarget({ id, phase: TargetPhase.Gone });
-		}
-		this._sightings.forgetTarget(id);
+	removeTarget(id: string): Promise<void> {
+		return this._registrar.remove(id);
 	}
 
 	lookUp(region: string, _hall: string): EntryDescription[] {
@@ -237,51 +153,6 @@
 		return 2 * others.filter(isHeard).length >= others.length;
 	}
 
-	private _introduce(description: TargetDescription): Pick<TargetChange, 'description' | 'coldSenders'> {
-		const region = this._halls.get(description.hall) ?? '';
-		const entries = this._sightings.liveEntries(systemClock.now());
-		return { description, coldSenders: drawColdSenders(description.id, region, entries) };
-	}
-
-	private async _changeTarget(change: TargetChange): Promise<void> {
-		const command = { type: 'changeTargets', changes: [change] } as const;
-		// A target that is new need not be known everywhere before it is answered.
-		await (change.phase === TargetPhase.Serving ? this._orderAtLeader(command) : this.order(command));
-		this._log.info('target changed', { task: 'fleet', target: change.id, phase: change.phase });
-	}
-
-	/** Carries an order out if this instance leads; undefined where it does not. */
-	private async _orderHere(command: FleetCommand): Promise<FleetResult | undefined> {
-		if (!this._agreement.hasLease()) {
-			return undefined;
-		}
-		try {
-			return await this._agreement.propose<FleetResult>({ part: FLEET_PART, body: command });
-		} catch (error) {
-			throw new FleetUnavailableError((error as Error).message);
-		}
-	}
-
-	private _readHere(): ReadTableResponse {
-		if (!this._agreement.hasLease()) {
-			return { isLeader: false };
-		}
-		return { isLeader: true, published: this._state.published };
-	}
-
-	private async _callLeader<S>(call: (address: string) => Promise<S>): Promise<S> {
-		const { leader, id, members } = this._agreement.status();
-		const address = members.find(member => member.id === leader)?.address;
-		if (leader === id || !address) {
-			throw new FleetUnavailableError('there is no leader now');
-		}
-		try {
-			return await call(address);
-		} catch (error) {
-			throw new FleetUnavailableError((error as Error).message);
-		}
-	}
-
 	private async _sync(request: SyncRequest): Promise<SyncResponse> {
 		this._sightings.seeEntry(request.entry, systemClock.now());
 		if (request.entry.revision === this._state.revision && request.waitMs > 0) {
@@ -305,16 +176,6 @@
 		};
 	}
 
-	private async _untilInForce(revision: FleetRevision, until: Millis): Promise<void> {
-		for (;;) {
-			const now = systemClock.now();
-			if (this._sightings.isInForce(revision, now) || now >= until) {
-				return;
-			}
-			await new Promise(resolve => setTimeout(resolve, IN_FORCE_POLL_MS));
-		}
-	}
-
 	private _silentTargets(now: number): string[] {
 		const silent: string[] = [];
 		const { hearingSince } = this._hearing;
