A request that a target with room turns away is tried there once more

Each refusal counted as a full target: the retry, and for 1.5 s all other objects of that target, went to targets that had not seen them, whose answers are late.

Change: a refusal whose load word has a free slot and nobody waiting is its own outcome (`shed`); the request may go to the same target once more, and the target does not count as full. What of the retries follows from an instance's own first tries is used to 0.85 instead of 0.7: it needs no view of other instances; the part of the slack stays at 0.7.

The test fails without the change.

--- a/src/plugins/forwarding/common/attempt.ts
+++ b/src/plugins/forwarding/common/attempt.ts
@@ -39,6 +39,8 @@
 	NoConnection = 'no-connection',
 	/** The target is full or its queue is too long. */
 	Full = 'full',
+	/** The target turned it away though it has room by its own word. */
+	Shed = 'shed',
 	/** Another target has the address now. */
 	OtherTarget = 'other-target',
 	/** Any other refusal by the target. */
--- a/src/plugins/forwarding/common/retryAllowance.ts
+++ b/src/plugins/forwarding/common/retryAllowance.ts
@@ -18,8 +18,13 @@
 	readonly slack: number;
 }
 
-/** The part of the bound that is used; the rest is for instances that start while others still count themselves fewer. */
-const USED_PART = 0.7;
+/**
+ * Part of the retries by first tries that is used. Each instance counts its own, so no view of others can break the sum; the
+ * rest covers windows that begin within a bucket, a tenth of the window.
+ */
+const USED_RATIO = 0.85;
+/** Part of the slack that is used; the rest is for instances that start while others still count themselves fewer. */
+const USED_SLACK = 0.7;
 const BUCKETS = 10;
 
 /** Counts first tries and retries of one service. */
@@ -43,7 +48,8 @@
 	take(entryCount: number, now: Millis): boolean {
 		this._advance(now);
 		const firstTries = sum(this._firstTries);
-		const allowed = USED_PART * (this._bounds.ratio * firstTries + this._bounds.slack / Math.max(1, entryCount));
+		const { ratio, slack } = this._bounds;
+		const allowed = USED_RATIO * ratio * firstTries + (USED_SLACK * slack) / Math.max(1, entryCount);
 		if (sum(this._retries) + 1 > allowed) {
 			return false;
 		}
--- a/src/plugins/forwarding/common/targetState.ts
+++ b/src/plugins/forwarding/common/targetState.ts
@@ -21,8 +21,8 @@
 }
 
 /** Reads `running,waiting,slots`; undefined for anything else. */
-export function parseLoadWord(text: string | undefined): LoadWord | undefined {
-	const numbers = text?.split(',').map(Number);
+export function parseLoadWord(text: string | string[] | undefined): LoadWord | undefined {
+	const numbers = typeof text !== 'string' ? undefined : text.split(',').map(Number);
 	if (numbers?.length !== 3 || numbers.some(number => !Number.isFinite(number) || number < 0)) {
 		return undefined;
 	}
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -24,6 +24,7 @@
 import type { AttemptTrace } from '../common/requestTrace.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
+import { mayTryAgain } from '../common/targetRefusal.js';
 import type { ChosenTarget } from '../common/targetChoice.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
@@ -298,6 +299,10 @@
 			return journey.noConnections < MAX_NO_CONNECTION ? 'again' : refusal(RefusalReason.TargetFailed, RETRY_SOON_MS);
 		}
 		journey.refusals++;
+		const { target } = journey.attempts.at(-1)!;
+		if (mayTryAgain(outcome.cause, target, journey.attempts)) {
+			journey.tried.delete(target);
+		}
 		return this._mayRetry(journey) ? 'again' : refusal(RefusalReason.NoCapacity, RETRY_SOON_MS);
 	}
 
--- a/src/plugins/forwarding/node/outcomeNotes.ts
+++ b/src/plugins/forwarding/node/outcomeNotes.ts
@@ -36,7 +36,7 @@
 
 	/** Takes the load word of an answer in, if there is one. */
 	noteLoad(state: TargetState, load: string | string[] | undefined, now: Millis): void {
-		const word = parseLoadWord(typeof load === 'string' ? load : undefined);
+		const word = parseLoadWord(load);
 		if (word) {
 			state.takeLoadWord(word, now);
 		}
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -9,6 +9,8 @@
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { type AttemptOutcome, NotRunCause, type RawHeaders } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
+import { refusalCause } from '../common/targetRefusal.js';
+import { parseLoadWord } from '../common/targetState.js';
 import type { RequestBody } from './requestBody.js';
 import type { TargetAgent } from './targetAgent.js';
 
@@ -133,7 +135,7 @@
 		this.answerHeaders = headers;
 		if (status === STATUS_OTHER_TARGET || headers[this._names.notRun] !== undefined) {
 			response.resume();
-			this._settle({ type: 'not-run', hasArrived: true, cause: notRunCause(status) });
+			this._settle({ type: 'not-run', hasArrived: true, cause: this._notRunCause(status, headers) });
 			this._closeUnlessWholeSent();
 			return;
 		}
@@ -177,6 +179,18 @@
 		response.on('end', onEnd);
 	}
 
+	private _notRunCause(status: number, headers: IncomingMessage['headers']): NotRunCause {
+		switch (status) {
+			case STATUS_OTHER_TARGET:
+				return NotRunCause.OtherTarget;
+			case STATUS_UNAVAILABLE:
+			case STATUS_TOO_MANY:
+				return refusalCause(parseLoadWord(headers[this._names.load]));
+			default:
+				return NotRunCause.Refused;
+		}
+	}
+
 	/** A target that answered before it had the whole body would take what comes next for the rest of it. */
 	private _closeUnlessWholeSent(): void {
 		if (!this._request.writableFinished) {
@@ -184,15 +198,3 @@
 		}
 	}
 }
-
-function notRunCause(status: number): NotRunCause {
-	switch (status) {
-		case STATUS_OTHER_TARGET:
-			return NotRunCause.OtherTarget;
-		case STATUS_UNAVAILABLE:
-		case STATUS_TOO_MANY:
-			return NotRunCause.Full;
-		default:
-			return NotRunCause.Refused;
-	}
-}
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -7,7 +7,7 @@
 import assert from 'node:assert/strict';
 import { Duplex } from 'node:stream';
 import { test } from 'node:test';
-import type { AttemptOutcome } from '../common/attempt.js';
+import { type AttemptOutcome, NotRunCause } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { RequestBody } from '../node/requestBody.js';
 import { TargetAgent } from '../node/targetAgent.js';
@@ -117,3 +117,15 @@
 	assert.equal(outcome.body.toString(), 'first bytes');
 	outcome.rest.destroy();
 });
+
+test('a target that turns a request away is full, unless its own word says that it has room', async () => {
+	const causeAt = async (load: string): Promise<unknown> => {
+		const head = `HTTP/1.1 503 Service Unavailable\r\nRequest-Id: a\r\nNot-Run: 1\r\n${load}Content-Length: 0\r\n\r\n`;
+		const outcome = await attempt(connection => connection.push(head));
+		return outcome.type === 'not-run' && outcome.cause;
+	};
+	assert.equal(await causeAt('Load: 3,0,9\r\n'), NotRunCause.Shed);
+	assert.equal(await causeAt('Load: 9,27,9\r\n'), NotRunCause.Full);
+	assert.equal(await causeAt('Load: 8,1,9\r\n'), NotRunCause.Full);
+	assert.equal(await causeAt(''), NotRunCause.Full);
+});
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -13,8 +13,10 @@
 import { FleetView } from '../../src/plugins/fleet/common/fleetView.js';
 import { TargetPhase, type TargetRecord } from '../../src/plugins/fleet/common/fleetTypes.js';
 import type { SyncResponse } from '../../src/plugins/fleet/common/fleetWire.js';
-import { NotRunCause } from '../../src/plugins/forwarding/common/attempt.js';
+import type { AttemptTrace } from '../../src/plugins/forwarding/common/requestTrace.js';
 import { RetryAllowance } from '../../src/plugins/forwarding/common/retryAllowance.js';
+import { mayTryAgain, refusalCause } from '../../src/plugins/forwarding/common/targetRefusal.js';
+import { parseLoadWord } from '../../src/plugins/forwarding/common/targetState.js';
 import type { ChosenTarget } from '../../src/plugins/forwarding/common/targetChoice.js';
 import type { CallerExchange } from '../../src/plugins/forwarding/node/callerExchange.js';
 import type { Journey } from '../../src/plugins/forwarding/node/journey.js';
@@ -254,7 +256,7 @@
 		}
 		const { known, state } = chosen;
 		journey.tried.add(known.record.id);
-		journey.attempts.push({} as never);
+		journey.attempts.push({ target: known.record.id } as AttemptTrace);
 		state.inFlight++;
 		state.isUsed = true;
 		const wayMs = known.region === instance.region ? ROUND_TRIP_MS : FAR_ROUND_TRIP_MS;
@@ -265,7 +267,7 @@
 		const target = this.targets.get(chosen.known.record.id)!;
 		const sentAt = this.now - wayMs / 2;
 		const object = journey.exchange.objectKey ?? journey.exchange.requestId;
-		const isTaken = target.offer(object, this.now, endsAt =>
+		const isTaken = target.offer(object, this._chance(), this.now, endsAt =>
 			this._at(endsAt, () => {
 				target.release(this.now);
 				const { loadWord } = target;
@@ -274,7 +276,8 @@
 		);
 		if (!isTaken) {
 			this._counts.turnedAway++;
-			this._at(this.now + wayMs / 2, () => this._turnAway(instance, journey, chosen, askedAt));
+			const { loadWord } = target;
+			this._at(this.now + wayMs / 2, () => this._turnAway(instance, journey, chosen, askedAt, loadWord));
 		}
 	}
 
@@ -294,11 +297,22 @@
 		state.inFlight--;
 	}
 
-	private _turnAway(instance: Instance, journey: Journey, { state }: ChosenTarget, askedAt: Millis): void {
-		const outcome = { type: 'not-run', hasArrived: true, cause: NotRunCause.Full } as const;
+	private _turnAway(
+		instance: Instance,
+		journey: Journey,
+		{ known, state }: ChosenTarget,
+		askedAt: Millis,
+		loadWord: string
+	): void {
+		const cause = refusalCause(parseLoadWord(loadWord));
+		const outcome = { type: 'not-run', hasArrived: true, cause } as const;
+		instance.notes.noteLoad(state, loadWord, this.now);
 		instance.notes.noteOutcome(journey, state, outcome, 0, this.now);
 		state.inFlight--;
 		journey.refusals++;
+		if (mayTryAgain(cause, known.record.id, journey.attempts)) {
+			journey.tried.delete(known.record.id);
+		}
 		if (journey.refusals < MAX_REFUSALS && instance.retries.take(this._instances.length, this.now)) {
 			this._try(instance, journey, askedAt);
 		} else {
--- a/test/loads/targetModel.ts
+++ b/test/loads/targetModel.ts
@@ -31,8 +31,8 @@
 	arrivals = 0;
 	/** Requests whose object was not at hand. */
 	firstTouches = 0;
-	/** Whether it turns every request away though it has room. */
-	isShedding = false;
+	/** Part of the requests that it turns away though it has room, 0 to 1. */
+	shedPart = 0;
 	private readonly _waiting: TargetWork[] = [];
 	private readonly _atHand = new Map<string, true>();
 	private _running = 0;
@@ -49,12 +49,13 @@
 
 	/**
 	 * Takes a request in.
+	 * @param chance a number in [0, 1) that decides whether it is shed
 	 * @param done is told when the request will have ended, as soon as it runs
 	 * @returns false where it is turned away
 	 */
-	offer(object: string, now: Millis, done: (endsAt: Millis) => void): boolean {
+	offer(object: string, chance: number, now: Millis, done: (endsAt: Millis) => void): boolean {
 		this.arrivals++;
-		if (this.isShedding || this._waiting.length >= this._settings.queueLength) {
+		if (chance < this.shedPart || this._waiting.length >= this._settings.queueLength) {
 			return false;
 		}
 		this._waiting.push({ object, done });
