--- a/test/integration/requests.test.ts
+++ b/test/integration/requests.test.ts
@@ -63,15 +63,35 @@
 	);
 }
 
-test('a burst of five times the slots: whole answers or a true not-run with when to come back, no slot exceeded', async () => {
-	const requests = Array.from({ length: 360 }, (_unused, i) => {
+/** Slots of the targets of the service. */
+const SLOTS = 72;
+const BURST_REQUESTS = 5 * SLOTS;
+const BURST_DEADLINE_MS = 250;
+
+/** A burst of requests to all entry instances at once. */
+function sendBurst(path: string, deadlineMs: number): Promise<Outcome[]> {
+	const requests = Array.from({ length: BURST_REQUESTS }, (_unused, i) => {
 		const entry = system.entries[i % system.entries.length]!;
-		return send(entry.url, '/s/grower/burst?workMs=60', { 'shelffield-deadline-ms': '250' });
+		return send(entry.url, path, { 'shelffield-deadline-ms': String(deadlineMs) });
 	});
-	const outcomes = await Promise.all(requests);
+	return Promise.all(requests);
+}
+
+/** What the processes take here and now to carry a burst whose targets have nothing to do. */
+async function carryingMs(): Promise<number> {
+	const startedAt = performance.now();
+	await sendBurst('/s/grower/burst?workMs=0', 10000);
+	return performance.now() - startedAt;
+}
+
+test('a burst of five times the slots: whole answers or a true not-run with when to come back, no slot exceeded', async () => {
+	// On a busy processor the requests are carried one after the other for longer than callers wait; they wait half of that.
+	const carried = await carryingMs();
+	const deadlineMs = Math.round(Math.max(BURST_DEADLINE_MS, carried / 2));
+	const outcomes = await sendBurst('/s/grower/burst?workMs=60', deadlineMs);
 	await checkJournals(outcomes);
 	const ran = outcomes.filter(outcome => outcome.verdict === 'ran').length;
-	assert.ok(ran > 72, `${ran} ran`);
+	assert.ok(ran > 2 * SLOTS, `${ran} ran within ${deadlineMs} ms, ${carried.toFixed(0)} ms to carry them`);
 	assert.ok(outcomes.some(outcome => outcome.verdict === 'not-run'));
 });
 
