Targets with more objects than they can serve give a part of them away, the same ones at every instance

Objects are spread by a hash; a few targets get several times the mean, and each of 61 instances meets a target once in 25 s, so none sees its queue.

Ways weighed: sharing load words through control (right only for the last moment, and all instances would leave and come back together), a probe between two targets (a message each, priced), homes of targets among the instances (a hop each), the sum of what is asked for at each target. The sum was built: it does not depend on where requests go, so nothing swings.

The rest goes to the next target that keeps it, by the object's hash. The need of a service takes its quantile from the last 48 answers: by steps it took 12 s on an instance with few answers. The first targets of an object are found without sorting all of a service.

--- a/src/plugins/fleet/common/fleetSession.ts
+++ b/src/plugins/fleet/common/fleetSession.ts
@@ -7,6 +7,7 @@
 import type { Millis } from '../../../base/clock.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
 import type { FleetView } from './fleetView.js';
+import type { WorkByTarget } from './targetNeeds.js';
 
 /** The session of an entry instance with control. */
 export interface IFleetSession {
@@ -16,6 +17,8 @@
 	ageMs(): Millis;
 	/** Says to control how many slots this instance's callers need, by service; sent with the next call. */
 	setDemand(demand: Readonly<Record<string, number>>): void;
+	/** Says to control what callers asked for at the first targets of their objects; sent with the next call. */
+	addNeeds(needs: WorkByTarget): void;
 	/** Says to control whether callers may come; sent at once. */
 	setReady(isReady: boolean): void;
 }
--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -17,6 +17,8 @@
 	isSilent: boolean;
 	/** Until then it bears little; on the monotonic clock. */
 	coldUntil: Millis;
+	/** Part of its objects that it keeps, 0 to 1: less than one where it can't serve all of them. */
+	keptPart: number;
 	/** When this view first heard of it, on the monotonic clock; 0 for what was there when the view began. */
 	readonly knownSince: Millis;
 }
@@ -133,8 +135,10 @@
 		this._demand = response.demand;
 		const silent = response.hasHeardAll ? new Set(response.silentTargets) : new Set<string>();
 		this._contradicted = this._findContradicted(silent, now);
+		const kept = new Map(response.crowdedTargets.map(({ id, keptPart }) => [id, keptPart]));
 		for (const [id, target] of this._targets) {
 			target.isSilent = silent.has(id) && !this._contradicted.has(target.region);
+			target.keptPart = kept.get(id) ?? 1;
 		}
 	}
 
@@ -187,7 +191,8 @@
 		const coldMs = this._routes?.service(record.service)?.coldStartMs ?? 0;
 		const coldUntil = known?.coldUntil ?? (heardAt > 0 ? heardAt + coldMs : 0);
 		const knownSince = known?.knownSince ?? heardAt;
-		this._targets.set(record.id, { record, region, isSilent: false, coldUntil, knownSince });
+		const keptPart = known?.keptPart ?? 1;
+		this._targets.set(record.id, { record, region, isSilent: false, coldUntil, keptPart, knownSince });
 	}
 
 	/** A hall that is taken back may have turned cold while it was drained. */
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -14,10 +14,13 @@
 	FleetResult,
 	PublishedTable
 } from './fleetTypes.js';
+import type { CrowdedTarget, WorkByTarget } from './targetNeeds.js';
 
 /** An entry instance says that it is there and asks for what changed. */
 export interface SyncRequest {
 	readonly entry: EntryDescription;
+	/** What its callers asked for at the first targets of their objects, since the last call. */
+	readonly needs: WorkByTarget;
 	/** How long to wait for a change before answering. */
 	readonly waitMs: Millis;
 }
@@ -54,6 +57,8 @@
 	/** Targets whose heartbeats are overdue. */
 	readonly silentTargets: readonly string[];
 	readonly coldTargets: readonly ColdTarget[];
+	/** Targets that keep a part of their objects only. */
+	readonly crowdedTargets: readonly CrowdedTarget[];
 	/** Slots that the callers of each region need, by service and region. */
 	readonly demand: RegionDemand;
 }
@@ -75,6 +80,8 @@
 	readonly from: string;
 	readonly entries: readonly EntrySighting[];
 	readonly heartbeats: readonly HeartbeatSighting[];
+	/** What entry instances told it of their callers' needs. */
+	readonly needs: WorkByTarget;
 }
 
 /** Nothing: the other side sends its own. */
--- a/src/plugins/fleet/common/sightings.ts
+++ b/src/plugins/fleet/common/sightings.ts
@@ -87,13 +87,13 @@
 	}
 
 	/** Takes in what another control instance heard. */
-	merge(exchange: Omit<ExchangeRequest, 'from'>, now: Millis): void {
+	merge(exchange: Pick<ExchangeRequest, 'entries' | 'heartbeats'>, now: Millis): void {
 		exchange.entries.forEach(sighting => this._mergeEntry(sighting, now));
 		exchange.heartbeats.forEach(sighting => this._mergeHeartbeat(sighting, now));
 	}
 
 	/** What was heard here since the last call. */
-	takeFresh(now: Millis): Omit<ExchangeRequest, 'from'> {
+	takeFresh(now: Millis): Pick<ExchangeRequest, 'entries' | 'heartbeats'> {
 		const entries: EntrySighting[] = [];
 		for (const seen of this._entries.values()) {
 			if (seen.isFresh && isDue(seen, now)) {
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -24,6 +24,7 @@
 import { HearingClock } from '../common/hearingClock.js';
 import type { PlaceSettings } from '../common/placeSettings.js';
 import { Sightings } from '../common/sightings.js';
+import { type CrowdedTarget, TargetNeeds } from '../common/targetNeeds.js';
 import { EntryRosterFile } from './entryRosterFile.js';
 import { FleetOrders } from './fleetOrders.js';
 import { TargetRegistrar } from './targetRegistrar.js';
@@ -44,6 +45,9 @@
 		{ entrySilentMs: ENTRY_SILENT_MS, targetSilentMs: TARGET_SILENT_MS },
 		systemClock.now()
 	);
+	private readonly _needs = new TargetNeeds();
+	/** Targets that keep a part of their objects only, worked out at the last exchange. */
+	private _crowded: readonly CrowdedTarget[] = [];
 	private readonly _waiting = new Set<() => void>();
 	private readonly _hearing = new HearingClock();
 	private readonly _orders: FleetOrders;
@@ -76,6 +80,7 @@
 			const now = systemClock.now();
 			this._heardFrom.set(request.from, now);
 			this._sightings.merge(request, now);
+			this._needs.merge(request.needs, now);
 			return { received: true as const };
 		});
 	}
@@ -154,7 +159,9 @@
 	}
 
 	private async _sync(request: SyncRequest): Promise<SyncResponse> {
-		this._sightings.seeEntry(request.entry, systemClock.now());
+		const arrivedAt = systemClock.now();
+		this._sightings.seeEntry(request.entry, arrivedAt);
+		this._needs.note(request.needs, arrivedAt);
 		if (request.entry.revision === this._state.revision && request.waitMs > 0) {
 			await this._waitForChange(Math.min(request.waitMs, MAX_WAIT_MS));
 		}
@@ -172,6 +179,7 @@
 			regionEntries: near.map(entry => entry.name),
 			silentTargets: this._silentTargets(now),
 			coldTargets: this._sightings.coldTargets(now),
+			crowdedTargets: this._crowded,
 			demand: sumDemand(entries)
 		};
 	}
@@ -214,7 +222,8 @@
 			void this._roster.write(ready);
 		}
 		const { members, id } = this._agreement.status();
-		const fresh = { from: id, ...this._sightings.takeFresh(now) };
+		const fresh = { from: id, ...this._sightings.takeFresh(now), needs: this._needs.takeFresh() };
+		this._crowded = this._needs.crowded(this._state.targets, hall => this._halls.get(hall) ?? '', now);
 		for (const member of members) {
 			if (member.id !== id) {
 				this._calls.call(member.address, exchangeMethod, fresh, EXCHANGE_TIMEOUT_MS).catch(() => undefined);
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -22,6 +22,7 @@
 import { ControlOrder } from '../common/controlOrder.js';
 import { FleetView } from '../common/fleetView.js';
 import { type ControlAddress, syncMethod, type SyncRequest, type SyncResponse } from '../common/fleetWire.js';
+import type { WorkByTarget } from '../common/targetNeeds.js';
 import type { PlaceSettings } from '../common/placeSettings.js';
 
 /** How long control may hold an answer back while nothing changes. */
@@ -46,6 +47,7 @@
 	private _sequence = 0;
 	private _isReady = false;
 	private _demand: Readonly<Record<string, number>> = {};
+	private _needs = new Map<string, number>();
 	private _currentAt = Number.NEGATIVE_INFINITY;
 	private _isInTouch = false;
 	private _isStopped = false;
@@ -87,6 +89,19 @@
 		this._demand = demand;
 	}
 
+	addNeeds(needs: WorkByTarget): void {
+		for (const [id, work] of Object.entries(needs)) {
+			this._needs.set(id, (this._needs.get(id) ?? 0) + work);
+		}
+	}
+
+	/** Needs that were sent are forgotten, also where the call is lost: they are averages of what is asked for right now. */
+	private _takeNeeds(): WorkByTarget {
+		const needs = Object.fromEntries([...this._needs].map(([id, work]) => [id, Math.round(work * 100) / 100]));
+		this._needs = new Map();
+		return needs;
+	}
+
 	private async _run(): Promise<void> {
 		while (!this._isStopped) {
 			const now = systemClock.now();
@@ -152,6 +167,7 @@
 				revision: this.view.revision,
 				demand: this._demand
 			},
+			needs: this._takeNeeds(),
 			waitMs
 		};
 		const sentAt = systemClock.now();
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -45,6 +45,7 @@
 		regionEntries: [],
 		silentTargets: [],
 		coldTargets: cold,
+		crowdedTargets: [],
 		demand: {}
 	};
 }
--- a/src/plugins/forwarding/common/demandMeter.ts
+++ b/src/plugins/forwarding/common/demandMeter.ts
@@ -17,8 +17,13 @@
 /** Until a meter has run this long, its average is taken over this time. */
 const LEAST_SPAN_MS = 1000;
 const QUANTILE = 0.3;
-/** Part by which one answer moves the quantile. */
-const QUANTILE_STEP = 0.05;
+/**
+ * Answers that the quantile is taken of. An instance of a fleet of hundreds has a few answers a second, and has to know after
+ * the first ones what a request takes: a quantile that moved by a step each answer took 12 s to get from 200 to 900 ms.
+ */
+const QUANTILE_ANSWERS = 48;
+/** With fewer answers a single one, which may be that of a check, would decide. */
+const LEAST_ANSWERS = 5;
 const FIRST_GUESS_MS = 200;
 /** Weight of the latest answer in the mean. */
 const MEAN_WEIGHT = 0.03;
@@ -29,7 +34,10 @@
 	private _requests = 0;
 	private _updatedAt: Millis;
 	private readonly _startedAt: Millis;
-	private _typicalMs = FIRST_GUESS_MS;
+	/** What the latest answers took, the oldest one overwritten next. */
+	private readonly _durations: Millis[] = [];
+	private _answers = 0;
+	private _typicalMs: Millis | undefined;
 	private _meanMs: Millis | undefined;
 
 	constructor(now: Millis) {
@@ -48,11 +56,18 @@
 		return this._meanMs ?? FIRST_GUESS_MS;
 	}
 
+	/** What an answer takes where nothing holds it up: a low quantile of those seen. */
+	get typicalMs(): Millis {
+		this._typicalMs ??= this._quantile();
+		return this._typicalMs;
+	}
+
 	/** A target gave an answer after this long. */
 	noteAnswer(durationMs: Millis): void {
 		this._meanMs = this._meanMs === undefined ? durationMs : this._meanMs + MEAN_WEIGHT * (durationMs - this._meanMs);
-		const direction = durationMs < this._typicalMs ? -(1 - QUANTILE) : QUANTILE;
-		this._typicalMs *= 1 + QUANTILE_STEP * direction;
+		this._durations[this._answers % QUANTILE_ANSWERS] = durationMs;
+		this._answers++;
+		this._typicalMs = undefined;
 	}
 
 	/** Slots needed now. */
@@ -60,7 +75,15 @@
 		this._decay(now);
 		const ageMs = Math.max(LEAST_SPAN_MS, now - this._startedAt);
 		const weightedMs = RATE_SPAN_MS * (1 - Math.exp(-ageMs / RATE_SPAN_MS));
-		return (this._requests / weightedMs) * this._typicalMs;
+		return (this._requests / weightedMs) * this.typicalMs;
+	}
+
+	private _quantile(): Millis {
+		if (this._answers < LEAST_ANSWERS) {
+			return FIRST_GUESS_MS;
+		}
+		const sorted = [...this._durations].sort((a, b) => a - b);
+		return sorted[Math.floor(QUANTILE * sorted.length)]!;
 	}
 
 	private _decay(now: Millis): void {
--- a/src/plugins/forwarding/common/targetChoice.ts
+++ b/src/plugins/forwarding/common/targetChoice.ts
@@ -60,8 +60,12 @@
 const DOUBTED_LIMIT = 1;
 const MAX_TARGET_HASHES = 8192;
 const HASH_RANGE = 2 ** 32;
+/** Targets of an object that are looked at: its first, and those that take it where targets before them give it away. */
+const RANKED_TARGETS = 4;
 /** Keeps an object's place among regions apart from its order of targets. */
 const POSITION_SEED = 1;
+/** Keeps the objects that a target gives away apart from its place in their order. */
+const KEPT_SEED = 0x5bd1e995;
 
 function mix(a: number, b: number): number {
 	let value = Math.imul(a ^ b, 0x9e3779b1);
@@ -113,16 +117,46 @@
 	{ now, position }: ChoiceContext
 ): Candidate[] {
 	const rankHash = keyHash ?? Math.floor(position * HASH_RANGE);
-	const rank = (candidate: Candidate): RankedCandidate => ({
-		candidate,
-		weight: mix(rankHash, targetHash(candidate.known.record.id)),
-		taken: keyHash === undefined ? fill(candidate, now) : 0
-	});
-	return candidates
-		.map(rank)
-		.sort((a, b) => a.taken - b.taken || b.weight - a.weight)
-		.slice(0, count)
-		.map(entry => entry.candidate);
+	const best: RankedCandidate[] = [];
+	for (const candidate of candidates) {
+		const weight = mix(rankHash, targetHash(candidate.known.record.id));
+		const taken = keyHash === undefined ? fill(candidate, now) : 0;
+		insertRanked(best, { candidate, weight, taken }, count);
+	}
+	return best.map(entry => entry.candidate);
+}
+
+/** Keeps the first candidates in their order; there are few of them, and hundreds to choose from. */
+function insertRanked(best: RankedCandidate[], added: RankedCandidate, count: number): void {
+	let place = best.length;
+	while (place > 0 && goesBefore(added, best[place - 1]!)) {
+		place--;
+	}
+	if (place < count) {
+		best.splice(place, 0, added);
+		best.length = Math.min(best.length, count);
+	}
+}
+
+function goesBefore(a: RankedCandidate, b: RankedCandidate): boolean {
+	return a.taken < b.taken || (a.taken === b.taken && a.weight > b.weight);
+}
+
+/** Whether a target keeps an object, by the part of its objects that it has room for. */
+function keeps({ known }: Candidate, keyHash: number): boolean {
+	return known.keptPart >= 1 || mix(keyHash, targetHash(known.record.id) ^ KEPT_SEED) / HASH_RANGE < known.keptPart;
+}
+
+/**
+ * The targets of an object in the order in which they are used: those that give it away go behind the others. All instances
+ * are told the same parts, so they agree on the order.
+ */
+function inOrderOfUse(targets: readonly Candidate[], keyHash: number | undefined): Candidate[] {
+	if (keyHash === undefined) {
+		return [...targets];
+	}
+	const kept = targets.filter(target => keeps(target, keyHash));
+	return kept.length === 0 ? [...targets] : [...kept, ...targets.filter(target => !kept.includes(target))];
 }
 
 function groupByRegion(candidates: readonly Candidate[]): Map<string, Candidate[]> {
@@ -153,8 +187,8 @@
 	const { now } = context;
 	// A cold target that takes nothing now is passed over: its objects go to the next one, and stay in their region.
 	const usable = candidates.filter(candidate => isUsable(candidate, context));
-	const targets = firstTargets(usable, keyHash, limits.length, context);
-	return targets.find((candidate, place) => fill(candidate, now) < limits[place]!);
+	const targets = firstTargets(usable, keyHash, RANKED_TARGETS, context);
+	return inOrderOfUse(targets, keyHash).find((candidate, place) => fill(candidate, now) < (limits[place] ?? 0));
 }
 
 function leastFilled(candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
@@ -168,6 +202,22 @@
 	return best;
 }
 
+/**
+ * The target that an object goes to where nothing speaks against it: whether that one is full or gives objects away, its
+ * need is counted there.
+ */
+export function firstTargetOf(
+	candidates: readonly Candidate[],
+	objectKey: string,
+	context: ChoiceContext
+): Candidate | undefined {
+	const region = regionAt(context.shares, context.position);
+	const near = candidates.filter(candidate => candidate.known.region === region && isSound(candidate, context.now));
+	const [preferred] = splitByHall(near, context.preferredHall);
+	const usable = (preferred ?? []).filter(({ known }) => known.coldUntil <= context.now);
+	return firstTargets(usable, hash32(objectKey), 1, context)[0];
+}
+
 /**
  * A place among the regions, in [0, 1).
  * @param key the object, or the id of a request without one
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -90,15 +90,18 @@
 		this._selector = new TargetSelector(this._session.view, instance, regions, this._bounds.shifts);
 		this._headers = new TargetHeaders(this._names);
 		this._register(toDisposable(() => this._agent.destroy()));
-		const timer = setInterval(
-			() => this._session.setDemand(this._notes.slotsNeeded(systemClock.now())),
-			DEMAND_INTERVAL_MS
-		);
+		const timer = setInterval(() => this._tellNeeds(), DEMAND_INTERVAL_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
 		const { onDidStepFar } = this._selector;
 		this._regions = this._register(new RegionWatch(_session, log, this._bounds.shifts.windowMs, onDidStepFar));
 	}
 
+	private _tellNeeds(): void {
+		const now = systemClock.now();
+		this._session.setDemand(this._notes.slotsNeeded(now));
+		this._session.addNeeds(this._selector.takeNeeds(service => this._notes.typicalMs(service, now)));
+	}
+
 	async serve(exchange: CallerExchange): Promise<void> {
 		const { routes } = this._session.view;
 		if (!routes) {
--- a/src/plugins/forwarding/node/outcomeNotes.ts
+++ b/src/plugins/forwarding/node/outcomeNotes.ts
@@ -34,6 +34,11 @@
 		return Object.fromEntries(slots);
 	}
 
+	/** What a request of a service takes where nothing holds it up. */
+	typicalMs(service: string, now: Millis): Millis {
+		return this._demandOf(service, now).typicalMs;
+	}
+
 	/** Takes the load word of an answer in, if there is one. */
 	noteLoad(state: TargetState, load: string | string[] | undefined, now: Millis): void {
 		const word = parseLoadWord(load);
--- a/src/plugins/forwarding/node/targetSelector.ts
+++ b/src/plugins/forwarding/node/targetSelector.ts
@@ -6,6 +6,7 @@
 
 import type { Millis } from '../../../base/clock.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
+import type { WorkByTarget } from '../../fleet/common/targetNeeds.js';
 import { RepeatRule } from '../../routes/common/routeTable.js';
 import { findNewcomer } from '../common/newcomers.js';
 import type { Event } from '../../../base/event.js';
@@ -16,6 +17,7 @@
 import {
 	type Candidate,
 	chooseTarget,
+	firstTargetOf,
 	type ChoiceContext,
 	type ChosenTarget,
 	placeAmongRegions
@@ -38,6 +40,8 @@
 	private readonly _spill: SpillAllowance;
 	/** When this instance had its first request, by service. */
 	private readonly _servingSince = new Map<string, Millis>();
+	/** Work that was asked for since it was last taken, in slots times seconds, by first target. */
+	private _needs = new Map<string, number>();
 	/** Fires when shares between regions moved further at once than their pace allows. */
 	readonly onDidStepFar: Event<RouteShareStep>;
 
@@ -71,12 +75,36 @@
 		};
 		const chosen = this._newcomer(journey, candidates, context) ?? chooseTarget(candidates, context);
 		this._noteLookedFor(journey, context, chosen);
+		if (objectKey !== undefined && journey.attempts.length === 0) {
+			this._noteNeed(objectKey, candidates, context);
+		}
 		if (chosen) {
 			this._noteChoice(journey, chosen, now);
 		}
 		return chosen;
 	}
 
+	/**
+	 * What callers asked for at the first targets of their objects since the last call.
+	 * @param typicalMs what a request of a service takes where nothing holds it up
+	 */
+	takeNeeds(typicalMs: (service: string) => Millis): WorkByTarget {
+		const workOf = (id: string, requests: number): number => {
+			const service = this._view.target(id)?.record.service;
+			return service === undefined ? 0 : (requests * typicalMs(service)) / 1000;
+		};
+		const needs = [...this._needs].map(([id, requests]) => [id, workOf(id, requests)] as const);
+		this._needs = new Map();
+		return Object.fromEntries(needs.filter(([, work]) => work > 0));
+	}
+
+	private _noteNeed(objectKey: string, candidates: readonly Candidate[], context: ChoiceContext): void {
+		const id = firstTargetOf(candidates, objectKey, context)?.known.record.id;
+		if (id !== undefined) {
+			this._needs.set(id, (this._needs.get(id) ?? 0) + 1);
+		}
+	}
+
 	/** Each try counts: one that a full target turned away looks once more. */
 	private _noteLookedFor(journey: Journey, context: ChoiceContext, chosen: ChosenTarget | undefined): void {
 		const { shares, position, standing, now } = context;
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -32,7 +32,7 @@
 		coldSenders: []
 	};
 	return {
-		known: { record, region, isSilent: false, coldUntil: 0, knownSince: 0 },
+		known: { record, region, isSilent: false, coldUntil: 0, keptPart: 1, knownSince: 0 },
 		state: new TargetState(id, slots)
 	};
 }
--- a/src/plugins/forwarding/test/coldTargets.test.ts
+++ b/src/plugins/forwarding/test/coldTargets.test.ts
@@ -57,6 +57,7 @@
 		regionEntries,
 		silentTargets: [],
 		coldTargets: [],
+		crowdedTargets: [],
 		demand: {}
 	};
 }
--- a/src/plugins/forwarding/test/placement.test.ts
+++ b/src/plugins/forwarding/test/placement.test.ts
@@ -28,7 +28,7 @@
 		changedAt: 1,
 		coldSenders: []
 	};
-	const known = { record, region: 'r1', isSilent: false, coldUntil: 0, knownSince: 0, ...changed };
+	const known = { record, region: 'r1', isSilent: false, coldUntil: 0, keptPart: 1, knownSince: 0, ...changed };
 	return { known, state: new TargetState(id, 4) };
 }
 
--- a/src/plugins/forwarding/test/regionCallers.ts
+++ b/src/plugins/forwarding/test/regionCallers.ts
@@ -186,6 +186,7 @@
 			regionEntries: this._instances?.map((_, i) => `entry-${i}`) ?? [],
 			silentTargets: [...this.silent],
 			coldTargets: [],
+			crowdedTargets: [],
 			demand: this.need
 		};
 	}
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -13,6 +13,7 @@
 import { FleetView } from '../../src/plugins/fleet/common/fleetView.js';
 import { TargetPhase, type TargetRecord } from '../../src/plugins/fleet/common/fleetTypes.js';
 import type { SyncResponse } from '../../src/plugins/fleet/common/fleetWire.js';
+import { type CrowdedTarget, TargetNeeds } from '../../src/plugins/fleet/common/targetNeeds.js';
 import type { AttemptTrace } from '../../src/plugins/forwarding/common/requestTrace.js';
 import { RetryAllowance } from '../../src/plugins/forwarding/common/retryAllowance.js';
 import { mayTryAgain, refusalCause } from '../../src/plugins/forwarding/common/targetRefusal.js';
@@ -27,6 +28,7 @@
 
 const SERVICE = 'service';
 const SYNC_MS = 500;
+const EXCHANGE_MS = 250;
 /** There and back between an instance and a target of its region. */
 const ROUND_TRIP_MS = 2;
 const FAR_ROUND_TRIP_MS = 70;
@@ -91,6 +93,8 @@
 	private readonly _events = new TinyQueue<Scheduled>([], (a, b) => a.at - b.at || a.order - b.order);
 	private readonly _asked = new Set<string>();
 	private readonly _counts = { requests: 0, inTime: 0, late: 0, refused: 0, turnedAway: 0 };
+	private readonly _needs = new TargetNeeds();
+	private _crowded: readonly CrowdedTarget[] = [];
 	private _order = 0;
 	private _random: number;
 	private _isAsking = false;
@@ -100,6 +104,7 @@
 		this._regions = Object.keys(_settings.targets);
 		this._instances = Array.from({ length: _settings.instances }, (_, i) => this._newInstance(i));
 		this._registerAll();
+		this._keepCrowded();
 		this._instances.forEach((instance, i) => this._keepInSync(instance, (i * SYNC_MS) / _settings.instances));
 	}
 
@@ -184,11 +189,24 @@
 
 	private _keepInSync(instance: Instance, delayMs: Millis): void {
 		this._at(this.now + delayMs, () => {
+			const { selector, notes } = instance;
+			this._needs.note(
+				selector.takeNeeds(service => notes.typicalMs(service, this.now)),
+				this.now
+			);
 			instance.view.apply(this._responseTo(instance), this.now);
 			this._keepInSync(instance, SYNC_MS);
 		});
 	}
 
+	/** What control works out of the needs, a short time after it was told. */
+	private _keepCrowded(): void {
+		this._at(this.now + EXCHANGE_MS, () => {
+			this._crowded = this._needs.crowded(this._records, regionOf, this.now);
+			this._keepCrowded();
+		});
+	}
+
 	private _responseTo({ region, view }: Instance): SyncResponse {
 		const service = { name: SERVICE, healthPath: '/', maxConnections: 1000, coldStartMs: 0, coldPerSecond: 5 };
 		const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
@@ -209,6 +227,7 @@
 			regionEntries: this._instances.flatMap((other, i) => (other.region === region ? [`${region}-entry-${i}`] : [])),
 			silentTargets: [],
 			coldTargets: [],
+			crowdedTargets: this._crowded,
 			demand: { [SERVICE]: Object.fromEntries(this._regions.map(name => [name, need])) }
 		};
 	}
