--- a/src/plugins/agreement/agreement.plugin.ts
+++ b/src/plugins/agreement/agreement.plugin.ts
@@ -10,6 +10,7 @@
 	pluginRegistry,
 	ProcessKind
 } from '../../kernel/common/pluginRegistry.js';
+import './node/agreementSettings.js';
 import { IAgreement } from './common/agreement.js';
 import { ILeaderGate } from './common/leaderGate.js';
 import { AgreementTask } from './node/agreementTask.js';
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -9,11 +9,8 @@
 import { Mailbox } from '../../../base/mailbox.js';
 import { PROCESS_STARTED_AT, systemClock } from '../../../base/clock.js';
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
-import { ProcessKind } from '../../../kernel/common/pluginRegistry.js';
-import { integerSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
 import {
 	type ControlPeerSettings,
-	dataFolderSchema,
 	type DiscoverySettings,
 	type InstanceSettings,
 	seedPeerAddresses
@@ -33,54 +30,13 @@
 } from '../common/agreementTypes.js';
 import { createGenesis, FIRST_INCARNATION } from '../common/genesis.js';
 import { type IReplicatedPart, type PartCommand, ReplicatedState } from '../common/replicatedState.js';
-import { deliverMethod, helloMethod, type HelloResponse } from './agreementWire.js';
+import type { AgreementSettings } from './agreementSettings.js';
+import { deliverMethod, helloMethod } from './agreementWire.js';
 import { LogStore, StoreCondition } from './logStore.js';
+import { type ListedPeer, MemberDiscovery } from './memberDiscovery.js';
 import { PeerSender } from './peerSender.js';
 
 const TICK_MS = 20;
-const HELLO_INTERVAL_MS = 200;
-const HELLO_TIMEOUT_MS = 1000;
-/** A replica that knows no leader for this long asks the seeds too. */
-const LEADERLESS_MS = 1500;
-
-/** Section `[agreement]`. */
-interface AgreementSettings {
-	readonly dataFolder: string;
-	readonly heartbeatMs: number;
-	readonly electionMinMs: number;
-	readonly leaseMs: number;
-	readonly snapshotEveryEntries: number;
-}
-
-settingsRegistry.register({
-	name: 'agreement',
-	named: false,
-	kinds: [ProcessKind.Control],
-	description: 'The replicated log of the control instances.',
-	keys: {
-		dataFolder: { schema: dataFolderSchema, description: 'Folder for the log; on a disk that keeps what is synced.' },
-		heartbeatMs: {
-			schema: integerSchema(20, 5000),
-			description: 'Time between heartbeats of the leader, 20 to 5000 ms.',
-			default: '100'
-		},
-		electionMinMs: {
-			schema: integerSchema(100, 30000),
-			description: 'Least time without a leader before an election, 100 to 30000 ms; more than leaseMs.',
-			default: '600'
-		},
-		leaseMs: {
-			schema: integerSchema(50, 20000),
-			description: 'How long a leader answers reads after a quorum heard from it, 50 to 20000 ms.',
-			default: '450'
-		},
-		snapshotEveryEntries: {
-			schema: integerSchema(10, 1000000),
-			description: 'Entries after which the log is replaced by a snapshot, 10 to 1000000.',
-			default: '4096'
-		}
-	}
-});
 
 /** A message to the task. */
 type TaskMessage =
@@ -112,8 +68,6 @@
 	private readonly _settings: AgreementSettings;
 	private readonly _instance: InstanceSettings;
 	private readonly _controls: ReadonlyMap<string, ControlPeerSettings>;
-	/** Addresses heard of while looking for the leader. */
-	private readonly _heardOf = new Set<string>();
 	private readonly _senders = new Map<MemberId, PeerSender>();
 	private readonly _placed = new Map<LogIndex, PlacedProposal>();
 	private readonly _mailbox = this._register(
@@ -170,10 +124,11 @@
 		await this._wire.listen();
 		const timer = setInterval(() => this._mailbox.post({ type: 'tick' }), TICK_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
+		const discovery = new MemberDiscovery(this._wire, this._core, this._identity);
 		if (this._seeds.length > 0) {
-			void this._keepInTouch();
+			void discovery.keepInTouch(() => this._seeds);
 		} else if (this._core.isBlank) {
-			void this._introduce();
+			void discovery.introduce(this._otherPeers(), () => this._mailbox.post({ type: 'bootstrap' }));
 		}
 	}
 
@@ -210,6 +165,11 @@
 		};
 	}
 
+	private _otherPeers(): ListedPeer[] {
+		const listed = [...this._controls].map(([name, { address }]) => ({ name, address }));
+		return listed.filter(({ name }) => name !== this._identity.id);
+	}
+
 	private async _open(): Promise<void> {
 		this._store = new LogStore(this._settings.dataFolder);
 		const isSeedAtFirstStart = this._discovery.firstStart && this._seeds.includes(this._instance.peerAddress);
@@ -244,63 +204,6 @@
 		return { id: name, incarnation, address: this._controls.get(name)!.address, hall };
 	}
 
-	/**
-	 * Where members are learned: a replica that is not one, or that hears no leader, says hello to the seeds and to all it
-	 * heard of, until a leader has admitted it or answers again.
-	 */
-	private async _keepInTouch(): Promise<void> {
-		let leaderAt = systemClock.now();
-		for (;;) {
-			const isMember = this._isListed();
-			if (this._core.leader !== undefined) {
-				leaderAt = systemClock.now();
-			}
-			if (!isMember || systemClock.now() - leaderAt > LEADERLESS_MS) {
-				await this._sayHello(!isMember || this._core.leader === undefined);
-			}
-			await new Promise(resolve => setTimeout(resolve, HELLO_INTERVAL_MS));
-		}
-	}
-
-	private _isListed(): boolean {
-		const { id, incarnation, hall } = this._identity;
-		return this._core.members.some(
-			member => member.id === id && member.incarnation === incarnation && member.hall === hall
-		);
-	}
-
-	private async _sayHello(asksToJoin: boolean): Promise<void> {
-		this._core.members.forEach(member => this._heardOf.add(member.address));
-		const addresses = new Set([...this._seeds, ...this._heardOf]);
-		addresses.delete(this._identity.address);
-		const request = { identity: this._identity, isBlank: this._core.isBlank, asksToJoin };
-		const calls = [...addresses].map(address => this._wire.call(address, helloMethod, request, HELLO_TIMEOUT_MS));
-		for (const answer of await Promise.allSettled(calls)) {
-			if (answer.status === 'fulfilled') {
-				answer.value.memberAddresses.forEach(address => this._heardOf.add(address));
-			}
-		}
-	}
-
-	/**
-	 * A blank replica asks all others who they are. Only when every listed instance answers that it is blank too is this
-	 * a first start; then the one with the lowest name founds the system. Otherwise the leader admits this replica.
-	 */
-	private async _introduce(): Promise<void> {
-		const others = [...this._controls].filter(([name]) => name !== this._identity.id);
-		const isFirst = others.every(([name]) => this._identity.id < name);
-		while (!this._core.isVoter) {
-			const request = { identity: this._identity, isBlank: true, asksToJoin: true };
-			const calls = others.map(([, peer]) => this._wire.call(peer.address, helloMethod, request, HELLO_TIMEOUT_MS));
-			const answers = await Promise.allSettled(calls);
-			const isFirstStart = answers.every(answer => answer.status === 'fulfilled' && isBlankAnswer(answer.value));
-			if (isFirst && isFirstStart && this._core.isBlank) {
-				this._mailbox.post({ type: 'bootstrap' });
-			}
-			await new Promise(resolve => setTimeout(resolve, HELLO_INTERVAL_MS));
-		}
-	}
-
 	private async _handleBatch(batch: TaskMessage[]): Promise<void> {
 		const proposals: Proposal[] = [];
 		const all: Effects[] = [];
@@ -452,7 +355,3 @@
 		process.kill(process.pid, 'SIGTERM');
 	}
 }
-
-function isBlankAnswer(answer: HelloResponse): boolean {
-	return answer.isBlank;
-}
