A control instance says how many targets give objects away

An operator who sees late requests at a few targets could not tell whether control knows of them. One line when targets begin or cease to give objects away, and one in ten seconds while some do, with their number and the least part that one keeps.

--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -38,6 +38,8 @@
 const MAX_WAIT_MS = 2000;
 const ENTRY_SILENT_MS = 2500;
 const TARGET_SILENT_MS = 4500;
+/** Time between lines about crowded targets while there are some. */
+const CROWDED_LINE_MS = 10000;
 /** The fleet on a control instance. */
 export class FleetControlTask extends Disposable implements IFleetControl {
 	private readonly _state = new FleetState();
@@ -49,6 +51,7 @@
 	private readonly _needs = new TargetNeeds();
 	/** Targets that keep a part of their objects only, worked out at the last exchange. */
 	private _crowded: readonly CrowdedTarget[] = [];
+	private _crowdedLoggedAt: Millis = Number.NEGATIVE_INFINITY;
 	private readonly _waiting = new Set<() => void>();
 	private readonly _hearing = new HearingClock();
 	private readonly _orders: FleetOrders;
@@ -218,6 +221,16 @@
 		[...this._waiting].forEach(done => done());
 	}
 
+	private _setCrowded(crowded: readonly CrowdedTarget[], now: Millis): void {
+		const isNews = crowded.length > 0 !== this._crowded.length > 0;
+		this._crowded = crowded;
+		if (isNews || (crowded.length > 0 && now - this._crowdedLoggedAt >= CROWDED_LINE_MS)) {
+			this._crowdedLoggedAt = now;
+			const leastKept = Math.min(1, ...crowded.map(({ keptPart }) => keptPart));
+			this._log.info('targets give objects away', { task: 'fleet', count: crowded.length, leastKept });
+		}
+	}
+
 	private _exchange(): void {
 		const now = systemClock.now();
 		this._noteContact(now);
@@ -227,7 +240,10 @@
 		}
 		const { members, id } = this._agreement.status();
 		const fresh = { from: id, ...this._sightings.takeFresh(now), needs: this._needs.takeFresh() };
-		this._crowded = this._needs.crowded(this._state.targets, hall => this._halls.get(hall) ?? '', now);
+		this._setCrowded(
+			this._needs.crowded(this._state.targets, hall => this._halls.get(hall) ?? '', now),
+			now
+		);
 		for (const member of members) {
 			if (member.id !== id) {
 				this._calls.call(member.address, exchangeMethod, fresh, EXCHANGE_TIMEOUT_MS).catch(() => undefined);
