Changes of the fleet that come close together are told together

Cause: every change in the log woke every call that waited for one, so a registration, a drain or an end of one target was an answer to each entry instance, with all that control heard in it.

The waiting calls are a class of their own.

--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -25,6 +25,7 @@
 import type { PlaceSettings } from '../common/placeSettings.js';
 import { Sightings } from '../common/sightings.js';
 import { type CrowdedTarget, TargetNeeds } from '../common/targetNeeds.js';
+import { ChangeWaiters } from './changeWaiters.js';
 import { EntryRosterFile } from './entryRosterFile.js';
 import { FleetOrders } from './fleetOrders.js';
 import { TargetRegistrar } from './targetRegistrar.js';
@@ -52,7 +53,7 @@
 	/** Targets that keep a part of their objects only, worked out at the last exchange. */
 	private _crowded: readonly CrowdedTarget[] = [];
 	private _crowdedLoggedAt: Millis = Number.NEGATIVE_INFINITY;
-	private readonly _waiting = new Set<() => void>();
+	private readonly _waiters = new ChangeWaiters();
 	private readonly _hearing = new HearingClock();
 	private readonly _orders: FleetOrders;
 	private readonly _registrar: TargetRegistrar;
@@ -78,7 +79,7 @@
 		this._halls = settings.section<PlaceSettings>('places').halls;
 		this._registrar = new TargetRegistrar(this._state, this._sightings, this._orders, this._halls, this._log);
 		this._agreement.addPart(this._state);
-		this._register(this._state.onDidChange(() => this._wake()));
+		this._register(this._state.onDidChange(() => this._waiters.noteChange()));
 		this._calls.handleUnary(syncMethod, request => this._sync(request));
 		this._calls.handleUnary(exchangeMethod, async request => {
 			const now = systemClock.now();
@@ -169,8 +170,9 @@
 		const arrivedAt = systemClock.now();
 		this._sightings.seeEntry(request.entry, arrivedAt);
 		this._needs.note(request.needs, arrivedAt);
-		if (request.entry.revision === this._state.revision && request.waitMs > 0) {
-			await this._waitForChange(Math.min(request.waitMs, MAX_WAIT_MS));
+		const isNews = request.entry.revision !== this._state.revision && !this._waiters.isGathering;
+		if (!isNews && request.waitMs > 0) {
+			await this._waiters.wait(Math.min(request.waitMs, MAX_WAIT_MS));
 		}
 		const now = systemClock.now();
 		this._noteContact(now);
@@ -205,22 +207,6 @@
 		return silent;
 	}
 
-	private _waitForChange(waitMs: number): Promise<void> {
-		return new Promise(resolve => {
-			const done = (): void => {
-				clearTimeout(timer);
-				this._waiting.delete(done);
-				resolve();
-			};
-			const timer = setTimeout(done, waitMs);
-			this._waiting.add(done);
-		});
-	}
-
-	private _wake(): void {
-		[...this._waiting].forEach(done => done());
-	}
-
 	private _setCrowded(crowded: readonly CrowdedTarget[], now: Millis): void {
 		const isNews = crowded.length > 0 !== this._crowded.length > 0;
 		this._crowded = crowded;
