A replica that lacks what is committed does not call itself current

Suspected cause, by reading: a control instance judged whether it is current by when it last heard its leader. One that lacks entries of the log refuses them and goes on hearing heartbeats, so it told its entry instances that an old state was current, and since they ask the nearest one they stayed with it.

Change: a replica is current where it holds all that any leader's word said to be committed; a word that is late or can't be followed does not renew that. The test failed before the change (0 ms for 2,000).

--- a/src/plugins/agreement/common/agreementCore.ts
+++ b/src/plugins/agreement/common/agreementCore.ts
@@ -105,12 +105,15 @@
 		return now - this._leadership.quorumContact(now) < this._state.timing.leaseMs;
 	}
 
-	/** Time since this replica was last known to be current: by its quorum as a leader, by its leader otherwise. */
+	/**
+	 * Time since this replica was last known to be current: by its quorum as a leader, otherwise by its leader's word on what
+	 * is committed. Heartbeats alone say nothing: a replica that lacks entries goes on hearing them.
+	 */
 	contactAge(now: Millis): Millis {
 		if (this._state.role === ReplicaRole.Leader) {
 			return now - this._leadership.quorumContact(now);
 		}
-		return this._state.leader === undefined ? Number.POSITIVE_INFINITY : now - this._state.heardLeaderAt;
+		return this._state.leader === undefined ? Number.POSITIVE_INFINITY : now - this._state.currentAt;
 	}
 
 	/** Starts a system of one voter, this replica; the others join as learners. Only on a blank log. */
--- a/src/plugins/agreement/common/logFollower.ts
+++ b/src/plugins/agreement/common/logFollower.ts
@@ -20,11 +20,16 @@
 
 	/** Takes entries, or a heartbeat. */
 	onAppend(request: AppendRequest, now: Millis): void {
-		const { log } = this._state;
 		if (!this._acceptLeader(request, now)) {
 			this._reply(request, false, 0);
 			return;
 		}
+		this._follow(request);
+		this._state.noteHeardCommit(request.commit, now);
+	}
+
+	private _follow(request: AppendRequest): void {
+		const { log } = this._state;
 		if (request.prevIndex < log.baseIndex) {
 			this._reply(request, false, this._state.commit);
 			return;
--- a/src/plugins/agreement/common/replicaState.ts
+++ b/src/plugins/agreement/common/replicaState.ts
@@ -71,6 +71,8 @@
 	leader?: MemberId;
 	/** When the leader of the term was last heard. */
 	heardLeaderAt: Millis;
+	/** When this replica last held all that its leader knew to be committed. */
+	currentAt: Millis;
 	/** When an election begins unless a leader is heard before. */
 	electionAt: Millis;
 	/** Last index of this replica's own log that its disk holds. */
@@ -84,6 +86,8 @@
 	private _membersIndex: LogIndex = 0;
 	private _commit: LogIndex;
 	private _delivered: LogIndex;
+	/** The highest index that a leader said to be committed. */
+	private _heardCommit: LogIndex = 0;
 
 	constructor(start: ReplicaStart) {
 		this.self = start.identity;
@@ -96,6 +100,7 @@
 		this._delivered = this.log.baseIndex;
 		this.persisted = this.log.lastIndex;
 		this.heardLeaderAt = start.startedAt ?? start.now;
+		this.currentAt = this.heardLeaderAt;
 		this.electionAt = start.now;
 		this.refreshMembers();
 		this.repeatPreVote(this.heardLeaderAt + this.timing.electionMinMs);
@@ -228,6 +233,14 @@
 		this._delivered = commit;
 	}
 
+	/** A leader says how far the log is committed; this replica is current where it holds all of that. */
+	noteHeardCommit(commit: LogIndex, now: Millis): void {
+		this._heardCommit = Math.max(this._heardCommit, commit);
+		if (this._commit >= this._heardCommit) {
+			this.currentAt = now;
+		}
+	}
+
 	/** A snapshot has replaced the log: everything up to it is committed, applied and persisted. */
 	jumpTo(index: LogIndex): void {
 		this._commit = index;
--- a/src/plugins/agreement/test/agreementCore.test.ts
+++ b/src/plugins/agreement/test/agreementCore.test.ts
@@ -146,3 +146,26 @@
 		.committed.map(entry => entry.index);
 	assert.deepEqual(indices, [1, 2]);
 });
+
+/**
+ * Symptom: entry instances of one data hall worked by an old table for four seconds after an acknowledgement. A replica that
+ * misses entries of the log goes on hearing its leader's heartbeats; it must not call itself current by them.
+ */
+test('a replica that hears its leader and lacks what is committed is not current', () => {
+	const core = restarted(0);
+	const append = (prevIndex: number, prevTerm: number, commit: number, now: number, added: number[] = []): void => {
+		const entries = added.map(index => ({ index, term: 2, kind: EntryKind.NoOperation as const }));
+		const header = { from: 'n2', fromIncarnation: 'i', to: 'n1', toIncarnation: 'i', term: 2 };
+		core.receive({ ...header, type: 'append', prevIndex, prevTerm, entries, commit, sentAt: now }, now);
+	};
+	append(3, 1, 3, 1000);
+	assert.equal(core.contactAge(1000), 0);
+	append(9, 2, 9, 3000);
+	assert.equal(core.contactAge(3000), 2000);
+	append(3, 1, 9, 3100);
+	assert.equal(core.contactAge(3100), 2100, 'nor by heartbeats that it can follow, while more is committed');
+	append(3, 1, 3, 3200);
+	assert.equal(core.contactAge(3200), 2200, 'nor by an older word that was late');
+	append(3, 1, 9, 3300, [4, 5, 6, 7, 8, 9]);
+	assert.equal(core.contactAge(3300), 0);
+});
