Limits of teams hold as sums over windows, by credits that control instances hold

Cause: limits were read into the table and not held.

Change: src/plugins/limits. The leader's ledger gives credits so that what was spent in the window before and what may still be spent stay within what a window may hold; it keeps within ceilings that stand in the log first, so the next leader needs nobody's memory. Control instances hold credits and renew them ahead of need; an entry instance asks the nearest one before an attempt, or another instance of its hall where it is cut off from control.

--- a/src/plugins/fleet/common/controlOrder.ts
+++ b/src/plugins/fleet/common/controlOrder.ts
@@ -68,6 +68,15 @@
 		return this._settledOn ?? this._nearest(now) ?? this._longestFailed();
 	}
 
+	/** All in the order in which they are asked; those that failed of late come last. */
+	inOrder(now: Millis): readonly string[] {
+		const addresses = this._ranked.map(([address]) => address);
+		const avoided = new Set(addresses.filter(address => this._isAvoided(address, now)));
+		const isFirst = (address: string): boolean => address === this._settledOn;
+		const sound = addresses.filter(address => !isFirst(address) && !avoided.has(address));
+		return [...addresses.filter(isFirst), ...sound, ...avoided];
+	}
+
 	/** A nearer one than the one that answers, if it is time to try it; it counts as tried. */
 	takeNearer(now: Millis): string | undefined {
 		const nearest = this._nearest(now);
@@ -111,9 +120,11 @@
 	}
 
 	private _nearest(now: Millis): string | undefined {
-		const isAvoided = (address: string): boolean =>
-			now - (this._failedAt.get(address) ?? Number.NEGATIVE_INFINITY) < AVOIDED_MS;
-		return this._ranked.find(([address]) => !isAvoided(address))?.[0];
+		return this._ranked.find(([address]) => !this._isAvoided(address, now))?.[0];
+	}
+
+	private _isAvoided(address: string, now: Millis): boolean {
+		return now - (this._failedAt.get(address) ?? Number.NEGATIVE_INFINITY) < AVOIDED_MS;
 	}
 
 	private _longestFailed(): string | undefined {
--- a/src/plugins/fleet/common/fleetControl.ts
+++ b/src/plugins/fleet/common/fleetControl.ts
@@ -5,6 +5,7 @@
 /** What a control instance offers to whoever speaks with operators, targets and callers. */
 
 import type { Millis } from '../../../base/clock.js';
+import type { Team } from '../../routes/common/routeTable.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
 import type { EntryDescription, FleetCommand, FleetResult, PublishedTable, TargetDescription } from './fleetTypes.js';
 
@@ -44,6 +45,8 @@
 	heartbeat(heartbeat: TargetHeartbeat): Promise<void>;
 	/** A target says that it is going; resolves when that is in the replicated log. */
 	removeTarget(id: string): Promise<void>;
+	/** A team of the table that this instance knows to be in force; undefined for none. */
+	team(name: string): Team | undefined;
 	/** The entry instances that a caller in a hall should use, best first. */
 	lookUp(region: string, hall: string): EntryDescription[];
 }
--- a/src/plugins/fleet/common/fleetSession.ts
+++ b/src/plugins/fleet/common/fleetSession.ts
@@ -13,6 +13,8 @@
 export interface IFleetSession {
 	/** The fleet as it is known here. */
 	readonly view: FleetView;
+	/** Addresses of the control instances for calls between processes, the one that answers this instance first. */
+	controlAddresses(): readonly string[];
 	/** How long ago the view was known to be current. */
 	ageMs(): Millis;
 	/** Says to control how many slots this instance's callers need, by service; sent with the next call. */
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -131,6 +131,8 @@
 	readonly region: string;
 	/** IPv4 address and port for callers. */
 	readonly callerAddress: string;
+	/** IPv4 address and port for calls between processes. */
+	readonly peerAddress: string;
 	readonly isReady: boolean;
 	/** The revision of the fleet that it acts by; 0 for none. */
 	readonly revision: FleetRevision;
--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -47,6 +47,7 @@
 	private readonly _byService = new Map<string, KnownTarget[]>();
 	private _entryCount = 1;
 	private _regionEntries: readonly string[] = [];
+	private _hallPeers: readonly string[] = [];
 	private _demand: RegionDemand = {};
 	private _hasHeardAll = false;
 	private _contradicted: ReadonlySet<string> = new Set();
@@ -75,6 +76,11 @@
 		return this._regionEntries;
 	}
 
+	/** Addresses for calls between processes of the other entry instances of this data hall. */
+	get hallPeers(): readonly string[] {
+		return this._hallPeers;
+	}
+
 	/** Regions in which control's latest word on silent targets is not believed, since they answer here. */
 	get contradictedRegions(): ReadonlySet<string> {
 		return this._contradicted;
@@ -132,6 +138,7 @@
 	private _applyHearsay(response: SyncResponse, now: Millis): void {
 		this._entryCount = Math.max(1, response.entryCount);
 		this._regionEntries = response.regionEntries;
+		this._hallPeers = response.hallPeers;
 		this._demand = response.demand;
 		const silent = response.hasHeardAll ? new Set(response.silentTargets) : new Set<string>();
 		this._contradicted = this._findContradicted(silent, now);
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -54,6 +54,8 @@
 	readonly entryCount: number;
 	/** Names of the entry instances of the caller's region. */
 	readonly regionEntries: readonly string[];
+	/** Addresses for calls between processes of the other entry instances of the caller's data hall. */
+	readonly hallPeers: readonly string[];
 	/** Targets whose heartbeats are overdue. */
 	readonly silentTargets: readonly string[];
 	readonly coldTargets: readonly ColdTarget[];
--- a/src/plugins/fleet/node/entryRosterFile.ts
+++ b/src/plugins/fleet/node/entryRosterFile.ts
@@ -27,6 +27,7 @@
 		hall: z.string(),
 		region: z.string(),
 		callerAddress: z.string(),
+		peerAddress: z.string(),
 		isReady: z.boolean(),
 		revision: z.number(),
 		demand: z.record(z.string(), z.number())
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -9,6 +9,7 @@
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
+import type { Team } from '../../routes/common/routeTable.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
 import { entriesFor, mayNameHeard, sumDemand, withRemembered } from '../common/entryLookUp.js';
 import { FleetUnavailableError, type IFleetControl, type TargetHeartbeat } from '../common/fleetControl.js';
@@ -116,6 +117,10 @@
 		return this._registrar.remove(id);
 	}
 
+	team(name: string): Team | undefined {
+		return this._state.published?.table.teams?.find(team => team.name === name);
+	}
+
 	lookUp(region: string, _hall: string): EntryDescription[] {
 		const now = systemClock.now();
 		this._noteContact(now);
@@ -186,6 +191,7 @@
 			hasHeardAll,
 			entryCount: entries.length,
 			regionEntries: near.map(entry => entry.name),
+			hallPeers: near.filter(entry => isPeer(entry, request.entry)).map(entry => entry.peerAddress),
 			silentTargets: this._silentTargets(now),
 			coldTargets: this._sightings.coldTargets(now),
 			crowdedTargets: this._crowded,
@@ -237,3 +243,7 @@
 		}
 	}
 }
+
+function isPeer(other: EntryDescription, { name, hall }: EntryDescription): boolean {
+	return other.hall === hall && other.name !== name;
+}
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -71,6 +71,10 @@
 		void this._run();
 	}
 
+	controlAddresses(): readonly string[] {
+		return this._order.inOrder(systemClock.now());
+	}
+
 	ageMs(): Millis {
 		return systemClock.now() - this._currentAt;
 	}
@@ -163,6 +167,7 @@
 				hall: this._instance.hall,
 				region: this._instance.region,
 				callerAddress: this._callerAddress,
+				peerAddress: this._instance.peerAddress,
 				isReady: this._isReady,
 				revision: this.view.revision,
 				demand: this._demand
--- a/src/plugins/fleet/test/controlOrder.test.ts
+++ b/src/plugins/fleet/test/controlOrder.test.ts
@@ -81,3 +81,14 @@
 	const counts = controls.map(({ address }) => asked.filter(other => other === address).length);
 	assert.ok(Math.min(...counts) >= 4, counts.join(' '));
 });
+
+test('in order: the one that answers, the others by distance, those that failed of late last', () => {
+	const order = informed();
+	order.noteFailure('own:1', 0);
+	order.noteCurrent('near:1');
+	const addresses = order.inOrder(100);
+	assert.equal(addresses[0], 'near:1');
+	assert.equal(addresses.at(-1), 'own:1');
+	assert.equal(new Set(addresses).size, addresses.length);
+	assert.equal(order.inOrder(9000)[1], 'own:1');
+});
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -43,6 +43,7 @@
 		hasHeardAll: true,
 		entryCount: 3,
 		regionEntries: [],
+		hallPeers: [],
 		silentTargets: [],
 		coldTargets: cold,
 		crowdedTargets: [],
--- /dev/null
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -0,0 +1,125 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Sends a request to a chosen target and notes what that says of the target, the service and the request. */
+
+import { type Millis, systemClock } from '../../../base/clock.js';
+import { Disposable, toDisposable } from '../../../base/disposable.js';
+import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
+import type { AttemptOutcome } from '../common/attempt.js';
+import type { IHeaderNames } from '../common/headerNames.js';
+import type { LargeAnswerGate } from '../common/largeAnswerGate.js';
+import { connectTimeoutMs, heldBytes } from '../common/linkPacer.js';
+import type { AttemptTrace } from '../common/requestTrace.js';
+import type { ChosenTarget } from '../common/targetChoice.js';
+import { describeOutcome, type Journey, mayHaveRun } from './journey.js';
+import type { OutcomeNotes } from './outcomeNotes.js';
+import type { RegionWatch } from './regionWatch.js';
+import { TargetAgent } from './targetAgent.js';
+import { TargetExchange } from './targetExchange.js';
+import { TargetHeaders } from './targetHeaders.js';
+
+/** Time for a connection to come up within a region and to another one, where the link is free. */
+const NEAR_CONNECT_MS = 250;
+const FAR_CONNECT_MS = 500;
+
+/** What attempts need of the instance. */
+export interface AttemptContext {
+	readonly region: string;
+	/** What the link of the instance carries, in Mbit/s. */
+	readonly linkMbit: number;
+	readonly names: IHeaderNames;
+	readonly notes: OutcomeNotes;
+	readonly watch: RegionWatch;
+	readonly largeAnswers: LargeAnswerGate;
+}
+
+/** The attempts of this instance and their connections. */
+export class AttemptSender extends Disposable {
+	private readonly _agent = new TargetAgent();
+	private readonly _headers: TargetHeaders;
+	private readonly _heldBytes: number;
+	private readonly _nearConnectMs: Millis;
+	private readonly _farConnectMs: Millis;
+
+	constructor(private readonly _context: AttemptContext) {
+		super();
+		const { linkMbit, names } = _context;
+		this._headers = new TargetHeaders(names);
+		this._heldBytes = heldBytes(linkMbit);
+		this._nearConnectMs = connectTimeoutMs(linkMbit, NEAR_CONNECT_MS);
+		this._farConnectMs = connectTimeoutMs(linkMbit, FAR_CONNECT_MS);
+		this._register(toDisposable(() => this._agent.destroy()));
+	}
+
+	/** One attempt at one target; never rejects. */
+	async send(journey: Journey, candidate: ChosenTarget): Promise<AttemptOutcome> {
+		const { exchange } = journey;
+		const { known, state } = candidate;
+		const now = systemClock.now();
+		const sent = this._exchangeFor(journey, candidate, now);
+		journey.tried.add(known.record.id);
+		state.inFlight++;
+		state.isUsed = true;
+		const timer = setTimeout(() => sent.abandon(), Math.max(0, journey.deadline - now));
+		exchange.whenLeft(() => sent.abandon());
+		const trace = traceOf(journey, candidate, now);
+		if (journey.attempts.length === 0) {
+			this._context.watch.noteFirstTry(candidate.firstRegion, known.region);
+		}
+		journey.attempts.push(trace);
+		const outcome = await sent.outcome;
+		const endedAt = systemClock.now();
+		trace.outcome = describeOutcome(outcome);
+		trace.tookMs = Math.round(endedAt - now);
+		exchange.whenLeft(undefined);
+		clearTimeout(timer);
+		const { notes, names } = this._context;
+		notes.noteLoad(state, sent.answerHeaders?.[names.load], endedAt);
+		notes.noteOutcome(journey, state, outcome, endedAt - now, endedAt);
+		if (outcome.type === 'answer') {
+			this._noteSize(journey.route, sent.answerHeaders?.['content-length']);
+		}
+		state.inFlight--;
+		journey.hasLeave = (journey.hasLeave && !mayHaveRun(outcome)) || journey.team?.limit === undefined;
+		return outcome;
+	}
+
+	private _exchangeFor(journey: Journey, { known }: ChosenTarget, now: Millis): TargetExchange {
+		const { exchange, body } = journey;
+		const [host, port] = known.record.address.split(':') as [string, string];
+		return new TargetExchange(this._agent, this._context.names, {
+			requestId: exchange.requestId,
+			targetId: known.record.id,
+			host,
+			port: Number(port),
+			method: exchange.request.method ?? 'GET',
+			path: exchange.path,
+			rawHeaders: this._headers.headersFor(journey, known.record.id, now),
+			body,
+			connectTimeoutMs: known.region === this._context.region ? this._nearConnectMs : this._farConnectMs,
+			heldBytes: this._heldBytes
+		});
+	}
+
+	private _noteSize(route: Route, length: string | undefined): void {
+		if (route.repeatRule === RepeatRule.LargeAnswer && length !== undefined) {
+			this._context.largeAnswers.noteSize(route, Number(length));
+		}
+	}
+}
+
+function traceOf({ exchange }: Journey, { known, state, firstRegion }: ChosenTarget, now: Millis): AttemptTrace {
+	return {
+		target: known.record.id,
+		region: known.region,
+		firstRegion,
+		atMs: Math.round(now - exchange.arrivedAt),
+		load: Math.round(state.load(now) * 10) / 10,
+		slots: known.record.slots,
+		isCold: known.coldUntil > now,
+		outcome: 'unknown',
+		tookMs: 0
+	};
+}
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -4,7 +4,7 @@
 
 /** Carries the requests of callers to targets: chooses, sends, tries again where that is allowed, and answers. */
 
-import { type Millis, systemClock } from '../../../base/clock.js';
+import { systemClock } from '../../../base/clock.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { RefusalReason } from '../../../base/verdict.js';
 import type { InstanceSettings } from '../../../kernel/node/instanceSettings.js';
@@ -13,34 +13,27 @@
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import type { PlaceSettings } from '../../fleet/common/placeSettings.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
+import { ITeamLimits, LimitVerdict } from '../../limits/common/teamLimits.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { accessOf } from '../../routes/common/teamAccess.js';
 import type { AttemptOutcome, NotRun, TargetAnswer } from '../common/attempt.js';
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
-import { connectTimeoutMs, heldBytes } from '../common/linkPacer.js';
 import { chooseService } from '../common/partChoice.js';
-import type { AttemptTrace } from '../common/requestTrace.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
 import { mayTryAgain } from '../common/targetRefusal.js';
-import type { ChosenTarget } from '../common/targetChoice.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
-import { denial, describeOutcome, endOf, isFailure, type Journey, refusal } from './journey.js';
+import { AttemptSender } from './attemptSender.js';
+import { denial, endOf, isFailure, type Journey, limitRefusal, refusal } from './journey.js';
 import { OutcomeNotes } from './outcomeNotes.js';
 import { RegionWatch } from './regionWatch.js';
 import { RequestBody } from './requestBody.js';
 import { RequestEnd, RequestRecorder } from './requestRecorder.js';
-import { TargetAgent } from './targetAgent.js';
-import { TargetExchange } from './targetExchange.js';
-import { TargetHeaders } from './targetHeaders.js';
 import { TargetSelector } from './targetSelector.js';
 
-/** Time for a connection to come up within a region and to another one, where the link is free. */
-const NEAR_CONNECT_MS = 250;
-const FAR_CONNECT_MS = 500;
 /** With less time left nothing is sent any more. */
 const LEAST_TIME_MS = 20;
 /** Connections that did not come up before a request is given up. */
@@ -56,44 +49,43 @@
 
 /** The requests of this instance. */
 export class ForwardingTask extends Disposable implements IForwarding {
-	private readonly _region: string;
-	private readonly _agent = new TargetAgent();
 	private readonly _allowances = new Map<string, RetryAllowance>();
 	private readonly _recorder: RequestRecorder;
 	private readonly _notes = new OutcomeNotes();
-	private readonly _regions: RegionWatch;
 	private readonly _selector: TargetSelector;
-	private readonly _heldBytes: number;
-	private readonly _nearConnectMs: Millis;
-	private readonly _farConnectMs: Millis;
 	private readonly _largeAnswers: LargeAnswerGate;
-	private readonly _headers: TargetHeaders;
+	private readonly _sender: AttemptSender;
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
 		@IFleetSession private readonly _session: IFleetSession,
-		@IHeaderNames private readonly _names: IHeaderNames,
+		@IHeaderNames names: IHeaderNames,
 		@IServiceBounds private readonly _bounds: IServiceBounds,
+		@ITeamLimits private readonly _limits: ITeamLimits,
 		@IMetricsService metrics: IMetricsService,
 		@ILogService log: ILogService
 	) {
 		super();
 		this._recorder = new RequestRecorder(metrics, log);
 		const instance = settings.section<InstanceSettings>('instance');
-		this._region = instance.region;
 		const { linkMbit } = settings.section<FrontSettings>('front');
-		this._heldBytes = heldBytes(linkMbit);
-		this._nearConnectMs = connectTimeoutMs(linkMbit, NEAR_CONNECT_MS);
-		this._farConnectMs = connectTimeoutMs(linkMbit, FAR_CONNECT_MS);
 		this._largeAnswers = new LargeAnswerGate(linkMbit);
 		const regions = [...new Set(settings.section<PlaceSettings>('places').halls.values())];
 		this._selector = new TargetSelector(this._session.view, instance, regions, this._bounds.shifts);
-		this._headers = new TargetHeaders(this._names);
-		this._register(toDisposable(() => this._agent.destroy()));
+		const { onDidStepFar } = this._selector;
+		const watch = this._register(new RegionWatch(_session, log, this._bounds.shifts.windowMs, onDidStepFar));
+		this._sender = this._register(
+			new AttemptSender({
+				region: instance.region,
+				linkMbit,
+				names,
+				notes: this._notes,
+				watch,
+				largeAnswers: this._largeAnswers
+			})
+		);
 		const timer = setInterval(() => this._tellNeeds(), DEMAND_INTERVAL_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
-		const { onDidStepFar } = this._selector;
-		this._regions = this._register(new RegionWatch(_session, log, this._bounds.shifts.windowMs, onDidStepFar));
 	}
 
 	private _tellNeeds(): void {
@@ -136,6 +128,7 @@
 			body,
 			deadline: exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs),
 			tried: new Set(),
+			hasLeave: access.team?.limit === undefined,
 			arrivals: 0,
 			refusals: 0,
 			noConnections: 0,
@@ -146,6 +139,9 @@
 		} else {
 			this._giveUp(journey, refusal(RefusalReason.LinkFull, RETRY_SOON_MS));
 		}
+		if (access.team?.limit && journey.hasLeave) {
+			this._limits.giveBack(access.team);
+		}
 		body.discardRest();
 	}
 
@@ -175,12 +171,20 @@
 				this._giveUp(journey, denied);
 				return;
 			}
-			const candidate = this._selector.choose(journey, now);
+			const beyond = await this._takeLeave(journey);
+			if (beyond) {
+				this._giveUp(journey, beyond);
+				return;
+			}
+			if (exchange.hasLeft) {
+				return;
+			}
+			const candidate = this._selector.choose(journey, systemClock.now());
 			if (!candidate) {
 				this._giveUp(journey, refusal(RefusalReason.NoCapacity, RETRY_SOON_MS));
 				return;
 			}
-			const outcome = await this._attempt(journey, candidate);
+			const outcome = await this._sender.send(journey, candidate);
 			const answer = this._settle(journey, outcome);
 			if (answer === 'again') {
 				continue;
@@ -192,6 +196,19 @@
 		}
 	}
 
+	/**
+	 * Takes leave of the team's limit for one target that may run the request; what a target certainly did not run needs none.
+	 * @returns the answer for a request beyond the limit; undefined for one within it
+	 */
+	private async _takeLeave(journey: Journey): Promise<OwnAnswer | undefined> {
+		if (journey.hasLeave || !journey.team) {
+			return undefined;
+		}
+		const leave = await this._limits.admit(journey.team);
+		journey.hasLeave = leave.verdict === LimitVerdict.Admitted;
+		return journey.hasLeave ? undefined : limitRefusal(leave);
+	}
+
 	/** A key may be taken away while its requests wait for another try; undefined where it still holds. */
 	private _deniedNow({ route, exchange }: Journey): OwnAnswer | undefined {
 		const { routes } = this._session.view;
@@ -199,64 +216,6 @@
 		return access && !access.isGranted ? denial(access) : undefined;
 	}
 
-	private async _attempt(journey: Journey, candidate: ChosenTarget): Promise<AttemptOutcome> {
-		const { exchange } = journey;
-		const { known, state } = candidate;
-		const [host, port] = known.record.address.split(':') as [string, string];
-		const now = systemClock.now();
-		const sent = new TargetExchange(this._agent, this._names, {
-			requestId: exchange.requestId,
-			targetId: known.record.id,
-			host,
-			port: Number(port),
-			method: exchange.request.method ?? 'GET',
-			path: exchange.path,
-			rawHeaders: this._headers.headersFor(journey, known.record.id, now),
-			body: journey.body,
-			connectTimeoutMs: known.region === this._region ? this._nearConnectMs : this._farConnectMs,
-			heldBytes: this._heldBytes
-		});
-		journey.tried.add(known.record.id);
-		state.inFlight++;
-		state.isUsed = true;
-		const timer = setTimeout(() => sent.abandon(), Math.max(0, journey.deadline - now));
-		exchange.whenLeft(() => sent.abandon());
-		const trace: AttemptTrace = {
-			target: known.record.id,
-			region: known.region,
-			firstRegion: candidate.firstRegion,
-			atMs: Math.round(now - exchange.arrivedAt),
-			load: Math.round(state.load(now) * 10) / 10,
-			slots: known.record.slots,
-			isCold: known.coldUntil > now,
-			outcome: 'unknown',
-			tookMs: 0
-		};
-		if (journey.attempts.length === 0) {
-			this._regions.noteFirstTry(candidate.firstRegion, known.region);
-		}
-		journey.attempts.push(trace);
-		const outcome = await sent.outcome;
-		const endedAt = systemClock.now();
-		trace.outcome = describeOutcome(outcome);
-		trace.tookMs = Math.round(endedAt - now);
-		exchange.whenLeft(undefined);
-		clearTimeout(timer);
-		this._notes.noteLoad(state, sent.answerHeaders?.[this._names.load], endedAt);
-		this._notes.noteOutcome(journey, state, outcome, endedAt - now, endedAt);
-		if (outcome.type === 'answer') {
-			this._noteSize(journey.route, sent.answerHeaders?.['content-length']);
-		}
-		state.inFlight--;
-		return outcome;
-	}
-
-	private _noteSize(route: Route, length: string | undefined): void {
-		if (route.repeatRule === RepeatRule.LargeAnswer && length !== undefined) {
-			this._largeAnswers.noteSize(route, Number(length));
-		}
-	}
-
 	/** Decides what follows an attempt: another one, an answer of the system's own, or nothing more. */
 	private _settle(journey: Journey, outcome: AttemptOutcome): OwnAnswer | 'again' | undefined {
 		switch (outcome.type) {
--- a/src/plugins/forwarding/node/journey.ts
+++ b/src/plugins/forwarding/node/journey.ts
@@ -6,6 +6,7 @@
 
 import type { Millis } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
+import { type LimitAnswer, LimitVerdict } from '../../limits/common/teamLimits.js';
 import type { Route, Team } from '../../routes/common/routeTable.js';
 import type { DeniedAccess } from '../../routes/common/teamAccess.js';
 import type { AttemptOutcome, TargetAnswer } from '../common/attempt.js';
@@ -18,6 +19,7 @@
 const STATUS_FAILURES = 500;
 const STATUS_UNKNOWN_KEY = 401;
 const STATUS_FORBIDDEN = 403;
+const STATUS_TOO_MANY = 429;
 
 /** One request on its way. */
 export interface Journey {
@@ -31,6 +33,8 @@
 	readonly body: RequestBody;
 	readonly deadline: Millis;
 	readonly tried: Set<string>;
+	/** Whether the limit of its team leaves room to send it to one more target; always where there is no limit. */
+	hasLeave: boolean;
 	/** Targets that may have run the request. */
 	arrivals: number;
 	/** Targets that turned it away. */
@@ -46,6 +50,11 @@
 	return answer.status >= STATUS_FAILURES;
 }
 
+/** Whether a target may have begun to run the request. */
+export function mayHaveRun(outcome: AttemptOutcome): boolean {
+	return outcome.type === 'abandoned' ? outcome.mayHaveRun : outcome.type !== 'not-run';
+}
+
 /** An outcome in a word, with its cause, for the log. */
 export function describeOutcome(outcome: AttemptOutcome): string {
 	switch (outcome.type) {
@@ -73,6 +82,13 @@
 	return { status, verdict: 'not-run', reason };
 }
 
+/** The answer to a request beyond its team's limit, or one whose team's credits nobody could renew. */
+export function limitRefusal({ verdict, retryAfterMs }: LimitAnswer): OwnAnswer {
+	return verdict === LimitVerdict.OverLimit
+		? { status: STATUS_TOO_MANY, verdict: 'not-run', reason: RefusalReason.OverLimit, retryAfterMs }
+		: refusal(RefusalReason.NoQuorum, retryAfterMs);
+}
+
 /** A refusal: nothing has run, and asking again may help. */
 export function refusal(reason: RefusalReason, retryAfterMs: Millis): OwnAnswer {
 	return { status: 503, verdict: 'not-run', reason, retryAfterMs };
--- a/src/plugins/forwarding/test/coldTargets.test.ts
+++ b/src/plugins/forwarding/test/coldTargets.test.ts
@@ -55,6 +55,7 @@
 		hasHeardAll: true,
 		entryCount: 26,
 		regionEntries,
+		hallPeers: [],
 		silentTargets: [],
 		coldTargets: [],
 		crowdedTargets: [],
--- a/src/plugins/forwarding/test/regionCallers.ts
+++ b/src/plugins/forwarding/test/regionCallers.ts
@@ -184,6 +184,7 @@
 			hasHeardAll: true,
 			entryCount: INSTANCES,
 			regionEntries: this._instances?.map((_, i) => `entry-${i}`) ?? [],
+			hallPeers: [],
 			silentTargets: [...this.silent],
 			coldTargets: [],
 			crowdedTargets: [],
--- /dev/null
+++ b/src/plugins/limits/limits.entry.plugin.ts
@@ -0,0 +1,27 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Registers the limits of teams on entry instances. */
+
+import {
+	ContributionPhase,
+	type IContribution,
+	pluginRegistry,
+	ProcessKind
+} from '../../kernel/common/pluginRegistry.js';
+import { ITeamLimits } from './common/teamLimits.js';
+import { TeamLimitsTask } from './node/teamLimitsTask.js';
+
+pluginRegistry.registerSingleton(ITeamLimits, TeamLimitsTask);
+
+/** Opens the way between the entry instances of a data hall. */
+class TeamLimitsContribution implements IContribution {
+	constructor(@ITeamLimits private readonly _limits: TeamLimitsTask) {}
+
+	start(): Promise<void> {
+		return this._limits.start();
+	}
+}
+
+pluginRegistry.registerContribution([ProcessKind.Entry], ContributionPhase.Service, TeamLimitsContribution);
--- /dev/null
+++ b/src/plugins/limits/node/limitControlTask.ts
@@ -0,0 +1,64 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** The limits of teams on a control instance: holds credits for the entry instances that ask it; the leader keeps the ledger. */
+
+import { randomUUID } from 'node:crypto';
+import { Disposable } from '../../../base/disposable.js';
+import type { Millis } from '../../../base/clock.js';
+import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
+import { ILogService } from '../../../kernel/node/logService.js';
+import { IAgreement } from '../../agreement/common/agreement.js';
+import { IFleetControl } from '../../fleet/common/fleetControl.js';
+import type { TeamLimit } from '../../routes/common/routeTable.js';
+import { ILimitTerms } from '../common/limitTerms.js';
+import { type CreditGrant, renewMethod, type RenewRequest, takeMethod } from '../common/limitWire.js';
+import { CreditHolder } from './creditHolder.js';
+import { LeaderLedger } from './leaderLedger.js';
+
+/** The holder of this instance's credits, and the ledger while it leads. */
+export class LimitControlTask extends Disposable {
+	private readonly _holder: CreditHolder;
+	private readonly _ledger: LeaderLedger;
+
+	constructor(
+		@IPeerCalls private readonly _calls: IPeerCalls,
+		@IAgreement private readonly _agreement: IAgreement,
+		@IFleetControl fleet: IFleetControl,
+		@ILimitTerms terms: ILimitTerms,
+		@ILogService private readonly _log: ILogService
+	) {
+		super();
+		const limitOf = (team: string): TeamLimit | undefined => fleet.team(team)?.limit;
+		this._ledger = this._register(new LeaderLedger(_agreement, terms, limitOf, _log));
+		this._holder = this._register(
+			new CreditHolder(randomUUID(), (request, timeoutMs) => this._renew(request, timeoutMs), limitOf, _log)
+		);
+		_calls.handleUnary(renewMethod, async request => this._ledger.renew(request));
+		_calls.handleUnary(takeMethod, async request => this._holder.take(request));
+	}
+
+	/** Gives all credits back before a planned stop, so that the others find them at the leader. */
+	drain(): Promise<void> {
+		return this._holder.release();
+	}
+
+	/** What the leader grants; undefined where it could not be asked. */
+	private async _renew(request: RenewRequest, timeoutMs: Millis): Promise<readonly CreditGrant[] | undefined> {
+		const { leader, id, members } = this._agreement.status();
+		if (leader === id) {
+			return this._ledger.renew(request).grants;
+		}
+		const address = members.find(member => member.id === leader)?.address;
+		if (address === undefined) {
+			return undefined;
+		}
+		try {
+			return (await this._calls.call(address, renewMethod, request, timeoutMs)).grants;
+		} catch (error) {
+			this._log.warn('credits not renewed', { task: 'limits', leader, reason: (error as Error).message });
+			return undefined;
+		}
+	}
+}
--- a/test/fakes/describeEntry.ts
+++ b/test/fakes/describeEntry.ts
@@ -15,6 +15,7 @@
 		hall: 'h',
 		region: 'r',
 		callerAddress: '127.0.0.1:1',
+		peerAddress: '127.0.0.1:2',
 		isReady: true,
 		revision: 4,
 		demand: {},
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -225,6 +225,7 @@
 			hasHeardAll: true,
 			entryCount: this._instances.length,
 			regionEntries: this._instances.flatMap((other, i) => (other.region === region ? [`${region}-entry-${i}`] : [])),
+			hallPeers: [],
 			silentTargets: [],
 			coldTargets: [],
 			crowdedTargets: this._crowded,
--- a/test/platform/teams.test.ts
+++ b/test/platform/teams.test.ts
@@ -16,6 +16,7 @@
 const GROWERS: DocumentTeam = { name: 'growers', keys: ['growers-key-1', 'growers-key-2'] };
 const VENTS: DocumentTeam = { name: 'vents', keys: ['vents-key'] };
 const ELSEWHERE: DocumentTeam = { name: 'elsewhere', keys: ['elsewhere-key'], homes: ['region-2'] };
+const LIMITED: DocumentTeam = { name: 'limited', keys: ['limited-key'], perSecond: 10, burst: 20 };
 const system = new DiscoveredSystem(3, 2);
 const [entry, other] = system.entries as [(typeof system.entries)[0], (typeof system.entries)[0]];
 const target = new StandInTarget({
@@ -39,7 +40,7 @@
 before(async () => {
 	await target.listen();
 	system.startAll();
-	await system.publish(routeDocument(1, ROUTES, [GROWERS, VENTS, ELSEWHERE]), 0);
+	await system.publish(routeDocument(1, ROUTES, [GROWERS, VENTS, ELSEWHERE, LIMITED]), 0);
 	await system.heartbeat(target, 'reads');
 	for (const instance of system.entries) {
 		await until('the route is served', async () =>
@@ -86,6 +87,31 @@
 	assert.equal(seen('homeless'), undefined);
 });
 
+test('a team beyond its limit is refused at both instances together, and told when to come back', async () => {
+	const startedAt = performance.now();
+	let served = 0;
+	let refusals = 0;
+	for (let i = 0; i < 60; i++) {
+		const answers = await Promise.all(
+			system.entries.map(instance =>
+				system.request(instance, 'GET', '/read/7', { headers: { Credential: 'limited-key' } })
+			)
+		);
+		for (const { status, headers } of answers) {
+			served += status === 200 ? 1 : 0;
+			if (status === 429) {
+				refusals++;
+				assert.equal(headers['shelffield-verdict'], 'not-run');
+				assert.ok(Number(headers['retry-after']) > 0);
+			}
+		}
+	}
+	const seconds = (performance.now() - startedAt) / 1000;
+	assert.ok(served >= 5, `${served} served`);
+	assert.ok(served <= 10 * seconds + 20, `${served} served in ${seconds.toFixed(1)} s`);
+	assert.ok(refusals > 0);
+});
+
 test('a document in which two teams share a key is refused and changes nothing', async () => {
 	const shared = routeDocument(2, ROUTES, [GROWERS, { name: 'copy', keys: ['growers-key-1'] }]);
 	const answer = await system.control(system.controls[0]!, 'PUT', '/api/config', shared, 1);
@@ -111,6 +137,6 @@
 
 test('no process writes a key down in its log', () => {
 	for (const instance of [...system.controls, ...system.entries]) {
-		assert.doesNotMatch(instance.output, /growers-key|vents-key|elsewhere-key/);
+		assert.doesNotMatch(instance.output, /growers-key|vents-key|elsewhere-key|limited-key/);
 	}
 });
