A ledger of limits begins small, so that its successor has room; credits live 2.5 s

Cause: a new ledger took the ceilings of the one before over.

Change: a ledger begins with 0.12 of what a window may hold for each team and raises that in the log; credits live for 2.5 s in place of 4, so that what leaders before gave has run out after 8 s in place of 9.5.

--- a/src/plugins/limits/common/creditLedger.ts
+++ b/src/plugins/limits/common/creditLedger.ts
@@ -22,13 +22,13 @@
 /** Part of what a window may hold up to which credits are given ahead of need; the rest is for requests that wait. */
 const AHEAD_PART = 0.85;
 /** A ceiling is raised where this part of it is in use, to as many times the use and some more. */
-const RAISE_FROM_PART = 0.85;
-const RAISED_TIMES = 1.15;
+const RAISE_FROM_PART = 0.9;
+const RAISED_TIMES = 1.12;
 const RAISED_BY = 8;
 /** One that is this many times too high is lowered, so that the next leader has room. */
 const TOO_HIGH_TIMES = 1.4;
-/** Ceiling of a team that stands nowhere in the log, as a part of what a window may hold; none is lowered below. */
-export const USUAL_PART = 0.3;
+/** Ceiling of a team before one stands in the log, as a part of what a window may hold; none is lowered below. */
+export const FIRST_PART = 0.12;
 /** A limit that cannot be foreseen to have room is asked for again after this long. */
 const UNKNOWN_ROOM_MS = 500;
 
@@ -164,7 +164,7 @@
 	private _newCeiling(team: string, use: number, most: number): number | undefined {
 		const current = this._ceiling(team, most);
 		const needed = RAISED_TIMES * (use + (this._short.get(team) ?? 0)) + RAISED_BY;
-		const wanted = Math.min(most, Math.ceil(Math.max(needed, USUAL_PART * most)));
+		const wanted = Math.min(most, Math.ceil(Math.max(needed, FIRST_PART * most)));
 		const isShort = wanted > current && (this._short.has(team) || use > RAISE_FROM_PART * current);
 		return isShort || wanted * TOO_HIGH_TIMES < current ? wanted : undefined;
 	}
--- a/src/plugins/limits/common/holderAccount.ts
+++ b/src/plugins/limits/common/holderAccount.ts
@@ -13,10 +13,10 @@
 import type { CreditReport } from './limitWire.js';
 
 /**
- * Credits that a holder does not count as received this long after they were given are lost: it takes no answer later than 1.5 s,
- * and a report that was written before is no older than that when it comes.
+ * Credits that a holder does not count as received this long after they were given are lost: it takes no answer later than 1 s,
+ * and a report that was written before is no older than that when it comes. Shorter than the time after which they lapse here.
  */
-const LOST_AFTER_MS = 3500;
+const LOST_AFTER_MS = 2300;
 
 /** Credits of one team at one holder, as the ledger has them. */
 export class HolderAccount {
--- a/src/plugins/limits/common/ledgerCeilings.ts
+++ b/src/plugins/limits/common/ledgerCeilings.ts
@@ -5,7 +5,7 @@
 /** The replicated record of the ceilings that ledgers keep within, so that a new leader knows how much may still be out. */
 
 import type { IReplicatedPart } from '../../agreement/common/replicatedState.js';
-import { type Ceilings, type ICeilings, USUAL_PART } from './creditLedger.js';
+import { type Ceilings, FIRST_PART, type ICeilings } from './creditLedger.js';
 
 /** Id of this part of the replicated state. */
 export const LEDGER_PART = 'limits';
@@ -76,12 +76,16 @@
 		this._before = [...before];
 	}
 
-	/** A new ledger begins with the ceilings of the one before, since teams need what they needed then. */
+	/**
+	 * A new ledger begins with the first ceilings. With those of the one before, a leader that lasted for a moment left its
+	 * successor nothing: after a loss of all power teams were refused for as long as credits of both might be out.
+	 */
 	private _begin(term: number): void {
 		if (this._term !== undefined) {
-			this._before.push({ ...this._current });
+			this._before.push(this._current);
 		}
 		this._term = term;
+		this._current = {};
 	}
 
 	private _applyToCurrent(command: SetCeilings | SettleLedger): void {
@@ -94,5 +98,5 @@
 }
 
 function ceilingOf(ceilings: Ceilings, team: string, most: number): number {
-	return Math.min(most, ceilings[team] ?? USUAL_PART * most);
+	return Math.min(most, ceilings[team] ?? FIRST_PART * most);
 }
--- a/src/plugins/limits/common/limitTerms.ts
+++ b/src/plugins/limits/common/limitTerms.ts
@@ -21,7 +21,7 @@
 export const ILimitTerms = createServiceIdentifier<ILimitTerms>('limitTerms');
 
 /** Credits that were not spent this long after they were asked for are void, by their holder's clock. */
-export const CREDIT_LIFE_MS: Millis = 4000;
+export const CREDIT_LIFE_MS: Millis = 2500;
 /** The ledger takes credits as spent this much later: a clock runs a little slower, an answer was on its way. */
 export const LAPSE_MARGIN_MS: Millis = 500;
 /** Part of what a window may hold that is used: requests that were let through apart may reach targets closer together. */
--- a/src/plugins/limits/node/creditHolder.ts
+++ b/src/plugins/limits/node/creditHolder.ts
@@ -15,7 +15,7 @@
 import type { CreditGrant, CreditReport, RenewRequest, TakeRequest, TakeResponse } from '../common/limitWire.js';
 import { TeamCredits } from '../common/teamCredits.js';
 
-/** Time between renewals; credits live for eight of them. */
+/** Time between renewals; credits live for five of them. */
 const RENEW_MS = 500;
 /** Longest that a request waits for the leader: a call to another region and back, twice. */
 const WAIT_MS = 200;
@@ -24,7 +24,7 @@
 /** An answer to a need that comes later than this is not counted, and the ledger finds that its credits were lost. */
 const NEED_ANSWER_MS = 500;
 /** A renewal that is answered late counts all the same: on a crowded link every one may be late; see `HolderAccount`. */
-const RENEW_ANSWER_MS = 1500;
+const RENEW_ANSWER_MS = 1000;
 /** A team that was told to be over its limit does not ask again before this. */
 const EMPTY_PAUSE_MS = 100;
 const LEAST_RETRY_MS = 100;
--- a/src/plugins/limits/test/limits.test.ts
+++ b/src/plugins/limits/test/limits.test.ts
@@ -447,6 +447,7 @@
 		fleet.now += 100;
 		fleet.request(0, 1);
 		fleet.renew(0, 'answered');
+		fleet.writeCeilings();
 	}
 	const cutAt = fleet.now;
 	for (let i = 0; i < 100; i++) {
@@ -481,6 +482,20 @@
 	}
 });
 
+test('a leader that lasts for a moment leaves its successor room', () => {
+	for (const perSecond of [8, 45, 248]) {
+		const fleet = new Fleet({ perSecond, burst: perSecond });
+		callFor(fleet, 0.45 * perSecond, 15000);
+		play(fleet, [{ type: 'loseAllPower' }]);
+		callFor(fleet, 0.45 * perSecond, 300);
+		fleet.changeLeader();
+		const before = fleet.turnedAway;
+		const { count } = callFor(fleet, 0.45 * perSecond, 10000);
+		assert.ok(fleet.turnedAway - before <= count / 3, `${perSecond}: ${fleet.turnedAway - before} of ${count}`);
+		assertSum(fleet);
+	}
+});
+
 test('the bound of a window leaves a part for requests that arrive closer together than they were sent', () => {
 	assert.equal(mostInWindow({ perSecond: 10, burst: 10 }, TERMS), Math.floor(0.92 * (60 * 1.1 + 20)));
 });
