Targets that were not met of late count as full as the others of their region

Cause: each of many instances meets a target once in a second or more, and a load word counts for 1.5 s, so most targets seemed empty: at 2.6 times the requests queues stood at their end, and nearly every answer came late.

Change: RegionLoad averages the load words of all answers by service and region; a target without a fresh word counts as full as that. Fill limits stay.

--- a/src/plugins/forwarding/common/targetState.ts
+++ b/src/plugins/forwarding/common/targetState.ts
@@ -5,6 +5,7 @@
 /** What this instance knows of one target by its own requests: load, health, and the pace while it is cold. */
 
 import type { Millis } from '../../../base/clock.js';
+import type { RegionLoad } from './regionLoad.js';
 import { TargetHealth } from './targetHealth.js';
 
 /** A load word older than this says nothing any more. */
@@ -48,9 +49,11 @@
 	private _coldTokens = 1;
 	private _coldTokensAt: Millis = 0;
 
+	/** @param regionLoad what is known of the service's targets in its region */
 	constructor(
 		readonly id: string,
-		readonly slots: number
+		readonly slots: number,
+		readonly regionLoad: RegionLoad
 	) {}
 
 	/** Whether the latest connection to it did not come up, a short time ago. */
@@ -60,15 +63,26 @@
 		return isRecent && (answeredAt === undefined || answeredAt < unreachableAt);
 	}
 
-	/** Requests at the target, those of other instances included, as far as known. */
+	/**
+	 * Requests at the target, those of other instances included: by its latest load word, which counts less and less, and by
+	 * what the other targets of the region bear.
+	 */
 	load(now: Millis): number {
-		const age = now - this._toldAt;
-		const others = age >= LOAD_WORD_AGE_MS ? 0 : this._othersLoad * (1 - age / LOAD_WORD_AGE_MS);
-		return this.inFlight + others;
+		const wordWeight = Math.max(0, 1 - (now - this._toldAt) / LOAD_WORD_AGE_MS);
+		if (wordWeight === 0) {
+			return Math.max(this.inFlight, this._usualLoad(now));
+		}
+		const told = this.inFlight + this._othersLoad;
+		return Math.max(this.inFlight, told * wordWeight + this._usualLoad(now) * (1 - wordWeight));
+	}
+
+	private _usualLoad(now: Millis): number {
+		return this.regionLoad.meanFill(now) * this.slots;
 	}
 
 	/** Takes a load word in that came with an answer; the answered request still counts as in flight. */
 	takeLoadWord(word: LoadWord, now: Millis): void {
+		this.regionLoad.note((word.running + word.waiting) / Math.max(1, word.slots), now);
 		this._othersLoad = Math.max(0, word.running + word.waiting - Math.max(0, this.inFlight - 1));
 		this._toldAt = now;
 	}
--- a/src/plugins/forwarding/node/targetStates.ts
+++ b/src/plugins/forwarding/node/targetStates.ts
@@ -7,6 +7,7 @@
 import { type Millis } from '../../../base/clock.js';
 import type { FleetView, ITargetWitness, KnownTarget } from '../../fleet/common/fleetView.js';
 import type { Candidate } from '../common/targetChoice.js';
+import { RegionLoad } from '../common/regionLoad.js';
 import { TargetState } from '../common/targetState.js';
 
 const SWEEP_INTERVAL_MS = 10000;
@@ -21,6 +22,7 @@
 /** States by target id; those of targets that are gone are dropped. */
 export class TargetStates implements ITargetWitness {
 	private readonly _states = new Map<string, TargetState>();
+	private readonly _regionLoads = new Map<string, RegionLoad>();
 	private _sweptAt: Millis = 0;
 
 	constructor(private readonly _view: FleetView) {
@@ -39,7 +41,7 @@
 	stateOf(target: KnownTarget): TargetState {
 		let state = this._states.get(target.record.id);
 		if (!state) {
-			state = new TargetState(target.record.id, target.record.slots);
+			state = new TargetState(target.record.id, target.record.slots, this._regionLoadOf(target));
 			this._states.set(target.record.id, state);
 		}
 		return state;
@@ -69,6 +71,16 @@
 		return { candidates, standing };
 	}
 
+	private _regionLoadOf({ record, region }: KnownTarget): RegionLoad {
+		const key = `${record.service} ${region}`;
+		let load = this._regionLoads.get(key);
+		if (!load) {
+			load = new RegionLoad();
+			this._regionLoads.set(key, load);
+		}
+		return load;
+	}
+
 	private _sweep(now: Millis): void {
 		if (now - this._sweptAt < SWEEP_INTERVAL_MS) {
 			return;
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -11,6 +11,7 @@
 import { SharePacer } from '../common/sharePacer.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { type Candidate, chooseTarget } from '../common/targetChoice.js';
+import { RegionLoad } from '../common/regionLoad.js';
 import { parseLoadWord, TargetState } from '../common/targetState.js';
 import { TargetPhase } from '../../fleet/common/fleetTypes.js';
 
@@ -33,7 +34,7 @@
 	};
 	return {
 		known: { record, region, isSilent: false, coldUntil: 0, keptPart: 1, knownSince: 0 },
-		state: new TargetState(id, slots)
+		state: new TargetState(id, slots, new RegionLoad())
 	};
 }
 
@@ -130,7 +131,7 @@
 });
 
 test('the pace of a cold target lets one request through at once and then its rate', () => {
-	const state = new TargetState('a', 4);
+	const state = new TargetState('a', 4, new RegionLoad());
 	assert.equal(state.takeColdToken(2, 10000), true);
 	assert.equal(state.takeColdToken(2, 10001), false);
 	assert.equal(state.takeColdToken(2, 10600), true);
--- a/src/plugins/forwarding/test/placement.test.ts
+++ b/src/plugins/forwarding/test/placement.test.ts
@@ -12,6 +12,7 @@
 import { findNewcomer, introducerOf } from '../common/newcomers.js';
 import { planShares } from '../common/regionShares.js';
 import { type Candidate, chooseTarget } from '../common/targetChoice.js';
+import { RegionLoad } from '../common/regionLoad.js';
 import { TargetState } from '../common/targetState.js';
 
 const ENTRIES = ['e1', 'e2', 'e3', 'e4'];
@@ -29,7 +30,7 @@
 		coldSenders: []
 	};
 	const known = { record, region: 'r1', isSilent: false, coldUntil: 0, keptPart: 1, knownSince: 0, ...changed };
-	return { known, state: new TargetState(id, 4) };
+	return { known, state: new TargetState(id, 4, new RegionLoad()) };
 }
 
 test('a newcomer gets its first request from one instance of its region, once', () => {
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -44,6 +44,10 @@
 	readonly objects: number;
 	/** Requests a second of all callers. */
 	readonly rate: number;
+	/** How many times as much callers send, by the time since their first request; 1 where it is left out. */
+	readonly surge?: (sinceStartMs: Millis) => number;
+	/** Whether a caller that was refused comes back once, after this time; it does not where it is left out. */
+	readonly comesBackMs?: Millis;
 	/** Within this time a caller wants the answer. */
 	readonly objectiveMs: Millis;
 	readonly target: TargetModelSettings;
@@ -67,6 +71,8 @@
 	readonly leastFirstTouches: number;
 	/** Arrivals at the target with most of them, as times of the mean. */
 	readonly busiest: number;
+	/** Requests answered in time, by the second since the first request in which they were sent. */
+	readonly inTimeBySecond: readonly number[];
 }
 
 interface Instance {
@@ -77,6 +83,15 @@
 	readonly retries: RetryAllowance;
 }
 
+/** What a caller asks; it may come back with it. */
+interface CallerRequest {
+	readonly objectKey: string | undefined;
+	readonly requestId: string;
+	/** When it was sent first. */
+	readonly askedAt: Millis;
+	readonly isBack: boolean;
+}
+
 interface Scheduled {
 	readonly at: Millis;
 	readonly order: number;
@@ -98,6 +113,8 @@
 	private _order = 0;
 	private _random: number;
 	private _isAsking = false;
+	private _startedAt: Millis = 0;
+	private readonly _inTimeBySecond: number[] = [];
 
 	constructor(private readonly _settings: FleetModelSettings) {
 		this._random = _settings.seed;
@@ -113,6 +130,7 @@
 		this._pass(this._settings.registrationMs ?? 0);
 		this._pass(2 * SYNC_MS);
 		this._isAsking = true;
+		this._startedAt = this.now;
 		this._scheduleNextRequest();
 		this._pass(spanMs);
 		this._isAsking = false;
@@ -234,7 +252,8 @@
 	}
 
 	private _scheduleNextRequest(): void {
-		const gapMs = (-Math.log(1 - this._chance()) * 1000) / this._settings.rate;
+		const factor = this._settings.surge?.(this.now - this._startedAt) ?? 1;
+		const gapMs = (-Math.log(1 - this._chance()) * 1000) / (this._settings.rate * factor);
 		this._at(this.now + gapMs, () => {
 			if (this._isAsking) {
 				this._ask();
@@ -244,7 +263,7 @@
 	}
 
 	private _ask(): void {
-		const instance = this._instances[Math.floor(this._chance() * this._instances.length)]!;
+		const instance = this._anyInstance();
 		const isUnbound = this._chance() < (this._settings.unboundPart ?? 0);
 		const number = Math.floor(this._chance() * this._settings.objects);
 		const objectKey = isUnbound ? undefined : `${instance.region}-${number}`;
@@ -252,26 +271,53 @@
 		if (objectKey !== undefined) {
 			this._asked.add(objectKey);
 		}
+		this._send(instance, {
+			objectKey,
+			requestId: `request-${this._counts.requests}`,
+			askedAt: this.now,
+			isBack: false
+		});
+	}
+
+	private _anyInstance(region?: string): Instance {
+		const instances = this._instances.filter(instance => region === undefined || instance.region === region);
+		return instances[Math.floor(this._chance() * instances.length)]!;
+	}
+
+	private _send(instance: Instance, request: CallerRequest): void {
 		instance.notes.noteRequest(SERVICE, this.now);
 		instance.retries.noteFirstTry(this.now);
-		const requestId = `request-${this._counts.requests}`;
+		const { objectKey, requestId } = request;
 		const exchange = { objectKey, requestId, hasLeft: false } as unknown as CallerExchange;
 		const journey = {
 			exchange,
-			route: ROUTE,
+			route: { ...ROUTE, objectiveMs: this._settings.objectiveMs },
 			homeRegions: [],
 			service: SERVICE,
 			tried: new Set<string>(),
 			refusals: 0,
 			attempts: []
 		} as unknown as Journey;
-		this._try(instance, journey, this.now);
+		this._try(instance, journey, request);
 	}
 
-	private _try(instance: Instance, journey: Journey, askedAt: Millis): void {
+	/** The caller is refused; it may come back once, to any instance of its region. */
+	private _refuse(instance: Instance, request: CallerRequest): void {
+		const { comesBackMs } = this._settings;
+		if (comesBackMs === undefined || request.isBack) {
+			this._counts.refused++;
+			return;
+		}
+		this._at(this.now + comesBackMs, () => {
+			const other = this._anyInstance(instance.region);
+			this._send(other, { ...request, requestId: `${request.requestId}-back`, isBack: true });
+		});
+	}
+
+	private _try(instance: Instance, journey: Journey, request: CallerRequest): void {
 		const chosen = instance.selector.choose(journey, this.now);
 		if (!chosen) {
-			this._counts.refused++;
+			this._refuse(instance, request);
 			return;
 		}
 		const { known, state } = chosen;
@@ -280,10 +326,16 @@
 		state.inFlight++;
 		state.isUsed = true;
 		const wayMs = known.region === instance.region ? ROUND_TRIP_MS : FAR_ROUND_TRIP_MS;
-		this._at(this.now + wayMs / 2, () => this._arrive(instance, journey, chosen, askedAt, wayMs));
+		this._at(this.now + wayMs / 2, () => this._arrive(instance, journey, chosen, request, wayMs));
 	}
 
-	private _arrive(instance: Instance, journey: Journey, chosen: ChosenTarget, askedAt: Millis, wayMs: Millis): void {
+	private _arrive(
+		instance: Instance,
+		journey: Journey,
+		chosen: ChosenTarget,
+		request: CallerRequest,
+		wayMs: Millis
+	): void {
 		const target = this.targets.get(chosen.known.record.id)!;
 		const sentAt = this.now - wayMs / 2;
 		const object = journey.exchange.objectKey ?? journey.exchange.requestId;
@@ -291,13 +343,13 @@
 			this._at(endsAt, () => {
 				target.release(this.now);
 				const { loadWord } = target;
-				this._at(endsAt + wayMs / 2, () => this._answer(instance, journey, chosen, sentAt, askedAt, loadWord));
+				this._at(endsAt + wayMs / 2, () => this._answer(instance, journey, chosen, sentAt, request, loadWord));
 			})
 		);
 		if (!isTaken) {
 			this._counts.turnedAway++;
 			const { loadWord } = target;
-			this._at(this.now + wayMs / 2, () => this._turnAway(instance, journey, chosen, askedAt, loadWord));
+			this._at(this.now + wayMs / 2, () => this._turnAway(instance, journey, chosen, request, loadWord));
 		}
 	}
 
@@ -306,11 +358,15 @@
 		journey: Journey,
 		{ state }: ChosenTarget,
 		sentAt: Millis,
-		askedAt: Millis,
+		request: CallerRequest,
 		loadWord: string
 	): void {
-		const isInTime = this.now - askedAt <= this._settings.objectiveMs;
+		const isInTime = this.now - request.askedAt <= this._settings.objectiveMs;
 		this._counts[isInTime ? 'inTime' : 'late']++;
+		if (isInTime) {
+			const second = Math.floor((request.askedAt - this._startedAt) / 1000);
+			this._inTimeBySecond[second] = (this._inTimeBySecond[second] ?? 0) + 1;
+		}
 		instance.notes.noteLoad(state, loadWord, this.now);
 		const answer = { type: 'answer', status: 200, rawHeaders: [], endsWithConnection: false } as never;
 		instance.notes.noteOutcome(journey, state, answer, this.now - sentAt, this.now);
@@ -321,7 +377,7 @@
 		instance: Instance,
 		journey: Journey,
 		{ known, state }: ChosenTarget,
-		askedAt: Millis,
+		request: CallerRequest,
 		loadWord: string
 	): void {
 		const cause = refusalCause(parseLoadWord(loadWord));
@@ -334,9 +390,9 @@
 			journey.tried.delete(known.record.id);
 		}
 		if (journey.refusals < MAX_REFUSALS && instance.retries.take(this._instances.length, this.now)) {
-			this._try(instance, journey, askedAt);
+			this._try(instance, journey, request);
 		} else {
-			this._counts.refused++;
+			this._refuse(instance, request);
 		}
 	}
 
@@ -348,6 +404,7 @@
 			...this._counts,
 			firstTouches: targets.reduce((sum, target) => sum + target.firstTouches, 0),
 			leastFirstTouches: this._asked.size,
+			inTimeBySecond: Array.from(this._inTimeBySecond, count => count ?? 0),
 			busiest: (Math.max(...arrivals) * targets.length) / total
 		};
 	}
