Limits: comments say what the ledger's parts are for; a limited request loses its leave in one plain step

Cause: read as a newcomer, two comments said less than they should and one line decided two things.

Change: comments of CreditLedger; AttemptSender takes the leave of a limited request away where a target may have run it.

--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -82,7 +82,9 @@
 			this._noteSize(journey.route, sent.answerHeaders?.['content-length']);
 		}
 		state.inFlight--;
-		journey.hasLeave = (journey.hasLeave && !mayHaveRun(outcome)) || journey.team?.limit === undefined;
+		if (journey.team?.limit && mayHaveRun(outcome)) {
+			journey.hasLeave = false;
+		}
 		return outcome;
 	}
 
--- a/src/plugins/limits/common/creditLedger.ts
+++ b/src/plugins/limits/common/creditLedger.ts
@@ -19,9 +19,13 @@
 import type { CreditGrant, CreditReport, RenewRequest } from './limitWire.js';
 import { SpendHistory } from './spendHistory.js';
 
-/** Part of what a window may hold up to which credits are given ahead of need; the rest is for requests that wait. */
+/** Part of the room of a team up to which credits are given ahead of need; the rest is for requests that wait. */
 const AHEAD_PART = 0.85;
-/** A ceiling is raised where this part of it is in use, to as many times the use and some more. */
+/**
+ * A ceiling is raised where this part of it is in use, to as many times the use and some credits more. Chosen by the replays of
+ * `limits.test.ts`: lower ones refuse requests of teams whose rate rises, at 1.25 times a next leader of a team of 45 a second
+ * refuses 53 of 233 requests where at 1.15 it refuses 28.
+ */
 const RAISE_FROM_PART = 0.9;
 const RAISED_TIMES = 1.12;
 const RAISED_BY = 8;
@@ -29,7 +33,7 @@
 const TOO_HIGH_TIMES = 1.4;
 /** Ceiling of a team before one stands in the log, as a part of what a window may hold; none is lowered below. */
 export const FIRST_PART = 0.12;
-/** A limit that cannot be foreseen to have room is asked for again after this long. */
+/** When to ask again where no spent credit is about to leave the window: all of them are out, and lapse within 2.5 s. */
 const UNKNOWN_ROOM_MS = 500;
 
 /** What stands in the replicated log of the ceilings of teams. */
@@ -107,7 +111,7 @@
 export class CreditLedger {
 	private readonly _accounts = new Map<string, TeamAccount>();
 	private readonly _sequences = new Map<string, number>();
-	/** Teams whose ceiling was in the way of a grant. */
+	/** Credits that a team's ceiling was in the way of, by team, since the ceilings were last looked at. */
 	private readonly _short = new Map<string, number>();
 
 	/** Ceilings that are on their way into the log; lower ones bind at once. */
