A replica whose log is not open yet tells its state in place of ending the process

Two runs of the file at once showed a control process that ended at its start: a timer of the membership asked for the replica's state while the log was being opened.

Change: before the log is open, status() tells that the replica follows nobody and knows no members.

Measured: agreementTask.test.ts failed before with the same message.

--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -152,6 +152,16 @@
 	}
 
 	status(): ReplicaStatus {
+		return this._core ? this._openStatus() : this._statusBeforeOpening();
+	}
+
+	/** Other parts may ask while a slow disk still opens the log: there is nothing to tell but who this is. */
+	private _statusBeforeOpening(): ReplicaStatus {
+		const nothing = { commitIndex: 0, lastIndex: 0, snapshotIndex: 0, members: [] };
+		return { id: this._id, incarnation: '', role: ReplicaRole.Follower, term: 0, ...nothing };
+	}
+
+	private _openStatus(): ReplicaStatus {
 		return {
 			id: this._identity.id,
 			incarnation: this._identity.incarnation,
@@ -196,12 +206,15 @@
 		}
 	}
 
+	/** Where members are learned, a replica goes by its address. */
+	private get _id(): MemberId {
+		return this._seeds.length > 0 ? this._instance.peerAddress : this._instance.name;
+	}
+
 	private _createIdentity(incarnation: string): ReplicaIdentity {
 		const { name, hall, peerAddress } = this._instance;
-		if (this._seeds.length > 0) {
-			return { id: peerAddress, incarnation, address: peerAddress, hall };
-		}
-		return { id: name, incarnation, address: this._controls.get(name)!.address, hall };
+		const address = this._seeds.length > 0 ? peerAddress : this._controls.get(name)!.address;
+		return { id: this._id, incarnation, address, hall };
 	}
 
 	private async _handleBatch(batch: TaskMessage[]): Promise<void> {
--- a/src/plugins/agreement/test/agreementTask.test.ts
+++ b/src/plugins/agreement/test/agreementTask.test.ts
@@ -24,3 +24,18 @@
 	assert.equal(task.contactAgeMs(), Number.POSITIVE_INFINITY);
 	task.dispose();
 });
+
+/**
+ * A timer of another part asked for the state while a slow disk still opened the log; the error ended the process, and
+ * whoever waited for it to vote again waited without end.
+ */
+test('before its log is open a replica tells that it follows nobody and knows no members', () => {
+	const calls = { handleUnary: () => undefined } as unknown as IPeerCalls;
+	const task = new AgreementTask(SETTINGS, calls, {} as ILogService);
+	const { id, role, term, leader, members } = task.status();
+	assert.deepEqual(
+		{ id, role, term, leader, members },
+		{ id: 'c1', role: 'follower', term: 0, leader: undefined, members: [] }
+	);
+	task.dispose();
+});
