Sight: what targets ask for in their answers, and what they are sent all the same

Cause: nothing read the header by which a target asks for rest, nor the one by which it says that it leaves, so neither a log line nor a figure could tell whether a word was unheard, forgotten, or overtaken by requests that were on their way. Change: all that a target says with one answer is decoded at one place (targetWord.ts), at the head of the answer; TargetRest keeps it, RestWatch logs and counts. No choice of a target goes by it yet.

--- a/src/plugins/forwarding/common/headerNames.ts
+++ b/src/plugins/forwarding/common/headerNames.ts
@@ -24,6 +24,10 @@
 	readonly notRun: string;
 	/** In an answer: requests running, requests waiting and slots, parted by commas. */
 	readonly load: string;
+	/** In an answer that turns the request away: seconds, or a date, until which the target wants nothing more from the asker. */
+	readonly rest: string;
+	/** In any answer of a target that ends soon: `1`. */
+	readonly leaving: string;
 	/** In an answer: proof of which target gave it. */
 	readonly stamp: string;
 }
--- a/src/plugins/forwarding/common/requestTrace.ts
+++ b/src/plugins/forwarding/common/requestTrace.ts
@@ -18,6 +18,8 @@
 	readonly load: number;
 	readonly slots: number;
 	readonly isCold: boolean;
+	/** How long the target had asked to be left alone for; undefined where it had not. */
+	readonly restLeftMs: number | undefined;
 	/** Outcome, with its cause where there is one. */
 	outcome: string;
 	tookMs: number;
--- a/src/plugins/forwarding/common/targetRefusal.ts
+++ b/src/plugins/forwarding/common/targetRefusal.ts
@@ -10,7 +10,7 @@
 
 import type { AttemptTrace } from './requestTrace.js';
 import { NotRunCause } from './attempt.js';
-import type { LoadWord } from './targetState.js';
+import type { LoadWord } from './targetWord.js';
 
 /**
  * Tries of one request at one target: the second one finds out whether chance turned it away. A third would cost a retry
--- /dev/null
+++ b/src/plugins/forwarding/common/targetRest.ts
@@ -0,0 +1,46 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Whether one life of a target wants work from this instance, by its own word. */
+
+import type { Millis } from '../../../base/clock.js';
+import type { TargetWord } from './targetWord.js';
+
+/** What a target asked for, and until when it holds. */
+export class TargetRest {
+	private _restsUntil: Millis = Number.NEGATIVE_INFINITY;
+	private _askedAt: Millis = Number.POSITIVE_INFINITY;
+	private _isLeaving = false;
+
+	/** When it first asked for what holds now, or held last; infinite for never. */
+	get askedAt(): Millis {
+		return this._askedAt;
+	}
+
+	/** Whether it said that it ends soon; that holds for good. */
+	get isLeaving(): boolean {
+		return this._isLeaving;
+	}
+
+	/** Takes the word of an answer in. A later word never shortens an earlier one, since each holds by itself. */
+	hear({ restMs, isLeaving }: Pick<TargetWord, 'restMs' | 'isLeaving'>, now: Millis): void {
+		if ((restMs > 0 || isLeaving) && !this.isAsked(now)) {
+			this._askedAt = now;
+		}
+		this._isLeaving ||= isLeaving;
+		if (restMs > 0) {
+			this._restsUntil = Math.max(this._restsUntil, now + restMs);
+		}
+	}
+
+	/** Whether it wants nothing now. */
+	isAsked(now: Millis): boolean {
+		return this._isLeaving || now < this._restsUntil;
+	}
+
+	/** When it wants work again, on the monotonic clock; infinite for one that leaves. */
+	get endsAt(): Millis {
+		return this._isLeaving ? Number.POSITIVE_INFINITY : this._restsUntil;
+	}
+}
--- a/src/plugins/forwarding/common/targetState.ts
+++ b/src/plugins/forwarding/common/targetState.ts
@@ -7,6 +7,8 @@
 import type { Millis } from '../../../base/clock.js';
 import type { RegionLoad } from './regionLoad.js';
 import { TargetHealth } from './targetHealth.js';
+import { TargetRest } from './targetRest.js';
+import type { LoadWord } from './targetWord.js';
 
 /** A load word older than this says nothing any more. */
 const LOAD_WORD_AGE_MS = 1500;
@@ -14,26 +16,12 @@
 /** A connection that did not come up says for this long that a target is out of reach; a new one is tried before. */
 const UNREACHABLE_MS = 4000;
 
-/** Load as a target told it. */
-export interface LoadWord {
-	readonly running: number;
-	readonly waiting: number;
-	readonly slots: number;
-}
-
-/** Reads `running,waiting,slots`; undefined for anything else. */
-export function parseLoadWord(text: string | string[] | undefined): LoadWord | undefined {
-	const numbers = typeof text !== 'string' ? undefined : text.split(',').map(Number);
-	if (numbers?.length !== 3 || numbers.some(number => !Number.isFinite(number) || number < 0)) {
-		return undefined;
-	}
-	return { running: numbers[0]!, waiting: numbers[1]!, slots: numbers[2]! };
-}
-
 /** State of one target at this instance. */
 export class TargetState {
 	/** Whether it answers as it should. */
 	readonly health = new TargetHealth();
+	/** Whether it wants work from this instance. */
+	readonly rest = new TargetRest();
 	/** Requests of this instance that the target has not ended. */
 	inFlight = 0;
 	/** Whether this instance has sent it a request. */
--- /dev/null
+++ b/src/plugins/forwarding/common/targetWord.ts
@@ -0,0 +1,84 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** All that a target says of itself in the head of an answer, whatever becomes of the answer: decoded here and nowhere else. */
+
+import type { IncomingMessage } from 'node:http';
+import type { Millis } from '../../../base/clock.js';
+import type { IHeaderNames } from './headerNames.js';
+
+const STATUS_OTHER_TARGET = 421;
+const STATUS_TOO_MANY = 429;
+const STATUS_UNAVAILABLE = 503;
+/** A longer rest counts as this one: it outlasts any life of a target, and a target that is well starts a new one. */
+const MOST_REST_MS: Millis = 24 * 3600 * 1000;
+/** Seconds, with or without a fraction: what HTTP allows, and fractions besides. */
+const SECONDS = /^\d{1,9}(\.\d{1,9})?$/;
+
+/** Load as a target told it. */
+export interface LoadWord {
+	readonly running: number;
+	readonly waiting: number;
+	readonly slots: number;
+}
+
+/** What a target says of itself with one answer. */
+export interface TargetWord {
+	/** Undefined where it does not say. */
+	readonly load: LoadWord | undefined;
+	/** For how long it wants nothing more from this instance, counted from the answer; 0 where it does not ask for rest. */
+	readonly restMs: Millis;
+	/** It ends soon, and wants no new work in this life. */
+	readonly isLeaving: boolean;
+	/** It did not run the request. */
+	readonly isNotRun: boolean;
+}
+
+/** The head of an answer. */
+export type AnswerHead = Pick<IncomingMessage, 'statusCode' | 'headers' | 'headersDistinct'>;
+
+/** Reads `running,waiting,slots`; undefined for anything else. */
+export function parseLoadWord(text: string | readonly string[] | undefined): LoadWord | undefined {
+	const numbers = typeof text === 'string' ? text.split(',').map(Number) : undefined;
+	if (numbers?.length !== 3 || numbers.some(number => !Number.isFinite(number) || number < 0)) {
+		return undefined;
+	}
+	return { running: numbers[0]!, waiting: numbers[1]!, slots: numbers[2]! };
+}
+
+/**
+ * Reads one value of a header that asks for rest: seconds, or a date. What is neither, or lies in the past, asks for none.
+ * @param sentAt the date of the answer by the clock that wrote it, as Unix milliseconds
+ */
+export function parseRest(text: string, sentAt: number): Millis {
+	const trimmed = text.trim();
+	const wanted = SECONDS.test(trimmed) ? Number(trimmed) * 1000 : Date.parse(trimmed) - sentAt;
+	return wanted > 0 ? Math.min(wanted, MOST_REST_MS) : 0;
+}
+
+/**
+ * Reads the head of a target's answer.
+ * @param wallNow the time of day, as Unix milliseconds, for a date in an answer that does not say when it was sent
+ */
+export function readTargetWord(head: AnswerHead, names: IHeaderNames, wallNow: number): TargetWord {
+	const { statusCode: status, headers } = head;
+	const isTurnedAway = status === STATUS_UNAVAILABLE || status === STATUS_TOO_MANY;
+	return {
+		load: parseLoadWord(headers[names.load]),
+		restMs: isTurnedAway ? longestRest(head, names, wallNow) : 0,
+		isLeaving: headers[names.leaving] === '1',
+		isNotRun: status === STATUS_OTHER_TARGET || headers[names.notRun] !== undefined
+	};
+}
+
+/** Each value holds by itself, so the longest one does. */
+function longestRest({ headers, headersDistinct }: AnswerHead, names: IHeaderNames, wallNow: number): Millis {
+	if (headers[names.rest] === undefined) {
+		return 0;
+	}
+	const dated = Date.parse(headers.date ?? '');
+	const sentAt = Number.isNaN(dated) ? wallNow : dated;
+	const rests = (headersDistinct[names.rest] ?? []).map(text => parseRest(text, sentAt));
+	return Math.max(0, ...rests);
+}
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -15,10 +15,12 @@
 import { connectTimeoutMs, heldBytes } from '../common/linkPacer.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
 import type { ChosenTarget } from '../common/targetChoice.js';
+import type { TargetWord } from '../common/targetWord.js';
 import { describeOutcome, type Journey, mayHaveRun } from './journey.js';
 import type { LostRunWatch } from './lostRunWatch.js';
 import type { OutcomeNotes } from './outcomeNotes.js';
 import type { RegionWatch } from './regionWatch.js';
+import type { RestWatch } from './restWatch.js';
 import { TargetAgent } from './targetAgent.js';
 import { TargetExchange } from './targetExchange.js';
 import { TargetHeaders } from './targetHeaders.js';
@@ -38,6 +40,7 @@
 	readonly largeAnswers: LargeAnswerGate;
 	readonly view: FleetView;
 	readonly lostRuns: LostRunWatch;
+	readonly rests: RestWatch;
 }
 
 /** The attempts of this instance and their connections. */
@@ -85,9 +88,10 @@
 		trace.tookMs = Math.round(endedAt - now);
 		exchange.whenLeft(undefined);
 		clearTimeout(timer);
-		const { notes, names, lostRuns } = this._context;
+		const { notes, lostRuns, rests } = this._context;
 		lostRuns.noteAttempt(journey, known.record, outcome, now);
-		notes.noteLoad(state, sent.answerHeaders?.[names.load], endedAt);
+		notes.noteLoad(state, sent.word?.load, endedAt);
+		rests.noteSent(known.record, state, { chosenAt: now, writtenAt: sent.writtenAt, outcome });
 		notes.noteOutcome(journey, state, outcome, endedAt - now, endedAt);
 		if (outcome.type === 'answer') {
 			this._noteSize(journey.route, sent.answerHeaders?.['content-length']);
@@ -99,6 +103,14 @@
 		return outcome;
 	}
 
+	/** A target spoke of itself in the head of an answer. */
+	private _hear({ known, state }: ChosenTarget, word: TargetWord): void {
+		const now = systemClock.now();
+		const { rests } = this._context;
+		rests.noteWord(known.record, state, word, state.inFlight, now);
+		state.rest.hear(word, now);
+	}
+
 	/** What a target was running when it ended is lost; behind a cut nothing else says so. */
 	private _loseAllAt({ id, bornAt, address }: TargetRecord): void {
 		this._agent.closeRestingTo(...splitAddress(address));
@@ -109,8 +121,9 @@
 		}
 	}
 
-	private _exchangeFor(journey: Journey, { known }: ChosenTarget, now: Millis): TargetExchange {
+	private _exchangeFor(journey: Journey, candidate: ChosenTarget, now: Millis): TargetExchange {
 		const { exchange, body } = journey;
+		const { known } = candidate;
 		const [host, port] = splitAddress(known.record.address);
 		return new TargetExchange(this._agent, this._context.names, {
 			requestId: exchange.requestId,
@@ -122,7 +135,8 @@
 			rawHeaders: this._headers.headersFor(journey, known.record.id, now),
 			body,
 			connectTimeoutMs: known.region === this._context.region ? this._nearConnectMs : this._farConnectMs,
-			heldBytes: this._heldBytes
+			heldBytes: this._heldBytes,
+			onWord: word => this._hear(candidate, word)
 		});
 	}
 
@@ -147,6 +161,7 @@
 		load: Math.round(state.load(now) * 10) / 10,
 		slots: known.record.slots,
 		isCold: known.coldUntil > now,
+		restLeftMs: state.rest.isAsked(now) ? Math.round(state.rest.endsAt - now) : undefined,
 		outcome: 'unknown',
 		tookMs: 0
 	};
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -35,6 +35,7 @@
 import { RegionWatch } from './regionWatch.js';
 import { RequestBody } from './requestBody.js';
 import { RequestEnd, RequestRecorder } from './requestRecorder.js';
+import { RestWatch } from './restWatch.js';
 import { TargetSelector } from './targetSelector.js';
 
 /** With less time left nothing is sent any more. */
@@ -89,7 +90,8 @@
 				watch,
 				largeAnswers: this._largeAnswers,
 				view: _session.view,
-				lostRuns
+				lostRuns,
+				rests: new RestWatch(metrics, log)
 			})
 		);
 		const timer = setInterval(() => this._tellNeeds(), DEMAND_INTERVAL_MS);
--- a/src/plugins/forwarding/node/outcomeNotes.ts
+++ b/src/plugins/forwarding/node/outcomeNotes.ts
@@ -7,7 +7,8 @@
 import type { Millis } from '../../../base/clock.js';
 import { type AttemptOutcome, NotRunCause, type TargetAnswer } from '../common/attempt.js';
 import { DemandMeter } from '../common/demandMeter.js';
-import { parseLoadWord, type TargetState } from '../common/targetState.js';
+import type { TargetState } from '../common/targetState.js';
+import type { LoadWord } from '../common/targetWord.js';
 import { isFailure, type Journey } from './journey.js';
 
 /** Keeps what services need and how targets do. */
@@ -40,10 +41,9 @@
 	}
 
 	/** Takes the load word of an answer in, if there is one. */
-	noteLoad(state: TargetState, load: string | string[] | undefined, now: Millis): void {
-		const word = parseLoadWord(load);
-		if (word) {
-			state.takeLoadWord(word, now);
+	noteLoad(state: TargetState, load: LoadWord | undefined, now: Millis): void {
+		if (load) {
+			state.takeLoadWord(load, now);
 		}
 	}
 
--- /dev/null
+++ b/src/plugins/forwarding/node/restWatch.ts
@@ -0,0 +1,85 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Tells operators which targets ask for rest or say that they leave, and what they are sent all the same. */
+
+import { Counter } from 'prom-client';
+import type { Millis } from '../../../base/clock.js';
+import type { ILogService } from '../../../kernel/node/logService.js';
+import type { IMetricsService } from '../../../kernel/node/metricsService.js';
+import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
+import type { AttemptOutcome } from '../common/attempt.js';
+import { TraceSampler } from '../common/requestTrace.js';
+import type { TargetState } from '../common/targetState.js';
+import type { TargetWord } from '../common/targetWord.js';
+
+/** One request that went to a target. */
+export interface SentRequest {
+	readonly chosenAt: Millis;
+	/** When it may have been written; undefined for never. */
+	readonly writtenAt: Millis | undefined;
+	readonly outcome: AttemptOutcome;
+}
+
+/** Logs and counts what targets ask for. */
+export class RestWatch {
+	private readonly _sampler = new TraceSampler();
+	private readonly _asked: Counter;
+	private readonly _sentAllTheSame: Counter;
+
+	constructor(
+		metrics: IMetricsService,
+		private readonly _log: ILogService
+	) {
+		const registers = [metrics.registry];
+		this._asked = new Counter({
+			name: 'shelffield_target_rests_asked_total',
+			help: 'Answers in which a target asked for rest (rest), or first said that it leaves (leaving).',
+			labelNames: ['service', 'word'],
+			registers
+		});
+		this._sentAllTheSame = new Counter({
+			name: 'shelffield_requests_to_resting_targets_total',
+			help: 'Requests written to a target that wanted none, chosen after or before its word was there, by outcome.',
+			labelNames: ['service', 'chosen', 'outcome'],
+			registers
+		});
+	}
+
+	/**
+	 * A target spoke of itself; called before its state takes the word in.
+	 * @param underWay requests of this instance that the target has not ended
+	 */
+	noteWord(
+		{ id, service }: TargetRecord,
+		{ rest }: TargetState,
+		word: TargetWord,
+		underWay: number,
+		now: Millis
+	): void {
+		if (word.restMs > 0) {
+			this._tell('target asks for rest', { target: id, service, restMs: word.restMs, underWay }, now);
+			this._asked.inc({ service, word: 'rest' });
+		}
+		if (word.isLeaving && !rest.isLeaving) {
+			this._tell('target says that it leaves', { target: id, service, underWay }, now);
+			this._asked.inc({ service, word: 'leaving' });
+		}
+	}
+
+	/** A request that was sent to a target has ended. */
+	noteSent({ service }: TargetRecord, { rest }: TargetState, { chosenAt, writtenAt, outcome }: SentRequest): void {
+		if (writtenAt === undefined || !rest.isAsked(writtenAt) || rest.askedAt >= writtenAt) {
+			return;
+		}
+		const cause = outcome.type === 'not-run' ? outcome.cause : outcome.type;
+		this._sentAllTheSame.inc({ service, chosen: rest.askedAt < chosenAt ? 'after' : 'before', outcome: cause });
+	}
+
+	private _tell(message: string, what: Readonly<Record<string, unknown>>, now: Millis): void {
+		if (this._sampler.admits(false, now)) {
+			this._log.info(message, { task: 'forwarding', ...what });
+		}
+	}
+}
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -10,7 +10,7 @@
 import { type AttemptOutcome, BrokenCause, NotRunCause, type RawHeaders } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { refusalCause } from '../common/targetRefusal.js';
-import { parseLoadWord } from '../common/targetState.js';
+import { readTargetWord, type TargetWord } from '../common/targetWord.js';
 import type { RequestBody } from './requestBody.js';
 import type { TargetAgent } from './targetAgent.js';
 
@@ -36,6 +36,8 @@
 	readonly connectTimeoutMs: Millis;
 	/** Answers up to this size are held whole before the caller sees any of it, so that a broken one can be replaced. */
 	readonly heldBytes: number;
+	/** Is told what the target says of itself, as soon as the head of its answer is there. */
+	readonly onWord: (word: TargetWord) => void;
 }
 
 function mayHaveBody(status: number): boolean {
@@ -53,10 +55,12 @@
 	private readonly _request: ClientRequest;
 	private _resolve!: (outcome: AttemptOutcome) => void;
 	private _isSettled = false;
-	private _mayHaveArrived = false;
+	private _writtenAt: Millis | undefined;
 	/** The kept connection that the request went out on, if it was one. */
 	private _reused?: { readonly socket: Socket; readonly sentAt: Millis };
 	private _connectTimer?: NodeJS.Timeout;
+	/** What the target said of itself, once the head of its answer is there. */
+	word?: TargetWord;
 	/** Headers of the target's answer, once they are there. */
 	answerHeaders?: IncomingMessage['headers'];
 
@@ -71,8 +75,8 @@
 		this._request = httpRequest({ agent: this._agent, host, port, method, path, headers, setHost: false });
 		this._request.on('socket', socket => {
 			if (!socket.connecting) {
-				this._mayHaveArrived = true;
-				this._reused = { socket, sentAt: systemClock.now() };
+				this._writtenAt = systemClock.now();
+				this._reused = { socket, sentAt: this._writtenAt };
 				return;
 			}
 			socket.once('connect', () => this._onConnect());
@@ -84,9 +88,14 @@
 		_sent.body.writeTo(this._request);
 	}
 
+	/** When the request may have been written to the target, on the monotonic clock; undefined for not yet. */
+	get writtenAt(): Millis | undefined {
+		return this._writtenAt;
+	}
+
 	/** Ends the attempt: the caller left or its time is over. */
 	abandon(): void {
-		this._settle({ type: 'abandoned', mayHaveRun: this._mayHaveArrived });
+		this._settle({ type: 'abandoned', mayHaveRun: this._writtenAt !== undefined });
 		this._request.destroy();
 	}
 
@@ -106,12 +115,12 @@
 	}
 
 	private _onConnect(): void {
-		this._mayHaveArrived = true;
+		this._writtenAt = systemClock.now();
 		clearTimeout(this._connectTimer);
 	}
 
 	private _onConnectTimeout(): void {
-		if (this._mayHaveArrived) {
+		if (this._writtenAt !== undefined) {
 			return;
 		}
 		this._settle({ type: 'not-run', hasArrived: false, cause: NotRunCause.NoConnection });
@@ -122,7 +131,7 @@
 		if (this._reused && !this._isSettled && !this.answerHeaders) {
 			this._agent.noteLoss(this._reused.socket, this._sent.targetId, systemClock.now() - this._reused.sentAt);
 		}
-		if (this._mayHaveArrived) {
+		if (this._writtenAt !== undefined) {
 			this._settle({ type: 'broken', cause: this._lossCause(code), detail });
 		} else {
 			this._settle({ type: 'not-run', hasArrived: false, cause: NotRunCause.NoConnection });
@@ -148,9 +157,15 @@
 			return;
 		}
 		this.answerHeaders = headers;
-		if (status === STATUS_OTHER_TARGET || headers[this._names.notRun] !== undefined) {
+		const word = readTargetWord(response, this._names, Date.now());
+		this.word = word;
+		// Another target speaks there of itself, not of the one that was meant.
+		if (status !== STATUS_OTHER_TARGET) {
+			this._sent.onWord(word);
+		}
+		if (word.isNotRun) {
 			response.resume();
-			this._settle({ type: 'not-run', hasArrived: true, cause: this._notRunCause(status, headers) });
+			this._settle({ type: 'not-run', hasArrived: true, cause: this._notRunCause(status, word) });
 			this._closeUnlessWholeSent();
 			return;
 		}
@@ -194,13 +209,13 @@
 		response.on('end', onEnd);
 	}
 
-	private _notRunCause(status: number, headers: IncomingMessage['headers']): NotRunCause {
+	private _notRunCause(status: number, { load }: TargetWord): NotRunCause {
 		switch (status) {
 			case STATUS_OTHER_TARGET:
 				return NotRunCause.OtherTarget;
 			case STATUS_UNAVAILABLE:
 			case STATUS_TOO_MANY:
-				return refusalCause(parseLoadWord(headers[this._names.load]));
+				return refusalCause(load);
 			default:
 				return NotRunCause.Refused;
 		}
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -12,7 +12,8 @@
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { type Candidate, chooseTarget } from '../common/targetChoice.js';
 import { RegionLoad } from '../common/regionLoad.js';
-import { parseLoadWord, TargetState } from '../common/targetState.js';
+import { TargetState } from '../common/targetState.js';
+import { parseLoadWord } from '../common/targetWord.js';
 import { TargetPhase } from '../../fleet/common/fleetTypes.js';
 
 const HERE: RegionShares = [
--- a/src/plugins/forwarding/test/regionCallers.ts
+++ b/src/plugins/forwarding/test/regionCallers.ts
@@ -274,7 +274,8 @@
 		const end = (now: Millis): void => {
 			const left = this._loads.get(id)! - 1;
 			this._loads.set(id, left);
-			instance.notes.noteLoad(state, `${Math.min(left, SLOTS)},${Math.max(0, left - SLOTS)},${SLOTS}`, now);
+			const load = { running: Math.min(left, SLOTS), waiting: Math.max(0, left - SLOTS), slots: SLOTS };
+			instance.notes.noteLoad(state, load, now);
 			state.inFlight--;
 			const answer = { type: 'answer', status: 200, rawHeaders: [], endsWithConnection: false } as never;
 			instance.notes.noteOutcome(journey, state, answer, tookMs, now);
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -9,6 +9,7 @@
 import { test } from 'node:test';
 import { type AttemptOutcome, BrokenCause, NotRunCause } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
+import type { TargetWord } from '../common/targetWord.js';
 import { RequestBody } from '../node/requestBody.js';
 import { TargetAgent } from '../node/targetAgent.js';
 import { TargetExchange } from '../node/targetExchange.js';
@@ -22,6 +23,8 @@
 	expectedTarget: 'expected',
 	notRun: 'not-run',
 	load: 'load',
+	rest: 'rest',
+	leaving: 'leaving',
 	stamp: 'stamp'
 };
 
@@ -44,6 +47,9 @@
 	}
 }
 
+/** What targets said of themselves, in order. */
+const words: TargetWord[] = [];
+
 async function startAttempt(play: (connection: Duplex) => void): Promise<TargetExchange> {
 	const body = await RequestBody.read({ headers: {} } as never);
 	return new TargetExchange(new ScriptedAgent(play), NAMES, {
@@ -56,7 +62,8 @@
 		rawHeaders: ['Request-Id', 'a'],
 		body,
 		connectTimeoutMs: 1000,
-		heldBytes: 64 * 1024
+		heldBytes: 64 * 1024,
+		onWord: word => words.push(word)
 	});
 }
 
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -17,7 +17,7 @@
 import type { AttemptTrace } from '../../src/plugins/forwarding/common/requestTrace.js';
 import { RetryAllowance } from '../../src/plugins/forwarding/common/retryAllowance.js';
 import { mayTryAgain, refusalCause } from '../../src/plugins/forwarding/common/targetRefusal.js';
-import { parseLoadWord } from '../../src/plugins/forwarding/common/targetState.js';
+import { parseLoadWord } from '../../src/plugins/forwarding/common/targetWord.js';
 import type { ChosenTarget } from '../../src/plugins/forwarding/common/targetChoice.js';
 import type { CallerExchange } from '../../src/plugins/forwarding/node/callerExchange.js';
 import type { Journey } from '../../src/plugins/forwarding/node/journey.js';
@@ -368,7 +368,7 @@
 			const second = Math.floor((request.askedAt - this._startedAt) / 1000);
 			this._inTimeBySecond[second] = (this._inTimeBySecond[second] ?? 0) + 1;
 		}
-		instance.notes.noteLoad(state, loadWord, this.now);
+		instance.notes.noteLoad(state, parseLoadWord(loadWord), this.now);
 		const answer = { type: 'answer', status: 200, rawHeaders: [], endsWithConnection: false } as never;
 		instance.notes.noteOutcome(journey, state, answer, this.now - sentAt, this.now);
 		state.inFlight--;
@@ -383,7 +383,7 @@
 	): void {
 		const cause = refusalCause(parseLoadWord(loadWord));
 		const outcome = { type: 'not-run', hasArrived: true, cause } as const;
-		instance.notes.noteLoad(state, loadWord, this.now);
+		instance.notes.noteLoad(state, parseLoadWord(loadWord), this.now);
 		instance.notes.noteOutcome(journey, state, outcome, 0, this.now);
 		state.inFlight--;
 		journey.refusals++;
