Failing tests: targets that ask for rest, or say that they leave, are sent requests all the same

Cause: no code reads what targets ask for in their answers; only what is known as load fades within 1.5 s, and a refusal by a target with room leaves nothing.

--- a/test/platform/standInTarget.ts
+++ b/test/platform/standInTarget.ts
@@ -4,7 +4,13 @@
 
 /** A small stand-in of the platform's upstreams: slots, instance check, echo of the request's id, load words. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type OutgoingHttpHeaders,
+	type Server,
+	type ServerResponse
+} from 'node:http';
 
 /** How the next requests are answered instead of the usual way. */
 export type Misbehaviour = 'reset' | 'cut' | 'full' | 'extra' | 'silent' | 'unframed' | 'other-id' | 'error';
@@ -23,6 +29,13 @@
 	closedEarly: boolean;
 }
 
+/** A request that was turned away. */
+export interface TurnedAway {
+	readonly id: string;
+	/** When it arrived and was answered, on the monotonic clock. */
+	readonly at: number;
+}
+
 /** Options of a stand-in. */
 export interface StandInOptions {
 	readonly id: string;
@@ -41,6 +54,12 @@
 export class StandInTarget {
 	/** Requests that ran here, in order of arrival. */
 	readonly ran: SeenRequest[] = [];
+	/** Requests that were turned away while `refusesWith` was set, in order of arrival. */
+	readonly turnedAway: TurnedAway[] = [];
+	/** Headers with which each request is turned away, since it was not run; none is where this is undefined. */
+	refusesWith: OutgoingHttpHeaders | undefined;
+	/** Headers that stand in each answer, besides the usual ones. */
+	alsoSays: OutgoingHttpHeaders = {};
 	private _running = 0;
 	private readonly _server: Server;
 
@@ -91,6 +110,11 @@
 			response.writeHead(421).end();
 			return;
 		}
+		if (this.refusesWith) {
+			this.turnedAway.push({ id: seen.id, at: performance.now() });
+			response.writeHead(503, { 'Not-Executed': '1', ...this.refusesWith, ...this.alsoSays }).end();
+			return;
+		}
 		const misbehaviour = this.misbehaviours.shift();
 		if (misbehaviour === 'full') {
 			response.writeHead(503, { 'Not-Executed': '1' }).end();
@@ -113,7 +137,12 @@
 	private _answer(response: ServerResponse, seen: SeenRequest, misbehaviour: Misbehaviour | undefined): void {
 		const body = `${seen.id}:${'x'.repeat(this.options.answerBytes)}`;
 		const load = `${this._running},0,${this.options.slots}`;
-		const head = { 'Server-Stamp': this.options.id, 'Server-Load': load, 'Content-Length': String(body.length) };
+		const head = {
+			'Server-Stamp': this.options.id,
+			'Server-Load': load,
+			'Content-Length': String(body.length),
+			...this.alsoSays
+		};
 		const { socket } = response;
 		switch (misbehaviour) {
 			case 'silent':
