Targets that ask for rest, or say that they leave, are sent nothing more

Change: TargetStates leaves targets that rest or leave out of what any chooser sees; AttemptSender asks once more before it sends, whoever chose, and takes back what has not been written when the word comes. Words are heard at the head of an answer. A request for which all targets rest is rejected at once, and told when the first one wants work again. The need for the objects of a resting target stays with it.

--- a/src/base/verdict.ts
+++ b/src/base/verdict.ts
@@ -30,6 +30,8 @@
 	BodyTooLarge = 'body-too-large',
 	NoConfiguration = 'no-configuration',
 	NoCapacity = 'no-capacity',
+	/** All targets that it could go to want to be left alone for now. */
+	TargetsAtRest = 'targets-at-rest',
 	LinkFull = 'link-full',
 	QueueFull = 'queue-full',
 	DeadlinePassed = 'deadline-passed',
--- a/src/plugins/commandLine/common/requestExplanation.ts
+++ b/src/plugins/commandLine/common/requestExplanation.ts
@@ -11,6 +11,7 @@
 	readonly load: number;
 	readonly slots: number;
 	readonly isCold: boolean;
+	readonly passedOver?: { readonly target: string; readonly restLeftMs: number };
 	readonly outcome: string;
 	readonly tookMs: number;
 }
@@ -47,9 +48,13 @@
 
 function describeAttempt(attempt: LoggedAttempt, number: number): string {
 	const cold = attempt.isCold ? ', cold' : '';
+	const { passedOver } = attempt;
+	const passed = passedOver
+		? `; its object's target ${passedOver.target} wanted ${passedOver.restLeftMs} ms more of rest`
+		: '';
 	return (
 		`  attempt ${number} after ${attempt.atMs} ms: target ${attempt.target} in ${attempt.region}, ` +
-		`${attempt.load} requests at ${attempt.slots} slots${cold}; ${attempt.outcome} after ${attempt.tookMs} ms`
+		`${attempt.load} requests at ${attempt.slots} slots${cold}; ${attempt.outcome} after ${attempt.tookMs} ms${passed}`
 	);
 }
 
--- a/src/plugins/commandLine/test/requestExplanation.test.ts
+++ b/src/plugins/commandLine/test/requestExplanation.test.ts
@@ -33,6 +33,17 @@
 	assert.match(told.join('\n'), /attempt 1 after 1 ms: target t-1 .* cold; not-run: full after 9 ms/);
 });
 
+test('an attempt says which target its object belongs to, where that one wanted rest', () => {
+	const attempt = {
+		target: 't-2',
+		region: 'r',
+		passedOver: { target: 't-1', restLeftMs: 1200 },
+		outcome: 'answer: 200'
+	};
+	const line = JSON.stringify({ message: 'request', requestId: 'r-3', attempts: [attempt] });
+	assert.match(explainRequest([line], 'r-3').join('\n'), /target t-1 wanted 1200 ms more of rest/);
+});
+
 test('of another request nothing is told', () => {
 	assert.deepEqual(explainRequest([LINE], 'r-2'), []);
 });
--- a/src/plugins/forwarding/common/attempt.ts
+++ b/src/plugins/forwarding/common/attempt.ts
@@ -43,6 +43,8 @@
 	Shed = 'shed',
 	/** Another target has the address now. */
 	OtherTarget = 'other-target',
+	/** The target said that it wants nothing more before the request was written to it. */
+	AtRest = 'at-rest',
 	/** Any other refusal by the target. */
 	Refused = 'refused'
 }
--- a/src/plugins/forwarding/common/requestTrace.ts
+++ b/src/plugins/forwarding/common/requestTrace.ts
@@ -6,6 +6,13 @@
 
 import type { Millis } from '../../../base/clock.js';
 
+/** A target that wants to be left alone. */
+export interface RestingTarget {
+	readonly target: string;
+	/** For how much longer, in milliseconds. */
+	readonly restLeftMs: number;
+}
+
 /** One attempt: what was known when the target was chosen, and what came of it. */
 export interface AttemptTrace {
 	readonly target: string;
@@ -18,8 +25,8 @@
 	readonly load: number;
 	readonly slots: number;
 	readonly isCold: boolean;
-	/** How long the target had asked to be left alone for; undefined where it had not. */
-	readonly restLeftMs: number | undefined;
+	/** The target that the object belongs to, where that one wants to be left alone. */
+	readonly passedOver: RestingTarget | undefined;
 	/** Outcome, with its cause where there is one. */
 	outcome: string;
 	tookMs: number;
--- a/src/plugins/forwarding/common/targetRest.ts
+++ b/src/plugins/forwarding/common/targetRest.ts
@@ -7,6 +7,9 @@
 import type { Millis } from '../../../base/clock.js';
 import type { TargetWord } from './targetWord.js';
 
+/** A target that leaves keeps serving for some seconds, at times for many; what it said is remembered for longer than that. */
+const LEAVING_KEPT_MS: Millis = 600000;
+
 /** What a target asked for, and until when it holds. */
 export class TargetRest {
 	private _restsUntil: Millis = Number.NEGATIVE_INFINITY;
@@ -39,6 +42,11 @@
 		return this._isLeaving || now < this._restsUntil;
 	}
 
+	/** Whether what it asked for is to be remembered, also while nobody names the target. */
+	isToBeKept(now: Millis): boolean {
+		return now < this._restsUntil || (this._isLeaving && now - this._askedAt < LEAVING_KEPT_MS);
+	}
+
 	/** When it wants work again, on the monotonic clock; infinite for one that leaves. */
 	get endsAt(): Millis {
 		return this._isLeaving ? Number.POSITIVE_INFINITY : this._restsUntil;
--- a/src/plugins/forwarding/common/targetWord.ts
+++ b/src/plugins/forwarding/common/targetWord.ts
@@ -14,7 +14,9 @@
 /** A longer rest counts as this one: it outlasts any life of a target, and a target that is well starts a new one. */
 const MOST_REST_MS: Millis = 24 * 3600 * 1000;
 /** Seconds, with or without a fraction: what HTTP allows, and fractions besides. */
-const SECONDS = /^\d{1,9}(\.\d{1,9})?$/;
+const SECONDS = /^\d+(\.\d+)?$/;
+/** The one form of dates that HTTP writes, such as `Thu, 03 Dec 2026 10:00:05 GMT`. */
+const HTTP_DATE = /^[A-Z][a-z]{2}, \d{2} [A-Z][a-z]{2} \d{4} \d{2}:\d{2}:\d{2} GMT$/;
 
 /** Load as a target told it. */
 export interface LoadWord {
@@ -53,10 +55,14 @@
  */
 export function parseRest(text: string, sentAt: number): Millis {
 	const trimmed = text.trim();
-	const wanted = SECONDS.test(trimmed) ? Number(trimmed) * 1000 : Date.parse(trimmed) - sentAt;
+	const wanted = SECONDS.test(trimmed) ? Number(trimmed) * 1000 : untilDate(trimmed, sentAt);
 	return wanted > 0 ? Math.min(wanted, MOST_REST_MS) : 0;
 }
 
+function untilDate(text: string, sentAt: number): Millis {
+	return HTTP_DATE.test(text) ? Date.parse(text) - sentAt : 0;
+}
+
 /**
  * Reads the head of a target's answer.
  * @param wallNow the time of day, as Unix milliseconds, for a date in an answer that does not say when it was sent
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -9,7 +9,7 @@
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
-import type { AttemptOutcome } from '../common/attempt.js';
+import { type AttemptOutcome, NotRunCause } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import type { LargeAnswerGate } from '../common/largeAnswerGate.js';
 import { connectTimeoutMs, heldBytes } from '../common/linkPacer.js';
@@ -29,6 +29,8 @@
 const NEAR_CONNECT_MS = 250;
 const FAR_CONNECT_MS = 500;
 
+const WITHHELD: AttemptOutcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.AtRest };
+
 /** What attempts need of the instance. */
 export interface AttemptContext {
 	readonly region: string;
@@ -64,13 +66,19 @@
 		this._register(_context.view.onDidOutlive(earlier => this._loseAllAt(earlier)));
 	}
 
-	/** One attempt at one target; never rejects. */
+	/**
+	 * One attempt at one target; never rejects. Whoever chose it: nothing is sent to a target that wants nothing. Before this was asked
+	 * here, a target that wanted 3 s of rest got 88 requests of one instance in that time.
+	 */
 	async send(journey: Journey, candidate: ChosenTarget): Promise<AttemptOutcome> {
 		const { exchange } = journey;
 		const { known, state } = candidate;
 		const now = systemClock.now();
-		const sent = this._exchangeFor(journey, candidate, now);
 		journey.tried.add(known.record.id);
+		if (state.rest.isAsked(now)) {
+			return WITHHELD;
+		}
+		const sent = this._exchangeFor(journey, candidate, now);
 		state.inFlight++;
 		state.isUsed = true;
 		const timer = setTimeout(() => sent.abandon(), Math.max(0, journey.deadline - now));
@@ -90,7 +98,6 @@
 		clearTimeout(timer);
 		const { notes, lostRuns, rests } = this._context;
 		lostRuns.noteAttempt(journey, known.record, outcome, now);
-		notes.noteLoad(state, sent.word?.load, endedAt);
 		rests.noteSent(known.record, state, { chosenAt: now, writtenAt: sent.writtenAt, outcome });
 		notes.noteOutcome(journey, state, outcome, endedAt - now, endedAt);
 		if (outcome.type === 'answer') {
@@ -106,9 +113,22 @@
 	/** A target spoke of itself in the head of an answer. */
 	private _hear({ known, state }: ChosenTarget, word: TargetWord): void {
 		const now = systemClock.now();
-		const { rests } = this._context;
+		const { notes, rests } = this._context;
+		notes.noteLoad(state, word.load, now);
 		rests.noteWord(known.record, state, word, state.inFlight, now);
 		state.rest.hear(word, now);
+		if (state.rest.isAsked(now)) {
+			this._withdrawFrom(known.record);
+		}
+	}
+
+	/** What has not been written to a target yet may still go elsewhere. */
+	private _withdrawFrom({ id, bornAt }: TargetRecord): void {
+		for (const [sent, record] of this._underWay) {
+			if (record.id === id && record.bornAt === bornAt) {
+				sent.withdraw();
+			}
+		}
 	}
 
 	/** What a target was running when it ended is lost; behind a cut nothing else says so. */
@@ -152,7 +172,8 @@
 	return [host, Number(port)];
 }
 
-function traceOf({ exchange }: Journey, { known, state, firstRegion }: ChosenTarget, now: Millis): AttemptTrace {
+function traceOf({ exchange }: Journey, candidate: ChosenTarget, now: Millis): AttemptTrace {
+	const { known, state, firstRegion, passedOver } = candidate;
 	return {
 		target: known.record.id,
 		region: known.region,
@@ -161,7 +182,7 @@
 		load: Math.round(state.load(now) * 10) / 10,
 		slots: known.record.slots,
 		isCold: known.coldUntil > now,
-		restLeftMs: state.rest.isAsked(now) ? Math.round(state.rest.endsAt - now) : undefined,
+		passedOver,
 		outcome: 'unknown',
 		tookMs: 0
 	};
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -17,7 +17,7 @@
 import { ITeamLimits, LimitVerdict } from '../../limits/common/teamLimits.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { accessOf } from '../../routes/common/teamAccess.js';
-import type { AttemptOutcome, NotRun, TargetAnswer } from '../common/attempt.js';
+import { type AttemptOutcome, type NotRun, NotRunCause, type TargetAnswer } from '../common/attempt.js';
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
@@ -197,7 +197,7 @@
 			}
 			const candidate = this._selector.choose(journey, systemClock.now());
 			if (!candidate) {
-				this._giveUp(journey, refusal(RefusalReason.NoCapacity, RETRY_SOON_MS));
+				this._giveUp(journey, this._noTarget(journey));
 				return;
 			}
 			const outcome = await this._sender.send(journey, candidate);
@@ -279,6 +279,9 @@
 	}
 
 	private _afterNotRun(journey: Journey, outcome: NotRun): OwnAnswer | 'again' {
+		if (outcome.cause === NotRunCause.AtRest) {
+			return 'again';
+		}
 		if (!outcome.hasArrived) {
 			journey.noConnections++;
 			return journey.noConnections < MAX_NO_CONNECTION ? 'again' : refusal(RefusalReason.TargetFailed, RETRY_SOON_MS);
@@ -288,7 +291,21 @@
 		if (mayTryAgain(outcome.cause, target, journey.attempts)) {
 			journey.tried.delete(target);
 		}
-		return this._mayRetry(journey) ? 'again' : refusal(RefusalReason.NoCapacity, RETRY_SOON_MS);
+		return this._mayRetry(journey) ? 'again' : this._noTarget(journey);
+	}
+
+	/**
+	 * No target takes the request now. Where all of them rest the caller is told when the first one wants work again, as far as it can
+	 * still use that: to come back before brings it the same answer.
+	 */
+	private _noTarget(journey: Journey): OwnAnswer {
+		const now = systemClock.now();
+		const restEndsAt = this._selector.restEndsAt(journey, now);
+		if (restEndsAt === undefined) {
+			return refusal(RefusalReason.NoCapacity, RETRY_SOON_MS);
+		}
+		const usableMs = Math.min(restEndsAt, journey.deadline) - now;
+		return refusal(RefusalReason.TargetsAtRest, Math.max(RETRY_SOON_MS, usableMs));
 	}
 
 	private _mayRetry(journey: Journey): boolean {
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -59,8 +59,6 @@
 	/** The kept connection that the request went out on, if it was one. */
 	private _reused?: { readonly socket: Socket; readonly sentAt: Millis };
 	private _connectTimer?: NodeJS.Timeout;
-	/** What the target said of itself, once the head of its answer is there. */
-	word?: TargetWord;
 	/** Headers of the target's answer, once they are there. */
 	answerHeaders?: IncomingMessage['headers'];
 
@@ -99,6 +97,14 @@
 		this._request.destroy();
 	}
 
+	/** Takes the request back where nothing of it has been written: its target wants nothing more. */
+	withdraw(): void {
+		if (this._writtenAt === undefined) {
+			this._settle({ type: 'not-run', hasArrived: false, cause: NotRunCause.AtRest });
+			this._request.destroy();
+		}
+	}
+
 	/** Ends the attempt: its target has started again, and knows nothing of it. */
 	lose(): void {
 		this._onLost('the target started again');
@@ -158,7 +164,6 @@
 		}
 		this.answerHeaders = headers;
 		const word = readTargetWord(response, this._names, Date.now());
-		this.word = word;
 		// Another target speaks there of itself, not of the one that was meant.
 		if (status !== STATUS_OTHER_TARGET) {
 			this._sent.onWord(word);
--- a/src/plugins/forwarding/node/targetSelector.ts
+++ b/src/plugins/forwarding/node/targetSelector.ts
@@ -7,11 +7,12 @@
 import type { Millis } from '../../../base/clock.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import type { WorkByTarget } from '../../fleet/common/targetNeeds.js';
-import { RepeatRule } from '../../routes/common/routeTable.js';
+import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { findNewcomer } from '../common/newcomers.js';
 import type { Event } from '../../../base/event.js';
 import { type Place, PlacementPlans, type RouteShareStep } from '../common/placementPlans.js';
 import { regionAt } from '../common/regionShares.js';
+import type { RestingTarget } from '../common/requestTrace.js';
 import type { ShiftBounds } from '../common/sharePacer.js';
 import { SpillAllowance } from '../common/spillAllowance.js';
 import {
@@ -22,12 +23,15 @@
 	type ChosenTarget,
 	placeAmongRegions
 } from '../common/targetChoice.js';
+import type { CallerExchange } from './callerExchange.js';
 import type { Journey } from './journey.js';
 import { TargetStates } from './targetStates.js';
 
 /** Part of a cold target's pace that is used: requests that were spread over time may arrive closer together. */
 const COLD_PACE_PART = 0.6;
 
+const NONE_TRIED: ReadonlySet<string> = new Set();
+
 /** Who and where this instance is. */
 export interface NamedPlace extends Place {
 	readonly name: string;
@@ -61,9 +65,8 @@
 	/** The target for the next attempt of a request; undefined where none may have it now. */
 	choose(journey: Journey, now: Millis): ChosenTarget | undefined {
 		const { route, service, exchange, homeRegions, tried } = journey;
-		const { candidates, standing } = this._states.candidates(service, homeRegions, tried, now);
-		const isBound = route.isSticky && exchange.objectKey !== undefined;
-		const objectKey = isBound ? `${route.pathPrefix} ${exchange.objectKey}` : undefined;
+		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, tried, now);
+		const objectKey = objectOf(route, exchange);
 		const context: ChoiceContext = {
 			objectKey,
 			position: placeAmongRegions(objectKey ?? exchange.requestId),
@@ -75,13 +78,29 @@
 		};
 		const chosen = this._newcomer(journey, candidates, context) ?? chooseTarget(candidates, context);
 		this._noteLookedFor(journey, context, chosen);
-		if (objectKey !== undefined && journey.attempts.length === 0) {
-			this._noteNeed(objectKey, candidates, context);
-		}
 		if (chosen) {
 			this._noteChoice(journey, chosen, now);
 		}
-		return chosen;
+		if (objectKey === undefined || journey.attempts.length > 0) {
+			return chosen;
+		}
+		const first = firstTargetOf(resting.length > 0 ? [...candidates, ...resting] : candidates, objectKey, context);
+		this._noteNeed(first);
+		return chosen && { ...chosen, passedOver: restOf(first, now) };
+	}
+
+	/**
+	 * When the first of the targets that a request may use wants work again, where all of them want none now; undefined where one takes
+	 * work, or there is none.
+	 */
+	restEndsAt({ route, service, homeRegions, exchange }: Journey, now: Millis): Millis | undefined {
+		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, NONE_TRIED, now);
+		const { shares } = this._plans.planFor(service, { route, homeRegions }, now);
+		const region = regionAt(shares, placeAmongRegions(objectOf(route, exchange) ?? exchange.requestId));
+		const isThere = ({ known }: Candidate): boolean =>
+			!known.isSilent && (region === undefined || !standing.has(region) || known.region === region);
+		const ends = resting.filter(isThere).map(({ state }) => state.rest.endsAt);
+		return ends.length === 0 || candidates.some(isThere) ? undefined : Math.min(...ends);
 	}
 
 	/**
@@ -98,8 +117,9 @@
 		return Object.fromEntries(needs.filter(([, work]) => work > 0));
 	}
 
-	private _noteNeed(objectKey: string, candidates: readonly Candidate[], context: ChoiceContext): void {
-		const id = firstTargetOf(candidates, objectKey, context)?.known.record.id;
+	/** A target that rests for a while keeps the need for its objects. */
+	private _noteNeed(first: Candidate | undefined): void {
+		const id = first?.known.record.id;
 		if (id !== undefined) {
 			this._needs.set(id, (this._needs.get(id) ?? 0) + 1);
 		}
@@ -158,3 +178,15 @@
 		return (COLD_PACE_PART * perSecond) / Math.max(1, coldSenders.length);
 	}
 }
+
+/** What requests about the same object have in common; undefined for a request about none. */
+function objectOf(route: Route, { objectKey }: CallerExchange): string | undefined {
+	return route.isSticky && objectKey !== undefined ? `${route.pathPrefix} ${objectKey}` : undefined;
+}
+
+function restOf(first: Candidate | undefined, now: Millis): RestingTarget | undefined {
+	if (!first?.state.rest.isAsked(now)) {
+		return undefined;
+	}
+	return { target: first.known.record.id, restLeftMs: Math.round(first.state.rest.endsAt - now) };
+}
--- a/src/plugins/forwarding/node/targetStates.ts
+++ b/src/plugins/forwarding/node/targetStates.ts
@@ -15,6 +15,8 @@
 /** What a request may choose from. */
 export interface Candidates {
 	readonly candidates: readonly Candidate[];
+	/** Targets that could have it, but want to be left alone for now. */
+	readonly resting: readonly Candidate[];
 	/** Regions with targets, tried or not, that are neither silent nor out of reach. */
 	readonly standing: ReadonlySet<string>;
 }
@@ -48,10 +50,14 @@
 		return state;
 	}
 
-	/** Targets of a service that may get a request, and the regions that are not known to be without any. */
+	/**
+	 * Targets of a service that may get a request, and the regions that are not known to be without any. Targets that said that they
+	 * leave, or whose address another one has, are not among them.
+	 */
 	candidates(service: string, homeRegions: readonly string[], tried: ReadonlySet<string>, now: Millis): Candidates {
 		this._sweep(now);
 		const candidates: Candidate[] = [];
+		const resting: Candidate[] = [];
 		const standing = new Set<string>();
 		for (const known of this._view.targetsOf(service)) {
 			const isAtHome = homeRegions.length === 0 || homeRegions.includes(known.region);
@@ -59,17 +65,17 @@
 				continue;
 			}
 			const state = this.stateOf(known);
-			if (state.isReplaced) {
+			if (state.isReplaced || state.rest.isLeaving) {
 				continue;
 			}
 			if (!known.isSilent && !state.isUnreachable(now)) {
 				standing.add(known.region);
 			}
 			if (!tried.has(known.record.id)) {
-				candidates.push({ known, state });
+				(state.rest.isAsked(now) ? resting : candidates).push({ known, state });
 			}
 		}
-		return { candidates, standing };
+		return { candidates, resting, standing };
 	}
 
 	private _regionLoadOf({ record, region }: KnownTarget): RegionLoad {
@@ -88,7 +94,7 @@
 		}
 		this._sweptAt = now;
 		for (const [id, state] of this._states) {
-			if (!this._view.target(id) && state.inFlight === 0) {
+			if (!this._view.target(id) && state.inFlight === 0 && !state.rest.isToBeKept(now)) {
 				this._states.delete(id);
 			}
 		}
