Operators see which targets rest, and when they are asked again

Cause: a target that rests left one line when it asked; how many rest now, and when one is asked again, stood nowhere. Lines are bounded as those of requests are.

--- a/src/plugins/forwarding/common/targetRest.ts
+++ b/src/plugins/forwarding/common/targetRest.ts
@@ -15,6 +15,7 @@
 	private _restsUntil: Millis = Number.NEGATIVE_INFINITY;
 	private _askedAt: Millis = Number.POSITIVE_INFINITY;
 	private _isLeaving = false;
+	private _isEndTold = true;
 
 	/** When it first asked for what holds now, or held last; infinite for never. */
 	get askedAt(): Millis {
@@ -34,9 +35,19 @@
 		this._isLeaving ||= isLeaving;
 		if (restMs > 0) {
 			this._restsUntil = Math.max(this._restsUntil, now + restMs);
+			this._isEndTold = false;
 		}
 	}
 
+	/** How long a rest took that has ended since the last call; undefined where none has. */
+	takeEnded(now: Millis): Millis | undefined {
+		if (this._isEndTold || this.isAsked(now)) {
+			return undefined;
+		}
+		this._isEndTold = true;
+		return this._restsUntil - this._askedAt;
+	}
+
 	/** Whether it wants nothing now. */
 	isAsked(now: Millis): boolean {
 		return this._isLeaving || now < this._restsUntil;
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -78,6 +78,7 @@
 		if (state.rest.isAsked(now)) {
 			return WITHHELD;
 		}
+		this._context.rests.noteSend(known.record, state, now);
 		const sent = this._exchangeFor(journey, candidate, now);
 		state.inFlight++;
 		state.isUsed = true;
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -91,7 +91,7 @@
 				largeAnswers: this._largeAnswers,
 				view: _session.view,
 				lostRuns,
-				rests: new RestWatch(metrics, log)
+				rests: new RestWatch(metrics, log, now => this._selector.restingByService(now))
 			})
 		);
 		const timer = setInterval(() => this._tellNeeds(), DEMAND_INTERVAL_MS);
--- a/src/plugins/forwarding/node/restWatch.ts
+++ b/src/plugins/forwarding/node/restWatch.ts
@@ -4,8 +4,8 @@
 
 /** Tells operators which targets ask for rest or say that they leave, and what they are sent all the same. */
 
-import { Counter } from 'prom-client';
-import type { Millis } from '../../../base/clock.js';
+import { Counter, Gauge } from 'prom-client';
+import { type Millis, systemClock } from '../../../base/clock.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import type { IMetricsService } from '../../../kernel/node/metricsService.js';
 import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
@@ -28,11 +28,23 @@
 	private readonly _asked: Counter;
 	private readonly _sentAllTheSame: Counter;
 
+	/** @param restingByService how many targets of each service want nothing */
 	constructor(
 		metrics: IMetricsService,
-		private readonly _log: ILogService
+		private readonly _log: ILogService,
+		restingByService: (now: Millis) => ReadonlyMap<string, number>
 	) {
 		const registers = [metrics.registry];
+		new Gauge({
+			name: 'shelffield_targets_at_rest',
+			help: 'Targets that want nothing from this instance now, by their own word.',
+			labelNames: ['service'],
+			registers,
+			collect() {
+				this.reset();
+				restingByService(systemClock.now()).forEach((count, service) => this.set({ service }, count));
+			}
+		});
 		this._asked = new Counter({
 			name: 'shelffield_target_rests_asked_total',
 			help: 'Answers in which a target asked for rest (rest), or first said that it leaves (leaving).',
@@ -68,6 +80,14 @@
 		}
 	}
 
+	/** A request is about to be sent to a target. */
+	noteSend({ id, service }: TargetRecord, { rest }: TargetState, now: Millis): void {
+		const restedMs = rest.takeEnded(now);
+		if (restedMs !== undefined) {
+			this._tell('target is asked again', { target: id, service, restedMs: Math.round(restedMs) }, now);
+		}
+	}
+
 	/** A request that was sent to a target has ended. */
 	noteSent({ service }: TargetRecord, { rest }: TargetState, { chosenAt, writtenAt, outcome }: SentRequest): void {
 		if (writtenAt === undefined || !rest.isAsked(writtenAt) || rest.askedAt >= writtenAt) {
--- a/src/plugins/forwarding/node/targetSelector.ts
+++ b/src/plugins/forwarding/node/targetSelector.ts
@@ -103,6 +103,11 @@
 		return ends.length === 0 || candidates.some(isThere) ? undefined : Math.min(...ends);
 	}
 
+	/** How many targets of each service want nothing now. */
+	restingByService(now: Millis): ReadonlyMap<string, number> {
+		return this._states.restingByService(now);
+	}
+
 	/**
 	 * What callers asked for at the first targets of their objects since the last call.
 	 * @param typicalMs what a request of a service takes where nothing holds it up
--- a/src/plugins/forwarding/node/targetStates.ts
+++ b/src/plugins/forwarding/node/targetStates.ts
@@ -78,6 +78,18 @@
 		return { candidates, resting, standing };
 	}
 
+	/** How many targets of each service want nothing now, of those that control names. */
+	restingByService(now: Millis): ReadonlyMap<string, number> {
+		const counts = new Map<string, number>();
+		for (const [id, { rest }] of this._states) {
+			const service = rest.isAsked(now) ? this._view.target(id)?.record.service : undefined;
+			if (service !== undefined) {
+				counts.set(service, (counts.get(service) ?? 0) + 1);
+			}
+		}
+		return counts;
+	}
+
 	private _regionLoadOf({ record, region }: KnownTarget): RegionLoad {
 		const key = `${record.service} ${region}`;
 		let load = this._regionLoads.get(key);
