--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -33,6 +33,8 @@
 const ROUND_TRIP_MS = 2;
 const FAR_ROUND_TRIP_MS = 70;
 const MAX_REFUSALS = 3;
+/** What is on its way when a target asks for rest may still arrive for this long. */
+const ON_ITS_WAY_MS = 500;
 
 /** The size and the load of a replay. */
 export interface FleetModelSettings {
@@ -65,6 +67,8 @@
 	readonly refused: number;
 	/** Requests that a target turned away. */
 	readonly turnedAway: number;
+	/** Requests that reached a target half a second and more after it had asked their instance for rest, before its end. */
+	readonly duringRest: number;
 	/** Requests whose target did not have their object at hand. */
 	readonly firstTouches: number;
 	/** Objects that were asked for: no choice of targets needs fewer first touches. */
@@ -92,6 +96,12 @@
 	readonly isBack: boolean;
 }
 
+/** What goes with an answer that turns a request away. */
+interface Refusal {
+	readonly loadWord: string;
+	readonly restMs: Millis;
+}
+
 interface Scheduled {
 	readonly at: Millis;
 	readonly order: number;
@@ -107,7 +117,9 @@
 	private readonly _instances: Instance[];
 	private readonly _events = new TinyQueue<Scheduled>([], (a, b) => a.at - b.at || a.order - b.order);
 	private readonly _asked = new Set<string>();
-	private readonly _counts = { requests: 0, inTime: 0, late: 0, refused: 0, turnedAway: 0 };
+	private readonly _counts = { requests: 0, inTime: 0, late: 0, refused: 0, turnedAway: 0, duringRest: 0 };
+	/** The latest rest that a target asked of an instance. */
+	private readonly _rests = new Map<string, { readonly from: Millis; readonly to: Millis }>();
 	private readonly _needs = new TargetNeeds();
 	private _crowded: readonly CrowdedTarget[] = [];
 	private _order = 0;
@@ -349,8 +361,21 @@
 		);
 		if (!isTaken) {
 			this._counts.turnedAway++;
-			const { loadWord } = target;
-			this._at(this.now + wayMs / 2, () => this._turnAway(instance, journey, chosen, request, loadWord));
+			const { loadWord, restMs } = target;
+			this._noteRest(instance, target, restMs);
+			this._at(this.now + wayMs / 2, () => this._turnAway(instance, journey, chosen, request, { loadWord, restMs }));
+		}
+	}
+
+	/** Counts what reaches a target that wants nothing from an instance, but for what may be on its way. */
+	private _noteRest(instance: Instance, target: TargetModel, restMs: Millis): void {
+		const key = `${this._instances.indexOf(instance)} ${target.id}`;
+		const asked = this._rests.get(key);
+		if (asked && this.now > asked.from + ON_ITS_WAY_MS && this.now < asked.to) {
+			this._counts.duringRest++;
+		}
+		if (restMs > 0 && this.now >= (asked?.to ?? 0)) {
+			this._rests.set(key, { from: this.now, to: this.now + restMs });
 		}
 	}
 
@@ -379,12 +404,13 @@
 		journey: Journey,
 		{ known, state }: ChosenTarget,
 		request: CallerRequest,
-		loadWord: string
+		{ loadWord, restMs }: Refusal
 	): void {
 		const cause = refusalCause(parseLoadWord(loadWord));
 		const outcome = { type: 'not-run', hasArrived: true, cause } as const;
 		instance.notes.noteLoad(state, parseLoadWord(loadWord), this.now);
 		instance.notes.noteOutcome(journey, state, outcome, 0, this.now);
+		state.rest.hear({ restMs, isLeaving: false }, this.now);
 		state.inFlight--;
 		journey.refusals++;
 		if (mayTryAgain(cause, known.record.id, journey.attempts)) {
