--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -24,6 +24,7 @@
 import { type ControlAddress, syncMethod, type SyncRequest, type SyncResponse } from '../common/fleetWire.js';
 import type { SeenRun } from '../common/quarantineTypes.js';
 import type { WorkByTarget } from '../common/targetNeeds.js';
+import { ViewAge } from '../common/viewAge.js';
 import { RunReporter } from './runReporter.js';
 import type { PlaceSettings } from '../common/placeSettings.js';
 
@@ -51,7 +52,7 @@
 	private _isReady = false;
 	private _demand: Readonly<Record<string, number>> = {};
 	private _needs = new Map<string, number>();
-	private _currentAt = Number.NEGATIVE_INFINITY;
+	private readonly _age = new ViewAge();
 	private _isInTouch = false;
 	private _isStopped = false;
 
@@ -81,7 +82,7 @@
 	}
 
 	ageMs(): Millis {
-		return systemClock.now() - this._currentAt;
+		return this._age.ageMs();
 	}
 
 	setReady(isReady: boolean): void {
@@ -189,14 +190,18 @@
 			quarantineRevision: this.view.quarantine.revision,
 			waitMs
 		};
-		const sentAt = systemClock.now();
+		const asked = this._age.ask();
 		const response = await this._calls.call(address, syncMethod, request, waitMs + LATE_ANSWER_MS);
-		this._take(address, response, Math.max(0, systemClock.now() - sentAt - waitMs));
-		return response.contactAgeMs < STALE_MS;
+		this._take(address, response);
+		const isCurrent = response.contactAgeMs < STALE_MS;
+		if (isCurrent) {
+			this._age.noteCurrent(asked, waitMs, response.contactAgeMs);
+			this._noticeTouch(address);
+		}
+		return isCurrent;
 	}
 
-	/** @param onWayMs the longest that the answer may have been on its way */
-	private _take(address: string, response: SyncResponse, onWayMs: Millis): void {
+	private _take(address: string, response: SyncResponse): void {
 		const now = systemClock.now();
 		const before = this.view.revision;
 		const contradicted = [...this.view.contradictedRegions].join(',');
@@ -213,10 +218,9 @@
 				tableVersion: this.view.routes?.table.version
 			});
 		}
-		if (response.contactAgeMs >= STALE_MS) {
-			return;
-		}
-		this._currentAt = Math.max(this._currentAt, now - response.contactAgeMs - onWayMs);
+	}
+
+	private _noticeTouch(address: string): void {
 		if (!this._isInTouch) {
 			this._isInTouch = true;
 			this._log.info('in touch with control', { task: 'fleet', control: address });
