An instance that does not know how old its view is asks without waiting for news

Cause: after a suspension the age is unknown until an answer comes, which control holds back for half a second while nothing changes. Change: such a question is answered at once.

--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -141,7 +141,9 @@
 	}
 
 	private async _askInTime(address: string): Promise<void> {
-		const waitMs = this._order.settledOn === undefined ? 0 : WAIT_MS;
+		// An instance that does not know how old its view is does not wait for news, but asks for what is current.
+		const isWaiting = this._order.settledOn !== undefined && Number.isFinite(this.ageMs());
+		const waitMs = isWaiting ? WAIT_MS : 0;
 		const answered = this._askAndFollow(address, waitMs);
 		const isInTime = await Promise.race([answered, pause(waitMs + ANSWER_MARGIN_MS)]);
 		if (!isInTime) {
