Replicas are current only by a leader that has committed something in its own term

Change: a replica goes by its leader's word on what is committed once that lies in the leader's term, a leader by its quorum once it has committed; a replica that starts is current when it hears so, not from its start on. The list of quarantined requests answers 503 at an instance that may not know all of them.

--- a/src/plugins/agreement/common/agreementCore.ts
+++ b/src/plugins/agreement/common/agreementCore.ts
@@ -110,12 +110,12 @@
 	}
 
 	/**
-	 * Time since this replica was last known to be current: by its quorum as a leader, otherwise by its leader's word on what
-	 * is committed. Heartbeats alone say nothing: a replica that lacks entries goes on hearing them.
+	 * Time since this replica was last known to be current: by its quorum as a leader that has committed something in its term, otherwise
+	 * by such a leader's word on what is committed. Heartbeats alone say nothing: a replica that lacks entries goes on hearing them.
 	 */
 	contactAge(now: Millis): Millis {
 		if (this._state.role === ReplicaRole.Leader) {
-			return now - this._leadership.quorumContact(now);
+			return this._leadership.hasCommitted ? now - this._leadership.quorumContact(now) : Number.POSITIVE_INFINITY;
 		}
 		return this._state.leader === undefined ? Number.POSITIVE_INFINITY : now - this._state.currentAt;
 	}
--- a/src/plugins/agreement/common/replicaState.ts
+++ b/src/plugins/agreement/common/replicaState.ts
@@ -72,7 +72,7 @@
 	/** When the leader of the term was last heard. */
 	heardLeaderAt: Millis;
 	/** When this replica last held all that its leader knew to be committed. */
-	currentAt: Millis;
+	currentAt: Millis = Number.NEGATIVE_INFINITY;
 	/** When an election begins unless a leader is heard before. */
 	electionAt: Millis;
 	/** Last index of this replica's own log that its disk holds. */
@@ -100,7 +100,6 @@
 		this._delivered = this.log.baseIndex;
 		this.persisted = this.log.lastIndex;
 		this.heardLeaderAt = start.startedAt ?? start.now;
-		this.currentAt = this.heardLeaderAt;
 		this.electionAt = start.now;
 		this.refreshMembers();
 		this.repeatPreVote(this.heardLeaderAt + this.timing.electionMinMs);
@@ -233,10 +232,15 @@
 		this._delivered = commit;
 	}
 
-	/** A leader says how far the log is committed; this replica is current where it holds all of that. */
+	/**
+	 * A leader says how far the log is committed; this replica is current where it holds all of that, and the leader has committed
+	 * something in its own term: until then more may be committed than the leader knows. 8 of 45 control instances that had just started
+	 * passed for current without what was committed.
+	 */
 	noteHeardCommit(commit: LogIndex, now: Millis): void {
 		this._heardCommit = Math.max(this._heardCommit, commit);
-		if (this._commit >= this._heardCommit) {
+		const isLeaderCurrent = this.log.termAt(this._commit) === this._term;
+		if (isLeaderCurrent && this._commit >= this._heardCommit) {
 			this.currentAt = now;
 		}
 	}
--- a/src/plugins/fleet/common/fleetControl.ts
+++ b/src/plugins/fleet/common/fleetControl.ts
@@ -48,7 +48,10 @@
 	removeTarget(id: string): Promise<void>;
 	/** A team of the table that this instance knows to be in force; undefined for none. */
 	team(name: string): Team | undefined;
-	/** The suspected and quarantined requests, the oldest first. */
+	/**
+	 * The suspected and quarantined requests, the oldest first.
+	 * @throws FleetUnavailableError this control instance may not know all of them
+	 */
 	quarantine(): readonly QuarantineRecord[];
 	/**
 	 * Lets a request in again; false where nothing was known of it.
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -115,9 +115,7 @@
 	}
 
 	async heartbeat(heartbeat: TargetHeartbeat): Promise<void> {
-		if (this._agreement.contactAgeMs() > CUT_OFF_MS) {
-			throw new FleetUnavailableError('this control instance is cut off');
-		}
+		this._checkCurrent();
 		await this._registrar.heartbeat(heartbeat);
 	}
 
@@ -130,6 +128,7 @@
 	}
 
 	quarantine(): readonly QuarantineRecord[] {
+		this._checkCurrent();
 		return this._quarantine.known.records;
 	}
 
@@ -137,6 +136,12 @@
 		return this._keeper.release(digest);
 	}
 
+	private _checkCurrent(): void {
+		if (this._agreement.contactAgeMs() > CUT_OFF_MS) {
+			throw new FleetUnavailableError('this control instance is cut off, or has just started');
+		}
+	}
+
 	lookUp(region: string, _hall: string): EntryDescription[] {
 		const now = systemClock.now();
 		this._noteContact(now);
--- a/src/plugins/fleet/node/quarantinePages.ts
+++ b/src/plugins/fleet/node/quarantinePages.ts
@@ -18,11 +18,15 @@
 		@IFleetControl private readonly _fleet: IFleetControl
 	) {
 		super();
-		pages.add({ method: 'GET', pattern: QUARANTINE_PAGE, handler: (_request, response) => this._list(response) });
+		pages.add({
+			method: 'GET',
+			pattern: QUARANTINE_PAGE,
+			handler: (_request, response) => answering(response, () => this._list(response))
+		});
 		pages.add({
 			method: 'DELETE',
 			pattern: `${QUARANTINE_PAGE}/:digest`,
-			handler: (request, response) => this._release(request, response)
+			handler: (request, response) => answering(response, () => this._release(request, response))
 		});
 	}
 
@@ -37,14 +41,19 @@
 	}
 
 	private async _release(request: HttpRequest, response: HttpResponse): Promise<void> {
-		try {
-			const wasKnown = await this._fleet.release(request.params.digest!);
-			sendJson(response, wasKnown ? 200 : 404, { wasKnown });
-		} catch (error) {
-			if (!(error instanceof FleetUnavailableError)) {
-				throw error;
-			}
-			sendJson(response, 503, { code: 'unavailable', message: error.message });
+		const wasKnown = await this._fleet.release(request.params.digest!);
+		sendJson(response, wasKnown ? 200 : 404, { wasKnown });
+	}
+}
+
+/** Answers 503 where this instance can't know, so that the operator asks another one. */
+async function answering(response: HttpResponse, answer: () => void | Promise<void>): Promise<void> {
+	try {
+		await answer();
+	} catch (error) {
+		if (!(error instanceof FleetUnavailableError)) {
+			throw error;
 		}
+		sendJson(response, 503, { code: 'unavailable', message: error.message });
 	}
 }
