Forwarding in rooms: what is known of targets, placement, and the journey of a request

Cause: 48 files lay in two flat folders; fleetWire.ts and sightings.ts imported each other. Change: files moved to targets/ and placement/ below common/ and node/, imports alone changed; the type of a heartbeat's word stands with the other fleet types. Result: no logic changed; types, layers and 122 tests of forwarding and the fleet pass.

--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -148,3 +148,13 @@
 export interface EntrySighting extends EntryDescription {
 	readonly ageMs: Millis;
 }
+
+/** A heartbeat of one life of a target. */
+export interface HeartbeatWord {
+	readonly id: string;
+	/** When the life began; 0 where the target does not say. */
+	readonly bornAt: number;
+	/** Grows with each heartbeat of one life. */
+	readonly sequence: number;
+	readonly coldLeftMs: Millis;
+}
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -12,9 +12,9 @@
 	FleetChanges,
 	FleetCommand,
 	FleetResult,
+	HeartbeatWord,
 	PublishedTable
 } from './fleetTypes.js';
-import type { HeartbeatWord } from './sightings.js';
 import type { KnownRequests, RunReport } from './quarantineTypes.js';
 import type { CrowdedTarget, WorkByTarget } from './targetNeeds.js';
 
--- a/src/plugins/fleet/common/sightings.ts
+++ b/src/plugins/fleet/common/sightings.ts
@@ -8,7 +8,7 @@
  */
 
 import type { Millis } from '../../../base/clock.js';
-import type { EntryDescription, EntrySighting, FleetRevision } from './fleetTypes.js';
+import type { EntryDescription, EntrySighting, FleetRevision, HeartbeatWord } from './fleetTypes.js';
 import type { ColdTarget, ExchangeRequest, HeartbeatSighting } from './fleetWire.js';
 
 /** Time spans by which something counts as gone. */
@@ -37,16 +37,6 @@
 	told?: { readonly description: EntryDescription; readonly at: Millis };
 }
 
-/** A heartbeat of one life of a target. */
-export interface HeartbeatWord {
-	readonly id: string;
-	/** When the life began; 0 where the target does not say. */
-	readonly bornAt: number;
-	/** Grows with each heartbeat of one life. */
-	readonly sequence: number;
-	readonly coldLeftMs: Millis;
-}
-
 interface SeenTarget {
 	bornAt: number;
 	sequence: number;
--- a/src/plugins/forwarding/common/demandMeter.ts
+++ b/src/plugins/forwarding/common/placement/demandMeter.ts
@@ -7,7 +7,7 @@
  * it up. The time is a low quantile of those seen, since slow answers of a crowded or cold service say little of the need.
  */
 
-import type { Millis } from '../../../base/clock.js';
+import type { Millis } from '../../../../base/clock.js';
 
 /**
  * Time over which the rate is averaged. Objects are placed by it, and an object that moves is no longer at hand; but an
--- a/src/plugins/forwarding/common/newcomers.ts
+++ b/src/plugins/forwarding/common/placement/newcomers.ts
@@ -10,9 +10,9 @@
  * 264 are enough (replay of a start with 198 targets and 45 instances).
  */
 
-import { rendezvousRank } from '../../../base/hashing.js';
-import type { Millis } from '../../../base/clock.js';
-import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
+import { rendezvousRank } from '../../../../base/hashing.js';
+import type { Millis } from '../../../../base/clock.js';
+import type { TargetRecord } from '../../../fleet/common/fleetTypes.js';
 import type { Candidate } from './targetChoice.js';
 
 /** The instance that sends a target its first request: one that may do so while it is cold, where there is one. */
--- a/src/plugins/forwarding/common/placementPlans.ts
+++ b/src/plugins/forwarding/common/placement/placementPlans.ts
@@ -4,10 +4,10 @@
 
 /** How this instance divides the requests of each service among regions and halls, planned anew now and then. */
 
-import type { Millis } from '../../../base/clock.js';
-import { Emitter } from '../../../base/event.js';
-import type { FleetView } from '../../fleet/common/fleetView.js';
-import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
+import type { Millis } from '../../../../base/clock.js';
+import { Emitter } from '../../../../base/event.js';
+import type { FleetView } from '../../../fleet/common/fleetView.js';
+import { RepeatRule, type Route } from '../../../routes/common/routeTable.js';
 import { servesItself } from './hallPreference.js';
 import { RegionCrowding } from './regionCrowding.js';
 import { RegionRooms } from './regionRooms.js';
--- a/src/plugins/forwarding/common/regionCrowding.ts
+++ b/src/plugins/forwarding/common/placement/regionCrowding.ts
@@ -4,7 +4,7 @@
 
 /** How many of the requests that belong to a region find its targets too full there. */
 
-import type { Millis } from '../../../base/clock.js';
+import type { Millis } from '../../../../base/clock.js';
 
 /** Requests are forgotten over this time: long enough to see some of each region, short against a surge of callers. */
 const SPAN_MS = 600;
--- a/src/plugins/forwarding/common/regionLoad.ts
+++ b/src/plugins/forwarding/common/placement/regionLoad.ts
@@ -10,7 +10,7 @@
  * so are second targets that have not seen the object.
  */
 
-import type { Millis } from '../../../base/clock.js';
+import type { Millis } from '../../../../base/clock.js';
 
 /** Answers are averaged over this time: enough of them to say something, and short against the time in which a queue fills. */
 const AVERAGE_MS = 400;
--- a/src/plugins/forwarding/common/regionRooms.ts
+++ b/src/plugins/forwarding/common/placement/regionRooms.ts
@@ -4,8 +4,8 @@
 
 /** What a service has in each region, and what it lost there of late. */
 
-import type { Millis } from '../../../base/clock.js';
-import type { FleetView, KnownTarget } from '../../fleet/common/fleetView.js';
+import type { Millis } from '../../../../base/clock.js';
+import type { FleetView, KnownTarget } from '../../../fleet/common/fleetView.js';
 import type { RegionRoom } from './regionShares.js';
 
 /** A region that lost less than this part of its slots still serves its share; the rest of its targets make up for it. */
--- a/src/plugins/forwarding/common/sharePacer.ts
+++ b/src/plugins/forwarding/common/placement/sharePacer.ts
@@ -7,7 +7,7 @@
  * needs and routes; requests that change their region meet targets that have not seen their objects, so they follow slowly.
  */
 
-import type { Millis } from '../../../base/clock.js';
+import type { Millis } from '../../../../base/clock.js';
 import { movedPart, type RegionShare, type RegionShares, shareOf, totalOf } from './regionShares.js';
 
 /** How fast the requests of a region's callers may change the region in which they are served. */
--- a/src/plugins/forwarding/common/targetChoice.ts
+++ b/src/plugins/forwarding/common/placement/targetChoice.ts
@@ -8,12 +8,12 @@
  * full (bounded load), never beyond the first few, for an object spread over all of them is seen lately by none.
  */
 
-import type { Millis } from '../../../base/clock.js';
-import { hash32 } from '../../../base/hashing.js';
-import type { KnownTarget } from '../../fleet/common/fleetView.js';
+import type { Millis } from '../../../../base/clock.js';
+import { hash32 } from '../../../../base/hashing.js';
+import type { KnownTarget } from '../../../fleet/common/fleetView.js';
 import { regionAt, regionOrder, type RegionShares } from './regionShares.js';
-import type { RestingTarget } from './requestTrace.js';
-import type { TargetState } from './targetState.js';
+import type { RestingTarget } from '../requestTrace.js';
+import type { TargetState } from '../targets/targetState.js';
 
 /** A target that may get the request. */
 export interface Candidate {
--- a/src/plugins/forwarding/common/serviceBounds.ts
+++ b/src/plugins/forwarding/common/serviceBounds.ts
@@ -7,7 +7,7 @@
 import type { Millis } from '../../../base/clock.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
 import type { RetryBounds } from './retryAllowance.js';
-import type { ShiftBounds } from './sharePacer.js';
+import type { ShiftBounds } from './placement/sharePacer.js';
 
 /** The bounds in force. */
 export interface IServiceBounds {
--- a/src/plugins/forwarding/common/restLimit.ts
+++ b/src/plugins/forwarding/common/targets/restLimit.ts
@@ -8,7 +8,7 @@
  * such losses at several targets shorten the rest of all connections for a while.
  */
 
-import type { Millis } from '../../../base/clock.js';
+import type { Millis } from '../../../../base/clock.js';
 
 /** A loss this soon after sending, on a connection that had rested, says that the connection was forgotten. */
 const SOON_MS = 200;
--- a/src/plugins/forwarding/common/targetHealth.ts
+++ b/src/plugins/forwarding/common/targets/targetHealth.ts
@@ -8,7 +8,7 @@
  * says enough at once.
  */
 
-import type { Millis } from '../../../base/clock.js';
+import type { Millis } from '../../../../base/clock.js';
 
 const FIRST_SUSPICION_MS = 400;
 const LONGEST_SUSPICION_MS = 4000;
--- a/src/plugins/forwarding/common/targetRefusal.ts
+++ b/src/plugins/forwarding/common/targets/targetRefusal.ts
@@ -8,8 +8,8 @@
  * takes the first one for full sends it all other objects too; asked once more, the first one answers in time.
  */
 
-import type { AttemptTrace } from './requestTrace.js';
-import { NotRunCause } from './attempt.js';
+import type { AttemptTrace } from '../requestTrace.js';
+import { NotRunCause } from '../attempt.js';
 import type { LoadWord } from './targetWord.js';
 
 /**
--- a/src/plugins/forwarding/common/targetRest.ts
+++ b/src/plugins/forwarding/common/targets/targetRest.ts
@@ -4,7 +4,7 @@
 
 /** Whether one life of a target wants work from this instance, by its own word. */
 
-import type { Millis } from '../../../base/clock.js';
+import type { Millis } from '../../../../base/clock.js';
 import type { TargetWord } from './targetWord.js';
 
 /** A target that leaves keeps serving for some seconds, at times for many; what it said is remembered for longer than that. */
--- a/src/plugins/forwarding/common/targetState.ts
+++ b/src/plugins/forwarding/common/targets/targetState.ts
@@ -4,8 +4,8 @@
 
 /** What this instance knows of one target by its own requests: load, health, and the pace while it is cold. */
 
-import type { Millis } from '../../../base/clock.js';
-import type { RegionLoad } from './regionLoad.js';
+import type { Millis } from '../../../../base/clock.js';
+import type { RegionLoad } from '../placement/regionLoad.js';
 import { TargetHealth } from './targetHealth.js';
 import { TargetRest } from './targetRest.js';
 import type { LoadWord } from './targetWord.js';
--- a/src/plugins/forwarding/common/targetWord.ts
+++ b/src/plugins/forwarding/common/targets/targetWord.ts
@@ -5,8 +5,8 @@
 /** All that a target says of itself in the head of an answer, whatever becomes of the answer: decoded here and nowhere else. */
 
 import type { IncomingMessage } from 'node:http';
-import type { Millis } from '../../../base/clock.js';
-import type { IHeaderNames } from './headerNames.js';
+import type { Millis } from '../../../../base/clock.js';
+import type { IHeaderNames } from '../headerNames.js';
 
 const STATUS_OTHER_TARGET = 421;
 const STATUS_TOO_MANY = 429;
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -21,22 +21,22 @@
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
-import { chooseService } from '../common/partChoice.js';
+import { chooseService } from '../common/placement/partChoice.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
-import { mayTryAgain } from '../common/targetRefusal.js';
+import { mayTryAgain } from '../common/targets/targetRefusal.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
 import { AttemptSender } from './attemptSender.js';
 import { denial, endOf, isFailure, type Journey, limitRefusal, quarantineRefusal, refusal } from './journey.js';
 import { LostRunWatch } from './lostRunWatch.js';
-import { OutcomeNotes } from './outcomeNotes.js';
+import { OutcomeNotes } from './targets/outcomeNotes.js';
 import { QuarantineGuard } from './quarantineGuard.js';
-import { RegionWatch } from './regionWatch.js';
+import { RegionWatch } from './placement/regionWatch.js';
 import { RequestBody } from './requestBody.js';
 import { RequestEnd, RequestRecorder } from './requestRecorder.js';
-import { RestWatch } from './restWatch.js';
-import { TargetSelector } from './targetSelector.js';
+import { RestWatch } from './targets/restWatch.js';
+import { TargetSelector } from './placement/targetSelector.js';
 
 /** With less time left nothing is sent any more. */
 const LEAST_TIME_MS = 20;
--- a/src/plugins/forwarding/node/lostRunWatch.ts
+++ b/src/plugins/forwarding/node/lostRunWatch.ts
@@ -19,7 +19,7 @@
 import { TraceSampler } from '../common/requestTrace.js';
 import type { Journey } from './journey.js';
 import { identityOf } from './requestDigest.js';
-import { TargetProbe } from './targetProbe.js';
+import { TargetProbe } from './targets/targetProbe.js';
 
 /** The runs of this instance that were lost with their targets. */
 export class LostRunWatch extends Disposable {
--- a/src/plugins/forwarding/node/regionWatch.ts
+++ b/src/plugins/forwarding/node/placement/regionWatch.ts
@@ -7,13 +7,13 @@
  * one line a step of the shares beyond their pace tells what was lost.
  */
 
-import { Disposable, toDisposable } from '../../../base/disposable.js';
-import type { Event } from '../../../base/event.js';
-import type { Millis } from '../../../base/clock.js';
-import type { ILogService } from '../../../kernel/node/logService.js';
-import type { IFleetSession } from '../../fleet/common/fleetSession.js';
-import type { RouteShareStep } from '../common/placementPlans.js';
-import { RegionRuns } from '../common/regionRuns.js';
+import { Disposable, toDisposable } from '../../../../base/disposable.js';
+import type { Event } from '../../../../base/event.js';
+import type { Millis } from '../../../../base/clock.js';
+import type { ILogService } from '../../../../kernel/node/logService.js';
+import type { IFleetSession } from '../../../fleet/common/fleetSession.js';
+import type { RouteShareStep } from '../../common/placement/placementPlans.js';
+import { RegionRuns } from '../../common/placement/regionRuns.js';
 
 /** The lines about regions. */
 export class RegionWatch extends Disposable {
--- a/src/plugins/forwarding/node/targetSelector.ts
+++ b/src/plugins/forwarding/node/placement/targetSelector.ts
@@ -4,17 +4,17 @@
 
 /** Finds the target for a request among those that are known, and keeps to the pace of cold ones. */
 
-import type { Millis } from '../../../base/clock.js';
-import type { FleetView } from '../../fleet/common/fleetView.js';
-import type { WorkByTarget } from '../../fleet/common/targetNeeds.js';
-import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
-import { findNewcomer } from '../common/newcomers.js';
-import type { Event } from '../../../base/event.js';
-import { type Place, PlacementPlans, type RouteShareStep } from '../common/placementPlans.js';
-import { regionAt } from '../common/regionShares.js';
-import type { RestingTarget } from '../common/requestTrace.js';
-import type { ShiftBounds } from '../common/sharePacer.js';
-import { SpillAllowance } from '../common/spillAllowance.js';
+import type { Millis } from '../../../../base/clock.js';
+import type { FleetView } from '../../../fleet/common/fleetView.js';
+import type { WorkByTarget } from '../../../fleet/common/targetNeeds.js';
+import { RepeatRule, type Route } from '../../../routes/common/routeTable.js';
+import { findNewcomer } from '../../common/placement/newcomers.js';
+import type { Event } from '../../../../base/event.js';
+import { type Place, PlacementPlans, type RouteShareStep } from '../../common/placement/placementPlans.js';
+import { regionAt } from '../../common/placement/regionShares.js';
+import type { RestingTarget } from '../../common/requestTrace.js';
+import type { ShiftBounds } from '../../common/placement/sharePacer.js';
+import { SpillAllowance } from '../../common/placement/spillAllowance.js';
 import {
 	type Candidate,
 	chooseTarget,
@@ -22,10 +22,10 @@
 	type ChoiceContext,
 	type ChosenTarget,
 	placeAmongRegions
-} from '../common/targetChoice.js';
-import type { CallerExchange } from './callerExchange.js';
-import type { Journey } from './journey.js';
-import { TargetStates } from './targetStates.js';
+} from '../../common/placement/targetChoice.js';
+import type { CallerExchange } from '../callerExchange.js';
+import type { Journey } from '../journey.js';
+import { TargetStates } from '../targets/targetStates.js';
 
 /** Part of a cold target's pace that is used: requests that were spread over time may arrive closer together. */
 const COLD_PACE_PART = 0.6;
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -9,10 +9,10 @@
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { type AttemptOutcome, BrokenCause, NotRunCause, type RawHeaders } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
-import { refusalCause } from '../common/targetRefusal.js';
-import { readTargetWord, type TargetWord } from '../common/targetWord.js';
+import { refusalCause } from '../common/targets/targetRefusal.js';
+import { readTargetWord, type TargetWord } from '../common/targets/targetWord.js';
 import type { RequestBody } from './requestBody.js';
-import type { TargetAgent } from './targetAgent.js';
+import type { TargetAgent } from './targets/targetAgent.js';
 
 const STATUS_OTHER_TARGET = 421;
 const STATUS_NO_CONTENT = 204;
--- a/src/plugins/forwarding/node/outcomeNotes.ts
+++ b/src/plugins/forwarding/node/targets/outcomeNotes.ts
@@ -4,12 +4,12 @@
 
 /** What this instance learns of services and targets from the requests that it carries. */
 
-import type { Millis } from '../../../base/clock.js';
-import { type AttemptOutcome, NotRunCause, type TargetAnswer } from '../common/attempt.js';
-import { DemandMeter } from '../common/demandMeter.js';
-import type { TargetState } from '../common/targetState.js';
-import type { LoadWord } from '../common/targetWord.js';
-import { isFailure, type Journey } from './journey.js';
+import type { Millis } from '../../../../base/clock.js';
+import { type AttemptOutcome, NotRunCause, type TargetAnswer } from '../../common/attempt.js';
+import { DemandMeter } from '../../common/placement/demandMeter.js';
+import type { TargetState } from '../../common/targets/targetState.js';
+import type { LoadWord } from '../../common/targets/targetWord.js';
+import { isFailure, type Journey } from '../journey.js';
 
 /** Keeps what services need and how targets do. */
 export class OutcomeNotes {
--- a/src/plugins/forwarding/node/restWatch.ts
+++ b/src/plugins/forwarding/node/targets/restWatch.ts
@@ -5,14 +5,14 @@
 /** Tells operators which targets ask for rest or say that they leave, and what they are sent all the same. */
 
 import { Counter, Gauge } from 'prom-client';
-import { type Millis, systemClock } from '../../../base/clock.js';
-import type { ILogService } from '../../../kernel/node/logService.js';
-import type { IMetricsService } from '../../../kernel/node/metricsService.js';
-import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
-import type { AttemptOutcome } from '../common/attempt.js';
-import { TraceSampler } from '../common/requestTrace.js';
-import type { TargetState } from '../common/targetState.js';
-import type { TargetWord } from '../common/targetWord.js';
+import { type Millis, systemClock } from '../../../../base/clock.js';
+import type { ILogService } from '../../../../kernel/node/logService.js';
+import type { IMetricsService } from '../../../../kernel/node/metricsService.js';
+import type { TargetRecord } from '../../../fleet/common/fleetTypes.js';
+import type { AttemptOutcome } from '../../common/attempt.js';
+import { TraceSampler } from '../../common/requestTrace.js';
+import type { TargetState } from '../../common/targets/targetState.js';
+import type { TargetWord } from '../../common/targets/targetWord.js';
 
 /** One request that went to a target. */
 export interface SentRequest {
--- a/src/plugins/forwarding/node/targetAgent.ts
+++ b/src/plugins/forwarding/node/targets/targetAgent.ts
@@ -7,8 +7,8 @@
 import { Agent, type ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { type Millis, systemClock } from '../../../base/clock.js';
-import { RestLimit } from '../common/restLimit.js';
+import { type Millis, systemClock } from '../../../../base/clock.js';
+import { RestLimit } from '../../common/targets/restLimit.js';
 
 /** How long a connection rests at most where the target does not say how long it keeps one. */
 const IDLE_MS = 6000;
--- a/src/plugins/forwarding/node/targetProbe.ts
+++ b/src/plugins/forwarding/node/targets/targetProbe.ts
@@ -5,7 +5,7 @@
 /** Asks whether a target that broke a connection off is still there. */
 
 import { connect } from 'node:net';
-import type { Millis } from '../../../base/clock.js';
+import type { Millis } from '../../../../base/clock.js';
 
 /**
  * A target that has ended refuses a connection at once; the way there and back takes 70 ms between regions. One that says nothing
--- a/src/plugins/forwarding/node/targetStates.ts
+++ b/src/plugins/forwarding/node/targets/targetStates.ts
@@ -4,11 +4,11 @@
 
 /** The states of all targets at this instance, and the candidates for a request. */
 
-import { type Millis } from '../../../base/clock.js';
-import type { FleetView, ITargetWitness, KnownTarget } from '../../fleet/common/fleetView.js';
-import type { Candidate } from '../common/targetChoice.js';
-import { RegionLoad } from '../common/regionLoad.js';
-import { TargetState } from '../common/targetState.js';
+import { type Millis } from '../../../../base/clock.js';
+import type { FleetView, ITargetWitness, KnownTarget } from '../../../fleet/common/fleetView.js';
+import type { Candidate } from '../../common/placement/targetChoice.js';
+import { RegionLoad } from '../../common/placement/regionLoad.js';
+import { TargetState } from '../../common/targets/targetState.js';
 
 const SWEEP_INTERVAL_MS = 10000;
 
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -6,14 +6,14 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { DemandMeter } from '../common/demandMeter.js';
-import { planShares, type RegionShares } from '../common/regionShares.js';
-import { SharePacer } from '../common/sharePacer.js';
+import { DemandMeter } from '../common/placement/demandMeter.js';
+import { planShares, type RegionShares } from '../common/placement/regionShares.js';
+import { SharePacer } from '../common/placement/sharePacer.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
-import { type Candidate, chooseTarget } from '../common/targetChoice.js';
-import { RegionLoad } from '../common/regionLoad.js';
-import { TargetState } from '../common/targetState.js';
-import { parseLoadWord } from '../common/targetWord.js';
+import { type Candidate, chooseTarget } from '../common/placement/targetChoice.js';
+import { RegionLoad } from '../common/placement/regionLoad.js';
+import { TargetState } from '../common/targets/targetState.js';
+import { parseLoadWord } from '../common/targets/targetWord.js';
 import { TargetPhase } from '../../fleet/common/fleetTypes.js';
 
 const HERE: RegionShares = [
--- a/src/plugins/forwarding/test/coldTargets.test.ts
+++ b/src/plugins/forwarding/test/coldTargets.test.ts
@@ -12,7 +12,7 @@
 import { TargetPhase, type TargetRecord } from '../../fleet/common/fleetTypes.js';
 import type { SyncResponse } from '../../fleet/common/fleetWire.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
-import { TargetSelector } from '../node/targetSelector.js';
+import { TargetSelector } from '../node/placement/targetSelector.js';
 import type { Journey } from '../node/journey.js';
 
 const COLD_START_MS = 3000;
--- a/src/plugins/forwarding/test/partChoice.test.ts
+++ b/src/plugins/forwarding/test/partChoice.test.ts
@@ -7,7 +7,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RepeatRule, type Route, type RoutePart } from '../../routes/common/routeTable.js';
-import { chooseService } from '../common/partChoice.js';
+import { chooseService } from '../common/placement/partChoice.js';
 
 const REQUESTS = 2000;
 /** Three standard deviations of a share of a half among so many requests are 0.034. */
--- a/src/plugins/forwarding/test/placement.test.ts
+++ b/src/plugins/forwarding/test/placement.test.ts
@@ -8,12 +8,12 @@
 import { test } from 'node:test';
 import { type KnownTarget } from '../../fleet/common/fleetView.js';
 import { TargetPhase } from '../../fleet/common/fleetTypes.js';
-import { servesItself } from '../common/hallPreference.js';
-import { findNewcomer, introducerOf } from '../common/newcomers.js';
-import { planShares } from '../common/regionShares.js';
-import { type Candidate, chooseTarget } from '../common/targetChoice.js';
-import { RegionLoad } from '../common/regionLoad.js';
-import { TargetState } from '../common/targetState.js';
+import { servesItself } from '../common/placement/hallPreference.js';
+import { findNewcomer, introducerOf } from '../common/placement/newcomers.js';
+import { planShares } from '../common/placement/regionShares.js';
+import { type Candidate, chooseTarget } from '../common/placement/targetChoice.js';
+import { RegionLoad } from '../common/placement/regionLoad.js';
+import { TargetState } from '../common/targets/targetState.js';
 
 const ENTRIES = ['e1', 'e2', 'e3', 'e4'];
 
--- a/src/plugins/forwarding/test/regionCallers.ts
+++ b/src/plugins/forwarding/test/regionCallers.ts
@@ -13,11 +13,11 @@
 import type { RegionDemand, SyncResponse } from '../../fleet/common/fleetWire.js';
 import { RepeatRule, type Route, type RouteTable } from '../../routes/common/routeTable.js';
 import { NotRunCause } from '../common/attempt.js';
-import type { TargetState } from '../common/targetState.js';
+import type { TargetState } from '../common/targets/targetState.js';
 import type { CallerExchange } from '../node/callerExchange.js';
 import type { Journey } from '../node/journey.js';
-import { OutcomeNotes } from '../node/outcomeNotes.js';
-import { TargetSelector } from '../node/targetSelector.js';
+import { OutcomeNotes } from '../node/targets/outcomeNotes.js';
+import { TargetSelector } from '../node/placement/targetSelector.js';
 
 const REGIONS = ['north', 'central', 'south'] as const;
 /** The region of the callers: few targets, so most of its requests run elsewhere. */
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -9,9 +9,9 @@
 import { test } from 'node:test';
 import { type AttemptOutcome, BrokenCause, NotRunCause } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
-import type { TargetWord } from '../common/targetWord.js';
+import type { TargetWord } from '../common/targets/targetWord.js';
 import { RequestBody } from '../node/requestBody.js';
-import { TargetAgent } from '../node/targetAgent.js';
+import { TargetAgent } from '../node/targets/targetAgent.js';
 import { TargetExchange } from '../node/targetExchange.js';
 
 const NAMES: IHeaderNames = {
--- a/src/plugins/forwarding/test/targetHealth.test.ts
+++ b/src/plugins/forwarding/test/targetHealth.test.ts
@@ -6,8 +6,8 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { RestLimit } from '../common/restLimit.js';
-import { TargetHealth } from '../common/targetHealth.js';
+import { RestLimit } from '../common/targets/restLimit.js';
+import { TargetHealth } from '../common/targets/targetHealth.js';
 
 test('one lost answer changes nothing, two in a row do', () => {
 	const health = new TargetHealth();
--- a/src/plugins/forwarding/test/targetWord.test.ts
+++ b/src/plugins/forwarding/test/targetWord.test.ts
@@ -8,8 +8,8 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import type { IHeaderNames } from '../common/headerNames.js';
-import { TargetRest } from '../common/targetRest.js';
-import { type AnswerHead, parseRest, readTargetWord, type TargetWord } from '../common/targetWord.js';
+import { TargetRest } from '../common/targets/targetRest.js';
+import { type AnswerHead, parseRest, readTargetWord, type TargetWord } from '../common/targets/targetWord.js';
 
 const NAMES = { notRun: 'not-run', load: 'load', rest: 'retry-after', leaving: 'leaving' } as IHeaderNames;
 const WALL_NOW = Date.parse('Thu, 03 Dec 2026 10:00:00 GMT');
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -16,13 +16,13 @@
 import { type CrowdedTarget, TargetNeeds } from '../../src/plugins/fleet/common/targetNeeds.js';
 import type { AttemptTrace } from '../../src/plugins/forwarding/common/requestTrace.js';
 import { RetryAllowance } from '../../src/plugins/forwarding/common/retryAllowance.js';
-import { mayTryAgain, refusalCause } from '../../src/plugins/forwarding/common/targetRefusal.js';
-import { parseLoadWord } from '../../src/plugins/forwarding/common/targetWord.js';
-import type { ChosenTarget } from '../../src/plugins/forwarding/common/targetChoice.js';
+import { mayTryAgain, refusalCause } from '../../src/plugins/forwarding/common/targets/targetRefusal.js';
+import { parseLoadWord } from '../../src/plugins/forwarding/common/targets/targetWord.js';
+import type { ChosenTarget } from '../../src/plugins/forwarding/common/placement/targetChoice.js';
 import type { CallerExchange } from '../../src/plugins/forwarding/node/callerExchange.js';
 import type { Journey } from '../../src/plugins/forwarding/node/journey.js';
-import { OutcomeNotes } from '../../src/plugins/forwarding/node/outcomeNotes.js';
-import { TargetSelector } from '../../src/plugins/forwarding/node/targetSelector.js';
+import { OutcomeNotes } from '../../src/plugins/forwarding/node/targets/outcomeNotes.js';
+import { TargetSelector } from '../../src/plugins/forwarding/node/placement/targetSelector.js';
 import { RepeatRule, type Route } from '../../src/plugins/routes/common/routeTable.js';
 import { TargetModel, type TargetModelSettings } from './targetModel.js';
 
