What follows an attempt stands in a file of its own

Change: FollowUp takes the second one, with the bounds of retries; the text of its decisions is as it was.

--- /dev/null
+++ b/src/plugins/forwarding/node/followUp.ts
@@ -0,0 +1,126 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Decides what follows an attempt at a target, within the bounds of retries. */
+
+import { systemClock } from '../../../base/clock.js';
+import { RefusalReason } from '../../../base/verdict.js';
+import type { FleetView } from '../../fleet/common/fleetView.js';
+import { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
+import { RepeatRule } from '../../routes/common/routeTable.js';
+import { type AttemptOutcome, type NotRun, NotRunCause, type TargetAnswer } from '../common/attempt.js';
+import { RetryAllowance } from '../common/retryAllowance.js';
+import type { IServiceBounds } from '../common/serviceBounds.js';
+import { mayTryAgain } from '../common/targets/targetRefusal.js';
+import type { OwnAnswer } from './callerExchange.js';
+import { isFailure, type Journey, refusal } from './journey.js';
+import type { TargetSelector } from './placement/targetSelector.js';
+import type { QuarantineGuard } from './quarantineGuard.js';
+
+/** Connections that did not come up before a request is given up. */
+const MAX_NO_CONNECTION = 4;
+/** Targets that turned a request away before it is given up. */
+const MAX_REFUSALS = 3;
+/** A caller whose request a target may soon have room for is told to come back after this. */
+export const RETRY_SOON_MS = 100;
+
+/** The attempts that may still follow. */
+export class FollowUp {
+	private readonly _allowances = new Map<string, RetryAllowance>();
+
+	constructor(
+		private readonly _view: FleetView,
+		private readonly _selector: TargetSelector,
+		private readonly _quarantine: QuarantineGuard,
+		private readonly _bounds: IServiceBounds
+	) {}
+
+	/** What follows an attempt: another one, an answer of the system's own, or that the target's answer is passed on. */
+	after(journey: Journey, outcome: AttemptOutcome): OwnAnswer | 'again' | 'pass' {
+		switch (outcome.type) {
+			case 'answer':
+				if (this._mayReplace(journey, outcome)) {
+					journey.failure = outcome;
+					return 'again';
+				}
+				return 'pass';
+			case 'abandoned':
+				return outcome.mayHaveRun
+					? { status: 504, verdict: 'may-have-run', reason: RefusalReason.DeadlinePassed }
+					: refusal(RefusalReason.DeadlinePassed, RETRY_SOON_MS);
+			case 'not-run':
+				return this._afterNotRun(journey, outcome);
+			case 'broken':
+				return this._afterBroken(journey);
+		}
+	}
+
+	private _afterBroken(journey: Journey): OwnAnswer | 'again' {
+		journey.arrivals++;
+		// Where targets ended under it before, another one would too.
+		const isSuspected = this._quarantine.phase(journey) !== QuarantinePhase.Clear;
+		const mayRunAgain = journey.route.repeatRule !== RepeatRule.AtMostOnce && !isSuspected;
+		return mayRunAgain && this._mayRetry(journey)
+			? 'again'
+			: { status: 502, verdict: 'may-have-run', reason: RefusalReason.TargetFailed };
+	}
+
+	/** Whether a failure that a target answered with may be replaced by what another target answers. */
+	private _mayReplace(journey: Journey, answer: TargetAnswer): boolean {
+		if (!isFailure(answer) || answer.rest || journey.route.repeatRule === RepeatRule.AtMostOnce) {
+			return false;
+		}
+		journey.arrivals++;
+		return this._mayRetry(journey);
+	}
+
+	private _afterNotRun(journey: Journey, outcome: NotRun): OwnAnswer | 'again' {
+		if (outcome.cause === NotRunCause.AtRest) {
+			return 'again';
+		}
+		if (!outcome.hasArrived) {
+			journey.noConnections++;
+			return journey.noConnections < MAX_NO_CONNECTION ? 'again' : refusal(RefusalReason.TargetFailed, RETRY_SOON_MS);
+		}
+		journey.refusals++;
+		const { target } = journey.attempts.at(-1)!;
+		if (mayTryAgain(outcome.cause, target, journey.attempts)) {
+			journey.tried.delete(target);
+		}
+		return this._mayRetry(journey) ? 'again' : this.noTarget(journey);
+	}
+
+	/**
+	 * No target takes the request now. Where all of them rest the caller is told when the first one wants work again, as far as it can
+	 * still use that: to come back before brings it the same answer.
+	 */
+	noTarget(journey: Journey): OwnAnswer {
+		const now = systemClock.now();
+		const restEndsAt = this._selector.restEndsAt(journey, now);
+		if (restEndsAt === undefined) {
+			return refusal(RefusalReason.NoCapacity, RETRY_SOON_MS);
+		}
+		const usableMs = Math.min(restEndsAt, journey.deadline) - now;
+		return refusal(RefusalReason.TargetsAtRest, Math.max(RETRY_SOON_MS, usableMs));
+	}
+
+	private _mayRetry(journey: Journey): boolean {
+		return (
+			journey.arrivals < journey.route.attempts &&
+			journey.refusals < MAX_REFUSALS &&
+			journey.body.isAvailable &&
+			this.allowance(journey.service).take(this._view.entryCount, systemClock.now())
+		);
+	}
+
+	/** The retries of a service that this instance may make. */
+	allowance(service: string): RetryAllowance {
+		let allowance = this._allowances.get(service);
+		if (!allowance) {
+			allowance = new RetryAllowance(this._bounds.retries);
+			this._allowances.set(service, allowance);
+		}
+		return allowance;
+	}
+}
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -17,18 +17,17 @@
 import { ITeamLimits, LimitVerdict } from '../../limits/common/teamLimits.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { accessOf } from '../../routes/common/teamAccess.js';
-import { type AttemptOutcome, type NotRun, NotRunCause, type TargetAnswer } from '../common/attempt.js';
+import type { TargetAnswer } from '../common/attempt.js';
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
 import { chooseService } from '../common/placement/partChoice.js';
-import { RetryAllowance } from '../common/retryAllowance.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
-import { mayTryAgain } from '../common/targets/targetRefusal.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
 import { AttemptSender } from './attemptSender.js';
-import { denial, endOf, isFailure, type Journey, limitRefusal, quarantineRefusal, refusal } from './journey.js';
+import { denial, endOf, type Journey, limitRefusal, quarantineRefusal, refusal } from './journey.js';
+import { FollowUp, RETRY_SOON_MS } from './followUp.js';
 import { LostRunWatch } from './lostRunWatch.js';
 import { OutcomeNotes } from './targets/outcomeNotes.js';
 import { QuarantineGuard } from './quarantineGuard.js';
@@ -40,11 +39,6 @@
 
 /** With less time left nothing is sent any more. */
 const LEAST_TIME_MS = 20;
-/** Connections that did not come up before a request is given up. */
-const MAX_NO_CONNECTION = 4;
-/** Targets that turned a request away before it is given up. */
-const MAX_REFUSALS = 3;
-const RETRY_SOON_MS = 100;
 const DEMAND_INTERVAL_MS = 250;
 const NO_CONFIGURATION_RETRY_MS = 500;
 
@@ -53,13 +47,13 @@
 
 /** The requests of this instance. */
 export class ForwardingTask extends Disposable implements IForwarding {
-	private readonly _allowances = new Map<string, RetryAllowance>();
 	private readonly _recorder: RequestRecorder;
 	private readonly _notes = new OutcomeNotes();
 	private readonly _selector: TargetSelector;
 	private readonly _largeAnswers: LargeAnswerGate;
 	private readonly _sender: AttemptSender;
 	private readonly _quarantine: QuarantineGuard;
+	private readonly _followUp: FollowUp;
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
@@ -81,6 +75,7 @@
 		const watch = this._register(new RegionWatch(_session, log, this._bounds.shifts.windowMs, onDidStepFar));
 		const lostRuns = this._register(new LostRunWatch(metrics, log));
 		this._quarantine = this._register(new QuarantineGuard(_session, lostRuns));
+		this._followUp = new FollowUp(_session.view, this._selector, this._quarantine, _bounds);
 		this._sender = this._register(
 			new AttemptSender({
 				region: instance.region,
@@ -128,7 +123,7 @@
 		}
 		const service = chooseService(route, exchange.requestId);
 		this._notes.noteRequest(service, exchange.arrivedAt);
-		this._allowance(service).noteFirstTry(exchange.arrivedAt);
+		this._followUp.allowance(service).noteFirstTry(exchange.arrivedAt);
 		const journey: Journey = {
 			exchange,
 			route,
@@ -197,17 +192,19 @@
 			}
 			const candidate = this._selector.choose(journey, systemClock.now());
 			if (!candidate) {
-				this._giveUp(journey, this._noTarget(journey));
+				this._giveUp(journey, this._followUp.noTarget(journey));
 				return;
 			}
 			const outcome = await this._sender.send(journey, candidate);
 			this._quarantine.noteOutcome(journey, outcome);
-			const answer = this._settle(journey, outcome);
-			if (answer === 'again') {
+			const next = this._followUp.after(journey, outcome);
+			if (next === 'again') {
 				continue;
 			}
-			if (answer) {
-				this._giveUp(journey, answer);
+			if (next !== 'pass') {
+				this._giveUp(journey, next);
+			} else if (outcome.type === 'answer') {
+				this._pass(journey, outcome);
 			}
 			return;
 		}
@@ -233,99 +230,11 @@
 		return access && !access.isGranted ? denial(access) : undefined;
 	}
 
-	/** Decides what follows an attempt: another one, an answer of the system's own, or nothing more. */
-	private _settle(journey: Journey, outcome: AttemptOutcome): OwnAnswer | 'again' | undefined {
-		switch (outcome.type) {
-			case 'answer':
-				if (this._mayReplace(journey, outcome)) {
-					journey.failure = outcome;
-					return 'again';
-				}
-				this._pass(journey, outcome);
-				return undefined;
-			case 'abandoned':
-				return outcome.mayHaveRun
-					? { status: 504, verdict: 'may-have-run', reason: RefusalReason.DeadlinePassed }
-					: refusal(RefusalReason.DeadlinePassed, RETRY_SOON_MS);
-			case 'not-run':
-				return this._afterNotRun(journey, outcome);
-			case 'broken':
-				return this._afterBroken(journey);
-		}
-	}
-
-	private _afterBroken(journey: Journey): OwnAnswer | 'again' {
-		journey.arrivals++;
-		// Where targets ended under it before, another one would too.
-		const isSuspected = this._quarantine.phase(journey) !== QuarantinePhase.Clear;
-		const mayRunAgain = journey.route.repeatRule !== RepeatRule.AtMostOnce && !isSuspected;
-		return mayRunAgain && this._mayRetry(journey)
-			? 'again'
-			: { status: 502, verdict: 'may-have-run', reason: RefusalReason.TargetFailed };
-	}
-
-	/** Whether a failure that a target answered with may be replaced by what another target answers. */
-	private _mayReplace(journey: Journey, answer: TargetAnswer): boolean {
-		if (!isFailure(answer) || answer.rest || journey.route.repeatRule === RepeatRule.AtMostOnce) {
-			return false;
-		}
-		journey.arrivals++;
-		return this._mayRetry(journey);
-	}
-
 	private _pass(journey: Journey, answer: TargetAnswer): void {
 		journey.exchange.pass(answer);
 		this._record(journey, RequestEnd.Answered, answer.status);
 	}
 
-	private _afterNotRun(journey: Journey, outcome: NotRun): OwnAnswer | 'again' {
-		if (outcome.cause === NotRunCause.AtRest) {
-			return 'again';
-		}
-		if (!outcome.hasArrived) {
-			journey.noConnections++;
-			return journey.noConnections < MAX_NO_CONNECTION ? 'again' : refusal(RefusalReason.TargetFailed, RETRY_SOON_MS);
-		}
-		journey.refusals++;
-		const { target } = journey.attempts.at(-1)!;
-		if (mayTryAgain(outcome.cause, target, journey.attempts)) {
-			journey.tried.delete(target);
-		}
-		return this._mayRetry(journey) ? 'again' : this._noTarget(journey);
-	}
-
-	/**
-	 * No target takes the request now. Where all of them rest the caller is told when the first one wants work again, as far as it can
-	 * still use that: to come back before brings it the same answer.
-	 */
-	private _noTarget(journey: Journey): OwnAnswer {
-		const now = systemClock.now();
-		const restEndsAt = this._selector.restEndsAt(journey, now);
-		if (restEndsAt === undefined) {
-			return refusal(RefusalReason.NoCapacity, RETRY_SOON_MS);
-		}
-		const usableMs = Math.min(restEndsAt, journey.deadline) - now;
-		return refusal(RefusalReason.TargetsAtRest, Math.max(RETRY_SOON_MS, usableMs));
-	}
-
-	private _mayRetry(journey: Journey): boolean {
-		return (
-			journey.arrivals < journey.route.attempts &&
-			journey.refusals < MAX_REFUSALS &&
-			journey.body.isAvailable &&
-			this._allowance(journey.service).take(this._session.view.entryCount, systemClock.now())
-		);
-	}
-
-	private _allowance(service: string): RetryAllowance {
-		let allowance = this._allowances.get(service);
-		if (!allowance) {
-			allowance = new RetryAllowance(this._bounds.retries);
-			this._allowances.set(service, allowance);
-		}
-		return allowance;
-	}
-
 	private _giveUp(journey: Journey, answer: OwnAnswer): void {
 		const { exchange, failure } = journey;
 		if (failure && !exchange.hasLeft) {
