Limits that targets name are decoded and seen: lines, a gauge, counts by target that add up over instances

The word is decoded beside the others, by the life of its target; answers overtake each other, so a higher limit or none counts only by an answer to a request that was sent when the lower one was known. Values: a decimal number; a sign, exponent, unit, NaN, nothing, a thousand digits name no limit; of two the lower holds (tests). No choice depends on it yet.

--- a/src/plugins/forwarding/common/headerNames.ts
+++ b/src/plugins/forwarding/common/headerNames.ts
@@ -28,6 +28,8 @@
 	readonly rest: string;
 	/** In any answer of a target that ends soon: `1`. */
 	readonly leaving: string;
+	/** In any answer: the requests a second that the target takes from all instances together; a decimal number. */
+	readonly limit: string;
 	/** In an answer: proof of which target gave it. */
 	readonly stamp: string;
 }
--- a/src/plugins/forwarding/common/targets/targetWord.ts
+++ b/src/plugins/forwarding/common/targets/targetWord.ts
@@ -13,8 +13,8 @@
 const STATUS_UNAVAILABLE = 503;
 /** A longer rest counts as this one: it outlasts any life of a target, and a target that is well starts a new one. */
 const MOST_REST_MS: Millis = 24 * 3600 * 1000;
-/** Seconds, with or without a fraction: what HTTP allows, and fractions besides. */
-const SECONDS = /^\d+(\.\d+)?$/;
+/** A number with or without a fraction. */
+const DECIMAL = /^\d+(\.\d+)?$/;
 /** The one form of dates that HTTP writes, such as `Thu, 03 Dec 2026 10:00:05 GMT`. */
 const HTTP_DATE = /^[A-Z][a-z]{2}, \d{2} [A-Z][a-z]{2} \d{4} \d{2}:\d{2}:\d{2} GMT$/;
 
@@ -33,6 +33,10 @@
 	readonly restMs: Millis;
 	/** It ends soon, and wants no new work in this life. */
 	readonly isLeaving: boolean;
+	/** Requests a second that it takes from all instances together; undefined where it names no limit. */
+	readonly limitPerSecond: number | undefined;
+	/** Whether the answer shows the id of its request; one that does not may have lost what else its target says. */
+	readonly hasEcho: boolean;
 	/** It did not run the request. */
 	readonly isNotRun: boolean;
 }
@@ -55,10 +59,17 @@
  */
 export function parseRest(text: string, sentAt: number): Millis {
 	const trimmed = text.trim();
-	const wanted = SECONDS.test(trimmed) ? Number(trimmed) * 1000 : untilDate(trimmed, sentAt);
+	const wanted = DECIMAL.test(trimmed) ? Number(trimmed) * 1000 : untilDate(trimmed, sentAt);
 	return wanted > 0 ? Math.min(wanted, MOST_REST_MS) : 0;
 }
 
+/** Reads one value of a header that names a limit, in requests a second; undefined for what names none. */
+export function parseLimit(text: string): number | undefined {
+	const trimmed = text.trim();
+	const perSecond = DECIMAL.test(trimmed) ? Number(trimmed) : Number.NaN;
+	return Number.isFinite(perSecond) ? perSecond : undefined;
+}
+
 function untilDate(text: string, sentAt: number): Millis {
 	return HTTP_DATE.test(text) ? Date.parse(text) - sentAt : 0;
 }
@@ -74,6 +85,8 @@
 		load: parseLoadWord(headers[names.load]),
 		restMs: isTurnedAway ? longestRest(head, names, wallNow) : 0,
 		isLeaving: headers[names.leaving] === '1',
+		limitPerSecond: lowestLimit(head, names),
+		hasEcho: headers[names.requestId] !== undefined,
 		isNotRun: status === STATUS_OTHER_TARGET || headers[names.notRun] !== undefined
 	};
 }
@@ -88,3 +101,12 @@
 	const rests = (headersDistinct[names.rest] ?? []).map(text => parseRest(text, sentAt));
 	return Math.max(0, ...rests);
 }
+
+/** Each value holds by itself, so the lowest one does. */
+function lowestLimit({ headers, headersDistinct }: AnswerHead, names: IHeaderNames): number | undefined {
+	if (headers[names.limit] === undefined) {
+		return undefined;
+	}
+	const limits = (headersDistinct[names.limit] ?? []).map(parseLimit).filter(limit => limit !== undefined);
+	return limits.length === 0 ? undefined : Math.min(...limits);
+}
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -15,9 +15,11 @@
 import { connectTimeoutMs, heldBytes } from '../common/linkPacer.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
 import type { ChosenTarget } from '../common/placement/targetChoice.js';
+import type { TargetState } from '../common/targets/targetState.js';
 import type { TargetWord } from '../common/targets/targetWord.js';
 import { describeOutcome, type Journey, mayHaveRun } from './journey.js';
 import type { LostRunWatch } from './lostRunWatch.js';
+import type { LimitWatch } from './targets/limitWatch.js';
 import type { OutcomeNotes } from './targets/outcomeNotes.js';
 import type { RegionWatch } from './placement/regionWatch.js';
 import type { RestWatch } from './targets/restWatch.js';
@@ -43,6 +45,7 @@
 	readonly view: FleetView;
 	readonly lostRuns: LostRunWatch;
 	readonly rests: RestWatch;
+	readonly limits: LimitWatch;
 }
 
 /** The attempts of this instance and their connections. */
@@ -97,9 +100,11 @@
 		trace.tookMs = Math.round(endedAt - now);
 		exchange.whenLeft(undefined);
 		clearTimeout(timer);
-		const { notes, lostRuns, rests } = this._context;
+		const { notes, lostRuns, rests, limits } = this._context;
 		lostRuns.noteAttempt(journey, known.record, outcome, now);
-		rests.noteSent(known.record, state, { chosenAt: now, writtenAt: sent.writtenAt, outcome });
+		const request = { chosenAt: now, writtenAt: sent.writtenAt, outcome };
+		rests.noteSent(known.record, state, request);
+		limits.noteSent(known.record, state, request, journey.attempts[0] === trace);
 		notes.noteOutcome(journey, state, outcome, endedAt - now, endedAt);
 		if (outcome.type === 'answer') {
 			this._noteSize(journey.route, sent.answerHeaders?.['content-length']);
@@ -112,9 +117,10 @@
 	}
 
 	/** A target spoke of itself in the head of an answer. */
-	private _hear({ known, state }: ChosenTarget, word: TargetWord): void {
+	private _hear({ known, state }: ChosenTarget, word: TargetWord, askedAt: Millis): void {
 		const now = systemClock.now();
 		const { notes, rests } = this._context;
+		this._hearLimit(known.record, state, word, askedAt);
 		notes.noteLoad(state, word.load, now);
 		rests.noteWord(known.record, state, word, state.inFlight, now);
 		state.rest.hear(word, now);
@@ -123,6 +129,17 @@
 		}
 	}
 
+	private _hearLimit(record: TargetRecord, state: TargetState, word: TargetWord, askedAt: Millis): void {
+		const { limitPerSecond: perSecond, hasEcho } = word;
+		if (perSecond === undefined && !hasEcho) {
+			return;
+		}
+		const change = state.limit.hear({ perSecond, askedAt }, systemClock.now());
+		if (change !== undefined) {
+			this._context.limits.noteChange(record, state, change, 'target');
+		}
+	}
+
 	/** What has not been written to a target yet may still go elsewhere. */
 	private _withdrawFrom({ id, bornAt }: TargetRecord): void {
 		for (const [sent, record] of this._underWay) {
@@ -157,7 +174,7 @@
 			body,
 			connectTimeoutMs: known.region === this._context.region ? this._nearConnectMs : this._farConnectMs,
 			heldBytes: this._heldBytes,
-			onWord: word => this._hear(candidate, word)
+			onWord: (word, writtenAt) => this._hear(candidate, word, writtenAt)
 		});
 	}
 
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -29,6 +29,7 @@
 import { denial, endOf, type Journey, limitRefusal, quarantineRefusal, refusal } from './journey.js';
 import { FollowUp, RETRY_SOON_MS } from './followUp.js';
 import { LostRunWatch } from './lostRunWatch.js';
+import { LimitWatch } from './targets/limitWatch.js';
 import { OutcomeNotes } from './targets/outcomeNotes.js';
 import { QuarantineGuard } from './quarantineGuard.js';
 import { RegionWatch } from './placement/regionWatch.js';
@@ -86,7 +87,8 @@
 				largeAnswers: this._largeAnswers,
 				view: _session.view,
 				lostRuns,
-				rests: new RestWatch(metrics, log, now => this._selector.restingByService(now))
+				rests: new RestWatch(metrics, log, now => this._selector.restingByService(now)),
+				limits: new LimitWatch(metrics, log, () => this._selector.limitedTargets())
 			})
 		);
 		const timer = setInterval(() => this._tellNeeds(), DEMAND_INTERVAL_MS);
--- a/src/plugins/forwarding/node/placement/targetSelector.ts
+++ b/src/plugins/forwarding/node/placement/targetSelector.ts
@@ -25,6 +25,7 @@
 } from '../../common/placement/targetChoice.js';
 import type { CallerExchange } from '../callerExchange.js';
 import type { Journey } from '../journey.js';
+import type { LimitedTarget } from '../targets/limitWatch.js';
 import { TargetStates } from '../targets/targetStates.js';
 
 /** Part of a cold target's pace that is used: requests that were spread over time may arrive closer together. */
@@ -108,6 +109,11 @@
 		return this._states.restingByService(now);
 	}
 
+	/** The targets that name a limit now. */
+	limitedTargets(): readonly LimitedTarget[] {
+		return this._states.limitedTargets();
+	}
+
 	/**
 	 * What callers asked for at the first targets of their objects since the last call.
 	 * @param typicalMs what a request of a service takes where nothing holds it up
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -36,8 +36,8 @@
 	readonly connectTimeoutMs: Millis;
 	/** Answers up to this size are held whole before the caller sees any of it, so that a broken one can be replaced. */
 	readonly heldBytes: number;
-	/** Is told what the target says of itself, as soon as the head of its answer is there. */
-	readonly onWord: (word: TargetWord) => void;
+	/** Is told what the target says of itself, as soon as the head of its answer is there, and when the request may have been written. */
+	readonly onWord: (word: TargetWord, writtenAt: Millis) => void;
 }
 
 function mayHaveBody(status: number): boolean {
@@ -166,7 +166,7 @@
 		const word = readTargetWord(response, this._names, Date.now());
 		// Another target speaks there of itself, not of the one that was meant.
 		if (status !== STATUS_OTHER_TARGET) {
-			this._sent.onWord(word);
+			this._sent.onWord(word, this._writtenAt ?? Number.NEGATIVE_INFINITY);
 		}
 		if (word.isNotRun) {
 			response.resume();
--- a/src/plugins/forwarding/node/targets/targetStates.ts
+++ b/src/plugins/forwarding/node/targets/targetStates.ts
@@ -9,6 +9,7 @@
 import type { Candidate } from '../../common/placement/targetChoice.js';
 import { RegionLoad } from '../../common/placement/regionLoad.js';
 import { TargetState } from '../../common/targets/targetState.js';
+import type { LimitedTarget } from './limitWatch.js';
 
 const SWEEP_INTERVAL_MS = 10000;
 
@@ -90,6 +91,18 @@
 		return counts;
 	}
 
+	/** The targets that name a limit now, of those that control names. */
+	limitedTargets(): readonly LimitedTarget[] {
+		const limited: LimitedTarget[] = [];
+		for (const [id, { limit }] of this._states) {
+			const service = this._view.target(id)?.record.service;
+			if (limit.perSecond !== undefined && service !== undefined) {
+				limited.push({ id, service, perSecond: limit.perSecond });
+			}
+		}
+		return limited;
+	}
+
 	private _regionLoadOf({ record, region }: KnownTarget): RegionLoad {
 		const key = `${record.service} ${region}`;
 		let load = this._regionLoads.get(key);
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -25,6 +25,7 @@
 	load: 'load',
 	rest: 'rest',
 	leaving: 'leaving',
+	limit: 'limit',
 	stamp: 'stamp'
 };
 
--- a/src/plugins/forwarding/test/targetWord.test.ts
+++ b/src/plugins/forwarding/test/targetWord.test.ts
@@ -9,9 +9,23 @@
 import fc from 'fast-check';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { TargetRest } from '../common/targets/targetRest.js';
-import { type AnswerHead, parseRest, readTargetWord, type TargetWord } from '../common/targets/targetWord.js';
+import { LimitChange, TargetLimit } from '../common/targets/targetLimit.js';
+import {
+	type AnswerHead,
+	parseLimit,
+	parseRest,
+	readTargetWord,
+	type TargetWord
+} from '../common/targets/targetWord.js';
 
-const NAMES = { notRun: 'not-run', load: 'load', rest: 'retry-after', leaving: 'leaving' } as IHeaderNames;
+const NAMES = {
+	requestId: 'id',
+	notRun: 'not-run',
+	load: 'load',
+	rest: 'retry-after',
+	leaving: 'leaving',
+	limit: 'limit'
+} as IHeaderNames;
 const WALL_NOW = Date.parse('Thu, 03 Dec 2026 10:00:00 GMT');
 const DAY_MS = 24 * 3600 * 1000;
 
@@ -112,3 +126,59 @@
 		})
 	);
 });
+
+test('a limit is a decimal number; nothing else limits a target', () => {
+	const cases: readonly (readonly [string, number | undefined])[] = [
+		['6.2', 6.2],
+		[' 4 ', 4],
+		['0.5', 0.5],
+		['0', 0],
+		['-1', undefined],
+		['+3', undefined],
+		['1e1', undefined],
+		['6/s', undefined],
+		['6,2', undefined],
+		['.5', undefined],
+		['5.', undefined],
+		['0x10', undefined],
+		['NaN', undefined],
+		['Infinity', undefined],
+		['', undefined],
+		['9'.repeat(1000), undefined]
+	];
+	for (const [text, perSecond] of cases) {
+		assert.equal(parseLimit(text), perSecond, text);
+	}
+});
+
+test('of two limits in one answer the lower one holds, and one that is none takes nothing from the other', () => {
+	const word = wordOf(200, [
+		['limit', '8'],
+		['limit', '2.5'],
+		['limit', 'many']
+	]);
+	assert.equal(word.limitPerSecond, 2.5);
+	assert.equal(wordOf(503, [['limit', '3']]).limitPerSecond, 3);
+	assert.equal(wordOf(200, []).limitPerSecond, undefined);
+});
+
+test('whatever stands there for a limit names none or a number that is not negative', () => {
+	fc.assert(
+		fc.property(fc.oneof(fc.string(), fc.double().map(String), fc.integer().map(String)), text => {
+			const perSecond = parseLimit(text);
+			assert.ok(perSecond === undefined || (Number.isFinite(perSecond) && perSecond >= 0));
+		})
+	);
+});
+
+test('a lower limit holds at once, a higher one or none only by an answer to what was asked after the lower one was known', () => {
+	const limit = new TargetLimit();
+	assert.equal(limit.hear({ perSecond: 8, askedAt: 0 }, 100), LimitChange.Named);
+	assert.equal(limit.hear({ perSecond: 2, askedAt: 50 }, 110), LimitChange.Lowered);
+	assert.equal(limit.hear({ perSecond: 8, askedAt: 105 }, 120), undefined);
+	assert.equal(limit.hear({ perSecond: undefined, askedAt: 110 }, 121), undefined);
+	assert.equal(limit.perSecond, 2);
+	assert.equal(limit.hear({ perSecond: 4, askedAt: 111 }, 130), LimitChange.Raised);
+	assert.equal(limit.hear({ perSecond: undefined, askedAt: 131 }, 140), LimitChange.Ended);
+	assert.equal(limit.perSecond, undefined);
+});
