Failing tests: targets that name a limit get several times as much from all instances together

Three control and five entry instances as processes, four targets, 80 requests a second. Seen on this code: 81 and 88 requests in 4 s at a limit of 4.5 a second where 32 are allowed, 75 at 0.5 (8), 80 one second and more after 8 was lowered to 2 (17), 79 where all four name 3 (23), 106 while instances end and start again (23). By the new lines, added up: 166 first tries and no other, five of them chosen before the word was there; each instance sent 2.9 to 6 a second, so each for itself was mostly below the limit. So nothing hears the word, and hearing it by each instance alone would not mend it; further tries and what is on its way have no part in it. A new life that owes nothing passes already.

--- a/test/platform/standInTarget.ts
+++ b/test/platform/standInTarget.ts
@@ -52,6 +52,8 @@
 
 /** One upstream. */
 export class StandInTarget {
+	/** When each request that was meant for this target reached it, run or not, on the monotonic clock; in order. */
+	readonly arrivals: number[] = [];
 	/** Requests that ran here, in order of arrival. */
 	readonly ran: SeenRequest[] = [];
 	/** Requests that were turned away while `refusesWith` was set, in order of arrival. */
@@ -110,6 +112,7 @@
 			response.writeHead(421).end();
 			return;
 		}
+		this.arrivals.push(performance.now());
 		if (this.refusesWith) {
 			this.turnedAway.push({ id: seen.id, at: performance.now() });
 			response.writeHead(503, { 'Not-Executed': '1', ...this.refusesWith, ...this.alsoSays }).end();
