The senders of cold targets are called paced senders: they will bound limits as well

Cause: two instances drawn by control and kept in a target's record divide its pace while it is cold; a limit that a target names for all instances needs the same. Change: coldSenders and its file, type and function are renamed; a record saved before has none of them under the new name, which costs the targets that are cold at that moment their pace until they are warm. Result: types and tests as before; no behaviour is changed.

--- a/src/plugins/fleet/common/fleetState.ts
+++ b/src/plugins/fleet/common/fleetState.ts
@@ -136,7 +136,7 @@
 		this._published = state.published;
 		this._digests = new Map(state.digests);
 		this._halls = new Map(state.halls.map(hall => [hall.hall, hall]));
-		this._targets = new Map(state.targets.map(target => [target.id, { ...target, bornAt: target.bornAt ?? 0 }]));
+		this._targets = new Map(state.targets.map(target => [target.id, completed(target)]));
 		this._holders.clear();
 		state.targets.forEach(({ address, id }) => this._holders.set(address, id));
 		this._onDidChange.fire(this._revision);
@@ -207,8 +207,8 @@
 			this._targets.delete(id);
 			this._holders.set(description.address, id);
 		}
-		const coldSenders = known?.coldSenders ?? change.coldSenders ?? [];
-		this._targets.set(id, { ...description, bornAt, coldSenders, phase, changedAt: this._revision });
+		const pacedSenders = known?.pacedSenders ?? change.pacedSenders ?? [];
+		this._targets.set(id, { ...description, bornAt, pacedSenders, phase, changedAt: this._revision });
 	}
 
 	private _knownLife(id: string, bornAt: number): TargetRecord | undefined {
@@ -243,6 +243,11 @@
 	}
 }
 
+/** A record that was saved before it had all of its fields. */
+function completed(saved: TargetRecord): TargetRecord {
+	return { ...saved, bornAt: saved.bornAt ?? 0, pacedSenders: saved.pacedSenders ?? [] };
+}
+
 function dropOldest(map: Map<unknown, unknown>, limit: number): void {
 	for (const key of map.keys()) {
 		if (map.size <= limit) {
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -41,10 +41,11 @@
 	readonly phase: TargetPhase;
 	readonly changedAt: FleetRevision;
 	/**
-	 * The entry instances that may send to it while it is cold. Drawn once and kept with the target, so that all instances
-	 * agree on them whatever they hear of each other; none where no entry instance was known.
+	 * The entry instances that may send to it while what it takes is bounded: while it is cold, or names a limit. Drawn once and
+	 * kept with the target, so that all instances agree on them whatever they hear of each other; none where no entry instance
+	 * was known.
 	 */
-	readonly coldSenders: readonly string[];
+	readonly pacedSenders: readonly string[];
 }
 
 /** A hall whose targets are to get no work, or got it back. */
@@ -95,7 +96,7 @@
 	/** Given where the target, or this life of it, is not known yet. */
 	readonly description?: TargetDescription;
 	/** Given with the description. */
-	readonly coldSenders?: readonly string[];
+	readonly pacedSenders?: readonly string[];
 }
 
 /** Any command of the fleet part. */
--- a/src/plugins/fleet/node/targetRegistrar.ts
+++ b/src/plugins/fleet/node/targetRegistrar.ts
@@ -6,7 +6,7 @@
 
 import { type Millis, systemClock } from '../../../base/clock.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
-import { drawColdSenders } from '../common/coldSenders.js';
+import { drawPacedSenders } from '../common/pacedSenders.js';
 import { EarlierLives } from '../common/earlierLives.js';
 import type { TargetHeartbeat } from '../common/fleetControl.js';
 import type { FleetState } from '../common/fleetState.js';
@@ -89,10 +89,10 @@
 		return isKnown ? Life.Known : Life.New;
 	}
 
-	private _introduce(description: TargetDescription): Pick<TargetChange, 'description' | 'coldSenders'> {
+	private _introduce(description: TargetDescription): Pick<TargetChange, 'description' | 'pacedSenders'> {
 		const region = this._halls.get(description.hall) ?? '';
 		const entries = this._sightings.liveEntries(systemClock.now());
-		return { description, coldSenders: drawColdSenders(description.id, region, entries) };
+		return { description, pacedSenders: drawPacedSenders(description.id, region, entries) };
 	}
 
 	private async _change(change: TargetChange): Promise<void> {
--- a/src/plugins/fleet/test/fleetState.test.ts
+++ b/src/plugins/fleet/test/fleetState.test.ts
@@ -70,7 +70,7 @@
 	const description = { id: 'a', bornAt, service: 's', address, hall: 'h', version: 'v', slots: 1 };
 	return state.apply({
 		type: 'changeTargets',
-		changes: [{ id: 'a', bornAt, phase, description, coldSenders: [`e-${bornAt}`] }]
+		changes: [{ id: 'a', bornAt, phase, description, pacedSenders: [`e-${bornAt}`] }]
 	});
 }
 
@@ -79,8 +79,8 @@
 	begin(state, 100);
 	state.apply({ type: 'changeTargets', changes: [{ id: 'a', phase: TargetPhase.Gone }] });
 	begin(state, 200, TargetPhase.Serving, '127.0.0.1:2');
-	const { phase, bornAt, coldSenders } = state.target('a')!;
-	assert.deepEqual([phase, bornAt, coldSenders], [TargetPhase.Serving, 200, ['e-200']]);
+	const { phase, bornAt, pacedSenders } = state.target('a')!;
+	assert.deepEqual([phase, bornAt, pacedSenders], [TargetPhase.Serving, 200, ['e-200']]);
 	assert.deepEqual([state.holderOf('127.0.0.1:1'), state.holderOf('127.0.0.1:2')], [undefined, 'a']);
 	const { revision } = state;
 	begin(state, 100, TargetPhase.Leaving);
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -25,7 +25,7 @@
 		slots: 2,
 		phase,
 		changedAt: 1,
-		coldSenders: []
+		pacedSenders: []
 	};
 }
 
--- a/src/plugins/fleet/test/targetNeeds.test.ts
+++ b/src/plugins/fleet/test/targetNeeds.test.ts
@@ -13,7 +13,7 @@
 
 function target(id: string, phase = TargetPhase.Serving): TargetRecord {
 	const description = { id, bornAt: 0, service: 's', address: '127.0.0.1:1', hall: 'h', version: 'v', slots: SLOTS };
-	return { ...description, phase, changedAt: 1, coldSenders: [] };
+	return { ...description, phase, changedAt: 1, pacedSenders: [] };
 }
 
 const TARGETS = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(id => target(id));
--- a/src/plugins/forwarding/common/placement/newcomers.ts
+++ b/src/plugins/forwarding/common/placement/newcomers.ts
@@ -17,7 +17,7 @@
 
 /** The instance that sends a target its first request: one that may do so while it is cold, where there is one. */
 export function introducerOf(target: TargetRecord, regionEntries: readonly string[]): string | undefined {
-	const sender = target.coldSenders.find(name => regionEntries.includes(name));
+	const sender = target.pacedSenders.find(name => regionEntries.includes(name));
 	return sender ?? rendezvousRank(target.id, regionEntries)[0];
 }
 
--- a/src/plugins/forwarding/node/placement/targetSelector.ts
+++ b/src/plugins/forwarding/node/placement/targetSelector.ts
@@ -178,15 +178,15 @@
 	}
 
 	private _mayUseCold(candidate: Candidate, now: Millis): boolean {
-		const isSender = candidate.known.record.coldSenders.includes(this._own.name);
+		const isSender = candidate.known.record.pacedSenders.includes(this._own.name);
 		return isSender && candidate.state.hasColdToken(this._coldPace(candidate), now);
 	}
 
 	/** The part of a cold target's pace that each of its senders has. */
 	private _coldPace(candidate: Candidate): number {
-		const { service, coldSenders } = candidate.known.record;
+		const { service, pacedSenders } = candidate.known.record;
 		const perSecond = this._view.routes?.service(service)?.coldPerSecond ?? 0;
-		return (COLD_PACE_PART * perSecond) / Math.max(1, coldSenders.length);
+		return (COLD_PACE_PART * perSecond) / Math.max(1, pacedSenders.length);
 	}
 }
 
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/forwarding/test/choice.test.ts
@@ -32,7 +32,7 @@
 		slots,
 		phase: TargetPhase.Serving,
 		changedAt: 1,
-		coldSenders: []
+		pacedSenders: []
 	};
 	return {
 		known: { record, region, isSilent: false, coldUntil: 0, keptPart: 1, knownSince: 0 },
--- a/src/plugins/forwarding/test/coldTargets.test.ts
+++ b/src/plugins/forwarding/test/coldTargets.test.ts
@@ -7,7 +7,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { describeEntry } from '../../../../test/fakes/describeEntry.js';
-import { drawColdSenders } from '../../fleet/common/coldSenders.js';
+import { drawPacedSenders } from '../../fleet/common/pacedSenders.js';
 import { FleetView } from '../../fleet/common/fleetView.js';
 import { TargetPhase, type TargetRecord } from '../../fleet/common/fleetTypes.js';
 import type { SyncResponse } from '../../fleet/common/fleetWire.js';
@@ -35,9 +35,9 @@
 	isPublic: true
 };
 
-function target(id: string, coldSenders: readonly string[]): TargetRecord {
+function target(id: string, pacedSenders: readonly string[]): TargetRecord {
 	const place = { address: '127.0.0.1:1', hall: 'h', version: 'v', slots: 9 };
-	return { id, bornAt: 0, service: 's', ...place, phase: TargetPhase.Serving, changedAt: 1, coldSenders };
+	return { id, bornAt: 0, service: 's', ...place, phase: TargetPhase.Serving, changedAt: 1, pacedSenders };
 }
 
 function response(revision: number, targets: TargetRecord[], regionEntries: readonly string[]): SyncResponse {
@@ -92,7 +92,7 @@
 }
 
 test('many instances of a region together keep to the pace of a cold target', () => {
-	const senders = drawColdSenders(
+	const senders = drawPacedSenders(
 		'new',
 		'r',
 		ENTRIES.map(name => describeEntry({ name, region: 'r', isReady: true }))
@@ -120,8 +120,8 @@
 		describeEntry({ name: 'b', region: 'r1', isReady: false }),
 		describeEntry({ name: 'c', region: 'r2', isReady: true })
 	];
-	assert.deepEqual(drawColdSenders('t', 'r1', entries), ['a']);
-	assert.deepEqual(drawColdSenders('t', 'r3', entries), []);
+	assert.deepEqual(drawPacedSenders('t', 'r1', entries), ['a']);
+	assert.deepEqual(drawPacedSenders('t', 'r3', entries), []);
 	const many = ENTRIES.map(name => describeEntry({ name, region: 'r1', isReady: true }));
-	assert.deepEqual(drawColdSenders('t', 'r1', many), drawColdSenders('t', 'r1', [...many].reverse()));
+	assert.deepEqual(drawPacedSenders('t', 'r1', many), drawPacedSenders('t', 'r1', [...many].reverse()));
 });
--- a/src/plugins/forwarding/test/lostRunWatch.test.ts
+++ b/src/plugins/forwarding/test/lostRunWatch.test.ts
@@ -53,7 +53,7 @@
 
 function targetAt(address: string): TargetRecord {
 	const told = { id: 'i-1', bornAt: 0, service: 's', address, hall: 'h', version: 'v1', slots: 4 };
-	return { ...told, phase: TargetPhase.Serving, changedAt: 1, coldSenders: [] };
+	return { ...told, phase: TargetPhase.Serving, changedAt: 1, pacedSenders: [] };
 }
 
 /** The runs that count as lost with their target, given how the attempts broke. */
--- a/src/plugins/forwarding/test/placement.test.ts
+++ b/src/plugins/forwarding/test/placement.test.ts
@@ -28,7 +28,7 @@
 		slots: 4,
 		phase: TargetPhase.Serving,
 		changedAt: 1,
-		coldSenders: []
+		pacedSenders: []
 	};
 	const known = { record, region: 'r1', isSilent: false, coldUntil: 0, keptPart: 1, knownSince: 0, ...changed };
 	return { known, state: new TargetState(id, 0, 4, new RegionLoad()) };
--- a/src/plugins/forwarding/test/regionCallers.ts
+++ b/src/plugins/forwarding/test/regionCallers.ts
@@ -334,7 +334,7 @@
 		slots: SLOTS,
 		phase: TargetPhase.Serving,
 		changedAt: 1,
-		coldSenders: []
+		pacedSenders: []
 	};
 }
 
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -174,7 +174,7 @@
 			slots: this._settings.target.slots,
 			phase: TargetPhase.Serving,
 			changedAt: revision,
-			coldSenders: []
+			pacedSenders: []
 		};
 		this._records.push(record);
 		this.targets.set(id, new TargetModel(id, this._settings.target));
