--- a/src/base/verdict.ts
+++ b/src/base/verdict.ts
@@ -32,6 +32,8 @@
 	NoCapacity = 'no-capacity',
 	/** All targets that it could go to want to be left alone for now. */
 	TargetsAtRest = 'targets-at-rest',
+	/** All targets that it could go to are at the limits that they named for all instances, or want to be left alone. */
+	TargetsAtLimit = 'targets-at-limit',
 	LinkFull = 'link-full',
 	QueueFull = 'queue-full',
 	DeadlinePassed = 'deadline-passed',
--- a/src/plugins/commandLine/common/requestExplanation.ts
+++ b/src/plugins/commandLine/common/requestExplanation.ts
@@ -4,6 +4,12 @@
 
 /** Reads the log lines of processes and tells how one request went. */
 
+interface LoggedPassedTarget {
+	readonly target: string;
+	readonly restLeftMs?: number;
+	readonly limitPerSecond?: number;
+}
+
 interface LoggedAttempt {
 	readonly target: string;
 	readonly region: string;
@@ -11,7 +17,7 @@
 	readonly load: number;
 	readonly slots: number;
 	readonly isCold: boolean;
-	readonly passedOver?: { readonly target: string; readonly restLeftMs: number };
+	readonly passedOver?: LoggedPassedTarget;
 	readonly outcome: string;
 	readonly tookMs: number;
 }
@@ -46,12 +52,15 @@
 	}
 }
 
+function describePassed({ target, restLeftMs, limitPerSecond }: LoggedPassedTarget): string {
+	return limitPerSecond === undefined
+		? `${target} wanted ${restLeftMs} ms more of rest`
+		: `${target} was at its limit of ${limitPerSecond} requests a second`;
+}
+
 function describeAttempt(attempt: LoggedAttempt, number: number): string {
 	const cold = attempt.isCold ? ', cold' : '';
-	const { passedOver } = attempt;
-	const passed = passedOver
-		? `; its object's target ${passedOver.target} wanted ${passedOver.restLeftMs} ms more of rest`
-		: '';
+	const passed = attempt.passedOver ? `; its object's target ${describePassed(attempt.passedOver)}` : '';
 	return (
 		`  attempt ${number} after ${attempt.atMs} ms: target ${attempt.target} in ${attempt.region}, ` +
 		`${attempt.load} requests at ${attempt.slots} slots${cold}; ${attempt.outcome} after ${attempt.tookMs} ms${passed}`
--- a/src/plugins/fleet/common/fleetSession.ts
+++ b/src/plugins/fleet/common/fleetSession.ts
@@ -6,6 +6,7 @@
 
 import type { Millis } from '../../../base/clock.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
+import type { ToldLimit } from './fleetWire.js';
 import type { FleetView } from './fleetView.js';
 import type { SeenRun } from './quarantineTypes.js';
 import type { WorkByTarget } from './targetNeeds.js';
@@ -26,6 +27,8 @@
 	reportRun(run: SeenRun): void;
 	/** Tells control that a target answered a suspected or quarantined request; sent in the same way. */
 	reportAnswer(digest: string): void;
+	/** Says to control which limits of targets its records do not have; sent at once where there is news, and with each call. */
+	tellLimits(limits: readonly ToldLimit[], hasNews: boolean): void;
 	/** Says to control whether callers may come; sent at once. */
 	setReady(isReady: boolean): void;
 }
--- a/src/plugins/fleet/common/fleetState.ts
+++ b/src/plugins/fleet/common/fleetState.ts
@@ -15,6 +15,8 @@
 	type FleetResult,
 	type FleetRevision,
 	type HallRecord,
+	type PaceChange,
+	type PaceTargetsCommand,
 	type PublishedTable,
 	type PublishTableCommand,
 	type SetHallCommand,
@@ -115,6 +117,8 @@
 				return this._setHall(command);
 			case 'changeTargets':
 				return this._changeTargets(command);
+			case 'paceTargets':
+				return this._paceTargets(command);
 		}
 	}
 
@@ -211,6 +215,36 @@
 		this._targets.set(id, { ...description, bornAt, pacedSenders, phase, changedAt: this._revision });
 	}
 
+	private _paceTargets({ changes }: PaceTargetsCommand): FleetResult {
+		const effective = changes.filter(change => this._changesPace(change));
+		if (effective.length === 0) {
+			return this._done();
+		}
+		this._revision++;
+		effective.forEach(change => this._paceTarget(change));
+		return this._changed();
+	}
+
+	private _changesPace({ id, bornAt, limitPerSecond, pacedSenders }: PaceChange): boolean {
+		const known = this._knownLife(id, bornAt);
+		if (!known || known.phase === TargetPhase.Gone) {
+			return false;
+		}
+		const isOtherLimit = limitPerSecond !== undefined && limitPerSecond !== (known.limitPerSecond ?? null);
+		return isOtherLimit || (pacedSenders !== undefined && pacedSenders.join() !== known.pacedSenders.join());
+	}
+
+	private _paceTarget({ id, limitPerSecond, pacedSenders }: PaceChange): void {
+		const { limitPerSecond: before, ...known } = this._targets.get(id)!;
+		const after = limitPerSecond === undefined ? before : (limitPerSecond ?? undefined);
+		this._targets.set(id, {
+			...known,
+			...(after === undefined ? {} : { limitPerSecond: after }),
+			pacedSenders: pacedSenders ?? known.pacedSenders,
+			changedAt: this._revision
+		});
+	}
+
 	private _knownLife(id: string, bornAt: number): TargetRecord | undefined {
 		const known = this._targets.get(id);
 		return known?.bornAt === bornAt ? known : undefined;
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -46,6 +46,8 @@
 	 * was known.
 	 */
 	readonly pacedSenders: readonly string[];
+	/** Requests a second that it takes from all instances together, by its own word; left out where it names no limit. */
+	readonly limitPerSecond?: number;
 }
 
 /** A hall whose targets are to get no work, or got it back. */
@@ -99,8 +101,23 @@
 	readonly pacedSenders?: readonly string[];
 }
 
+/** Changes what all instances together may send to targets, or who of them may. */
+export interface PaceTargetsCommand {
+	readonly type: 'paceTargets';
+	readonly changes: readonly PaceChange[];
+}
+
+/** One change of one life of a target; what is left out stays as it is. */
+export interface PaceChange {
+	readonly id: string;
+	readonly bornAt: number;
+	/** Requests a second; `null` where it names a limit no more. */
+	readonly limitPerSecond?: number | null;
+	readonly pacedSenders?: readonly string[];
+}
+
 /** Any command of the fleet part. */
-export type FleetCommand = PublishTableCommand | SetHallCommand | ChangeTargetsCommand;
+export type FleetCommand = PublishTableCommand | SetHallCommand | ChangeTargetsCommand | PaceTargetsCommand;
 
 /** Why an order was refused. */
 export enum FleetRefusalCode {
--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -55,6 +55,7 @@
 	private _entryCount = 1;
 	private _regionEntries: readonly string[] = [];
 	private _hallPeers: readonly string[] = [];
+	private _senderAddresses: ReadonlyMap<string, string> = new Map();
 	private _demand: RegionDemand = {};
 	private _hasHeardAll = false;
 	private _contradicted: ReadonlySet<string> = new Set();
@@ -88,6 +89,11 @@
 		return this._hallPeers;
 	}
 
+	/** Address for calls between processes of a sender of targets with limits; undefined where it is not heard. */
+	senderAddress(name: string): string | undefined {
+		return this._senderAddresses.get(name);
+	}
+
 	/** Regions in which control's latest word on silent targets is not believed, since they answer here. */
 	get contradictedRegions(): ReadonlySet<string> {
 		return this._contradicted;
@@ -149,6 +155,7 @@
 		this._entryCount = Math.max(1, response.entryCount);
 		this._regionEntries = response.regionEntries;
 		this._hallPeers = response.hallPeers;
+		this._senderAddresses = new Map(response.limitSenders?.map(({ name, address }) => [name, address]));
 		this._demand = response.demand;
 		const silent = response.hasHeardAll ? new Set(response.silentTargets) : new Set<string>();
 		this._contradicted = this._findContradicted(silent, now);
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -23,12 +23,29 @@
 	readonly entry: EntryDescription;
 	/** What its callers asked for at the first targets of their objects, since the last call. */
 	readonly needs: WorkByTarget;
+	/** Limits that targets named, or ended, to this instance, and that the records of these targets do not have. */
+	readonly limits: readonly ToldLimit[];
 	/** Revision of the suspected and quarantined requests that it holds; 0 for none. */
 	readonly quarantineRevision: number;
 	/** How long to wait for a change before answering. */
 	readonly waitMs: Millis;
 }
 
+/** What one life of a target says that it takes from all instances together. */
+export interface ToldLimit {
+	readonly id: string;
+	readonly bornAt: number;
+	/** Requests a second; `null` where it names no limit any more. */
+	readonly perSecond: number | null;
+}
+
+/** An entry instance that holds a part of a target's limit. */
+export interface SenderAddress {
+	readonly name: string;
+	/** Address for calls between processes. */
+	readonly address: string;
+}
+
 /** A control instance and where it is. */
 export interface ControlAddress {
 	/** Address for calls between processes. */
@@ -62,6 +79,8 @@
 	readonly regionEntries: readonly string[];
 	/** Addresses for calls between processes of the other entry instances of the caller's data hall. */
 	readonly hallPeers: readonly string[];
+	/** The senders of targets that name a limit, as far as they are heard. */
+	readonly limitSenders: readonly SenderAddress[];
 	/** Targets whose heartbeats are overdue. */
 	readonly silentTargets: readonly string[];
 	readonly coldTargets: readonly ColdTarget[];
--- a/src/plugins/fleet/common/pacedSenders.ts
+++ b/src/plugins/fleet/common/pacedSenders.ts
@@ -20,6 +20,18 @@
  * @param entries the entry instances heard lately
  */
 export function drawPacedSenders(targetId: string, region: string, entries: readonly EntryDescription[]): string[] {
-	const names = entries.filter(entry => entry.region === region && entry.isReady).map(entry => entry.name);
+	return draw(
+		targetId,
+		entries.filter(entry => entry.region === region)
+	);
+}
+
+/** Draws senders from all regions, for a target that would have none: its region has no entry instances, or is not known. */
+export function drawSendersAnywhere(targetId: string, entries: readonly EntryDescription[]): string[] {
+	return draw(targetId, entries);
+}
+
+function draw(targetId: string, entries: readonly EntryDescription[]): string[] {
+	const names = entries.filter(entry => entry.isReady).map(entry => entry.name);
 	return rendezvousRank(targetId, names).slice(0, PACED_SENDERS);
 }
--- a/src/plugins/fleet/common/sightings.ts
+++ b/src/plugins/fleet/common/sightings.ts
@@ -128,6 +128,11 @@
 		return live;
 	}
 
+	/** When an entry instance was last heard; undefined for never, or not for long. */
+	entryHeardAt(name: string): Millis | undefined {
+		return this._entries.get(name)?.seenAt;
+	}
+
 	/** Whether every entry instance that was heard lately acts by a revision or a later one. */
 	isInForce(revision: FleetRevision, now: Millis): boolean {
 		for (const { description, seenAt } of this._entries.values()) {
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -21,7 +21,13 @@
 	type PublishedTable,
 	TargetPhase
 } from '../common/fleetTypes.js';
-import { exchangeMethod, syncMethod, type SyncRequest, type SyncResponse } from '../common/fleetWire.js';
+import {
+	exchangeMethod,
+	type SenderAddress,
+	syncMethod,
+	type SyncRequest,
+	type SyncResponse
+} from '../common/fleetWire.js';
 import { HearingClock } from '../common/hearingClock.js';
 import type { PlaceSettings } from '../common/placeSettings.js';
 import { QuarantineState } from '../common/quarantineState.js';
@@ -31,6 +37,7 @@
 import { ChangeWaiters } from './changeWaiters.js';
 import { EntryRosterFile } from './entryRosterFile.js';
 import { FleetOrders } from './fleetOrders.js';
+import { PaceKeeper } from './paceKeeper.js';
 import { QuarantineKeeper } from './quarantineKeeper.js';
 import { TargetRegistrar } from './targetRegistrar.js';
 
@@ -63,6 +70,7 @@
 	private readonly _orders: FleetOrders;
 	private readonly _registrar: TargetRegistrar;
 	private readonly _keeper: QuarantineKeeper;
+	private readonly _pace: PaceKeeper;
 	/** Region by hall. */
 	private readonly _halls: ReadonlyMap<string, string>;
 	private readonly _roster: EntryRosterFile;
@@ -84,6 +92,8 @@
 		this._orders = new FleetOrders(this._calls, this._agreement, this._state, this._sightings);
 		this._halls = settings.section<PlaceSettings>('places').halls;
 		this._registrar = new TargetRegistrar(this._state, this._sightings, this._orders, this._halls, this._log);
+		this._pace = new PaceKeeper(this._state, this._sightings, this._orders, this._agreement, this._halls, this._log);
+		this._register(toDisposable(() => this._pace.stop()));
 		this._agreement.addPart(this._state);
 		this._agreement.addPart(this._quarantine);
 		this._keeper = new QuarantineKeeper(this._calls, this._agreement, this._quarantine, this._log);
@@ -196,6 +206,7 @@
 		const arrivedAt = systemClock.now();
 		this._sightings.seeEntry(request.entry, arrivedAt);
 		this._needs.note(request.needs, arrivedAt);
+		this._pace.note(request.limits ?? []);
 		const isBehind =
 			request.entry.revision !== this._state.revision || request.quarantineRevision < this._quarantine.known.revision;
 		const isNews = isBehind && !this._waiters.isGathering;
@@ -217,6 +228,7 @@
 			entryCount: entries.length,
 			regionEntries: near.map(entry => entry.name),
 			hallPeers: near.filter(entry => isPeer(entry, request.entry)).map(entry => entry.peerAddress),
+			limitSenders: this._limitSenders(entries),
 			silentTargets: this._silentTargets(now),
 			coldTargets: this._sightings.coldTargets(now),
 			crowdedTargets: this._crowded,
@@ -224,6 +236,18 @@
 		};
 	}
 
+	private _limitSenders(entries: readonly EntryDescription[]): SenderAddress[] {
+		const names = new Set<string>();
+		for (const { limitPerSecond, pacedSenders } of this._state.targets) {
+			if (limitPerSecond !== undefined) {
+				pacedSenders.forEach(name => names.add(name));
+			}
+		}
+		return entries
+			.filter(({ name }) => names.has(name))
+			.map(({ name, peerAddress }) => ({ name, address: peerAddress }));
+	}
+
 	private _silentTargets(now: number): string[] {
 		const silent: string[] = [];
 		const { hearingSince } = this._hearing;
@@ -255,6 +279,7 @@
 			const ready = this._sightings.liveEntries(now).filter(entry => entry.isReady);
 			void this._roster.write(ready);
 		}
+		this._pace.renewSenders(this._hearing.hearingSince, now);
 		const { members, id } = this._agreement.status();
 		const fresh = { from: id, ...this._sightings.takeFresh(now), needs: this._needs.takeFresh() };
 		this._setCrowded(
--- a/src/plugins/fleet/node/fleetOrders.ts
+++ b/src/plugins/fleet/node/fleetOrders.ts
@@ -28,7 +28,8 @@
 const IN_FORCE_WAIT_MS: Readonly<Record<FleetCommand['type'], Millis>> = {
 	publishTable: 700,
 	setHall: 600,
-	changeTargets: 600
+	changeTargets: 600,
+	paceTargets: 600
 };
 const IN_FORCE_POLL_MS = 20;
 
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -21,7 +21,13 @@
 import type { IFleetSession } from '../common/fleetSession.js';
 import { ControlOrder } from '../common/controlOrder.js';
 import { FleetView } from '../common/fleetView.js';
-import { type ControlAddress, syncMethod, type SyncRequest, type SyncResponse } from '../common/fleetWire.js';
+import {
+	type ControlAddress,
+	syncMethod,
+	type SyncRequest,
+	type SyncResponse,
+	type ToldLimit
+} from '../common/fleetWire.js';
 import type { SeenRun } from '../common/quarantineTypes.js';
 import type { WorkByTarget } from '../common/targetNeeds.js';
 import { ViewAge } from '../common/viewAge.js';
@@ -35,6 +41,10 @@
 /** An answer that is late counts all the same: on a crowded link every one may be late. */
 const LATE_ANSWER_MS = 4000;
 const RETRY_PAUSE_MS = 60;
+/** Limits that change within this time go in one call. */
+const GATHER_MS = 50;
+/** Most limits that one call tells of; the others follow with the next ones. */
+const MOST_LIMITS = 64;
 /** An answer from a control instance that was out of touch with its leader for this long does not count. */
 const STALE_MS = 1200;
 
@@ -52,6 +62,8 @@
 	private _isReady = false;
 	private _demand: Readonly<Record<string, number>> = {};
 	private _needs = new Map<string, number>();
+	private _limits: readonly ToldLimit[] = [];
+	private _isHurrying = false;
 	private readonly _age = new ViewAge();
 	private _isInTouch = false;
 	private _isStopped = false;
@@ -103,6 +115,18 @@
 		this._reporter.noteAnswer(digest);
 	}
 
+	tellLimits(limits: readonly ToldLimit[], hasNews: boolean): void {
+		this._limits = limits.slice(0, MOST_LIMITS);
+		if (hasNews && !this._isHurrying && this._order.settledOn !== undefined) {
+			this._isHurrying = true;
+			const address = this._order.settledOn;
+			setTimeout(() => {
+				this._isHurrying = false;
+				this._ask(address, 0).catch(() => undefined);
+			}, GATHER_MS);
+		}
+	}
+
 	setDemand(demand: Readonly<Record<string, number>>): void {
 		this._demand = demand;
 	}
@@ -189,6 +213,7 @@
 				demand: this._demand
 			},
 			needs: this._takeNeeds(),
+			limits: this._limits,
 			quarantineRevision: this.view.quarantine.revision,
 			waitMs
 		};
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -45,6 +45,7 @@
 		entryCount: 3,
 		regionEntries: [],
 		hallPeers: [],
+		limitSenders: [],
 		silentTargets: [],
 		coldTargets: cold,
 		crowdedTargets: [],
--- a/src/plugins/forwarding/common/attempt.ts
+++ b/src/plugins/forwarding/common/attempt.ts
@@ -45,6 +45,8 @@
 	OtherTarget = 'other-target',
 	/** The target said that it wants nothing more before the request was written to it. */
 	AtRest = 'at-rest',
+	/** All instances together send the target what it takes, or its word on that came before the request was written. */
+	AtLimit = 'at-limit',
 	/** Any other refusal by the target. */
 	Refused = 'refused'
 }
--- a/src/plugins/forwarding/common/placement/targetChoice.ts
+++ b/src/plugins/forwarding/common/placement/targetChoice.ts
@@ -12,7 +12,7 @@
 import { hash32 } from '../../../../base/hashing.js';
 import type { KnownTarget } from '../../../fleet/common/fleetView.js';
 import { regionAt, regionOrder, type RegionShares } from './regionShares.js';
-import type { RestingTarget } from '../requestTrace.js';
+import type { PassedTarget } from '../requestTrace.js';
 import type { TargetState } from '../targets/targetState.js';
 
 /** A target that may get the request. */
@@ -27,8 +27,8 @@
 	readonly firstRegion: string | undefined;
 	/** Whether another region was chosen though that one stands. */
 	readonly isSpill: boolean;
-	/** The target that its object belongs to, where that one wants to be left alone. */
-	readonly passedOver?: RestingTarget;
+	/** The target that its object belongs to, where that one could not be used. */
+	readonly passedOver?: PassedTarget;
 }
 
 /** What the choice depends on. */
--- a/src/plugins/forwarding/common/requestTrace.ts
+++ b/src/plugins/forwarding/common/requestTrace.ts
@@ -6,11 +6,13 @@
 
 import type { Millis } from '../../../base/clock.js';
 
-/** A target that wants to be left alone. */
-export interface RestingTarget {
+/** A target that was passed over, since it wants to be left alone or is at its limit. */
+export interface PassedTarget {
 	readonly target: string;
-	/** For how much longer, in milliseconds. */
-	readonly restLeftMs: number;
+	/** For how much longer it wants to be left alone, in milliseconds; undefined where it does not. */
+	readonly restLeftMs?: number;
+	/** Requests a second that it takes from all instances together; undefined where that is not what was in the way. */
+	readonly limitPerSecond?: number;
 }
 
 /** One attempt: what was known when the target was chosen, and what came of it. */
@@ -25,8 +27,8 @@
 	readonly load: number;
 	readonly slots: number;
 	readonly isCold: boolean;
-	/** The target that the object belongs to, where that one wants to be left alone. */
-	readonly passedOver: RestingTarget | undefined;
+	/** The target that the object belongs to, where that one could not be used. */
+	readonly passedOver: PassedTarget | undefined;
 	/** Outcome, with its cause where there is one. */
 	outcome: string;
 	tookMs: number;
--- a/src/plugins/forwarding/common/targets/targetState.ts
+++ b/src/plugins/forwarding/common/targets/targetState.ts
@@ -7,7 +7,6 @@
 import type { Millis } from '../../../../base/clock.js';
 import type { RegionLoad } from '../placement/regionLoad.js';
 import { TargetHealth } from './targetHealth.js';
-import { TargetLimit } from './targetLimit.js';
 import { TargetRest } from './targetRest.js';
 import type { LoadWord } from './targetWord.js';
 
@@ -23,8 +22,6 @@
 	readonly health = new TargetHealth();
 	/** Whether it wants work from this instance. */
 	readonly rest = new TargetRest();
-	/** What it takes from all instances together. */
-	readonly limit = new TargetLimit();
 	/** Requests of this instance that the target has not ended. */
 	inFlight = 0;
 	/** Whether this instance has sent it a request. */
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -8,6 +8,8 @@
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
+import { LimitChange } from '../../limits/common/targetLimit.js';
+import type { IPlace, ITargetLimits, TargetLimitEvent } from '../../limits/common/targetLimits.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import { type AttemptOutcome, NotRunCause } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
@@ -15,7 +17,6 @@
 import { connectTimeoutMs, heldBytes } from '../common/linkPacer.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
 import type { ChosenTarget } from '../common/placement/targetChoice.js';
-import type { TargetState } from '../common/targets/targetState.js';
 import type { TargetWord } from '../common/targets/targetWord.js';
 import { describeOutcome, type Journey, mayHaveRun } from './journey.js';
 import type { LostRunWatch } from './lostRunWatch.js';
@@ -24,14 +25,15 @@
 import type { RegionWatch } from './placement/regionWatch.js';
 import type { RestWatch } from './targets/restWatch.js';
 import { TargetAgent } from './targets/targetAgent.js';
-import { TargetExchange } from './targetExchange.js';
+import { TargetExchange, type WithdrawCause } from './targetExchange.js';
 import { TargetHeaders } from './targetHeaders.js';
 
 /** Time for a connection to come up within a region and to another one, where the link is free. */
 const NEAR_CONNECT_MS = 250;
 const FAR_CONNECT_MS = 500;
 
-const WITHHELD: AttemptOutcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.AtRest };
+const WITHHELD_AT_REST: AttemptOutcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.AtRest };
+const WITHHELD_AT_LIMIT: AttemptOutcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.AtLimit };
 
 /** What attempts need of the instance. */
 export interface AttemptContext {
@@ -45,7 +47,8 @@
 	readonly view: FleetView;
 	readonly lostRuns: LostRunWatch;
 	readonly rests: RestWatch;
-	readonly limits: LimitWatch;
+	readonly limits: ITargetLimits;
+	readonly limitWatch: LimitWatch;
 }
 
 /** The attempts of this instance and their connections. */
@@ -67,19 +70,24 @@
 		this._farConnectMs = connectTimeoutMs(linkMbit, FAR_CONNECT_MS);
 		this._register(toDisposable(() => this._agent.destroy()));
 		this._register(_context.view.onDidOutlive(earlier => this._loseAllAt(earlier)));
+		this._register(_context.limits.onDidChange(event => this._onLimitChange(event)));
 	}
 
 	/**
-	 * One attempt at one target; never rejects. Whoever chose it: nothing is sent to a target that wants nothing. Before this was asked
-	 * here, a target that wanted 3 s of rest got 88 requests of one instance in that time.
+	 * One attempt at one target; never rejects. Whoever chose it: nothing is sent to a target that wants nothing, and each request that may
+	 * be written to one with a limit has a place within it.
 	 */
-	async send(journey: Journey, candidate: ChosenTarget): Promise<AttemptOutcome> {
+	async send(journey: Journey, candidate: ChosenTarget, place: IPlace | undefined): Promise<AttemptOutcome> {
 		const { exchange } = journey;
 		const { known, state } = candidate;
 		const now = systemClock.now();
 		journey.tried.add(known.record.id);
 		if (state.rest.isAsked(now)) {
-			return WITHHELD;
+			place?.giveBack();
+			return WITHHELD_AT_REST;
+		}
+		if (!place && this._context.limits.perSecond(known.record, now) !== undefined) {
+			return WITHHELD_AT_LIMIT;
 		}
 		this._context.rests.noteSend(known.record, state, now);
 		const sent = this._exchangeFor(journey, candidate, now);
@@ -95,16 +103,19 @@
 		this._underWay.set(sent, known.record);
 		const outcome = await sent.outcome;
 		this._underWay.delete(sent);
+		if (sent.writtenAt === undefined) {
+			place?.giveBack();
+		}
 		const endedAt = systemClock.now();
 		trace.outcome = describeOutcome(outcome);
 		trace.tookMs = Math.round(endedAt - now);
 		exchange.whenLeft(undefined);
 		clearTimeout(timer);
-		const { notes, lostRuns, rests, limits } = this._context;
+		const { notes, lostRuns, rests, limitWatch } = this._context;
 		lostRuns.noteAttempt(journey, known.record, outcome, now);
 		const request = { chosenAt: now, writtenAt: sent.writtenAt, outcome };
 		rests.noteSent(known.record, state, request);
-		limits.noteSent(known.record, state, request, journey.attempts[0] === trace);
+		limitWatch.noteSent(known.record, request, journey.attempts[0] === trace);
 		notes.noteOutcome(journey, state, outcome, endedAt - now, endedAt);
 		if (outcome.type === 'answer') {
 			this._noteSize(journey.route, sent.answerHeaders?.['content-length']);
@@ -120,31 +131,34 @@
 	private _hear({ known, state }: ChosenTarget, word: TargetWord, askedAt: Millis): void {
 		const now = systemClock.now();
 		const { notes, rests } = this._context;
-		this._hearLimit(known.record, state, word, askedAt);
+		this._hearLimit(known.record, word, askedAt);
 		notes.noteLoad(state, word.load, now);
 		rests.noteWord(known.record, state, word, state.inFlight, now);
 		state.rest.hear(word, now);
 		if (state.rest.isAsked(now)) {
-			this._withdrawFrom(known.record);
+			this._withdrawFrom(known.record, NotRunCause.AtRest);
 		}
 	}
 
-	private _hearLimit(record: TargetRecord, state: TargetState, word: TargetWord, askedAt: Millis): void {
+	private _hearLimit(record: TargetRecord, word: TargetWord, askedAt: Millis): void {
 		const { limitPerSecond: perSecond, hasEcho } = word;
-		if (perSecond === undefined && !hasEcho) {
-			return;
+		if (perSecond !== undefined || hasEcho) {
+			this._context.limits.hear(record, { perSecond, askedAt });
 		}
-		const change = state.limit.hear({ perSecond, askedAt }, systemClock.now());
-		if (change !== undefined) {
-			this._context.limits.noteChange(record, state, change, 'target');
+	}
+
+	/** What is under way when a limit is named has no place within it. */
+	private _onLimitChange({ record, change }: TargetLimitEvent): void {
+		if (change === LimitChange.Named) {
+			this._withdrawFrom(record, NotRunCause.AtLimit);
 		}
 	}
 
 	/** What has not been written to a target yet may still go elsewhere. */
-	private _withdrawFrom({ id, bornAt }: TargetRecord): void {
+	private _withdrawFrom({ id, bornAt }: TargetRecord, cause: WithdrawCause): void {
 		for (const [sent, record] of this._underWay) {
 			if (record.id === id && record.bornAt === bornAt) {
-				sent.withdraw();
+				sent.withdraw(cause);
 			}
 		}
 	}
--- a/src/plugins/forwarding/node/followUp.ts
+++ b/src/plugins/forwarding/node/followUp.ts
@@ -10,6 +10,7 @@
 import { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
 import { RepeatRule } from '../../routes/common/routeTable.js';
 import { type AttemptOutcome, type NotRun, NotRunCause, type TargetAnswer } from '../common/attempt.js';
+import { CallerReturns } from '../common/placement/callerReturns.js';
 import { RetryAllowance } from '../common/retryAllowance.js';
 import type { IServiceBounds } from '../common/serviceBounds.js';
 import { mayTryAgain } from '../common/targets/targetRefusal.js';
@@ -28,6 +29,7 @@
 /** The attempts that may still follow. */
 export class FollowUp {
 	private readonly _allowances = new Map<string, RetryAllowance>();
+	private readonly _returnsByService = new Map<string, CallerReturns>();
 
 	constructor(
 		private readonly _view: FleetView,
@@ -76,7 +78,7 @@
 	}
 
 	private _afterNotRun(journey: Journey, outcome: NotRun): OwnAnswer | 'again' {
-		if (outcome.cause === NotRunCause.AtRest) {
+		if (outcome.cause === NotRunCause.AtRest || outcome.cause === NotRunCause.AtLimit) {
 			return 'again';
 		}
 		if (!outcome.hasArrived) {
@@ -92,17 +94,19 @@
 	}
 
 	/**
-	 * No target takes the request now. Where all of them rest the caller is told when the first one wants work again, as far as it can
-	 * still use that: to come back before brings it the same answer.
+	 * No target takes the request now. Where all of them rest, or are at their limits, the caller is told when there is room, as far as
+	 * it can still use that: to come back before brings it the same answer. Where room comes one place after the other, so do the callers.
 	 */
 	noTarget(journey: Journey): OwnAnswer {
 		const now = systemClock.now();
-		const restEndsAt = this._selector.restEndsAt(journey, now);
-		if (restEndsAt === undefined) {
+		const room = this._selector.roomReturns(journey, now);
+		if (room === undefined) {
 			return refusal(RefusalReason.NoCapacity, RETRY_SOON_MS);
 		}
-		const usableMs = Math.min(restEndsAt, journey.deadline) - now;
-		return refusal(RefusalReason.TargetsAtRest, Math.max(RETRY_SOON_MS, usableMs));
+		const usableMs = this._returns(journey.service).after(room, journey.deadline) - now;
+		const isLimit = room.cause === NotRunCause.AtLimit;
+		const reason = isLimit ? RefusalReason.TargetsAtLimit : RefusalReason.TargetsAtRest;
+		return refusal(reason, Math.max(RETRY_SOON_MS, usableMs));
 	}
 
 	private _mayRetry(journey: Journey): boolean {
@@ -114,6 +118,15 @@
 		);
 	}
 
+	private _returns(service: string): CallerReturns {
+		let returns = this._returnsByService.get(service);
+		if (!returns) {
+			returns = new CallerReturns();
+			this._returnsByService.set(service, returns);
+		}
+		return returns;
+	}
+
 	/** The retries of a service that this instance may make. */
 	allowance(service: string): RetryAllowance {
 		let allowance = this._allowances.get(service);
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -11,9 +11,11 @@
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
+import { PaceShare } from '../../fleet/common/paceShare.js';
 import type { PlaceSettings } from '../../fleet/common/placeSettings.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
 import { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
+import { type IPlace, ITargetLimits } from '../../limits/common/targetLimits.js';
 import { ITeamLimits, LimitVerdict } from '../../limits/common/teamLimits.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { accessOf } from '../../routes/common/teamAccess.js';
@@ -22,6 +24,7 @@
 import { IHeaderNames } from '../common/headerNames.js';
 import { LargeAnswerGate } from '../common/largeAnswerGate.js';
 import { chooseService } from '../common/placement/partChoice.js';
+import type { ChosenTarget } from '../common/placement/targetChoice.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
 import type { CallerExchange, OwnAnswer } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
@@ -62,6 +65,7 @@
 		@IHeaderNames names: IHeaderNames,
 		@IServiceBounds private readonly _bounds: IServiceBounds,
 		@ITeamLimits private readonly _limits: ITeamLimits,
+		@ITargetLimits private readonly _targetLimits: ITargetLimits,
 		@IMetricsService metrics: IMetricsService,
 		@ILogService log: ILogService
 	) {
@@ -71,7 +75,15 @@
 		const { linkMbit } = settings.section<FrontSettings>('front');
 		this._largeAnswers = new LargeAnswerGate(linkMbit);
 		const regions = [...new Set(settings.section<PlaceSettings>('places').halls.values())];
-		this._selector = new TargetSelector(this._session.view, instance, regions, this._bounds.shifts);
+		const share = new PaceShare(instance.name, () => this._session.ageMs());
+		this._selector = new TargetSelector(
+			this._session.view,
+			instance,
+			regions,
+			this._bounds.shifts,
+			share,
+			this._targetLimits
+		);
 		const { onDidStepFar } = this._selector;
 		const watch = this._register(new RegionWatch(_session, log, this._bounds.shifts.windowMs, onDidStepFar));
 		const lostRuns = this._register(new LostRunWatch(metrics, log));
@@ -88,7 +100,8 @@
 				view: _session.view,
 				lostRuns,
 				rests: new RestWatch(metrics, log, now => this._selector.restingByService(now)),
-				limits: new LimitWatch(metrics, log, () => this._selector.limitedTargets())
+				limits: this._targetLimits,
+				limitWatch: this._register(new LimitWatch(metrics, log, this._targetLimits))
 			})
 		);
 		const timer = setInterval(() => this._tellNeeds(), DEMAND_INTERVAL_MS);
@@ -139,6 +152,7 @@
 			arrivals: 0,
 			refusals: 0,
 			noConnections: 0,
+			placesAsked: 0,
 			attempts: [],
 			phase: QuarantinePhase.Clear
 		};
@@ -197,7 +211,11 @@
 				this._giveUp(journey, this._followUp.noTarget(journey));
 				return;
 			}
-			const outcome = await this._sender.send(journey, candidate);
+			const place = await this._takePlace(journey, candidate);
+			if (place === 'none') {
+				continue;
+			}
+			const outcome = await this._sender.send(journey, candidate, place);
 			this._quarantine.noteOutcome(journey, outcome);
 			const next = this._followUp.after(journey, outcome);
 			if (next === 'again') {
@@ -225,6 +243,16 @@
 		return journey.hasLeave ? undefined : limitRefusal(leave);
 	}
 
+	/** Takes a place within the limit of a target; undefined where it has none, so that none is needed. */
+	private async _takePlace(journey: Journey, { known }: ChosenTarget): Promise<IPlace | 'none' | undefined> {
+		if (this._targetLimits.perSecond(known.record, systemClock.now()) === undefined) {
+			return undefined;
+		}
+		const place = await this._targetLimits.take(known.record);
+		journey.placesAsked += place ? 0 : 1;
+		return place ?? 'none';
+	}
+
 	/** A key may be taken away while its requests wait for another try; undefined where it still holds. */
 	private _deniedNow({ route, exchange }: Journey): OwnAnswer | undefined {
 		const { routes } = this._session.view;
--- a/src/plugins/forwarding/node/placement/targetSelector.ts
+++ b/src/plugins/forwarding/node/placement/targetSelector.ts
@@ -6,13 +6,16 @@
 
 import type { Millis } from '../../../../base/clock.js';
 import type { FleetView } from '../../../fleet/common/fleetView.js';
+import type { PaceShare } from '../../../fleet/common/paceShare.js';
 import type { WorkByTarget } from '../../../fleet/common/targetNeeds.js';
 import { RepeatRule, type Route } from '../../../routes/common/routeTable.js';
+import type { ITargetRoom } from '../../../limits/common/targetLimits.js';
+import { NotRunCause } from '../../common/attempt.js';
 import { findNewcomer } from '../../common/placement/newcomers.js';
 import type { Event } from '../../../../base/event.js';
 import { type Place, PlacementPlans, type RouteShareStep } from '../../common/placement/placementPlans.js';
 import { regionAt } from '../../common/placement/regionShares.js';
-import type { RestingTarget } from '../../common/requestTrace.js';
+import type { PassedTarget } from '../../common/requestTrace.js';
 import type { ShiftBounds } from '../../common/placement/sharePacer.js';
 import { SpillAllowance } from '../../common/placement/spillAllowance.js';
 import {
@@ -25,12 +28,14 @@
 } from '../../common/placement/targetChoice.js';
 import type { CallerExchange } from '../callerExchange.js';
 import type { Journey } from '../journey.js';
-import type { LimitedTarget } from '../targets/limitWatch.js';
 import { TargetStates } from '../targets/targetStates.js';
 
 /** Part of a cold target's pace that is used: requests that were spread over time may arrive closer together. */
 const COLD_PACE_PART = 0.6;
 
+/** Places at targets with limits that one request asks other instances for: each costs a call, and there are targets without. */
+const MOST_PLACES_ASKED = 2;
+
 const NONE_TRIED: ReadonlySet<string> = new Set();
 
 /** Who and where this instance is. */
@@ -38,6 +43,15 @@
 	readonly name: string;
 }
 
+/** When there is room again. */
+export interface RoomReturn {
+	/** What was in the way. */
+	readonly cause: NotRunCause.AtRest | NotRunCause.AtLimit;
+	readonly at: Millis;
+	/** Time from one place to the next for the callers of an instance; 0 where there is room for all of them. */
+	readonly gapMs: Millis;
+}
+
 /** Chooses targets for the requests of this instance. */
 export class TargetSelector {
 	private readonly _states: TargetStates;
@@ -50,14 +64,20 @@
 	/** Fires when shares between regions moved further at once than their pace allows. */
 	readonly onDidStepFar: Event<RouteShareStep>;
 
-	/** @param regions every region, with or without targets */
+	/**
+	 * @param regions every region, with or without targets
+	 * @param _share this instance's part of what targets take while they are cold
+	 * @param _room what is known of the limits of targets
+	 */
 	constructor(
 		private readonly _view: FleetView,
 		private readonly _own: NamedPlace,
 		regions: readonly string[],
-		shifts: ShiftBounds
+		shifts: ShiftBounds,
+		private readonly _share: PaceShare,
+		private readonly _room: ITargetRoom
 	) {
-		this._states = new TargetStates(_view);
+		this._states = new TargetStates(_view, _room);
 		this._plans = new PlacementPlans(_view, _own, regions, shifts);
 		this._spill = new SpillAllowance(shifts.mostMoved);
 		this.onDidStepFar = this._plans.onDidStepFar;
@@ -66,7 +86,8 @@
 	/** The target for the next attempt of a request; undefined where none may have it now. */
 	choose(journey: Journey, now: Millis): ChosenTarget | undefined {
 		const { route, service, exchange, homeRegions, tried } = journey;
-		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, tried, now);
+		const mayAsk = journey.placesAsked < MOST_PLACES_ASKED;
+		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, tried, mayAsk, now);
 		const objectKey = objectOf(route, exchange);
 		const context: ChoiceContext = {
 			objectKey,
@@ -87,21 +108,54 @@
 		}
 		const first = firstTargetOf(resting.length > 0 ? [...candidates, ...resting] : candidates, objectKey, context);
 		this._noteNeed(first);
-		return chosen && { ...chosen, passedOver: restOf(first, now) };
+		return chosen && { ...chosen, passedOver: this._passedBy(first, resting, now) };
 	}
 
 	/**
-	 * When the first of the targets that a request may use wants work again, where all of them want none now; undefined where one takes
-	 * work, or there is none.
+	 * When there is room again for a request, where all targets that it may use want none now, or are at their limits; undefined where one
+	 * takes work, or there is none.
 	 */
-	restEndsAt({ route, service, homeRegions, exchange }: Journey, now: Millis): Millis | undefined {
-		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, NONE_TRIED, now);
+	roomReturns({ route, service, homeRegions, exchange }: Journey, now: Millis): RoomReturn | undefined {
+		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, NONE_TRIED, true, now);
 		const { shares } = this._plans.planFor(service, { route, homeRegions }, now);
 		const region = regionAt(shares, placeAmongRegions(objectOf(route, exchange) ?? exchange.requestId));
 		const isThere = ({ known }: Candidate): boolean =>
 			!known.isSilent && (region === undefined || !standing.has(region) || known.region === region);
-		const ends = resting.filter(isThere).map(({ state }) => state.rest.endsAt);
-		return ends.length === 0 || candidates.some(isThere) ? undefined : Math.min(...ends);
+		const full = resting.filter(isThere);
+		if (full.length === 0 || candidates.some(isThere)) {
+			return undefined;
+		}
+		const limited = full.filter(({ state }) => !state.rest.isAsked(now));
+		if (limited.length > 0) {
+			return { cause: NotRunCause.AtLimit, at: this._nextPlaceAt(limited, now), gapMs: this._gapMs(limited, now) };
+		}
+		return { cause: NotRunCause.AtRest, at: Math.min(...full.map(({ state }) => state.rest.endsAt)), gapMs: 0 };
+	}
+
+	private _nextPlaceAt(limited: readonly Candidate[], now: Millis): Millis {
+		return now + Math.min(...limited.map(({ known }) => this._room.placeInMs(known.record, now)));
+	}
+
+	/** Time between places at limited targets for the callers of one instance of the region: they come back to any of them. */
+	private _gapMs(limited: readonly Candidate[], now: Millis): Millis {
+		const perSecond = limited.reduce((sum, { known }) => sum + (this._room.perSecond(known.record, now) ?? 0), 0);
+		return (1000 * Math.max(1, this._view.regionEntries.length)) / perSecond;
+	}
+
+	/** Why the first target of an object could not be used; undefined where nothing of its own was in the way. */
+	private _passedBy(
+		first: Candidate | undefined,
+		resting: readonly Candidate[],
+		now: Millis
+	): PassedTarget | undefined {
+		if (!first || !resting.some(({ state }) => state === first.state)) {
+			return undefined;
+		}
+		const { rest } = first.state;
+		const target = first.known.record.id;
+		return rest.isAsked(now)
+			? { target, restLeftMs: Math.round(rest.endsAt - now) }
+			: { target, limitPerSecond: this._room.perSecond(first.known.record, now) };
 	}
 
 	/** How many targets of each service want nothing now. */
@@ -109,11 +163,6 @@
 		return this._states.restingByService(now);
 	}
 
-	/** The targets that name a limit now. */
-	limitedTargets(): readonly LimitedTarget[] {
-		return this._states.limitedTargets();
-	}
-
 	/**
 	 * What callers asked for at the first targets of their objects since the last call.
 	 * @param typicalMs what a request of a service takes where nothing holds it up
@@ -178,15 +227,14 @@
 	}
 
 	private _mayUseCold(candidate: Candidate, now: Millis): boolean {
-		const isSender = candidate.known.record.pacedSenders.includes(this._own.name);
-		return isSender && candidate.state.hasColdToken(this._coldPace(candidate), now);
+		const pace = this._coldPace(candidate);
+		return pace > 0 && candidate.state.hasColdToken(pace, now);
 	}
 
-	/** The part of a cold target's pace that each of its senders has. */
-	private _coldPace(candidate: Candidate): number {
-		const { service, pacedSenders } = candidate.known.record;
-		const perSecond = this._view.routes?.service(service)?.coldPerSecond ?? 0;
-		return (COLD_PACE_PART * perSecond) / Math.max(1, pacedSenders.length);
+	/** This instance's part of a cold target's pace. */
+	private _coldPace({ known }: Candidate): number {
+		const perSecond = this._view.routes?.service(known.record.service)?.coldPerSecond ?? 0;
+		return COLD_PACE_PART * perSecond * this._share.of(known.record);
 	}
 }
 
@@ -194,10 +242,3 @@
 function objectOf(route: Route, { objectKey }: CallerExchange): string | undefined {
 	return route.isSticky && objectKey !== undefined ? `${route.pathPrefix} ${objectKey}` : undefined;
 }
-
-function restOf(first: Candidate | undefined, now: Millis): RestingTarget | undefined {
-	if (!first?.state.rest.isAsked(now)) {
-		return undefined;
-	}
-	return { target: first.known.record.id, restLeftMs: Math.round(first.state.rest.endsAt - now) };
-}
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -22,6 +22,9 @@
 /** How Node.js begins the codes of its HTTP parser's errors. */
 const PARSER_ERRORS = 'HPE_';
 
+/** Why a request that was not written yet is taken back. */
+export type WithdrawCause = NotRunCause.AtRest | NotRunCause.AtLimit;
+
 /** What is sent, and where. */
 export interface TargetRequest {
 	readonly requestId: string;
@@ -98,9 +101,9 @@
 	}
 
 	/** Takes the request back where nothing of it has been written: its target wants nothing more. */
-	withdraw(): void {
+	withdraw(cause: WithdrawCause): void {
 		if (this._writtenAt === undefined) {
-			this._settle({ type: 'not-run', hasArrived: false, cause: NotRunCause.AtRest });
+			this._settle({ type: 'not-run', hasArrived: false, cause });
 			this._request.destroy();
 		}
 	}
--- a/src/plugins/forwarding/node/targets/limitWatch.ts
+++ b/src/plugins/forwarding/node/targets/limitWatch.ts
@@ -11,10 +11,10 @@
 import { type Millis, systemClock } from '../../../../base/clock.js';
 import type { ILogService } from '../../../../kernel/node/logService.js';
 import type { IMetricsService } from '../../../../kernel/node/metricsService.js';
+import { Disposable } from '../../../../base/disposable.js';
+import type { ITargetLimits, TargetLimitEvent } from '../../../limits/common/targetLimits.js';
 import type { TargetRecord } from '../../../fleet/common/fleetTypes.js';
 import { TraceSampler } from '../../common/requestTrace.js';
-import type { LimitChange } from '../../common/targets/targetLimit.js';
-import type { TargetState } from '../../common/targets/targetState.js';
 import type { SentRequest } from './restWatch.js';
 
 /** Time between lines on what was sent to one target with a limit. */
@@ -23,13 +23,6 @@
 const TRIES = ['first', 'other'] as const;
 const CHOSEN = ['after', 'before'] as const;
 
-/** A target that names a limit. */
-export interface LimitedTarget {
-	readonly id: string;
-	readonly service: string;
-	readonly perSecond: number;
-}
-
 interface SentCount {
 	since: Millis;
 	firstTries: number;
@@ -38,17 +31,17 @@
 }
 
 /** Logs and counts limits and what is sent to the targets that named them. */
-export class LimitWatch {
+export class LimitWatch extends Disposable {
 	private readonly _sampler = new TraceSampler();
 	private readonly _sent: Counter;
 	private readonly _counts = new Map<string, SentCount>();
 
-	/** @param limitedTargets the targets that name a limit now */
 	constructor(
 		metrics: IMetricsService,
 		private readonly _log: ILogService,
-		limitedTargets: () => readonly LimitedTarget[]
+		private readonly _limits: ITargetLimits
 	) {
+		super();
 		const registers = [metrics.registry];
 		new Gauge({
 			name: 'shelffield_target_limit_per_second',
@@ -57,7 +50,7 @@
 			registers,
 			collect() {
 				this.reset();
-				limitedTargets().forEach(({ id, service, perSecond }) => this.set({ service, target: id }, perSecond));
+				_limits.limited().forEach(({ id, service, perSecond }) => this.set({ service, target: id }, perSecond));
 			}
 		});
 		this._sent = new Counter({
@@ -66,22 +59,14 @@
 			labelNames: ['service', 'target', 'try', 'chosen'],
 			registers
 		});
+		this._register(_limits.onDidChange(event => this._noteChange(event)));
 	}
 
-	/** An answer, or control, changed what is known of a limit. */
-	noteChange(
-		{ id, service }: TargetRecord,
-		{ limit, inFlight }: TargetState,
-		change: LimitChange,
-		source: 'target' | 'control'
-	): void {
-		const now = systemClock.now();
-		if (this._sampler.admits(false, now)) {
-			const { perSecond } = limit;
-			const what = { target: id, service, change, perSecond, source, underWay: inFlight };
-			this._log.info('limit of a target', { task: 'forwarding', ...what });
+	private _noteChange({ record: { id, service }, change, perSecond, source }: TargetLimitEvent): void {
+		if (this._sampler.admits(false, systemClock.now())) {
+			this._log.info('limit of a target', { task: 'forwarding', target: id, service, change, perSecond, source });
 		}
-		if (limit.perSecond === undefined) {
+		if (perSecond === undefined) {
 			this._counts.delete(id);
 			TRIES.forEach(each => CHOSEN.forEach(chosen => this._sent.remove({ service, target: id, try: each, chosen })));
 		}
@@ -91,19 +76,16 @@
 	 * A request that was sent to a target has ended.
 	 * @param isFirstTry whether no other target was asked before
 	 */
-	noteSent(
-		{ id, service }: TargetRecord,
-		{ limit }: TargetState,
-		{ chosenAt, writtenAt }: SentRequest,
-		isFirstTry: boolean
-	): void {
-		if (writtenAt === undefined || limit.perSecond === undefined) {
+	noteSent(record: TargetRecord, { chosenAt, writtenAt }: SentRequest, isFirstTry: boolean): void {
+		const now = systemClock.now();
+		const perSecond = this._limits.perSecond(record, now);
+		if (writtenAt === undefined || perSecond === undefined) {
 			return;
 		}
-		const isKnown = limit.knownSince <= chosenAt;
+		const { id, service } = record;
+		const isKnown = this._limits.knownSince(record) <= chosenAt;
 		const labels = { service, target: id, try: isFirstTry ? 'first' : 'other', chosen: isKnown ? 'after' : 'before' };
 		this._sent.inc(labels);
-		const now = systemClock.now();
 		const count = this._counts.get(id) ?? { since: now, firstTries: 0, otherTries: 0, beforeWord: 0 };
 		this._counts.set(id, count);
 		count[isFirstTry ? 'firstTries' : 'otherTries']++;
@@ -111,7 +93,7 @@
 		if (now - count.since >= SENT_LINE_MS) {
 			this._counts.delete(id);
 			const { since, ...sent } = count;
-			const what = { target: id, service, perSecond: limit.perSecond, ...sent, inMs: Math.round(now - since) };
+			const what = { target: id, service, perSecond, ...sent, inMs: Math.round(now - since) };
 			this._log.info('sent to a target with a limit', { task: 'forwarding', ...what });
 		}
 	}
--- a/src/plugins/forwarding/node/targets/targetStates.ts
+++ b/src/plugins/forwarding/node/targets/targetStates.ts
@@ -6,17 +6,17 @@
 
 import { type Millis } from '../../../../base/clock.js';
 import type { FleetView, ITargetWitness, KnownTarget } from '../../../fleet/common/fleetView.js';
+import type { ITargetRoom } from '../../../limits/common/targetLimits.js';
 import type { Candidate } from '../../common/placement/targetChoice.js';
 import { RegionLoad } from '../../common/placement/regionLoad.js';
 import { TargetState } from '../../common/targets/targetState.js';
-import type { LimitedTarget } from './limitWatch.js';
 
 const SWEEP_INTERVAL_MS = 10000;
 
 /** What a request may choose from. */
 export interface Candidates {
 	readonly candidates: readonly Candidate[];
-	/** Targets that could have it, but want to be left alone for now. */
+	/** Targets that could have it, but want to be left alone for now, or are at their limit. */
 	readonly resting: readonly Candidate[];
 	/** Regions with targets, tried or not, that are neither silent nor out of reach. */
 	readonly standing: ReadonlySet<string>;
@@ -28,7 +28,10 @@
 	private readonly _regionLoads = new Map<string, RegionLoad>();
 	private _sweptAt: Millis = 0;
 
-	constructor(private readonly _view: FleetView) {
+	constructor(
+		private readonly _view: FleetView,
+		private readonly _room: ITargetRoom
+	) {
 		_view.setWitness(this);
 	}
 
@@ -54,8 +57,15 @@
 	/**
 	 * Targets of a service that may get a request, and the regions that are not known to be without any. Targets that said that they
 	 * leave, or whose address another one has, are not among them.
+	 * @param mayAsk whether another instance may be asked for a place within a target's limit
 	 */
-	candidates(service: string, homeRegions: readonly string[], tried: ReadonlySet<string>, now: Millis): Candidates {
+	candidates(
+		service: string,
+		homeRegions: readonly string[],
+		tried: ReadonlySet<string>,
+		mayAsk: boolean,
+		now: Millis
+	): Candidates {
 		this._sweep(now);
 		const candidates: Candidate[] = [];
 		const resting: Candidate[] = [];
@@ -73,7 +83,8 @@
 				standing.add(known.region);
 			}
 			if (!tried.has(known.record.id)) {
-				(state.rest.isAsked(now) ? resting : candidates).push({ known, state });
+				const takesOne = !state.rest.isAsked(now) && this._room.isOpen(known.record, mayAsk, now);
+				(takesOne ? candidates : resting).push({ known, state });
 			}
 		}
 		return { candidates, resting, standing };
@@ -91,18 +102,6 @@
 		return counts;
 	}
 
-	/** The targets that name a limit now, of those that control names. */
-	limitedTargets(): readonly LimitedTarget[] {
-		const limited: LimitedTarget[] = [];
-		for (const [id, { limit }] of this._states) {
-			const service = this._view.target(id)?.record.service;
-			if (limit.perSecond !== undefined && service !== undefined) {
-				limited.push({ id, service, perSecond: limit.perSecond });
-			}
-		}
-		return limited;
-	}
-
 	private _regionLoadOf({ record, region }: KnownTarget): RegionLoad {
 		const key = `${record.service} ${region}`;
 		let load = this._regionLoads.get(key);
--- a/src/plugins/forwarding/test/coldTargets.test.ts
+++ b/src/plugins/forwarding/test/coldTargets.test.ts
@@ -7,6 +7,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { describeEntry } from '../../../../test/fakes/describeEntry.js';
+import { TargetLimitTable } from '../../limits/common/targetLimitTable.js';
+import { PaceShare } from '../../fleet/common/paceShare.js';
 import { drawPacedSenders } from '../../fleet/common/pacedSenders.js';
 import { FleetView } from '../../fleet/common/fleetView.js';
 import { TargetPhase, type TargetRecord } from '../../fleet/common/fleetTypes.js';
@@ -56,6 +58,7 @@
 		entryCount: 26,
 		regionEntries,
 		hallPeers: [],
+		limitSenders: [],
 		silentTargets: [],
 		coldTargets: [],
 		crowdedTargets: [],
@@ -67,7 +70,15 @@
 	const view = new FleetView(() => 'r1');
 	view.apply(response(1, [], known), 100);
 	view.apply(response(2, [record], known), 1000);
-	return new TargetSelector(view, { name, hall: 'h', region: 'r1' }, ['r1'], { mostMoved: 0.15, windowMs: 2000 });
+	const share = new PaceShare(name, () => 0);
+	return new TargetSelector(
+		view,
+		{ name, hall: 'h', region: 'r1' },
+		['r1'],
+		{ mostMoved: 0.15, windowMs: 2000 },
+		share,
+		new TargetLimitTable(view, share)
+	);
 }
 
 function journeyFor(object: number): Journey {
--- a/src/plugins/forwarding/test/regionCallers.ts
+++ b/src/plugins/forwarding/test/regionCallers.ts
@@ -8,6 +8,8 @@
  */
 
 import type { Millis } from '../../../base/clock.js';
+import { TargetLimitTable } from '../../limits/common/targetLimitTable.js';
+import { PaceShare } from '../../fleet/common/paceShare.js';
 import { FleetView } from '../../fleet/common/fleetView.js';
 import { type FleetRevision, type TargetRecord, TargetPhase } from '../../fleet/common/fleetTypes.js';
 import type { RegionDemand, SyncResponse } from '../../fleet/common/fleetWire.js';
@@ -155,7 +157,8 @@
 		const view = new FleetView(regionOf);
 		const place = { region: OWN, hall: `${OWN}-a`, name: `entry-${index}` };
 		const shifts = { mostMoved: MOST_MOVED, windowMs: WINDOW_MS };
-		const selector = new TargetSelector(view, place, REGIONS, shifts);
+		const share = new PaceShare(place.name, () => 0);
+		const selector = new TargetSelector(view, place, REGIONS, shifts, share, new TargetLimitTable(view, share));
 		return { view, selector, notes: new OutcomeNotes(), running: [] };
 	}
 
@@ -185,6 +188,7 @@
 			entryCount: INSTANCES,
 			regionEntries: this._instances?.map((_, i) => `entry-${i}`) ?? [],
 			hallPeers: [],
+			limitSenders: [],
 			silentTargets: [...this.silent],
 			coldTargets: [],
 			crowdedTargets: [],
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -185,13 +185,13 @@
 
 test('a request is taken back, as not run, until its connection is up, and not afterwards', async () => {
 	const waiting = await startAttempt(() => undefined, true);
-	waiting.withdraw();
+	waiting.withdraw(NotRunCause.AtRest);
 	assert.deepEqual(await waiting.outcome, { type: 'not-run', hasArrived: false, cause: NotRunCause.AtRest });
 	assert.equal(waiting.writtenAt, undefined);
 	const written = await startAttempt(connection =>
 		connection.push('HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok')
 	);
 	await new Promise(resolve => setImmediate(resolve));
-	written.withdraw();
+	written.withdraw(NotRunCause.AtRest);
 	assert.equal((await written.outcome).type, 'answer');
 });
--- a/src/plugins/forwarding/test/targetWord.test.ts
+++ b/src/plugins/forwarding/test/targetWord.test.ts
@@ -9,7 +9,7 @@
 import fc from 'fast-check';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { TargetRest } from '../common/targets/targetRest.js';
-import { LimitChange, TargetLimit } from '../common/targets/targetLimit.js';
+import { LimitChange, TargetLimit } from '../../limits/common/targetLimit.js';
 import {
 	type AnswerHead,
 	parseLimit,
--- a/src/plugins/limits/limits.entry.plugin.ts
+++ b/src/plugins/limits/limits.entry.plugin.ts
@@ -10,10 +10,13 @@
 	pluginRegistry,
 	ProcessKind
 } from '../../kernel/common/pluginRegistry.js';
+import { ITargetLimits } from './common/targetLimits.js';
 import { ITeamLimits } from './common/teamLimits.js';
+import { TargetLimitsTask } from './node/targetLimitsTask.js';
 import { TeamLimitsTask } from './node/teamLimitsTask.js';
 
 pluginRegistry.registerSingleton(ITeamLimits, TeamLimitsTask);
+pluginRegistry.registerSingleton(ITargetLimits, TargetLimitsTask);
 
 /** Opens the way between the entry instances of a data hall. */
 class TeamLimitsContribution implements IContribution {
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -10,6 +10,8 @@
 
 import TinyQueue from 'tinyqueue';
 import type { Millis } from '../../src/base/clock.js';
+import { TargetLimitTable } from '../../src/plugins/limits/common/targetLimitTable.js';
+import { PaceShare } from '../../src/plugins/fleet/common/paceShare.js';
 import { FleetView } from '../../src/plugins/fleet/common/fleetView.js';
 import { TargetPhase, type TargetRecord } from '../../src/plugins/fleet/common/fleetTypes.js';
 import type { SyncResponse } from '../../src/plugins/fleet/common/fleetWire.js';
@@ -205,7 +207,8 @@
 		const view = new FleetView(regionOf);
 		const place = { region, hall: `${region}-hall`, name: `${region}-entry-${index}` };
 		const shifts = { mostMoved: 0.15, windowMs: 2000 };
-		const selector = new TargetSelector(view, place, this._regions, shifts);
+		const share = new PaceShare(place.name, () => 0);
+		const selector = new TargetSelector(view, place, this._regions, shifts, share, new TargetLimitTable(view, share));
 		const retries = new RetryAllowance({ ratio: 0.2, windowMs: 10000, slack: 2 * this._settings.instances });
 		return { region, view, selector, notes: new OutcomeNotes(), retries };
 	}
@@ -257,6 +260,7 @@
 			entryCount: this._instances.length,
 			regionEntries: this._instances.flatMap((other, i) => (other.region === region ? [`${region}-entry-${i}`] : [])),
 			hallPeers: [],
+			limitSenders: [],
 			silentTargets: [],
 			coldTargets: [],
 			crowdedTargets: this._crowded,
