--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -10,11 +10,12 @@
 
 import TinyQueue from 'tinyqueue';
 import type { Millis } from '../../src/base/clock.js';
-import { TargetLimitTable } from '../../src/plugins/limits/common/targetLimitTable.js';
+import { drawPacedSenders } from '../../src/plugins/fleet/common/pacedSenders.js';
 import { PaceShare } from '../../src/plugins/fleet/common/paceShare.js';
 import { FleetView } from '../../src/plugins/fleet/common/fleetView.js';
-import { TargetPhase, type TargetRecord } from '../../src/plugins/fleet/common/fleetTypes.js';
+import { type EntryDescription, TargetPhase, type TargetRecord } from '../../src/plugins/fleet/common/fleetTypes.js';
 import type { SyncResponse } from '../../src/plugins/fleet/common/fleetWire.js';
+import type { SenderAddress } from '../../src/plugins/fleet/common/fleetWire.js';
 import { type CrowdedTarget, TargetNeeds } from '../../src/plugins/fleet/common/targetNeeds.js';
 import type { AttemptTrace } from '../../src/plugins/forwarding/common/requestTrace.js';
 import { RetryAllowance } from '../../src/plugins/forwarding/common/retryAllowance.js';
@@ -26,6 +27,9 @@
 import { OutcomeNotes } from '../../src/plugins/forwarding/node/targets/outcomeNotes.js';
 import { TargetSelector } from '../../src/plugins/forwarding/node/placement/targetSelector.js';
 import { RepeatRule, type Route } from '../../src/plugins/routes/common/routeTable.js';
+import type { TargetLimitTable } from '../../src/plugins/limits/common/targetLimitTable.js';
+import { describeEntry } from '../fakes/describeEntry.js';
+import { LimitedArrivals, type LimitWay, limitTableFor } from './limitModel.js';
 import { TargetModel, type TargetModelSettings } from './targetModel.js';
 
 const SERVICE = 'service';
@@ -35,6 +39,13 @@
 const ROUND_TRIP_MS = 2;
 const FAR_ROUND_TRIP_MS = 70;
 const MAX_REFUSALS = 3;
+/** From the word of an instance to its record in the log. */
+const TOLD_MS = 250;
+/** Requests to a target with a limit count from so long after it named that, and over windows of this length. */
+const CONTACT_MS = 4000;
+const WINDOW_MS = 4000;
+/** A call between instances without an answer is given up after this. */
+const LOST_CALL_MS = 150;
 /** What is on its way when a target asks for rest may still arrive for this long. */
 const ON_ITS_WAY_MS = 500;
 
@@ -57,6 +68,10 @@
 	readonly target: TargetModelSettings;
 	/** Part of the requests that are about no object. */
 	readonly unboundPart?: number;
+	/** How instances keep to the limits that targets name; two senders are asked where it is left out. */
+	readonly limitWay?: LimitWay;
+	/** Part of the calls between instances that are lost. */
+	readonly lostCalls?: number;
 	/** Time between the first and the last target that registers, before the callers come; instances run from the start. */
 	readonly registrationMs?: Millis;
 }
@@ -71,6 +86,12 @@
 	readonly turnedAway: number;
 	/** Requests that reached a target half a second and more after it had asked their instance for rest, before its end. */
 	readonly duringRest: number;
+	/** The most that reached a target with a limit in 4 s from 4 s after it named that, as times of what it allows in them. */
+	readonly mostOfLimit: number;
+	/** Part of the limits that was used in that time, on average. */
+	readonly usedOfLimit: number;
+	/** Calls for places within limits. */
+	readonly placeCalls: number;
 	/** Requests whose target did not have their object at hand. */
 	readonly firstTouches: number;
 	/** Objects that were asked for: no choice of targets needs fewer first touches. */
@@ -82,7 +103,9 @@
 }
 
 interface Instance {
+	readonly name: string;
 	readonly region: string;
+	readonly limits: TargetLimitTable;
 	readonly view: FleetView;
 	readonly selector: TargetSelector;
 	readonly notes: OutcomeNotes;
@@ -119,7 +142,18 @@
 	private readonly _instances: Instance[];
 	private readonly _events = new TinyQueue<Scheduled>([], (a, b) => a.at - b.at || a.order - b.order);
 	private readonly _asked = new Set<string>();
-	private readonly _counts = { requests: 0, inTime: 0, late: 0, refused: 0, turnedAway: 0, duringRest: 0 };
+	private readonly _counts = {
+		requests: 0,
+		inTime: 0,
+		late: 0,
+		refused: 0,
+		turnedAway: 0,
+		duringRest: 0,
+		placeCalls: 0
+	};
+	private readonly _limited = new Map<string, LimitedArrivals>();
+	private readonly _everLimited: LimitedArrivals[] = [];
+	private _revision = 1;
 	/** The latest rest that a target asked of an instance. */
 	private readonly _rests = new Map<string, { readonly from: Millis; readonly to: Millis }>();
 	private readonly _needs = new TargetNeeds();
@@ -164,7 +198,7 @@
 
 	/** Adds a target while time goes on. */
 	addTarget(region: string): void {
-		const revision = this._records.length + 2;
+		this._revision++;
 		const id = `${region}-${this._records.length}`;
 		const record: TargetRecord = {
 			id,
@@ -175,13 +209,25 @@
 			version: 'v',
 			slots: this._settings.target.slots,
 			phase: TargetPhase.Serving,
-			changedAt: revision,
-			pacedSenders: []
+			changedAt: this._revision,
+			pacedSenders: drawPacedSenders(id, region, this._entries)
 		};
 		this._records.push(record);
 		this.targets.set(id, new TargetModel(id, this._settings.target));
 	}
 
+	/** A target names a limit from now on, or none any more. */
+	setLimit(target: TargetModel, perSecond: number | undefined): void {
+		target.limitPerSecond = perSecond;
+		this._limited.get(target.id)?.end(this.now);
+		this._limited.delete(target.id);
+		if (perSecond !== undefined) {
+			const arrivals = new LimitedArrivals(perSecond, this.now + CONTACT_MS);
+			this._limited.set(target.id, arrivals);
+			this._everLimited.push(arrivals);
+		}
+	}
+
 	private _pass(spanMs: Millis): void {
 		const until = this.now + spanMs;
 		while (this._events.length > 0 && this._events.peek()!.at <= until) {
@@ -205,12 +251,33 @@
 	private _newInstance(index: number): Instance {
 		const region = this._regions[index % this._regions.length]!;
 		const view = new FleetView(regionOf);
-		const place = { region, hall: `${region}-hall`, name: `${region}-entry-${index}` };
+		const name = `${region}-entry-${index}`;
+		const place = { region, hall: `${region}-hall`, name };
 		const shifts = { mostMoved: 0.15, windowMs: 2000 };
-		const share = new PaceShare(place.name, () => 0);
-		const selector = new TargetSelector(view, place, this._regions, shifts, share, new TargetLimitTable(view, share));
+		const limits = limitTableFor(name, this._settings.limitWay ?? 'asked', this._settings.instances, view);
+		limits.onDidChange(() => this._tellLimits(limits));
+		const share = new PaceShare(name, () => 0);
+		const selector = new TargetSelector(view, place, this._regions, shifts, share, limits);
 		const retries = new RetryAllowance({ ratio: 0.2, windowMs: 10000, slack: 2 * this._settings.instances });
-		return { region, view, selector, notes: new OutcomeNotes(), retries };
+		return { name, region, view, limits, selector, notes: new OutcomeNotes(), retries };
+	}
+
+	private get _entries(): EntryDescription[] {
+		return this._instances.map(({ name, region }) => describeEntry({ name, region, peerAddress: name }));
+	}
+
+	/** What an instance heard stands in the records a little later. */
+	private _tellLimits(limits: TargetLimitTable): void {
+		this._at(this.now + TOLD_MS, () => {
+			for (const { id, perSecond } of limits.untold(this.now)) {
+				const place = this._records.findIndex(record => record.id === id);
+				const { limitPerSecond, ...record } = this._records[place]!;
+				if ((limitPerSecond ?? null) !== perSecond) {
+					const limit = perSecond === null ? {} : { limitPerSecond: perSecond };
+					this._records[place] = { ...record, ...limit, changedAt: ++this._revision };
+				}
+			}
+		});
 	}
 
 	private _registerAll(): void {
@@ -248,7 +315,7 @@
 		const need = (this._settings.rate * this._settings.target.laterMs) / 1000 / this._regions.length;
 		return {
 			changes: {
-				revision: this._records.length + 1,
+				revision: this._revision,
 				isWhole: false,
 				published: { table, changedAt: 1 },
 				halls: [],
@@ -260,7 +327,7 @@
 			entryCount: this._instances.length,
 			regionEntries: this._instances.flatMap((other, i) => (other.region === region ? [`${region}-entry-${i}`] : [])),
 			hallPeers: [],
-			limitSenders: [],
+			limitSenders: this._settings.limitWay === 'senders' ? [] : this._limitSenders(),
 			silentTargets: [],
 			coldTargets: [],
 			crowdedTargets: this._crowded,
@@ -268,6 +335,12 @@
 		};
 	}
 
+	private _limitSenders(): SenderAddress[] {
+		const limited = this._records.filter(({ limitPerSecond }) => limitPerSecond !== undefined);
+		const names = new Set(limited.flatMap(({ pacedSenders }) => pacedSenders));
+		return [...names].map(name => ({ name, address: name }));
+	}
+
 	private _scheduleNextRequest(): void {
 		const factor = this._settings.surge?.(this.now - this._startedAt) ?? 1;
 		const gapMs = (-Math.log(1 - this._chance()) * 1000) / (this._settings.rate * factor);
@@ -313,6 +386,7 @@
 			service: SERVICE,
 			tried: new Set<string>(),
 			refusals: 0,
+			placesAsked: 0,
 			attempts: []
 		} as unknown as Journey;
 		this._try(instance, journey, request);
@@ -337,6 +411,49 @@
 			this._refuse(instance, request);
 			return;
 		}
+		const { record } = chosen.known;
+		const isLimited = instance.limits.perSecond(record, this.now) !== undefined;
+		if (!isLimited || instance.limits.takeOwn(record, this.now)) {
+			this._sendTo(instance, journey, chosen, request);
+		} else {
+			this._askForPlace(instance, journey, chosen, request);
+		}
+	}
+
+	/** Asks a sender of the target for a place; without one the request looks for another target. */
+	private _askForPlace(instance: Instance, journey: Journey, chosen: ChosenTarget, request: CallerRequest): void {
+		const { record } = chosen.known;
+		const lender = instance.limits.lender(record, this.now);
+		const other = this._instances.find(({ name }) => name === lender?.name);
+		if (!other) {
+			journey.placesAsked++;
+			this._try(instance, journey, request);
+			return;
+		}
+		this._counts.placeCalls++;
+		const wayMs = other.region === instance.region ? ROUND_TRIP_MS : FAR_ROUND_TRIP_MS;
+		const deny = (note: () => void): void => {
+			note();
+			journey.placesAsked++;
+			this._try(instance, journey, request);
+		};
+		if (this._chance() < (this._settings.lostCalls ?? 0)) {
+			this._at(this.now + LOST_CALL_MS, () => deny(() => instance.limits.noteSilent(other.name, this.now)));
+			return;
+		}
+		this._at(this.now + wayMs / 2, () => {
+			const { isGranted, waitMs } = other.limits.lend({ targetId: record.id, bornAt: record.bornAt }, this.now);
+			this._at(this.now + wayMs / 2, () => {
+				if (isGranted) {
+					this._sendTo(instance, journey, chosen, request);
+				} else {
+					deny(() => instance.limits.noteDenied(record, other.name, waitMs, this.now));
+				}
+			});
+		});
+	}
+
+	private _sendTo(instance: Instance, journey: Journey, chosen: ChosenTarget, request: CallerRequest): void {
 		const { known, state } = chosen;
 		journey.tried.add(known.record.id);
 		journey.attempts.push({ target: known.record.id } as AttemptTrace);
@@ -355,19 +472,34 @@
 	): void {
 		const target = this.targets.get(chosen.known.record.id)!;
 		const sentAt = this.now - wayMs / 2;
+		this._limited.get(target.id)?.note(this.now);
+		const hear = (limit: number | undefined): void => this._hearLimit(instance, chosen, limit, sentAt);
 		const object = journey.exchange.objectKey ?? journey.exchange.requestId;
 		const isTaken = target.offer(object, this._chance(), this.now, endsAt =>
 			this._at(endsAt, () => {
 				target.release(this.now);
-				const { loadWord } = target;
-				this._at(endsAt + wayMs / 2, () => this._answer(instance, journey, chosen, sentAt, request, loadWord));
+				const { loadWord, limitPerSecond } = target;
+				this._at(endsAt + wayMs / 2, () => {
+					hear(limitPerSecond);
+					this._answer(instance, journey, chosen, sentAt, request, loadWord);
+				});
 			})
 		);
 		if (!isTaken) {
 			this._counts.turnedAway++;
 			const { loadWord, restMs } = target;
 			this._noteRest(instance, target, restMs);
-			this._at(this.now + wayMs / 2, () => this._turnAway(instance, journey, chosen, request, { loadWord, restMs }));
+			const { limitPerSecond } = target;
+			this._at(this.now + wayMs / 2, () => {
+				hear(limitPerSecond);
+				this._turnAway(instance, journey, chosen, request, { loadWord, restMs });
+			});
+		}
+	}
+
+	private _hearLimit(instance: Instance, { known }: ChosenTarget, limit: number | undefined, askedAt: Millis): void {
+		if (this._settings.limitWay !== 'unheard') {
+			instance.limits.hear(known.record, { perSecond: limit, askedAt }, this.now);
 		}
 	}
 
@@ -433,6 +565,8 @@
 		const total = arrivals.reduce((sum, count) => sum + count, 0);
 		return {
 			...this._counts,
+			mostOfLimit: Math.max(0, ...this._everLimited.map(limited => limited.mostInWindow(WINDOW_MS))),
+			usedOfLimit: this._everLimited.reduce((sum, { usedPart }) => sum + usedPart, 0) / this._everLimited.length,
 			firstTouches: targets.reduce((sum, target) => sum + target.firstTouches, 0),
 			leastFirstTouches: this._asked.size,
 			inTimeBySecond: Array.from(this._inTimeBySecond, count => count ?? 0),
--- a/test/loads/targetModel.ts
+++ b/test/loads/targetModel.ts
@@ -33,6 +33,8 @@
 	firstTouches = 0;
 	/** Part of the requests that it turns away though it has room, 0 to 1. */
 	shedPart = 0;
+	/** Requests a second that it takes from all instances together; undefined where it names no limit. */
+	limitPerSecond: number | undefined;
 	/** How long it asks to be left alone when it turns a request away; 0 for not at all. */
 	restMs: Millis = 0;
 	private readonly _waiting: TargetWork[] = [];
