A request that got no place counts once as a need and for moved traffic; lines on limits stay bounded

Cause: a request that was denied a place within a target's limit chooses again, and was counted again as a need of its object's target and in the allowance for leaving a region; with hundreds of targets with limits an instance could write a line for each of them every 2 s. Change: only the first choice counts; the lines share the sampler of the other limit lines.

--- a/src/plugins/forwarding/node/placement/targetSelector.ts
+++ b/src/plugins/forwarding/node/placement/targetSelector.ts
@@ -103,7 +103,7 @@
 		if (chosen) {
 			this._noteChoice(journey, chosen, now);
 		}
-		if (objectKey === undefined || journey.attempts.length > 0) {
+		if (objectKey === undefined || !isFirstChoice(journey)) {
 			return chosen;
 		}
 		const first = firstTargetOf(resting.length > 0 ? [...candidates, ...resting] : candidates, objectKey, context);
@@ -198,7 +198,7 @@
 		if (chosen.known.coldUntil > now) {
 			chosen.state.takeColdToken(this._coldPace(chosen), now);
 		}
-		if (journey.attempts.length === 0) {
+		if (isFirstChoice(journey)) {
 			this._spill.noteRequest();
 		}
 		if (chosen.isSpill) {
@@ -242,3 +242,8 @@
 function objectOf(route: Route, { objectKey }: CallerExchange): string | undefined {
 	return route.isSticky && objectKey !== undefined ? `${route.pathPrefix} ${objectKey}` : undefined;
 }
+
+/** Whether nothing was chosen for the request before; what came to nothing for want of a place counts as chosen. */
+function isFirstChoice({ attempts, placesAsked }: Journey): boolean {
+	return attempts.length === 0 && placesAsked === 0;
+}
--- a/src/plugins/forwarding/node/targets/limitWatch.ts
+++ b/src/plugins/forwarding/node/targets/limitWatch.ts
@@ -94,7 +94,9 @@
 			this._counts.delete(id);
 			const { since, ...sent } = count;
 			const what = { target: id, service, perSecond, ...sent, inMs: Math.round(now - since) };
-			this._log.info('sent to a target with a limit', { task: 'forwarding', ...what });
+			if (this._sampler.admits(false, now)) {
+				this._log.info('sent to a target with a limit', { task: 'forwarding', ...what });
+			}
 		}
 	}
 }
