--- a/src/plugins/fleet/common/entryLookUp.ts
+++ b/src/plugins/fleet/common/entryLookUp.ts
@@ -38,8 +38,8 @@
 
 /**
  * How long a control instance without a memory of its own waits, from its start, to have heard all entry instances. Callers
- * that get no answer keep the one they had. When all control instances came back from a loss of power at once, the first few
- * entry instances that happened to speak got the callers of their regions: one of 182 gave 163 of the 1,208 late answers.
+ * that get no answer keep the one they had. When all control instances come back from a loss of power at once, the first few
+ * entry instances that happen to speak would get all callers of their regions.
  */
 const FIRST_HEARING_MS = 3000;
 
--- a/src/plugins/forwarding/common/linkPacer.ts
+++ b/src/plugins/forwarding/common/linkPacer.ts
@@ -12,8 +12,8 @@
 /** Part of the link that large answers may take together for long. */
 const LARGE_PART = 0.9;
 /**
- * Beyond that part they may be ahead by what it carries in this time: the whole link for nine times as long. A lone answer of
- * 90 kB takes 362 ms on a link of 2 Mbit/s, 433 without this and with the delay of timers lost (pacer alone, timers 1.5 ms late).
+ * Beyond that part they may be ahead by what it carries in this time: the whole link for nine times as long, so that a lone answer
+ * is not held back for others that do not come.
  */
 const AHEAD_MS: Millis = 100;
 /** A timer that fires late is made up for by shorter waits, up to this: at 4 kB and 2 Mbit/s each piece has one of 16 ms. */
@@ -41,7 +41,7 @@
 
 /**
  * Answers up to this size are held whole on an instance with such a link, and then passed on at once. One that is known to be
- * larger can't be held whole and is passed on from its first byte: 16 kB of it take 65 ms of a link of 2 Mbit/s.
+ * larger can't be held whole and is passed on from its first byte, so that its caller does not wait for what is held.
  */
 export function heldBytes(linkMbit: number): number {
 	const bytes = (linkMbit * BITS_PER_MEGABIT * HELD_MS) / BITS_PER_BYTE / MS_PER_SECOND;
--- a/src/plugins/forwarding/common/placement/demandMeter.ts
+++ b/src/plugins/forwarding/common/placement/demandMeter.ts
@@ -11,7 +11,7 @@
 
 /**
  * Time over which the rate is averaged. Objects are placed by it, and an object that moves is no longer at hand; but an
- * average that lags behind a wave leaves a region crowded. 12 s and 6 s were measured: docs/POLICY.md, round 7.
+ * average that lags behind a wave leaves a region crowded.
  */
 const RATE_SPAN_MS = 6000;
 /** Until a meter has run this long, its average is taken over this time. */
@@ -19,7 +19,7 @@
 const QUANTILE = 0.3;
 /**
  * Answers that the quantile is taken of. An instance of a fleet of hundreds has a few answers a second, and has to know after
- * the first ones what a request takes: a quantile that moves up by 1.5 % each answer needs 101 of them from 200 to 900 ms.
+ * the first ones what a request takes, so the quantile is taken anew and does not creep.
  */
 const QUANTILE_ANSWERS = 48;
 /** With fewer answers a single one, which may be that of a check, would decide. */
--- a/src/plugins/forwarding/common/placement/newcomers.ts
+++ b/src/plugins/forwarding/common/placement/newcomers.ts
@@ -5,9 +5,8 @@
 /**
  * Targets that joined and may never be asked, since no object happens to be placed on them: one instance of the region,
  * the same in every instance's reckoning, sends each of them a first request, which also shows whether it is sound.
- * Targets that were there before the first request are left to the placement of objects: their introductions sent the first
- * requests of a fleet to targets that no other instance uses for the same objects, 442 first touches of 264 objects where
- * 264 are enough (replay of a start with 198 targets and 45 instances).
+ * Targets that were there before the first request are left to the placement of objects: introductions would send the first
+ * requests of a fleet to targets that no other instance uses for the same objects, and each would be touched first twice.
  */
 
 import { rendezvousRank } from '../../../../base/hashing.js';
--- a/src/plugins/forwarding/common/placement/regionLoad.ts
+++ b/src/plugins/forwarding/common/placement/regionLoad.ts
@@ -4,10 +4,9 @@
 
 /**
  * How full the targets of a service are in one region, by the answers of all of them. Each of many instances meets a target
- * once in a second or more, so most targets are not known at any moment. Taken for empty, they were sent requests that a
- * queue of everybody's delayed beyond the objective: at 2.6 times the usual requests 130 answers a second came in time where
- * 370 did before, and 510 do now (replay with 22 instances and 60 targets). Taken for as full as the others are, they are left in peace, and
- * so are second targets that have not seen the object.
+ * once in a second or more, so most targets are not known at any moment. Taken for empty, they would be sent requests that a
+ * queue of everybody's delays beyond the objective, and overload would collapse. Taken for as full as the others are, they are
+ * left in peace, and so are second targets that have not seen the object.
  */
 
 import type { Millis } from '../../../../base/clock.js';
--- a/src/plugins/forwarding/common/placement/sharePacer.ts
+++ b/src/plugins/forwarding/common/placement/sharePacer.ts
@@ -47,8 +47,8 @@
 const USED_PART = 0.55;
 
 /**
- * Part of the pace at which the own region takes more than its usual share. On a day whose callers come in waves it raised
- * what a region with few targets earned of its credit from 0.64 to 0.84, against a rise at the full pace (one run each).
+ * Part of the pace at which the own region takes more than its usual share: a region with few targets whose callers come in
+ * waves would fill them at each ebb, and be too full at the next wave.
  */
 const SLOW_RISE = 0.2;
 
--- a/src/plugins/forwarding/common/placement/targetChoice.ts
+++ b/src/plugins/forwarding/common/placement/targetChoice.ts
@@ -110,8 +110,7 @@
 /**
  * The first targets of an object among the candidates of one region; those with least load where there is no object. Most
  * targets of a large fleet seem empty to an instance that has not met them of late, so equal loads are told apart by the
- * request: by the order of registration all instances sent them to the same few, 9.5 times the mean at the busiest of 198
- * targets where 2.3 times is what chance gives (replay with 45 instances).
+ * request: by the order of registration all instances would send them to the same few.
  */
 function firstTargets(
 	candidates: readonly Candidate[],
@@ -231,7 +230,7 @@
 
 /**
  * The regions for a request in their order; only the first one where it may not leave that. Without this bound a surge of
- * callers moved a third of a region's requests to another one within 2 s, and their objects away from targets that had them.
+ * callers moves much of a region's requests to another one at once, and their objects away from targets that had them.
  */
 function regionsFor(context: ChoiceContext, firstRegion: string | undefined, present: readonly string[]): string[] {
 	const isHeld = firstRegion !== undefined && context.standing.has(firstRegion) && !context.maySpill;
--- a/src/plugins/limits/common/creditLedger.ts
+++ b/src/plugins/limits/common/creditLedger.ts
@@ -22,9 +22,8 @@
 /** Part of the room of a team up to which credits are given ahead of need; the rest is for requests that wait. */
 const AHEAD_PART = 0.85;
 /**
- * A ceiling is raised where this part of it is in use, to as many times the use and some credits more. Chosen by the replays of
- * `limits.test.ts`: lower ones refuse requests of teams whose rate rises, at 1.25 times a next leader of a team of 45 a second
- * refuses 53 of 233 requests where at 1.15 it refuses 28.
+ * A ceiling is raised where this part of it is in use, to as many times the use and some credits more. Lower ones refuse requests of
+ * teams whose rate rises, higher ones leave the next leader less.
  */
 const RAISE_FROM_PART = 0.9;
 const RAISED_TIMES = 1.12;
--- a/src/plugins/limits/node/teamLimitsTask.ts
+++ b/src/plugins/limits/node/teamLimitsTask.ts
@@ -18,9 +18,8 @@
 import { TeamAsker } from './teamAsker.js';
 
 /**
- * A control instance that has not answered by then is given up for one call. It may wait 200 ms for the leader, and an answer
- * waits behind a large one on the link of this instance: with 260 ms in 8 s 252 calls were given up, nearly all by a few
- * instances with crowded links, and 750 of 29,000 requests came late to their target.
+ * A control instance that has not answered by then is given up for one call. It may wait for the leader, and its answer waits behind a
+ * large one on the link of this instance: a shorter wait gives up answers that are on their way.
  */
 const CONTROL_ANSWER_MS = 500;
 /** The same for another entry instance, which asks one control instance. */
