Failing test: targets get more connections from all instances together than their operators allow

Three entry instances as processes, one target that accepts 12 connections from all callers, 60 requests at once: 60 connections at a time.

--- a/test/platform/discoveredSystem.ts
+++ b/test/platform/discoveredSystem.ts
@@ -303,11 +303,15 @@
 	readonly burst?: number;
 }
 
-/** A configuration document as the platform sends it. */
+/**
+ * A configuration document as the platform sends it.
+ * @param maxConnections connections that a target accepts from all callers together
+ */
 export function routeDocument(
 	version: number,
 	routes: readonly DocumentRoute[],
-	teams?: readonly DocumentTeam[]
+	teams?: readonly DocumentTeam[],
+	maxConnections = 330
 ): string {
 	const services = [...new Set(routes.map(route => route.service))];
 	return JSON.stringify({
@@ -346,7 +350,7 @@
 		},
 		services: {
 			columns: ['name', 'health_path', 'max_conns', 'protocol', 'tls', 'cold_start', 'cold_per_s'],
-			rows: services.map(name => [name, '/health', 330, 'h1', false, '3s', 14])
+			rows: services.map(name => [name, '/health', maxConnections, 'h1', false, '3s', 14])
 		},
 		tenants: teams && {
 			columns: ['name', 'api_keys', 'priority', 'rate_per_s', 'burst', 'home_regions'],
--- a/test/platform/standInTarget.ts
+++ b/test/platform/standInTarget.ts
@@ -62,6 +62,9 @@
 	refusesWith: OutgoingHttpHeaders | undefined;
 	/** Headers that stand in each answer, besides the usual ones. */
 	alsoSays: OutgoingHttpHeaders = {};
+	/** The most connections that were open at a time. */
+	mostConnections = 0;
+	private _connections = 0;
 	private _running = 0;
 	private readonly _server: Server;
 
@@ -71,6 +74,10 @@
 		readonly misbehaviours: Misbehaviour[] = []
 	) {
 		this._server = createServer((request, response) => void this._handle(request, response));
+		this._server.on('connection', socket => {
+			this.mostConnections = Math.max(this.mostConnections, ++this._connections);
+			socket.once('close', () => this._connections--);
+		});
 	}
 
 	/** Opens the listener. */
