Connections to a target stay within what its operators allow, over all instances

Callers saw connections reset beyond the number that a target accepts from all of them, after their requests may have been written. Cause: the number was decoded and read by nothing; each instance opened a connection for each request under way. Each instance has an equal part now, by the most instances that it ever knew of, so that parts do not grow when a cut hides some; one until somebody told who hears all. A request that finds no kept connection and no room for another goes to another target; where there is none it is rejected at once. Not by construction while a fleet grows: who was not told of the newcomers has a larger part for a moment.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -53,6 +53,7 @@
 	private readonly _targets = new Map<string, KnownTarget>();
 	private readonly _byService = new Map<string, KnownTarget[]>();
 	private _entryCount = 1;
+	private _mostEntries = Number.POSITIVE_INFINITY;
 	private _regionEntries: readonly string[] = [];
 	private _hallPeers: readonly string[] = [];
 	private _senderAddresses: ReadonlyMap<string, string> = new Map();
@@ -79,6 +80,14 @@
 		return this._hasHeardAll ? this._entryCount : Number.POSITIVE_INFINITY;
 	}
 
+	/**
+	 * The most entry instances that this view ever knew of, for parts of what all of them may have: after a cut both sides hear of fewer,
+	 * and their parts must not grow. Infinite until somebody told who hears of all of them.
+	 */
+	get mostEntries(): number {
+		return this._mostEntries;
+	}
+
 	/** Names of the entry instances of this region. */
 	get regionEntries(): readonly string[] {
 		return this._regionEntries;
@@ -153,6 +162,9 @@
 	/** Takes in what the answerer heard from others. */
 	private _applyHearsay(response: SyncResponse, now: Millis): void {
 		this._entryCount = Math.max(1, response.entryCount);
+		if (response.hasHeardAll) {
+			this._mostEntries = Math.max(this._entryCount, Number.isFinite(this._mostEntries) ? this._mostEntries : 0);
+		}
 		this._regionEntries = response.regionEntries;
 		this._hallPeers = response.hallPeers;
 		this._senderAddresses = new Map(response.limitSenders?.map(({ name, address }) => [name, address]));
--- a/src/plugins/forwarding/common/attempt.ts
+++ b/src/plugins/forwarding/common/attempt.ts
@@ -47,6 +47,8 @@
 	AtRest = 'at-rest',
 	/** All instances together send the target what it takes, or its word on that came before the request was written. */
 	AtLimit = 'at-limit',
+	/** This instance's part of the connections that the target accepts is in use. */
+	ConnectionsInUse = 'connections-in-use',
 	/** Any other refusal by the target. */
 	Refused = 'refused'
 }
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -32,8 +32,9 @@
 const NEAR_CONNECT_MS = 250;
 const FAR_CONNECT_MS = 500;
 
-const WITHHELD_AT_REST: AttemptOutcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.AtRest };
-const WITHHELD_AT_LIMIT: AttemptOutcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.AtLimit };
+function withheld(cause: NotRunCause): AttemptOutcome {
+	return { type: 'not-run', hasArrived: false, cause };
+}
 
 /** What attempts need of the instance. */
 export interface AttemptContext {
@@ -82,12 +83,10 @@
 		const { known, state } = candidate;
 		const now = systemClock.now();
 		journey.tried.add(known.record.id);
-		if (state.rest.isAsked(now)) {
+		const obstacle = this._obstacleTo(candidate, place, now);
+		if (obstacle !== undefined) {
 			place?.giveBack();
-			return WITHHELD_AT_REST;
-		}
-		if (!place && this._context.limits.perSecond(known.record, now) !== undefined) {
-			return WITHHELD_AT_LIMIT;
+			return withheld(obstacle);
 		}
 		this._context.rests.noteSend(known.record, state, now);
 		const sent = this._exchangeFor(journey, candidate, now);
@@ -127,6 +126,27 @@
 		return outcome;
 	}
 
+	/** Why nothing may be sent to a target now; undefined where it may. */
+	private _obstacleTo({ known, state }: ChosenTarget, place: IPlace | undefined, now: Millis): NotRunCause | undefined {
+		const { limits } = this._context;
+		if (state.rest.isAsked(now)) {
+			return NotRunCause.AtRest;
+		}
+		if (!place && limits.perSecond(known.record, now) !== undefined) {
+			return NotRunCause.AtLimit;
+		}
+		const [host, port] = splitAddress(known.record.address);
+		const hasRoom = this._agent.hasRoom(host, port, this._mostConnections(known.record));
+		return hasRoom ? undefined : NotRunCause.ConnectionsInUse;
+	}
+
+	/** This instance's part of the connections that a target accepts from all instances; a service in no table has no bound. */
+	private _mostConnections({ service }: TargetRecord): number {
+		const { view } = this._context;
+		const all = view.routes?.service(service)?.maxConnections;
+		return all === undefined ? Number.POSITIVE_INFINITY : Math.max(1, Math.floor(all / view.mostEntries));
+	}
+
 	/** A target spoke of itself in the head of an answer. */
 	private _hear({ known, state }: ChosenTarget, word: TargetWord, askedAt: Millis): void {
 		const now = systemClock.now();
--- a/src/plugins/forwarding/node/followUp.ts
+++ b/src/plugins/forwarding/node/followUp.ts
@@ -19,6 +19,12 @@
 import type { TargetSelector } from './placement/targetSelector.js';
 import type { QuarantineGuard } from './quarantineGuard.js';
 
+/** Nothing was tried at the target: another one is asked, which costs nobody a retry. */
+const WITHHELD: ReadonlySet<NotRunCause> = new Set([
+	NotRunCause.AtRest,
+	NotRunCause.AtLimit,
+	NotRunCause.ConnectionsInUse
+]);
 /** Connections that did not come up before a request is given up. */
 const MAX_NO_CONNECTION = 4;
 /** Targets that turned a request away before it is given up. */
@@ -78,7 +84,7 @@
 	}
 
 	private _afterNotRun(journey: Journey, outcome: NotRun): OwnAnswer | 'again' {
-		if (outcome.cause === NotRunCause.AtRest || outcome.cause === NotRunCause.AtLimit) {
+		if (WITHHELD.has(outcome.cause)) {
 			return 'again';
 		}
 		if (!outcome.hasArrived) {
--- a/src/plugins/forwarding/node/targets/targetAgent.ts
+++ b/src/plugins/forwarding/node/targets/targetAgent.ts
@@ -39,6 +39,13 @@
 		super({ keepAlive: true, maxFreeSockets: MAX_IDLE_SOCKETS, scheduling: 'lifo' });
 	}
 
+	/** Whether a request would find a kept connection to a target, or may open one more. */
+	hasRoom(host: string, port: number, mostConnections: number): boolean {
+		const name = this.getName({ host, port });
+		const isKept = (this.freeSockets[name]?.length ?? 0) > 0;
+		return isKept || (this.sockets[name]?.length ?? 0) < mostConnections;
+	}
+
 	override keepSocketAlive(stream: Duplex): boolean {
 		const socket = stream as Socket & { _httpMessage?: { res?: { headers: Record<string, string | undefined> } } };
 		const hint = TIMEOUT_HINT.exec(socket._httpMessage?.res?.headers['keep-alive'] ?? '')?.[1];
