Failing test: callers of targets at their limits are told to come back together

A request that was denied two places asks for no more. Where other targets with limits were left to ask, its caller got 503 no-capacity and 100 ms, as if targets were full, though all of them are at limits. Seen by reading; the test of a selector with six such targets gets no answer of when there is room. The test with processes now also asks that 95 in 100 rejections name the limit, which holds there as it did, with two senders for four targets.

--- /dev/null
+++ b/src/plugins/forwarding/test/limitedRoom.test.ts
@@ -0,0 +1,108 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * All targets of a service name limits, and a request was denied two places: it asks for no more. Its caller was told to come back after
+ * 100 ms as if targets were full, since others might still have had places; so all callers came back together.
+ */
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type TargetRecord, TargetPhase } from '../../fleet/common/fleetTypes.js';
+import { FleetView } from '../../fleet/common/fleetView.js';
+import { PaceShare } from '../../fleet/common/paceShare.js';
+import { TargetLimitTable } from '../../limits/common/targetLimitTable.js';
+import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
+import { NotRunCause } from '../common/attempt.js';
+import { CallerReturns } from '../common/placement/callerReturns.js';
+import type { Journey } from '../node/journey.js';
+import { TargetSelector } from '../node/placement/targetSelector.js';
+
+const NOW = 5000;
+const PER_SECOND = 2;
+const TARGETS = 6;
+const ENTRIES = ['e-0', 'e-1', 'e-2'];
+const ROUTE: Route = {
+	name: 'reads',
+	host: 'h',
+	pathPrefix: '/reads/',
+	repeatRule: RepeatRule.Repeatable,
+	timeoutMs: 2000,
+	objectiveMs: 400,
+	rank: 1,
+	parts: [{ service: 's', weight: 1 }],
+	attempts: 2,
+	isSticky: true,
+	homeRegions: [],
+	isPublic: true
+};
+
+function describeTarget(number: number): TargetRecord {
+	const place = { address: `127.0.0.1:${number + 1}`, hall: 'h', version: 'v', slots: 9, phase: TargetPhase.Serving };
+	const pace = { pacedSenders: ['e-1', 'e-2'], limitPerSecond: PER_SECOND };
+	return { id: `t-${number}`, bornAt: 0, service: 's', ...place, changedAt: 2, ...pace };
+}
+
+function newSelector(): TargetSelector {
+	const view = new FleetView(() => 'r');
+	view.apply(
+		{
+			changes: {
+				revision: 2,
+				isWhole: true,
+				halls: [],
+				targets: Array.from({ length: TARGETS }, (_, i) => describeTarget(i))
+			},
+			controls: [],
+			contactAgeMs: 0,
+			hasHeardAll: true,
+			entryCount: ENTRIES.length,
+			regionEntries: ENTRIES,
+			hallPeers: [],
+			limitSenders: ENTRIES.map(name => ({ name, address: name })),
+			silentTargets: [],
+			coldTargets: [],
+			crowdedTargets: [],
+			demand: {}
+		},
+		1
+	);
+	const share = new PaceShare('e-0', () => 0);
+	const place = { name: 'e-0', hall: 'h', region: 'r' };
+	const shifts = { mostMoved: 0.15, windowMs: 2000 };
+	return new TargetSelector(view, place, ['r'], shifts, share, new TargetLimitTable(view, share));
+}
+
+function journeyDenied(placesAsked: number): Journey {
+	return {
+		exchange: { objectKey: 'o', requestId: 'q', hasLeft: false },
+		route: ROUTE,
+		homeRegions: [],
+		service: 's',
+		tried: new Set<string>(),
+		refusals: 0,
+		placesAsked,
+		attempts: []
+	} as unknown as Journey;
+}
+
+test('a request asks two senders for places at most; then its caller is told of the limits', () => {
+	const selector = newSelector();
+	assert.ok(selector.choose(journeyDenied(1), NOW));
+	assert.equal(selector.choose(journeyDenied(2), NOW), undefined);
+	const room = selector.roomReturns(journeyDenied(2), NOW);
+	assert.equal(room?.cause, NotRunCause.AtLimit);
+	// Six targets of two a second, for the callers of three instances.
+	assert.equal(room.gapMs, 250);
+});
+
+test('callers come back one after the other; one whose place would come too late takes none', () => {
+	const returns = new CallerReturns();
+	const room = { at: 1000, gapMs: 250 };
+	assert.deepEqual(
+		[3000, 3000, 3000, 1600, 3000].map(deadline => returns.after(room, deadline)),
+		[1000, 1250, 1500, 1600, 1750]
+	);
+	assert.equal(returns.after({ at: 9000, gapMs: 0 }, 20000), 9000);
+});
--- a/test/platform/limitedTargets.test.ts
+++ b/test/platform/limitedTargets.test.ts
@@ -58,6 +58,8 @@
 	readonly entry: Instance;
 	readonly status: number;
 	readonly headers: Answer['headers'];
+	/** Why the system rejected it; undefined for what it did not. */
+	readonly reason: string | undefined;
 	readonly tookMs: number;
 }
 
@@ -74,8 +76,14 @@
 		? system.request(entry, 'POST', '/order/1', { headers, body: 'one unit' })
 		: system.request(entry, 'GET', '/read/1', { headers });
 	return answer.then(
-		({ status, headers: told }) => ({ entry, status, headers: told, tookMs: performance.now() - startedAt }),
-		() => ({ entry, status: 0, headers: {}, tookMs: performance.now() - startedAt })
+		({ status, headers: told, body }) => ({
+			entry,
+			status,
+			headers: told,
+			reason: status === 503 ? (JSON.parse(body) as { reason: string }).reason : undefined,
+			tookMs: performance.now() - startedAt
+		}),
+		() => ({ entry, status: 0, headers: {}, reason: undefined, tookMs: performance.now() - startedAt })
 	);
 }
 
@@ -189,6 +197,11 @@
 	const slow = rejected.filter(({ tookMs }) => tookMs > AT_ONCE_MS);
 	assert.ok(rejected.length > 0.5 * answers.length, `${rejected.length} of ${answers.length} rejected`);
 	assert.ok(rejected.every(({ headers }) => Number(headers['retry-after']) > 0));
+	const atLimit = rejected.filter(({ reason }) => reason === 'targets-at-limit');
+	assert.ok(
+		atLimit.length >= 0.95 * rejected.length,
+		`${atLimit.length} of ${rejected.length} told that it is a limit`
+	);
 	assert.ok(slow.length <= 0.02 * rejected.length, `${slow.length} of ${rejected.length} not at once`);
 	// Nine tenths of the four limits, less what chance leaves unused in six seconds.
 	const served = answers.filter(({ status }) => status === 200).length;
