A request that may ask for no more places is told of the limits, and its caller when a place comes

Callers of targets at their limits came back together after 100 ms. Cause: the time to come back was worked out as if the request could still ask every sender. It asks two at most, in this reckoning too.

--- a/src/plugins/forwarding/node/placement/targetSelector.ts
+++ b/src/plugins/forwarding/node/placement/targetSelector.ts
@@ -86,7 +86,7 @@
 	/** The target for the next attempt of a request; undefined where none may have it now. */
 	choose(journey: Journey, now: Millis): ChosenTarget | undefined {
 		const { route, service, exchange, homeRegions, tried } = journey;
-		const mayAsk = journey.placesAsked < MOST_PLACES_ASKED;
+		const mayAsk = mayAskForPlace(journey);
 		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, tried, mayAsk, now);
 		const objectKey = objectOf(route, exchange);
 		const context: ChoiceContext = {
@@ -115,8 +115,11 @@
 	 * When there is room again for a request, where all targets that it may use want none now, or are at their limits; undefined where one
 	 * takes work, or there is none.
 	 */
-	roomReturns({ route, service, homeRegions, exchange }: Journey, now: Millis): RoomReturn | undefined {
-		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, NONE_TRIED, true, now);
+	roomReturns(journey: Journey, now: Millis): RoomReturn | undefined {
+		const { route, service, homeRegions, exchange } = journey;
+		// A place that the request may not ask for any more is none, or all callers would come back together.
+		const mayAsk = mayAskForPlace(journey);
+		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, NONE_TRIED, mayAsk, now);
 		const { shares } = this._plans.planFor(service, { route, homeRegions }, now);
 		const region = regionAt(shares, placeAmongRegions(objectOf(route, exchange) ?? exchange.requestId));
 		const isThere = ({ known }: Candidate): boolean =>
@@ -247,3 +250,7 @@
 function isFirstChoice({ attempts, placesAsked }: Journey): boolean {
 	return attempts.length === 0 && placesAsked === 0;
 }
+
+function mayAskForPlace({ placesAsked }: Journey): boolean {
+	return placesAsked < MOST_PLACES_ASKED;
+}
