Leave to write to a target with a limit is called a permit, as rate limiters call it

Cause: place was a word of our own, and stood beside the places of instances; the count of permits asked for was one of those denied. Change: names, comments, one log message and the name of the call between instances; nothing else.

--- a/src/plugins/fleet/test/limitSums.test.ts
+++ b/src/plugins/fleet/test/limitSums.test.ts
@@ -3,7 +3,7 @@
  *--------------------------------------------------------------------------------------------*/
 
 /**
- * The sum of what all instances send to a target with a limit, whatever is lost, late or believed: places come from the parts that senders
+ * The sum of what all instances send to a target with a limit, whatever is lost, late or believed: permits come from the parts that senders
  * hold, and a part has one holder at a time.
  */
 
--- a/src/plugins/fleet/test/pacedFleet.ts
+++ b/src/plugins/fleet/test/pacedFleet.ts
@@ -75,7 +75,7 @@
 
 	/**
 	 * A request at an instance.
-	 * @param isLost whether the call for a place, if there is one, is lost on its way back
+	 * @param isLost whether the call for a permit, if there is one, is lost on its way back
 	 * @returns whether it was let through
 	 */
 	request(index: number, isLost: boolean): boolean {
--- a/src/plugins/forwarding/common/placement/callerReturns.ts
+++ b/src/plugins/forwarding/common/placement/callerReturns.ts
@@ -13,15 +13,15 @@
 	/**
 	 * When the next caller is to come back.
 	 * @param at when there is room first
-	 * @param gapMs time from one place to the next; 0 where there is room for all callers
-	 * @param deadline until when the caller waits; one whose place would come later takes none
+	 * @param gapMs time from one permit to the next; 0 where there is room for all callers
+	 * @param deadline until when the caller waits; one whose permit would come later takes none
 	 */
 	after({ at, gapMs }: { readonly at: Millis; readonly gapMs: Millis }, deadline: Millis): Millis {
-		const placeAt = gapMs === 0 ? at : Math.max(at, this._lastAt + gapMs);
-		if (placeAt > deadline) {
+		const permitAt = gapMs === 0 ? at : Math.max(at, this._lastAt + gapMs);
+		if (permitAt > deadline) {
 			return deadline;
 		}
-		this._lastAt = placeAt;
-		return placeAt;
+		this._lastAt = permitAt;
+		return permitAt;
 	}
 }
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -9,7 +9,7 @@
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
 import { LimitChange } from '../../limits/common/targetLimit.js';
-import type { IPlace, ITargetLimits, TargetLimitEvent } from '../../limits/common/targetLimits.js';
+import type { IPermit, ITargetLimits, TargetLimitEvent } from '../../limits/common/targetLimits.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import { type AttemptOutcome, NotRunCause } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
@@ -76,16 +76,16 @@
 
 	/**
 	 * One attempt at one target; never rejects. Whoever chose it: nothing is sent to a target that wants nothing, and each request that may
-	 * be written to one with a limit has a place within it.
+	 * be written to one with a limit has a permit within it.
 	 */
-	async send(journey: Journey, candidate: ChosenTarget, place: IPlace | undefined): Promise<AttemptOutcome> {
+	async send(journey: Journey, candidate: ChosenTarget, permit: IPermit | undefined): Promise<AttemptOutcome> {
 		const { exchange } = journey;
 		const { known, state } = candidate;
 		const now = systemClock.now();
 		journey.tried.add(known.record.id);
-		const obstacle = this._obstacleTo(candidate, place, now);
+		const obstacle = this._obstacleTo(candidate, permit, now);
 		if (obstacle !== undefined) {
-			place?.giveBack();
+			permit?.giveBack();
 			return withheld(obstacle);
 		}
 		this._context.rests.noteSend(known.record, state, now);
@@ -103,7 +103,7 @@
 		const outcome = await sent.outcome;
 		this._underWay.delete(sent);
 		if (sent.writtenAt === undefined) {
-			place?.giveBack();
+			permit?.giveBack();
 		}
 		const endedAt = systemClock.now();
 		trace.outcome = describeOutcome(outcome);
@@ -127,12 +127,16 @@
 	}
 
 	/** Why nothing may be sent to a target now; undefined where it may. */
-	private _obstacleTo({ known, state }: ChosenTarget, place: IPlace | undefined, now: Millis): NotRunCause | undefined {
+	private _obstacleTo(
+		{ known, state }: ChosenTarget,
+		permit: IPermit | undefined,
+		now: Millis
+	): NotRunCause | undefined {
 		const { limits } = this._context;
 		if (state.rest.isAsked(now)) {
 			return NotRunCause.AtRest;
 		}
-		if (!place && limits.perSecond(known.record, now) !== undefined) {
+		if (!permit && limits.perSecond(known.record, now) !== undefined) {
 			return NotRunCause.AtLimit;
 		}
 		const [host, port] = splitAddress(known.record.address);
@@ -167,7 +171,7 @@
 		}
 	}
 
-	/** What is under way when a limit is named has no place within it. */
+	/** What is under way when a limit is named has no permit within it. */
 	private _onLimitChange({ record, change }: TargetLimitEvent): void {
 		if (change === LimitChange.Named) {
 			this._withdrawFrom(record, NotRunCause.AtLimit);
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -15,7 +15,7 @@
 import type { PlaceSettings } from '../../fleet/common/placeSettings.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
 import { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
-import { type IPlace, ITargetLimits } from '../../limits/common/targetLimits.js';
+import { type IPermit, ITargetLimits } from '../../limits/common/targetLimits.js';
 import { ITeamLimits, LimitVerdict } from '../../limits/common/teamLimits.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { accessOf } from '../../routes/common/teamAccess.js';
@@ -152,7 +152,7 @@
 			arrivals: 0,
 			refusals: 0,
 			noConnections: 0,
-			placesAsked: 0,
+			permitsDenied: 0,
 			attempts: [],
 			phase: QuarantinePhase.Clear
 		};
@@ -211,11 +211,11 @@
 				this._giveUp(journey, this._followUp.noTarget(journey));
 				return;
 			}
-			const place = await this._takePlace(journey, candidate);
-			if (place === 'none') {
+			const permit = await this._takePermit(journey, candidate);
+			if (permit === 'none') {
 				continue;
 			}
-			const outcome = await this._sender.send(journey, candidate, place);
+			const outcome = await this._sender.send(journey, candidate, permit);
 			this._quarantine.noteOutcome(journey, outcome);
 			const next = this._followUp.after(journey, outcome);
 			if (next === 'again') {
@@ -243,14 +243,14 @@
 		return journey.hasLeave ? undefined : limitRefusal(leave);
 	}
 
-	/** Takes a place within the limit of a target; undefined where it has none, so that none is needed. */
-	private async _takePlace(journey: Journey, { known }: ChosenTarget): Promise<IPlace | 'none' | undefined> {
+	/** Takes a permit within the limit of a target; undefined where it has none, so that none is needed. */
+	private async _takePermit(journey: Journey, { known }: ChosenTarget): Promise<IPermit | 'none' | undefined> {
 		if (this._targetLimits.perSecond(known.record, systemClock.now()) === undefined) {
 			return undefined;
 		}
-		const place = await this._targetLimits.take(known.record);
-		journey.placesAsked += place ? 0 : 1;
-		return place ?? 'none';
+		const permit = await this._targetLimits.take(known.record);
+		journey.permitsDenied += permit ? 0 : 1;
+		return permit ?? 'none';
 	}
 
 	/** A key may be taken away while its requests wait for another try; undefined where it still holds. */
--- a/src/plugins/forwarding/node/journey.ts
+++ b/src/plugins/forwarding/node/journey.ts
@@ -43,8 +43,8 @@
 	/** Targets that turned it away. */
 	refusals: number;
 	noConnections: number;
-	/** Places within limits of targets that were asked for and not got. */
-	placesAsked: number;
+	/** Permits within limits of targets that were asked for and not got. */
+	permitsDenied: number;
 	/** What a target answered, if that was a failure and another target was asked. */
 	failure?: TargetAnswer;
 	readonly attempts: AttemptTrace[];
--- a/src/plugins/forwarding/node/placement/targetSelector.ts
+++ b/src/plugins/forwarding/node/placement/targetSelector.ts
@@ -33,8 +33,8 @@
 /** Part of a cold target's pace that is used: requests that were spread over time may arrive closer together. */
 const COLD_PACE_PART = 0.6;
 
-/** Places at targets with limits that one request asks other instances for: each costs a call, and there are targets without. */
-const MOST_PLACES_ASKED = 2;
+/** Permits that one request may be denied by other instances: each costs a call, and there are targets without limits. */
+const MOST_PERMITS_DENIED = 2;
 
 const NONE_TRIED: ReadonlySet<string> = new Set();
 
@@ -48,7 +48,7 @@
 	/** What was in the way. */
 	readonly cause: NotRunCause.AtRest | NotRunCause.AtLimit;
 	readonly at: Millis;
-	/** Time from one place to the next for the callers of an instance; 0 where there is room for all of them. */
+	/** Time from one permit to the next for the callers of an instance; 0 where there is room for all of them. */
 	readonly gapMs: Millis;
 }
 
@@ -86,7 +86,7 @@
 	/** The target for the next attempt of a request; undefined where none may have it now. */
 	choose(journey: Journey, now: Millis): ChosenTarget | undefined {
 		const { route, service, exchange, homeRegions, tried } = journey;
-		const mayAsk = mayAskForPlace(journey);
+		const mayAsk = mayAskForPermit(journey);
 		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, tried, mayAsk, now);
 		const objectKey = objectOf(route, exchange);
 		const context: ChoiceContext = {
@@ -117,8 +117,8 @@
 	 */
 	roomReturns(journey: Journey, now: Millis): RoomReturn | undefined {
 		const { route, service, homeRegions, exchange } = journey;
-		// A place that the request may not ask for any more is none, or all callers would come back together.
-		const mayAsk = mayAskForPlace(journey);
+		// A permit that the request may not ask for any more is none, or all callers would come back together.
+		const mayAsk = mayAskForPermit(journey);
 		const { candidates, resting, standing } = this._states.candidates(service, homeRegions, NONE_TRIED, mayAsk, now);
 		const { shares } = this._plans.planFor(service, { route, homeRegions }, now);
 		const region = regionAt(shares, placeAmongRegions(objectOf(route, exchange) ?? exchange.requestId));
@@ -130,16 +130,16 @@
 		}
 		const limited = full.filter(({ state }) => !state.rest.isAsked(now));
 		if (limited.length > 0) {
-			return { cause: NotRunCause.AtLimit, at: this._nextPlaceAt(limited, now), gapMs: this._gapMs(limited, now) };
+			return { cause: NotRunCause.AtLimit, at: this._nextPermitAt(limited, now), gapMs: this._gapMs(limited, now) };
 		}
 		return { cause: NotRunCause.AtRest, at: Math.min(...full.map(({ state }) => state.rest.endsAt)), gapMs: 0 };
 	}
 
-	private _nextPlaceAt(limited: readonly Candidate[], now: Millis): Millis {
-		return now + Math.min(...limited.map(({ known }) => this._room.placeInMs(known.record, now)));
+	private _nextPermitAt(limited: readonly Candidate[], now: Millis): Millis {
+		return now + Math.min(...limited.map(({ known }) => this._room.permitInMs(known.record, now)));
 	}
 
-	/** Time between places at limited targets for the callers of one instance of the region: they come back to any of them. */
+	/** Time between permits at limited targets for the callers of one instance of the region: they come back to any of them. */
 	private _gapMs(limited: readonly Candidate[], now: Millis): Millis {
 		const perSecond = limited.reduce((sum, { known }) => sum + (this._room.perSecond(known.record, now) ?? 0), 0);
 		return (1000 * Math.max(1, this._view.regionEntries.length)) / perSecond;
@@ -246,11 +246,11 @@
 	return route.isSticky && objectKey !== undefined ? `${route.pathPrefix} ${objectKey}` : undefined;
 }
 
-/** Whether nothing was chosen for the request before; what came to nothing for want of a place counts as chosen. */
-function isFirstChoice({ attempts, placesAsked }: Journey): boolean {
-	return attempts.length === 0 && placesAsked === 0;
+/** Whether nothing was chosen for the request before; what came to nothing for want of a permit counts as chosen. */
+function isFirstChoice({ attempts, permitsDenied }: Journey): boolean {
+	return attempts.length === 0 && permitsDenied === 0;
 }
 
-function mayAskForPlace({ placesAsked }: Journey): boolean {
-	return placesAsked < MOST_PLACES_ASKED;
+function mayAskForPermit({ permitsDenied }: Journey): boolean {
+	return permitsDenied < MOST_PERMITS_DENIED;
 }
--- a/src/plugins/forwarding/node/targets/targetStates.ts
+++ b/src/plugins/forwarding/node/targets/targetStates.ts
@@ -57,7 +57,7 @@
 	/**
 	 * Targets of a service that may get a request, and the regions that are not known to be without any. Targets that said that they
 	 * leave, or whose address another one has, are not among them.
-	 * @param mayAsk whether another instance may be asked for a place within a target's limit
+	 * @param mayAsk whether another instance may be asked for a permit within a target's limit
 	 */
 	candidates(
 		service: string,
--- a/src/plugins/forwarding/test/limitedRoom.test.ts
+++ b/src/plugins/forwarding/test/limitedRoom.test.ts
@@ -3,8 +3,8 @@
  *--------------------------------------------------------------------------------------------*/
 
 /**
- * All targets of a service name limits, and a request was denied two places: it asks for no more. Its caller was told to come back after
- * 100 ms as if targets were full, since others might still have had places; so all callers came back together.
+ * All targets of a service name limits, and a request was denied two permits: it asks for no more. Its caller was told to come back after
+ * 100 ms as if targets were full, since others might still have had permits; so all callers came back together.
  */
 
 import assert from 'node:assert/strict';
@@ -74,7 +74,7 @@
 	return new TargetSelector(view, place, ['r'], shifts, share, new TargetLimitTable(view, share));
 }
 
-function journeyDenied(placesAsked: number): Journey {
+function journeyDenied(permitsDenied: number): Journey {
 	return {
 		exchange: { objectKey: 'o', requestId: 'q', hasLeft: false },
 		route: ROUTE,
@@ -82,12 +82,12 @@
 		service: 's',
 		tried: new Set<string>(),
 		refusals: 0,
-		placesAsked,
+		permitsDenied,
 		attempts: []
 	} as unknown as Journey;
 }
 
-test('a request asks two senders for places at most; then its caller is told of the limits', () => {
+test('a request asks two senders for permits at most; then its caller is told of the limits', () => {
 	const selector = newSelector();
 	assert.ok(selector.choose(journeyDenied(1), NOW));
 	assert.equal(selector.choose(journeyDenied(2), NOW), undefined);
@@ -97,7 +97,7 @@
 	assert.equal(room.gapMs, 250);
 });
 
-test('callers come back one after the other; one whose place would come too late takes none', () => {
+test('callers come back one after the other; one whose permit would come too late takes none', () => {
 	const returns = new CallerReturns();
 	const room = { at: 1000, gapMs: 250 };
 	assert.deepEqual(
--- a/src/plugins/limits/common/targetLimit.ts
+++ b/src/plugins/limits/common/targetLimit.ts
@@ -27,10 +27,10 @@
 /** A limit of nothing counts as this many requests a second: somebody has to ask on, or nobody would hear when it ends. */
 const LEAST_PER_SECOND = 0.1;
 /** Places that gather while nobody needs them: more would let a sender send more than its part of the limit in a short time. */
-const MOST_PLACES = 1;
+const MOST_PERMITS = 1;
 
 /**
- * A limit, and this instance's places within it. A place is a request that may be written to the target; places come at this instance's part
+ * A limit, and this instance's permits within it. A permit is a request that may be written to the target; permits come at this instance's part
  * of the limit, so that over all instances a window holds what the limit allows and one more for each sender.
  */
 export class TargetLimit {
@@ -41,7 +41,7 @@
 	/** When what holds was last named, by the target or by control. */
 	private _namedAt: Millis = Number.NEGATIVE_INFINITY;
 	private _told: number | undefined;
-	private _places = 0;
+	private _permits = 0;
 	private _refilledAt: Millis = 0;
 
 	/** Requests a second that the target takes from all instances together; undefined where it names no limit. */
@@ -84,26 +84,26 @@
 	 * Whether a request may be written to the target now.
 	 * @param share this instance's part of the limit, 0 to 1
 	 */
-	hasPlace(share: number, now: Millis): boolean {
-		return this.placeInMs(share, now) === 0;
+	hasPermit(share: number, now: Millis): boolean {
+		return this.permitInMs(share, now) === 0;
 	}
 
-	/** Takes a place, if there is one. */
-	takePlace(share: number, now: Millis): boolean {
-		const isThere = this.hasPlace(share, now);
+	/** Takes a permit, if there is one. */
+	takePermit(share: number, now: Millis): boolean {
+		const isThere = this.hasPermit(share, now);
 		if (isThere && this._perSecond !== undefined) {
-			this._places--;
+			this._permits--;
 		}
 		return isThere;
 	}
 
-	/** A place was not used: nothing was written. */
+	/** A permit was not used: nothing was written. */
 	giveBack(): void {
-		this._places = Math.min(MOST_PLACES, this._places + 1);
+		this._permits = Math.min(MOST_PERMITS, this._permits + 1);
 	}
 
-	/** When the next place comes; 0 where there is one or no limit, infinite for an instance without a part. */
-	placeInMs(share: number, now: Millis): Millis {
+	/** When the next permit comes; 0 where there is one or no limit, infinite for an instance without a part. */
+	permitInMs(share: number, now: Millis): Millis {
 		if (this._perSecond === undefined) {
 			return 0;
 		}
@@ -111,16 +111,16 @@
 			return Number.POSITIVE_INFINITY;
 		}
 		const perMs = (share * Math.max(LEAST_PER_SECOND, this._perSecond)) / 1000;
-		this._places = Math.min(MOST_PLACES, this._places + (now - this._refilledAt) * perMs);
+		this._permits = Math.min(MOST_PERMITS, this._permits + (now - this._refilledAt) * perMs);
 		this._refilledAt = now;
-		return this._places >= 1 ? 0 : (1 - this._places) / perMs;
+		return this._permits >= 1 ? 0 : (1 - this._permits) / perMs;
 	}
 
 	private _set(perSecond: number | undefined, now: Millis): LimitChange | undefined {
 		this._namedAt = now;
 		const change = changeOf(this._perSecond, perSecond);
 		if (change === LimitChange.Named) {
-			this._places = 0;
+			this._permits = 0;
 			this._refilledAt = now;
 		}
 		if (change !== undefined) {
--- a/src/plugins/limits/common/targetLimitTable.ts
+++ b/src/plugins/limits/common/targetLimitTable.ts
@@ -4,7 +4,7 @@
 
 /**
  * The limits of all targets as one entry instance knows them; pure, it is told the time. The senders in a target's record hold equal parts of
- * its limit. Any other instance asks one of them for a place for each request: so the sum is what the senders let through, whoever believes
+ * its limit. Any other instance asks one of them for a permit for each request: so the sum is what the senders let through, whoever believes
  * what, and callers need not come to a sender for the limit to be used, or for its end to be heard.
  */
 
@@ -14,13 +14,13 @@
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import type { ToldLimit } from '../../fleet/common/fleetWire.js';
 import type { PaceShare } from '../../fleet/common/paceShare.js';
-import type { PlaceAnswer, PlaceRequest } from './placeWire.js';
+import type { PermitAnswer, PermitRequest } from './permitWire.js';
 import { type LimitWord, TargetLimit } from './targetLimit.js';
 import type { ITargetRoom, LimitedTarget, TargetLimitEvent } from './targetLimits.js';
 
 /** Part of a limit that it may be off before control is told of it anew: senders go by the answers of their target. */
 const TOLD_APART = 0.1;
-/** A sender that has no place is not asked again before this, however soon it may have one. */
+/** A sender that has no permit is not asked again before this, however soon it may have one. */
 const LEAST_WAIT_MS: Millis = 25;
 /** A sender that gave no answer, or does not hold a part any more, is asked again after this. */
 const NO_ANSWER_WAIT_MS: Millis = 1000;
@@ -66,14 +66,14 @@
 			return true;
 		}
 		const share = this._share.of(record);
-		return share > 0 ? known.limit.hasPlace(share, now) : mayAsk && this.lender(record, now) !== undefined;
+		return share > 0 ? known.limit.hasPermit(share, now) : mayAsk && this.lender(record, now) !== undefined;
 	}
 
-	placeInMs(record: TargetRecord, now: Millis): Millis {
+	permitInMs(record: TargetRecord, now: Millis): Millis {
 		const known = this._knownOf(record, now);
 		const share = this._share.of(record);
 		if (!known || share > 0) {
-			return known?.limit.placeInMs(share, now) ?? 0;
+			return known?.limit.permitInMs(share, now) ?? 0;
 		}
 		return Math.max(0, Math.min(...this._lenders(record).map(({ name }) => this._askFrom(record, name))) - now);
 	}
@@ -93,13 +93,13 @@
 		}
 	}
 
-	/** Takes a place of this instance's own part. */
+	/** Takes a permit of this instance's own part. */
 	takeOwn(record: TargetRecord, now: Millis): boolean {
 		const share = this._share.of(record);
-		return share > 0 && (this._knownOf(record, now)?.limit.takePlace(share, now) ?? true);
+		return share > 0 && (this._knownOf(record, now)?.limit.takePermit(share, now) ?? true);
 	}
 
-	/** A place of this instance's own part was not used. */
+	/** A permit of this instance's own part was not used. */
 	giveBack({ id, bornAt }: TargetRecord): void {
 		const known = this._limits.get(id);
 		if (known?.bornAt === bornAt) {
@@ -107,23 +107,23 @@
 		}
 	}
 
-	/** Another instance asks for a place. */
-	lend({ targetId, bornAt }: PlaceRequest, now: Millis): PlaceAnswer {
+	/** Another instance asks for a permit. */
+	lend({ targetId, bornAt }: PermitRequest, now: Millis): PermitAnswer {
 		const record = this._view.target(targetId)?.record;
 		const share = record?.bornAt === bornAt ? this._share.of(record) : 0;
 		if (!record || share === 0) {
 			return { isGranted: false, waitMs: NO_ANSWER_WAIT_MS };
 		}
 		const isGranted = this.takeOwn(record, now);
-		return { isGranted, waitMs: isGranted ? 0 : this.placeInMs(record, now) };
+		return { isGranted, waitMs: isGranted ? 0 : this.permitInMs(record, now) };
 	}
 
-	/** The sender to ask for a place; undefined where none can be asked now. */
+	/** The sender to ask for a permit; undefined where none can be asked now. */
 	lender(record: TargetRecord, now: Millis): Lender | undefined {
 		return this._lenders(record).find(({ name }) => this._askFrom(record, name) <= now);
 	}
 
-	/** A sender had no place. */
+	/** A sender had no permit. */
 	noteDenied(record: TargetRecord, lender: string, waitMs: Millis, now: Millis): void {
 		this._knownOf(record, now)?.askFrom.set(lender, now + Math.max(LEAST_WAIT_MS, waitMs));
 	}
@@ -149,7 +149,7 @@
 		);
 	}
 
-	/** When there is use in asking a sender for a place. */
+	/** When there is use in asking a sender for a permit. */
 	private _askFrom({ id }: TargetRecord, lender: string): Millis {
 		const askFrom = this._limits.get(id)?.askFrom.get(lender) ?? Number.NEGATIVE_INFINITY;
 		return Math.max(askFrom, this._silentUntil.get(lender) ?? Number.NEGATIVE_INFINITY);
--- a/src/plugins/limits/common/targetLimits.ts
+++ b/src/plugins/limits/common/targetLimits.ts
@@ -28,7 +28,7 @@
 }
 
 /** Leave to write one request to a target with a limit. */
-export interface IPlace {
+export interface IPermit {
 	/** Nothing was written. */
 	giveBack(): void;
 }
@@ -38,12 +38,12 @@
 	/** Requests a second that a target takes from all instances together; undefined where it names no limit. */
 	perSecond(record: TargetRecord, now: Millis): number | undefined;
 	/**
-	 * Whether a target has no limit, or there may be a place for a request.
+	 * Whether a target has no limit, or there may be a permit for a request.
 	 * @param mayAsk whether another instance may be asked for one
 	 */
 	isOpen(record: TargetRecord, mayAsk: boolean, now: Millis): boolean;
-	/** When there may be a place; 0 where there may be one now. */
-	placeInMs(record: TargetRecord, now: Millis): Millis;
+	/** When there may be a permit; 0 where there may be one now. */
+	permitInMs(record: TargetRecord, now: Millis): Millis;
 }
 
 /** The limits of targets at one entry instance. */
@@ -54,8 +54,8 @@
 	hear(record: TargetRecord, word: LimitWord): void;
 	/** Since when what is known of a target's limit holds. */
 	knownSince(record: TargetRecord): Millis;
-	/** Takes a place for one request to a target with a limit, of this instance's part or of another's; undefined where there is none. */
-	take(record: TargetRecord): IPlace | undefined | Promise<IPlace | undefined>;
+	/** Takes a permit for one request to a target with a limit, of this instance's part or of another's; undefined where there is none. */
+	take(record: TargetRecord): IPermit | undefined | Promise<IPermit | undefined>;
 	/** The targets that name a limit now. */
 	limited(): readonly LimitedTarget[];
 }
--- a/src/plugins/limits/node/targetLimitsTask.ts
+++ b/src/plugins/limits/node/targetLimitsTask.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Gives places within the limits of targets to the requests of this instance, and to other entry instances. */
+/** Gives permits within the limits of targets to the requests of this instance, and to other entry instances. */
 
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
@@ -13,17 +13,17 @@
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
 import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
 import { PaceShare } from '../../fleet/common/paceShare.js';
-import { placeMethod } from '../common/placeWire.js';
+import { permitMethod } from '../common/permitWire.js';
 import type { LimitWord } from '../common/targetLimit.js';
-import type { IPlace, ITargetLimits, LimitedTarget } from '../common/targetLimits.js';
+import type { IPermit, ITargetLimits, LimitedTarget } from '../common/targetLimits.js';
 import { type Lender, TargetLimitTable } from '../common/targetLimitTable.js';
 
-/** A place that takes longer to get is worth less than the next target; one of another region may take 70 ms. */
-const PLACE_ANSWER_MS: Millis = 150;
+/** A permit that takes longer to get is worth less than the next target; one of another region may take 70 ms. */
+const PERMIT_ANSWER_MS: Millis = 150;
 const TELL_INTERVAL_MS: Millis = 250;
 
 /** What another instance gave is used at once, or lost. */
-const BORROWED: IPlace = { giveBack: () => undefined };
+const BORROWED: IPermit = { giveBack: () => undefined };
 
 /** The limits of targets at this instance. */
 export class TargetLimitsTask extends Disposable implements ITargetLimits {
@@ -38,7 +38,7 @@
 		super();
 		const { name } = settings.section<InstanceSettings>('instance');
 		this._table = new TargetLimitTable(_session.view, new PaceShare(name, () => _session.ageMs()));
-		_calls.handleUnary(placeMethod, async request => this._table.lend(request, systemClock.now()));
+		_calls.handleUnary(permitMethod, async request => this._table.lend(request, systemClock.now()));
 		this._register(this.onDidChange(({ source }) => source === 'target' && this._tell(true)));
 		const timer = setInterval(() => this._tell(false), TELL_INTERVAL_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
@@ -56,8 +56,8 @@
 		return this._table.isOpen(record, mayAsk, now);
 	}
 
-	placeInMs(record: TargetRecord, now: Millis): Millis {
-		return this._table.placeInMs(record, now);
+	permitInMs(record: TargetRecord, now: Millis): Millis {
+		return this._table.permitInMs(record, now);
 	}
 
 	hear(record: TargetRecord, word: LimitWord): void {
@@ -68,7 +68,7 @@
 		return this._table.knownSince(record);
 	}
 
-	take(record: TargetRecord): IPlace | undefined | Promise<IPlace | undefined> {
+	take(record: TargetRecord): IPermit | undefined | Promise<IPermit | undefined> {
 		const now = systemClock.now();
 		if (this._table.takeOwn(record, now)) {
 			return { giveBack: () => this._table.giveBack(record) };
@@ -86,17 +86,17 @@
 		this._session.tellLimits(this._table.untold(systemClock.now()), hasNews);
 	}
 
-	private async _borrow(record: TargetRecord, { name, address }: Lender): Promise<IPlace | undefined> {
+	private async _borrow(record: TargetRecord, { name, address }: Lender): Promise<IPermit | undefined> {
 		const { id: targetId, bornAt } = record;
 		try {
-			const answer = await this._calls.call(address, placeMethod, { targetId, bornAt }, PLACE_ANSWER_MS);
+			const answer = await this._calls.call(address, permitMethod, { targetId, bornAt }, PERMIT_ANSWER_MS);
 			if (answer.isGranted) {
 				return BORROWED;
 			}
 			this._table.noteDenied(record, name, answer.waitMs, systemClock.now());
 		} catch (error) {
 			const reason = (error as Error).message;
-			this._log.warn('no place got of a sender', { task: 'limits', target: targetId, sender: name, reason });
+			this._log.warn('no permit got of a sender', { task: 'limits', target: targetId, sender: name, reason });
 			this._table.noteSilent(name, systemClock.now());
 		}
 		return undefined;
--- a/test/bench/choice.ts
+++ b/test/bench/choice.ts
@@ -93,7 +93,7 @@
 		service: SERVICE,
 		tried: new Set<string>(),
 		refusals: 0,
-		placesAsked: 0,
+		permitsDenied: 0,
 		attempts: []
 	} as unknown as Journey;
 }
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -90,8 +90,8 @@
 	readonly mostOfLimit: number;
 	/** Part of the limits that was used in that time, on average. */
 	readonly usedOfLimit: number;
-	/** Calls for places within limits. */
-	readonly placeCalls: number;
+	/** Calls for permits within limits. */
+	readonly permitCalls: number;
 	/** Requests whose target did not have their object at hand. */
 	readonly firstTouches: number;
 	/** Objects that were asked for: no choice of targets needs fewer first touches. */
@@ -149,7 +149,7 @@
 		refused: 0,
 		turnedAway: 0,
 		duringRest: 0,
-		placeCalls: 0
+		permitCalls: 0
 	};
 	private readonly _limited = new Map<string, LimitedArrivals>();
 	private readonly _everLimited: LimitedArrivals[] = [];
@@ -386,7 +386,7 @@
 			service: SERVICE,
 			tried: new Set<string>(),
 			refusals: 0,
-			placesAsked: 0,
+			permitsDenied: 0,
 			attempts: []
 		} as unknown as Journey;
 		this._try(instance, journey, request);
@@ -416,25 +416,25 @@
 		if (!isLimited || instance.limits.takeOwn(record, this.now)) {
 			this._sendTo(instance, journey, chosen, request);
 		} else {
-			this._askForPlace(instance, journey, chosen, request);
+			this._askForPermit(instance, journey, chosen, request);
 		}
 	}
 
-	/** Asks a sender of the target for a place; without one the request looks for another target. */
-	private _askForPlace(instance: Instance, journey: Journey, chosen: ChosenTarget, request: CallerRequest): void {
+	/** Asks a sender of the target for a permit; without one the request looks for another target. */
+	private _askForPermit(instance: Instance, journey: Journey, chosen: ChosenTarget, request: CallerRequest): void {
 		const { record } = chosen.known;
 		const lender = instance.limits.lender(record, this.now);
 		const other = this._instances.find(({ name }) => name === lender?.name);
 		if (!other) {
-			journey.placesAsked++;
+			journey.permitsDenied++;
 			this._try(instance, journey, request);
 			return;
 		}
-		this._counts.placeCalls++;
+		this._counts.permitCalls++;
 		const wayMs = other.region === instance.region ? ROUND_TRIP_MS : FAR_ROUND_TRIP_MS;
 		const deny = (note: () => void): void => {
 			note();
-			journey.placesAsked++;
+			journey.permitsDenied++;
 			this._try(instance, journey, request);
 		};
 		if (this._chance() < (this._settings.lostCalls ?? 0)) {
--- a/test/loads/limitModel.ts
+++ b/test/loads/limitModel.ts
@@ -22,7 +22,7 @@
 	| 'parts'
 	/** Two senders hold equal parts, and the others leave the target out. */
 	| 'senders'
-	/** Two senders hold equal parts, and the others ask them for places. */
+	/** Two senders hold equal parts, and the others ask them for permits. */
 	| 'asked';
 
 /** The part of targets' limits that an instance holds, by the way that is weighed. */
