Parts of connections count the instances that are known, from the first answer on

Callers got 503 right after a start, beside load for seconds: an instance had one connection to each target for its part until a control instance had heard all others. The most instances ever told count now, whoever tells them: parts are larger for a moment where the one who answers has just started, and do not grow after a cut.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -53,7 +53,7 @@
 	private readonly _targets = new Map<string, KnownTarget>();
 	private readonly _byService = new Map<string, KnownTarget[]>();
 	private _entryCount = 1;
-	private _mostEntries = Number.POSITIVE_INFINITY;
+	private _mostEntries = 1;
 	private _regionEntries: readonly string[] = [];
 	private _hallPeers: readonly string[] = [];
 	private _senderAddresses: ReadonlyMap<string, string> = new Map();
@@ -82,7 +82,7 @@
 
 	/**
 	 * The most entry instances that this view ever knew of, for parts of what all of them may have: after a cut both sides hear of fewer,
-	 * and their parts must not grow. Infinite until somebody told who hears of all of them.
+	 * and their parts must not grow. Who answers right after its own start may know of fewer; to wait for all would refuse callers.
 	 */
 	get mostEntries(): number {
 		return this._mostEntries;
@@ -162,9 +162,7 @@
 	/** Takes in what the answerer heard from others. */
 	private _applyHearsay(response: SyncResponse, now: Millis): void {
 		this._entryCount = Math.max(1, response.entryCount);
-		if (response.hasHeardAll) {
-			this._mostEntries = Math.max(this._entryCount, Number.isFinite(this._mostEntries) ? this._mostEntries : 0);
-		}
+		this._mostEntries = Math.max(this._mostEntries, this._entryCount);
 		this._regionEntries = response.regionEntries;
 		this._hallPeers = response.hallPeers;
 		this._senderAddresses = new Map(response.limitSenders?.map(({ name, address }) => [name, address]));
