The test system tells control instances no regions again, as before: a target that starts is cold without senders there

Cause: since the mend of limits the test system told control the regions of halls, so that a target that starts again got senders and was served at once within its pace, and a test that asks it 20 times in a row went beyond that pace of a cold target.

--- a/test/platform/discoveredSystem.ts
+++ b/test/platform/discoveredSystem.ts
@@ -251,7 +251,7 @@
 
 	private _settings(instance: Instance, isFirstStart: boolean): string {
 		const seeds = this.controls.slice(0, 3).map(control => `${control.ip}:${CONTROL_PORT}`);
-		const halls = new Set([...this.controls, ...this.entries].map(({ hall }) => `${hall}:region-1`));
+		const halls = this.controls.map(control => `${control.hall}:region-1`);
 		const lines = [
 			'[instance]',
 			`name = ${instance.kind}-${instance.ip.replaceAll('.', '-')}`,
@@ -261,8 +261,6 @@
 			'[discovery]',
 			`seeds = ${seeds.join(',')}`,
 			`firstStart = ${isFirstStart}`,
-			'[places]',
-			`halls = ${[...halls].join(',')}`,
 			'[metrics]',
 			`address = ${instance.ip}:${METRICS_PORT}`,
 			'[platform]',
@@ -274,6 +272,7 @@
 			lines.push('[listen]', `controlAddress = ${instance.ip}:${CONTROL_PORT}`);
 			lines.push(`directoryAddress = ${instance.ip}:${DIRECTORY_PORT}`);
 		} else {
+			lines.push('[places]', `halls = ${halls.join(',')}`);
 			lines.push(
 				'[front]',
 				`callerAddress = ${instance.ip}:${FRONT_PORT}`,
