Lost runs are told apart: abandoned attempts are watched, and the leader logs which reports count

Nothing showed what became of a target whose attempt this instance had given up, nor why control passed over a reported run. The leader logs each reported run with whether it counts and how late it came.

--- a/src/plugins/fleet/node/quarantineManager.ts
+++ b/src/plugins/fleet/node/quarantineManager.ts
@@ -22,6 +22,8 @@
 } from '../common/quarantineTypes.js';
 
 const LEADER_CALL_TIMEOUT_MS = 500;
+/** Maximum number of runs of one report that are logged one by one. */
+const MAX_LOGGED_RUNS = 8;
 
 /** Manages quarantined requests at a control instance. */
 export class QuarantineManager {
@@ -70,6 +72,7 @@
 	private async _commitReport({ endedRuns, answered }: RunReport): Promise<void> {
 		const now = systemClock.now();
 		const runs = endedRuns.filter(run => this._lossFilter.recordIfIndependent(run, now)).map(toCountedRun);
+		this._logReport(endedRuns, runs);
 		if (runs.length > 0) {
 			await this._propose({ type: 'noteRuns', runs });
 		}
@@ -95,6 +98,21 @@
 		await this._calls.call(address, reportRunsMethod, { report, isForwarded: true }, LEADER_CALL_TIMEOUT_MS);
 	}
 
+	/** Logs which reported runs counted, with the delay of the report; a report has as many lines as it has runs, up to a limit. */
+	private _logReport(reported: readonly ReportedLostRun[], counted: readonly CountedLostRun[]): void {
+		for (const run of reported.slice(0, MAX_LOGGED_RUNS)) {
+			const { digest, requestId, targetId: target, wasSuspected } = run;
+			const isCounted = counted.some(other => other.requestId === requestId && other.targetId === target);
+			const times = { sentAgoMs: Math.round(run.sentAgoMs), endedAgoMs: Math.round(run.endedAgoMs) };
+			const fields = { task: 'fleet', digest, requestId, target, wasSuspected, isCounted, ...times };
+			this._log.info('lost run reported', fields);
+		}
+		if (reported.length > MAX_LOGGED_RUNS) {
+			const fields = { task: 'fleet', runs: reported.length, counted: counted.length };
+			this._log.info('more lost runs reported than logged', fields);
+		}
+	}
+
 	private _logChanges({ records }: QuarantineSnapshot): void {
 		const before = this._loggedPhases;
 		this._loggedPhases = new Map(records.map(record => [record.digest, phaseOf(record)]));
--- a/src/plugins/forwarding/node/lostRunDetector.ts
+++ b/src/plugins/forwarding/node/lostRunDetector.ts
@@ -4,7 +4,7 @@
 
 /**
  * Detects requests whose target stopped while running them. A lost connection does not show that, since a running target may reset one
- * too; so the target is probed with a new connection, which a stopped target refuses.
+ * too; so the target is probed with a new connection, which a stopped target refuses. Targets of abandoned attempts are probed as well.
  */
 
 import { Counter } from 'prom-client';
@@ -15,8 +15,9 @@
 import type { IMetricsService } from '../../../kernel/node/metricsService.js';
 import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
 import { QuarantinePhase, type ObservedLostRun } from '../../fleet/common/quarantineTypes.js';
-import { type AttemptOutcome, ResponseFailureCause } from '../common/attempt.js';
+import { type AttemptOutcome, NotRunCause, ResponseFailureCause } from '../common/attempt.js';
 import { LogSampler } from '../common/requestTrace.js';
+import { AbandonedRunMonitor } from './abandonedRunMonitor.js';
 import type { RequestContext } from './requestContext.js';
 import { identityOf } from './requestDigest.js';
 import { TargetProbe } from './targets/targetProbe.js';
@@ -27,6 +28,7 @@
 	/** Fires for each run whose target stopped. */
 	readonly onDidLose = this._onDidLose.event;
 	private readonly _probe = new TargetProbe();
+	private readonly _abandonedRuns = this._register(new AbandonedRunMonitor(this._probe));
 	private readonly _sampler = new LogSampler();
 	private readonly _lostRuns: Counter;
 
@@ -38,50 +40,67 @@
 		this._lostRuns = new Counter({
 			name: 'shelffield_runs_lost_with_target_total',
 			help: 'Runs of requests whose target stopped while running them.',
+			labelNames: ['attempt'],
 			registers: [metrics.registry]
 		});
+		this._register(this._abandonedRuns.onDidLose(run => this._recordLostRun(run, 'abandoned')));
 	}
 
 	/**
-	 * Records the outcome of an attempt; probes the target in the background where its connection was lost.
+	 * Records the outcome of an attempt; probes the target in the background where it may have stopped.
 	 * @param sentAt when the attempt was sent, on the monotonic clock
 	 */
 	recordAttempt(context: RequestContext, target: TargetRecord, outcome: AttemptOutcome, sentAt: Millis): void {
 		const afterTargetId = context.lostTargetId;
 		context.lostTargetId = undefined;
-		if (outcome.type !== 'broken' || !isConnectionLoss(outcome.cause)) {
-			return;
+		if (outcome.type === 'broken' && isConnectionLoss(outcome.cause)) {
+			context.lostTargetId = target.id;
+			void this._reportIfTargetStopped(context, createRun(context, target, afterTargetId, sentAt), target.address);
+		} else if (outcome.type === 'abandoned' && outcome.mayHaveRun) {
+			this._abandonedRuns.watch(createRun(context, target, afterTargetId, sentAt), target);
+		} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.NoConnection) {
+			this._abandonedRuns.checkNow(target);
 		}
-		context.lostTargetId = target.id;
-		const run: ObservedLostRun = {
-			...identityOf(context),
-			requestId: context.exchange.requestId,
-			team: context.team?.name ?? '',
-			targetId: target.id,
-			wasSuspected: context.phase !== QuarantinePhase.Clear,
-			afterTargetId,
-			sentAt,
-			endedAt: systemClock.now()
-		};
-		void this._reportIfTargetStopped(context, run, target.address);
 	}
 
 	private async _reportIfTargetStopped(context: RequestContext, run: ObservedLostRun, address: string): Promise<void> {
-		const { digest, requestId, targetId: target, team, wasSuspected, sentAt, endedAt } = run;
-		if (!(await this._probe.refusesConnections(target, address))) {
-			return;
+		if (await this._probe.refusesConnections(run.targetId, address)) {
+			context.wasLostWithTarget = true;
+			this._recordLostRun(run, 'connection-lost');
+			this._onDidLose.fire(run);
 		}
-		context.wasLostWithTarget = true;
-		this._lostRuns.inc();
+	}
+
+	/** @param attempt how the attempt ended for this instance */
+	private _recordLostRun(run: ObservedLostRun, attempt: 'connection-lost' | 'abandoned'): void {
+		const { digest, requestId, targetId: target, team, wasSuspected, sentAt, endedAt } = run;
+		this._lostRuns.inc({ attempt });
 		if (this._sampler.admits(false, endedAt)) {
 			const ranMs = Math.round(endedAt - sentAt);
-			const fields = { task: 'forwarding', digest, requestId, target, team, wasSuspected, ranMs };
+			const fields = { task: 'forwarding', digest, requestId, target, team, wasSuspected, ranMs, attempt };
 			this._log.warn('target stopped while running a request', fields);
 		}
-		this._onDidLose.fire(run);
 	}
 }
 
+function createRun(
+	context: RequestContext,
+	target: TargetRecord,
+	afterTargetId: string | undefined,
+	sentAt: Millis
+): ObservedLostRun {
+	return {
+		...identityOf(context),
+		requestId: context.exchange.requestId,
+		team: context.team?.name ?? '',
+		targetId: target.id,
+		wasSuspected: context.phase !== QuarantinePhase.Clear,
+		afterTargetId,
+		sentAt,
+		endedAt: systemClock.now()
+	};
+}
+
 function isConnectionLoss(cause: ResponseFailureCause): boolean {
 	return cause === ResponseFailureCause.ConnectionLost || cause === ResponseFailureCause.ResponseTruncated;
 }
