--- /dev/null
+++ b/src/plugins/fleet/test/quarantineReports.test.ts
@@ -0,0 +1,83 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Guards against a count of lost runs that depends on the order in which instances report them. */
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
+import type { ILogService } from '../../../kernel/node/logService.js';
+import type { IAgreement } from '../../agreement/common/agreement.js';
+import type { PartCommand } from '../../agreement/common/replicatedState.js';
+import type { ReportRunsRequest } from '../common/fleetWire.js';
+import { QuarantineState } from '../common/quarantineState.js';
+import type { ReportedLostRun } from '../common/quarantineTypes.js';
+import { QuarantineManager } from '../node/quarantineManager.js';
+
+const DIGEST = 'd';
+
+/** Times in milliseconds before the reports. */
+interface LostRunTimes {
+	readonly sentAgoMs: number;
+	readonly endedAgoMs: number;
+}
+
+function lostRun(number: number, { sentAgoMs, endedAgoMs }: LostRunTimes): ReportedLostRun {
+	const identity = { digest: DIGEST, pathHash: 1, team: '' };
+	return { ...identity, requestId: `r-${number}`, targetId: `t-${number}`, wasSuspected: false, sentAgoMs, endedAgoMs };
+}
+
+/** Sends reports to a leader one after the other, and returns the number of runs that count against the request. */
+async function countAfterReports(reports: readonly (readonly ReportedLostRun[])[]): Promise<number> {
+	const state = new QuarantineState();
+	let report!: (request: ReportRunsRequest) => Promise<unknown>;
+	const calls = { handleUnary: (_method: unknown, handler: typeof report) => (report = handler) };
+	const agreement = {
+		hasLease: () => true,
+		status: () => ({ term: 1 }),
+		propose: async ({ body }: PartCommand) => state.apply(body)
+	};
+	const log = { info: () => undefined, warn: () => undefined };
+	new QuarantineManager(
+		calls as unknown as IPeerCalls,
+		agreement as unknown as IAgreement,
+		state,
+		log as unknown as ILogService
+	);
+	for (const endedRuns of reports) {
+		await report({ report: { endedRuns, answered: [] }, isForwarded: false });
+	}
+	return state.save().records.find(({ digest }) => digest === DIGEST)?.runs.length ?? 0;
+}
+
+test('lost runs of earlier times that are reported after a later one count', async () => {
+	const earlier = [
+		{ sentAgoMs: 9000, endedAgoMs: 8900 },
+		{ sentAgoMs: 5000, endedAgoMs: 4900 }
+	];
+	const runs = [{ sentAgoMs: 100, endedAgoMs: 10 }, ...earlier].map((times, i) => [lostRun(i, times)]);
+	assert.equal(await countAfterReports(runs), 3);
+});
+
+test('lost runs count the same in whichever order and however often they are reported', async () => {
+	const times = fc.record({ sentAgoMs: fc.integer({ min: 0, max: 6000 }), ranMs: fc.integer({ min: 0, max: 900 }) });
+	const history = fc
+		.array(times, { minLength: 1, maxLength: 9 })
+		.map(all =>
+			all.map(({ sentAgoMs, ranMs }, i) => lostRun(i, { sentAgoMs: sentAgoMs + ranMs + 1, endedAgoMs: sentAgoMs + 1 }))
+		);
+	const orders = history.chain(runs =>
+		fc.record({
+			inOrder: fc.constant([...runs].sort((a, b) => b.endedAgoMs - a.endedAgoMs)),
+			reordered: fc.shuffledSubarray([...runs, ...runs], { minLength: 2 * runs.length })
+		})
+	);
+	await fc.assert(
+		fc.asyncProperty(orders, async ({ inOrder, reordered }) => {
+			assert.equal(await countAfterReports([reordered]), await countAfterReports([inOrder]));
+		}),
+		{ seed: 49, numRuns: 300 }
+	);
+});
--- a/test/platform/platformTestSystem.ts
+++ b/test/platform/platformTestSystem.ts
@@ -41,11 +41,14 @@
 
 let systemCount = 0;
 
-/** Sends an HTTP request on a new connection; rejects if the connection is idle for the timeout (3 s by default). */
+/**
+ * Sends an HTTP request on a new connection; rejects if the connection is idle for the timeout (3 s by default), or if there is no
+ * response when the caller disconnects.
+ */
 export function sendHttpRequest(
 	method: string,
 	url: string,
-	options: { headers?: Record<string, string>; body?: string; timeoutMs?: number } = {}
+	options: { headers?: Record<string, string>; body?: string; timeoutMs?: number; disconnectAfterMs?: number } = {}
 ): Promise<HttpResponse> {
 	return new Promise((resolve, reject) => {
 		const request = httpRequest(url, {
@@ -55,6 +58,9 @@
 			timeout: options.timeoutMs ?? 3000
 		});
 		request.on('timeout', () => request.destroy(new Error('no response within the timeout')));
+		if (options.disconnectAfterMs !== undefined) {
+			setTimeout(() => request.destroy(new Error('disconnected by the caller')), options.disconnectAfterMs);
+		}
 		request.on('error', reject);
 		request.on('response', response => {
 			const chunks: Buffer[] = [];
@@ -187,7 +193,13 @@
 		entry: Instance,
 		method: string,
 		path: string,
-		options: { id?: string; body?: string; headers?: Record<string, string>; remainingMs?: number } = {}
+		options: {
+			id?: string;
+			body?: string;
+			headers?: Record<string, string>;
+			remainingMs?: number;
+			disconnectAfterMs?: number;
+		} = {}
 	): Promise<HttpResponse> {
 		const headers = {
 			Host: 'shop.example',
@@ -198,7 +210,8 @@
 		return sendHttpRequest(method, `http://${entry.ip}:${CALLER_PORT}${path}`, {
 			headers,
 			body: options.body,
-			timeoutMs: 6000
+			timeoutMs: 6000,
+			disconnectAfterMs: options.disconnectAfterMs
 		});
 	}
 
--- a/test/platform/restartingTargets.ts
+++ b/test/platform/restartingTargets.ts
@@ -29,6 +29,8 @@
 	readonly restartDelayMs: number;
 	/** Whether a request crashes the target that runs it. */
 	readonly crashesOn: (request: ReceivedRequest) => boolean;
+	/** Time that a particular request takes to run; the default where it is undefined. */
+	readonly workMsOf?: (request: ReceivedRequest) => number | undefined;
 }
 
 /** A pool of restarting targets of one service. */
@@ -70,6 +72,7 @@
 			slots: SLOTS,
 			workMs: WORK_MS,
 			paddingBytes: PADDING_BYTES,
+			workMsOf: this._options.workMsOf,
 			crashesOn: request => this._recordIfLost(request, id),
 			onCrashed: () => this._scheduleRestart(index)
 		});
--- a/test/platform/testTarget.ts
+++ b/test/platform/testTarget.ts
@@ -58,9 +58,11 @@
 	readonly workMs: number;
 	/** Length of the response body after the request id and a colon. */
 	readonly paddingBytes: number;
+	/** Time that a particular request takes to run; `workMs` where it is undefined. */
+	readonly workMsOf?: (request: ReceivedRequest) => number | undefined;
 	/** Whether a request crashes the target at the end of its run; by default none does. */
 	readonly crashesOn?: (request: ReceivedRequest) => boolean;
-	/** Called after a request crashed the target. */
+	/** Called once, after the first request that crashed the target. */
 	readonly onCrashed?: () => void;
 }
 
@@ -79,6 +81,7 @@
 	/** Maximum number of connections that were open at the same time. */
 	peakConnections = 0;
 	private _openConnections = 0;
+	private _hasCrashed = false;
 	private _runningRequests = 0;
 	private readonly _server: Server;
 
@@ -147,15 +150,25 @@
 		this.executedRequests.push(received);
 		this._runningRequests++;
 		response.on('close', () => (received.closedEarly = !response.writableFinished));
-		setTimeout(() => {
-			this._runningRequests--;
-			if (this.options.crashesOn?.(received)) {
-				this.crash();
-				this.options.onCrashed?.();
-				return;
-			}
-			this._respond(response, received, fault);
-		}, this.options.workMs);
+		setTimeout(
+			() => {
+				this._runningRequests--;
+				if (this.options.crashesOn?.(received)) {
+					this._crashOnce();
+					return;
+				}
+				this._respond(response, received, fault);
+			},
+			this.options.workMsOf?.(received) ?? this.options.workMs
+		);
+	}
+
+	private _crashOnce(): void {
+		if (!this._hasCrashed) {
+			this._hasCrashed = true;
+			this.crash();
+			this.options.onCrashed?.();
+		}
 	}
 
 	private _respond(response: ServerResponse, received: ReceivedRequest, fault: InjectedFault | undefined): void {
