Lost runs count the same in whichever order they are reported

Callers saw a request end seven more targets although these ends had been reported: while control had no leader the reports waited, and once one later run had been counted, each that ended before it lay "before the last one" and was passed over. Cause: the count was made by order of arrival. Now the leader keeps the reported runs of a request and counts the longest sequence in which each was sent after the one before had ended, by their times; so neither order nor repetition changes it, nor does what an earlier leader counted add up with losses of the same moment. An end that was noticed late counts as independent only from when the target was last known to run. Commits of counts run one at a time.

--- a/src/plugins/fleet/common/quarantineState.ts
+++ b/src/plugins/fleet/common/quarantineState.ts
@@ -6,7 +6,7 @@
 
 import { Emitter } from '../../../base/event.js';
 import type { IReplicatedPart } from '../../agreement/common/replicatedState.js';
-import type { CountedLostRun, QuarantineSnapshot, QuarantineRecord } from './quarantineTypes.js';
+import type { CountedLostRun, LostRun, QuarantineSnapshot, QuarantineRecord } from './quarantineTypes.js';
 import { RequestQuarantine } from './requestQuarantine.js';
 
 /** Id of this part of the replicated state. */
@@ -46,6 +46,16 @@
 		return this._snapshot;
 	}
 
+	/** All requests with lost runs that count, also those that are not suspected yet. */
+	get records(): readonly QuarantineRecord[] {
+		return this._requests.save();
+	}
+
+	/** The lost runs that count against a request, oldest first. */
+	countedRuns(digest: string): readonly LostRun[] {
+		return this._requests.get(digest)?.runs ?? [];
+	}
+
 	/** @returns whether the command changed the snapshot */
 	apply(body: unknown): boolean {
 		const isChanged = this._execute(body as QuarantineCommand);
--- a/src/plugins/fleet/common/quarantineTypes.ts
+++ b/src/plugins/fleet/common/quarantineTypes.ts
@@ -49,21 +49,26 @@
 	readonly afterTargetId?: string;
 	/** Time since the request was sent to the target. */
 	readonly sentAgoMs: Millis;
-	/** Time since the target terminated. */
+	/** Time since the termination of the target was noticed. */
 	readonly endedAgoMs: Millis;
+	/** Time since the target was last known to run; absent if its termination was noticed at once. */
+	readonly runningAgoMs?: Millis;
 }
 
 /** A lost run with times on the monotonic clock of the entry instance that observed it. */
-export interface ObservedLostRun extends Omit<ReportedLostRun, 'sentAgoMs' | 'endedAgoMs'> {
+export interface ObservedLostRun extends Omit<ReportedLostRun, 'sentAgoMs' | 'endedAgoMs' | 'runningAgoMs'> {
 	/** When the request was sent to the target. */
 	readonly sentAt: Millis;
-	/** When the target terminated. */
+	/** When the termination of the target was noticed. */
 	readonly endedAt: Millis;
+	/** When the target was last known to run; absent if its termination was noticed at once. */
+	readonly runningAt?: Millis;
 }
 
 /** Converts to relative times; `now` is on the same monotonic clock as the run. */
-export function toReportedRun({ sentAt, endedAt, ...run }: ObservedLostRun, now: Millis): ReportedLostRun {
-	return { ...run, sentAgoMs: now - sentAt, endedAgoMs: now - endedAt };
+export function toReportedRun({ sentAt, endedAt, runningAt, ...run }: ObservedLostRun, now: Millis): ReportedLostRun {
+	const runningAgoMs = runningAt === undefined ? undefined : now - runningAt;
+	return { ...run, sentAgoMs: now - sentAt, endedAgoMs: now - endedAt, runningAgoMs };
 }
 
 /** All suspected and quarantined requests at one revision. */
--- a/src/plugins/fleet/node/quarantineManager.ts
+++ b/src/plugins/fleet/node/quarantineManager.ts
@@ -4,13 +4,14 @@
 
 /** Handles reports of lost runs from entry instances; the leader commits them to the replicated log. */
 
+import PQueue from 'p-queue';
 import { systemClock } from '../../../base/clock.js';
 import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import type { IAgreement } from '../../agreement/common/agreement.js';
 import { FleetUnavailableError } from '../common/fleetControl.js';
 import { reportRunsMethod } from '../common/fleetWire.js';
-import { IndependentLossFilter } from '../common/independentLossFilter.js';
+import { LossEvidence } from '../common/lossEvidence.js';
 import { QUARANTINE_PART, type QuarantineCommand, type QuarantineState } from '../common/quarantineState.js';
 import {
 	type CountedLostRun,
@@ -27,7 +28,11 @@
 
 /** Manages quarantined requests at a control instance. */
 export class QuarantineManager {
-	private readonly _lossFilter = new IndependentLossFilter();
+	private readonly _evidence = new LossEvidence();
+	/** Term in which this instance collects evidence as the leader. */
+	private _term?: number;
+	/** Runs commits one at a time: which runs to count depends on those that are counted already. */
+	private readonly _commits = new PQueue({ concurrency: 1 });
 	private _loggedPhases: ReadonlyMap<string, QuarantinePhase> = new Map();
 
 	constructor(
@@ -71,14 +76,32 @@
 
 	private async _commitReport({ endedRuns, answered }: RunReport): Promise<void> {
 		const now = systemClock.now();
-		const runs = endedRuns.filter(run => this._lossFilter.recordIfIndependent(run, now)).map(toCountedRun);
-		this._logReport(endedRuns, runs);
+		this._startTerm();
+		endedRuns.forEach(run => this._evidence.add(run, now));
+		await this._commits.add(() => this._commitRuns(endedRuns));
+		if (answered.length > 0) {
+			answered.forEach(digest => this._evidence.clear(digest));
+			await this._commits.add(() => this._propose({ type: 'clearRequests', digests: answered }));
+		}
+	}
+
+	/** Starts anew in a new term: what an earlier leader counted is in the replicated state, without times. */
+	private _startTerm(): void {
+		const { term } = this._agreement.status();
+		if (term !== this._term) {
+			this._term = term;
+			const counts = this._state.records.map(({ digest, runs }) => [digest, runs.length] as const);
+			this._evidence.restart(new Map(counts), systemClock.now());
+		}
+	}
+
+	private async _commitRuns(reported: readonly ReportedLostRun[]): Promise<void> {
+		const digests = [...new Set(reported.map(({ digest }) => digest))];
+		const runs = digests.flatMap(digest => this._evidence.uncountedRuns(digest, this._state.countedRuns(digest)));
 		if (runs.length > 0) {
 			await this._propose({ type: 'noteRuns', runs });
 		}
-		if (answered.length > 0) {
-			await this._propose({ type: 'clearRequests', digests: answered });
-		}
+		this._logReport(reported, runs);
 	}
 
 	private async _propose(body: QuarantineCommand): Promise<void> {
@@ -131,7 +154,3 @@
 		}
 	}
 }
-
-function toCountedRun({ digest, pathHash, team, requestId, targetId }: ReportedLostRun): CountedLostRun {
-	return { digest, pathHash, team, requestId, targetId };
-}
--- a/src/plugins/fleet/test/quarantine.test.ts
+++ b/src/plugins/fleet/test/quarantine.test.ts
@@ -7,7 +7,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { QuarantineView } from '../common/quarantineView.js';
-import { IndependentLossFilter } from '../common/independentLossFilter.js';
+import { LossEvidence } from '../common/lossEvidence.js';
 import { QuarantineState } from '../common/quarantineState.js';
 import { type CountedLostRun, QuarantinePhase, type ReportedLostRun } from '../common/quarantineTypes.js';
 import { RequestQuarantine } from '../common/requestQuarantine.js';
@@ -46,30 +46,55 @@
 	assert.equal(quarantine.phase('d'), QuarantinePhase.Clear);
 });
 
+/** Adds runs of one request to an evidence, one report after the other, and returns how many of them count. */
+function countOf(runs: readonly ReportedLostRun[]): number {
+	const evidence = new LossEvidence();
+	runs.forEach(reported => evidence.add(reported, 0));
+	return evidence.uncountedRuns('d', []).length;
+}
+
 test('targets that terminate together count once, in whichever order they are reported', () => {
-	const filter = new IndependentLossFilter();
-	assert.equal(filter.recordIfIndependent(reportedRun(1, 0, 1000), 0), true);
-	assert.equal(filter.recordIfIndependent(reportedRun(2, 900, 1000), 0), false);
-	assert.equal(
-		filter.recordIfIndependent(reportedRun(3, 1100, 1600), 0),
-		false,
-		'sent when its sender may not have noticed the first loss'
-	);
-	assert.equal(filter.recordIfIndependent(reportedRun(4, 1500, 1900), 0), true);
-	assert.equal(filter.recordIfIndependent(reportedRun(4, 1500, 1900), 0), true, 'reported again');
+	const together = [reportedRun(1, 0, 1000), reportedRun(2, 900, 1000)];
+	assert.equal(countOf(together), 1);
+	assert.equal(countOf([...together].reverse()), 1);
+	const notNoticed = reportedRun(3, 1100, 1600);
+	assert.equal(countOf([...together, notNoticed]), 1, 'sent when its sender may not have noticed the first loss');
+	const later = reportedRun(4, 1500, 1900);
+	assert.equal(countOf([...together, notNoticed, later]), 2);
+	assert.equal(countOf([...together, notNoticed, later, later]), 2, 'reported again');
 });
 
 test('a run counts if it was certainly sent after the previous one: in the same attempt, or by an instance that knew of the suspicion', () => {
-	const filter = new IndependentLossFilter();
-	assert.equal(filter.recordIfIndependent(reportedRun(1, 0, 1000), 0), true);
+	const first = reportedRun(1, 0, 1000);
 	const again = { requestId: 'r-1', afterTargetId: 't-1' };
-	assert.equal(
-		filter.recordIfIndependent(reportedRun(2, 1001, 1002, again), 0),
-		false,
-		'two targets of one hall that terminate together'
-	);
-	assert.equal(filter.recordIfIndependent(reportedRun(3, 1001, 1080, again), 0), true);
-	assert.equal(filter.recordIfIndependent(reportedRun(4, 1100, 1180, { wasSuspected: true }), 0), true);
+	const together = reportedRun(2, 1001, 1002, again);
+	assert.equal(countOf([first, together]), 1, 'two targets of one hall that terminate together');
+	const next = reportedRun(3, 1001, 1080, again);
+	assert.equal(countOf([first, together, next]), 2);
+	assert.equal(countOf([first, together, next, reportedRun(4, 1100, 1180, { wasSuspected: true })]), 3);
+});
+
+test('a run whose target may have terminated together with that of the previous one does not count', () => {
+	const first = reportedRun(1, 0, 1000);
+	const abandoned = { wasSuspected: true, runningAgoMs: -990 };
+	assert.equal(countOf([first, reportedRun(2, 900, 1400, abandoned)]), 1);
+	assert.equal(countOf([first, reportedRun(2, 900, 1400, { wasSuspected: true, runningAgoMs: -1100 })]), 2);
+});
+
+test('runs that an earlier leader counted are counted on, and its simultaneous losses do not count again', () => {
+	const evidence = new LossEvidence();
+	evidence.restart(new Map([['d', 1]]), 2000);
+	evidence.add(reportedRun(2, 900, 1000), 0);
+	assert.deepEqual(evidence.uncountedRuns('d', [run('d', 1)]), []);
+	evidence.add(reportedRun(3, 2100, 2200), 0);
+	assert.equal(evidence.uncountedRuns('d', [run('d', 1)]).length, 1);
+	evidence.clear('d');
+	assert.deepEqual(evidence.uncountedRuns('d', []), []);
+});
+
+test('of very many losses that end one shortly after the other, a sequence remains', () => {
+	const runs = Array.from({ length: 400 }, (_, i) => reportedRun(i, i * 10, i * 10 + 5));
+	assert.ok(countOf(runs) >= 5);
 });
 
 test('requests of one team do not evict those of another, and quarantined requests outlast the others', () => {
--- a/src/plugins/forwarding/node/quarantineGuard.ts
+++ b/src/plugins/forwarding/node/quarantineGuard.ts
@@ -11,7 +11,7 @@
 import { Disposable } from '../../../base/disposable.js';
 import type { IFleetSession } from '../../fleet/common/fleetSession.js';
 import { QuarantineView } from '../../fleet/common/quarantineView.js';
-import { IndependentLossFilter } from '../../fleet/common/independentLossFilter.js';
+import { LossEvidence } from '../../fleet/common/lossEvidence.js';
 import { QuarantinePhase, type ObservedLostRun, toReportedRun } from '../../fleet/common/quarantineTypes.js';
 import { RequestQuarantine } from '../../fleet/common/requestQuarantine.js';
 import type { AttemptOutcome } from '../common/attempt.js';
@@ -22,7 +22,7 @@
 /** Looks up and updates the quarantine phase of requests at this instance. */
 export class QuarantineGuard extends Disposable {
 	private readonly _localQuarantine = new RequestQuarantine();
-	private readonly _localLossOrder = new IndependentLossFilter();
+	private readonly _localEvidence = new LossEvidence();
 	private readonly _localView = new QuarantineView();
 
 	constructor(
@@ -67,15 +67,16 @@
 	private _onRunLost(run: ObservedLostRun): void {
 		this._session.reportRun(run);
 		const now = systemClock.now();
-		if (
-			this._localLossOrder.recordIfIndependent(toReportedRun(run, now), now) &&
-			this._localQuarantine.recordRun(run)
-		) {
+		this._localEvidence.add(toReportedRun(run, now), now);
+		const counted = this._localQuarantine.get(run.digest)?.runs ?? [];
+		const uncounted = this._localEvidence.uncountedRuns(run.digest, counted);
+		if (uncounted.filter(other => this._localQuarantine.recordRun(other)).length > 0) {
 			this._refreshLocalView();
 		}
 	}
 
 	private _clear(digest: string): void {
+		this._localEvidence.clear(digest);
 		if (this._localQuarantine.clear(digest)) {
 			this._refreshLocalView();
 		}
--- a/test/loads/lossModel.ts
+++ b/test/loads/lossModel.ts
@@ -13,7 +13,7 @@
 import { rendezvousRank } from '../../src/base/hashing.js';
 import type { IFleetSession } from '../../src/plugins/fleet/common/fleetSession.js';
 import { QuarantineView } from '../../src/plugins/fleet/common/quarantineView.js';
-import { IndependentLossFilter } from '../../src/plugins/fleet/common/independentLossFilter.js';
+import { LossEvidence } from '../../src/plugins/fleet/common/lossEvidence.js';
 import { QuarantineState } from '../../src/plugins/fleet/common/quarantineState.js';
 import {
 	QuarantinePhase,
@@ -100,7 +100,7 @@
 	private readonly _targets: Target[];
 	private readonly _instances: Instance[];
 	private readonly _controlState = new QuarantineState();
-	private readonly _independentLosses = new IndependentLossFilter();
+	private readonly _evidence = new LossEvidence();
 	private readonly _events = new TinyQueue<ScheduledEvent>([], (a, b) => a.at - b.at || a.order - b.order);
 	private readonly _counts = {
 		answered: 0,
@@ -200,16 +200,17 @@
 	private _reportRun(run: ObservedLostRun): void {
 		const reportedRun = toReportedRun(run, this.now);
 		this._scheduleIn(this._settings.propagationMs * (0.5 + this._nextRandom()), () => {
-			if (this._independentLosses.recordIfIndependent(reportedRun, this.now)) {
-				this._controlState.apply({ type: 'noteRuns', runs: [run] });
-			}
+			this._evidence.add(reportedRun, this.now);
+			const counted = this._controlState.countedRuns(run.digest);
+			this._controlState.apply({ type: 'noteRuns', runs: this._evidence.uncountedRuns(run.digest, counted) });
 		});
 	}
 
 	private _reportAnswer(digest: string): void {
-		this._scheduleIn(this._settings.propagationMs, () =>
-			this._controlState.apply({ type: 'clearRequests', digests: [digest] })
-		);
+		this._scheduleIn(this._settings.propagationMs, () => {
+			this._evidence.clear(digest);
+			this._controlState.apply({ type: 'clearRequests', digests: [digest] });
+		});
 	}
 
 	private _sendRequest(path: string): void {
