Runs that an instance abandoned count as lost where their target stopped

Callers saw a request end 22 targets, 11 of them long after three: each time its caller had left, or its deadline had passed, before the target ended. Cause: only an attempt with a lost connection was evidence; of 22 ends 22 were seen by the watch of abandoned attempts and none counted. Now such a run is reported when its target is found stopped within 1.5 s after it was abandoned.

Each end of a target accuses many more requests then, so what counts is narrowed: not where targets mostly go on after abandoned runs of the request (at this instance), not a run from before an answer (reports carry the last answer, and instances report one when a request becomes suspected), not a run on a target that a request with more stopped targets was running on; and the decisive run counts 600 ms later where two requests were lost with the same targets. What an instance saw alone refuses a request only while it has no current view of control.

--- a/src/plugins/fleet/common/fleetSession.ts
+++ b/src/plugins/fleet/common/fleetSession.ts
@@ -26,6 +26,8 @@
 	reportRun(run: ObservedLostRun): void;
 	/** Reports that a target answered a suspected or quarantined request; sent like a lost run. */
 	reportAnswer(digest: string): void;
+	/** Reports when a target last answered a request that became suspected after that; sent like a lost run. */
+	reportEarlierAnswer(digest: string, answeredAt: Millis): void;
 	/** Sets the target limits that are missing from the replicated records; sent with each sync, and at once if `hasChanged`. */
 	reportLimits(limits: readonly ReportedLimit[], hasChanged: boolean): void;
 	/** Sets whether this instance accepts callers; sent at once. */
--- a/src/plugins/fleet/common/quarantineTypes.ts
+++ b/src/plugins/fleet/common/quarantineTypes.ts
@@ -53,22 +53,31 @@
 	readonly endedAgoMs: Millis;
 	/** Time since the target was last known to run; absent if its termination was noticed at once. */
 	readonly runningAgoMs?: Millis;
+	/** Time since a target last answered the request to this instance; absent if none did lately. */
+	readonly answeredAgoMs?: Millis;
 }
 
 /** A lost run with times on the monotonic clock of the entry instance that observed it. */
-export interface ObservedLostRun extends Omit<ReportedLostRun, 'sentAgoMs' | 'endedAgoMs' | 'runningAgoMs'> {
+export interface ObservedLostRun extends Omit<
+	ReportedLostRun,
+	'sentAgoMs' | 'endedAgoMs' | 'runningAgoMs' | 'answeredAgoMs'
+> {
 	/** When the request was sent to the target. */
 	readonly sentAt: Millis;
 	/** When the termination of the target was noticed. */
 	readonly endedAt: Millis;
 	/** When the target was last known to run; absent if its termination was noticed at once. */
 	readonly runningAt?: Millis;
+	/** When a target last answered the request to this instance; absent if none did lately. */
+	readonly answeredAt?: Millis;
 }
 
 /** Converts to relative times; `now` is on the same monotonic clock as the run. */
-export function toReportedRun({ sentAt, endedAt, runningAt, ...run }: ObservedLostRun, now: Millis): ReportedLostRun {
+export function toReportedRun(observed: ObservedLostRun, now: Millis): ReportedLostRun {
+	const { sentAt, endedAt, runningAt, answeredAt, ...run } = observed;
 	const runningAgoMs = runningAt === undefined ? undefined : now - runningAt;
-	return { ...run, sentAgoMs: now - sentAt, endedAgoMs: now - endedAt, runningAgoMs };
+	const answeredAgoMs = answeredAt === undefined ? undefined : now - answeredAt;
+	return { ...run, sentAgoMs: now - sentAt, endedAgoMs: now - endedAt, runningAgoMs, answeredAgoMs };
 }
 
 /** All suspected and quarantined requests at one revision. */
@@ -78,11 +87,19 @@
 	readonly records: readonly QuarantineRecord[];
 }
 
+/** The last answer to a request before it became suspected. */
+export interface EarlierAnswer {
+	readonly digest: string;
+	readonly agoMs: Millis;
+}
+
 /** What an entry instance reports about requests. */
 export interface RunReport {
 	readonly endedRuns: readonly ReportedLostRun[];
 	/** Digests of suspected requests that a target answered. */
 	readonly answered: readonly string[];
+	/** Requests that became suspected after a target had answered them. */
+	readonly earlierAnswers?: readonly EarlierAnswer[];
 }
 
 /** Number of counted lost runs from which a request is suspected. */
--- a/src/plugins/fleet/common/quarantineView.ts
+++ b/src/plugins/fleet/common/quarantineView.ts
@@ -12,6 +12,9 @@
 	private readonly _onDidClear = new Emitter<string>();
 	/** Fires with the digest of each request that left the snapshot: a target answered it, an operator released it, or it was evicted. */
 	readonly onDidClear = this._onDidClear.event;
+	private readonly _onDidList = new Emitter<string>();
+	/** Fires with the digest of each request that enters the snapshot. */
+	readonly onDidList = this._onDidList.event;
 	private _revision = 0;
 	private _records: ReadonlyMap<string, QuarantineRecord> = new Map();
 	private _pathHashes: ReadonlySet<number> = new Set();
@@ -35,6 +38,11 @@
 				this._onDidClear.fire(digest);
 			}
 		}
+		for (const digest of this._records.keys()) {
+			if (!before.has(digest)) {
+				this._onDidList.fire(digest);
+			}
+		}
 	}
 
 	/** Whether no request is suspected or quarantined. */
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -115,6 +115,10 @@
 		this._runReporter.reportAnswer(digest);
 	}
 
+	reportEarlierAnswer(digest: string, answeredAt: Millis): void {
+		this._runReporter.reportEarlierAnswer(digest, answeredAt);
+	}
+
 	reportLimits(limits: readonly ReportedLimit[], hasNews: boolean): void {
 		this._limits = limits.slice(0, MAX_LIMITS_PER_CALL);
 		if (hasNews && !this._isLimitSyncScheduled && this._controlSelector.activeAddress !== undefined) {
--- a/src/plugins/fleet/node/quarantineManager.ts
+++ b/src/plugins/fleet/node/quarantineManager.ts
@@ -11,7 +11,7 @@
 import type { IAgreement } from '../../agreement/common/agreement.js';
 import { FleetUnavailableError } from '../common/fleetControl.js';
 import { reportRunsMethod } from '../common/fleetWire.js';
-import { LossEvidence } from '../common/lossEvidence.js';
+import { CONTESTED_DELAY_MS, LossEvidence } from '../common/lossEvidence.js';
 import { QUARANTINE_PART, type QuarantineCommand, type QuarantineState } from '../common/quarantineState.js';
 import {
 	type CountedLostRun,
@@ -19,7 +19,8 @@
 	phaseOf,
 	QuarantinePhase,
 	type RunReport,
-	type ReportedLostRun
+	type ReportedLostRun,
+	QUARANTINE_THRESHOLD
 } from '../common/quarantineTypes.js';
 
 const LEADER_CALL_TIMEOUT_MS = 500;
@@ -74,15 +75,18 @@
 		}
 	}
 
-	private async _commitReport({ endedRuns, answered }: RunReport): Promise<void> {
+	private async _commitReport({ endedRuns, answered, earlierAnswers = [] }: RunReport): Promise<void> {
 		const now = systemClock.now();
 		this._startTerm();
 		endedRuns.forEach(run => this._evidence.add(run, now));
 		await this._commits.add(() => this._commitRuns(endedRuns));
+		this._recountLater(endedRuns);
 		if (answered.length > 0) {
-			answered.forEach(digest => this._evidence.clear(digest));
+			answered.forEach(digest => this._evidence.recordAnswer(digest, now));
 			await this._commits.add(() => this._propose({ type: 'clearRequests', digests: answered }));
 		}
+		earlierAnswers.forEach(({ digest, agoMs }) => this._evidence.recordAnswer(digest, now - agoMs));
+		await this._commits.add(() => this._clearUnsupported(earlierAnswers.map(({ digest }) => digest)));
 	}
 
 	/** Starts anew in a new term: what an earlier leader counted is in the replicated state, without times. */
@@ -95,13 +99,51 @@
 		}
 	}
 
+	/** Counts again when the decisive runs of contested requests count; if that fails, the next report does. */
+	private _recountLater(reported: readonly ReportedLostRun[]): void {
+		const digests = digestsOf(reported);
+		if (digests.length === 0) {
+			return;
+		}
+		const recount = async (): Promise<void> => {
+			try {
+				await this._commits.add(() => this._commitUncounted(digests));
+			} catch (error) {
+				const reason = (error as Error).message;
+				this._log.warn('cannot count lost runs', { task: 'fleet', requests: digests.length, reason });
+			}
+		};
+		setTimeout(() => void recount(), CONTESTED_DELAY_MS);
+	}
+
 	private async _commitRuns(reported: readonly ReportedLostRun[]): Promise<void> {
-		const digests = [...new Set(reported.map(({ digest }) => digest))];
-		const runs = digests.flatMap(digest => this._evidence.uncountedRuns(digest, this._state.countedRuns(digest)));
+		this._logReport(reported, await this._commitUncounted(digestsOf(reported)));
+	}
+
+	private _isQuarantined(digest: string): boolean {
+		return this._state.countedRuns(digest).length >= QUARANTINE_THRESHOLD;
+	}
+
+	/** Clears requests of which more runs are counted than count now; those that do count are counted again. */
+	private async _clearUnsupported(candidates: readonly string[]): Promise<void> {
+		const digests = [...new Set(candidates)].filter(
+			digest => !this._evidence.supports(digest, this._state.countedRuns(digest))
+		);
+		if (digests.length > 0) {
+			await this._propose({ type: 'clearRequests', digests });
+			await this._commitUncounted(digests);
+		}
+	}
+
+	private async _commitUncounted(digests: readonly string[]): Promise<readonly CountedLostRun[]> {
+		const now = systemClock.now();
+		const runs = digests.flatMap(digest => this._evidence.uncountedRuns(digest, this._state.countedRuns(digest), now));
 		if (runs.length > 0) {
 			await this._propose({ type: 'noteRuns', runs });
+			const quarantined = digests.filter(digest => this._isQuarantined(digest));
+			await this._clearUnsupported(quarantined.flatMap(digest => this._evidence.relatedDigests(digest)));
 		}
-		this._logReport(reported, runs);
+		return runs;
 	}
 
 	private async _propose(body: QuarantineCommand): Promise<void> {
@@ -154,3 +196,7 @@
 		}
 	}
 }
+
+function digestsOf(runs: readonly ReportedLostRun[]): readonly string[] {
+	return [...new Set(runs.map(({ digest }) => digest))];
+}
--- a/src/plugins/fleet/node/runReporter.ts
+++ b/src/plugins/fleet/node/runReporter.ts
@@ -20,10 +20,17 @@
 /** Maximum number of pending runs, and of pending digests; the oldest are dropped beyond it. */
 const MAX_PENDING = 256;
 
+interface DatedAnswer {
+	readonly digest: string;
+	/** On the monotonic clock. */
+	readonly answeredAt: Millis;
+}
+
 /** Sends the lost runs and answers that the control instances have not yet accepted. */
 export class RunReporter {
 	private _pendingRuns: ObservedLostRun[] = [];
 	private _answeredDigests: string[] = [];
+	private _earlierAnswers: DatedAnswer[] = [];
 	private _isSending = false;
 	private _isStopped = false;
 
@@ -48,6 +55,12 @@
 		}
 	}
 
+	/** Queues when a request that became suspected was last answered. */
+	reportEarlierAnswer(digest: string, answeredAt: Millis): void {
+		this._earlierAnswers.push({ digest, answeredAt });
+		this._startSending();
+	}
+
 	/** Stops sending; pending reports are discarded. */
 	stop(): void {
 		this._isStopped = true;
@@ -56,20 +69,27 @@
 	private _startSending(): void {
 		this._pendingRuns = this._pendingRuns.slice(-MAX_PENDING);
 		this._answeredDigests = this._answeredDigests.slice(-MAX_PENDING);
+		this._earlierAnswers = this._earlierAnswers.slice(-MAX_PENDING);
 		if (!this._isSending) {
 			this._isSending = true;
 			void this._sendPending();
 		}
 	}
 
+	private get _hasPending(): boolean {
+		return this._pendingRuns.length + this._answeredDigests.length + this._earlierAnswers.length > 0;
+	}
+
 	private async _sendPending(): Promise<void> {
 		await pause(BATCH_WINDOW_MS);
-		for (let attempt = 0; !this._isStopped && this._pendingRuns.length + this._answeredDigests.length > 0; attempt++) {
+		for (let attempt = 0; !this._isStopped && this._hasPending; attempt++) {
 			const runs = this._pendingRuns;
 			const answered = this._answeredDigests;
-			if (await this._send(attempt, runs, answered)) {
+			const earlier = this._earlierAnswers;
+			if (await this._send(attempt, runs, answered, earlier)) {
 				this._pendingRuns = this._pendingRuns.filter(run => !runs.includes(run));
 				this._answeredDigests = this._answeredDigests.filter(digest => !answered.includes(digest));
+				this._earlierAnswers = this._earlierAnswers.filter(answer => !earlier.includes(answer));
 			} else {
 				await pause(attempt < this._controlAddresses().length ? RETRY_PAUSE_MS : SLOW_RETRY_PAUSE_MS);
 			}
@@ -84,7 +104,8 @@
 	private async _send(
 		attempt: number,
 		runs: readonly ObservedLostRun[],
-		answered: readonly string[]
+		answered: readonly string[],
+		earlier: readonly DatedAnswer[]
 	): Promise<boolean> {
 		const controls = this._controlAddresses();
 		const address = controls[attempt % Math.max(1, controls.length)];
@@ -92,7 +113,11 @@
 			return false;
 		}
 		const now = systemClock.now();
-		const report: RunReport = { endedRuns: runs.map(run => toReportedRun(run, now)), answered };
+		const report: RunReport = {
+			endedRuns: runs.map(run => toReportedRun(run, now)),
+			answered,
+			earlierAnswers: earlier.map(({ digest, answeredAt }) => ({ digest, agoMs: now - answeredAt }))
+		};
 		try {
 			await this._calls.call(address, reportRunsMethod, { report, isForwarded: false }, CALL_TIMEOUT_MS);
 			return true;
--- a/src/plugins/fleet/test/quarantine.test.ts
+++ b/src/plugins/fleet/test/quarantine.test.ts
@@ -50,7 +50,7 @@
 function countOf(runs: readonly ReportedLostRun[]): number {
 	const evidence = new LossEvidence();
 	runs.forEach(reported => evidence.add(reported, 0));
-	return evidence.uncountedRuns('d', []).length;
+	return evidence.uncountedRuns('d', [], 9000).length;
 }
 
 test('targets that terminate together count once, in whichever order they are reported', () => {
@@ -85,11 +85,11 @@
 	const evidence = new LossEvidence();
 	evidence.restart(new Map([['d', 1]]), 2000);
 	evidence.add(reportedRun(2, 900, 1000), 0);
-	assert.deepEqual(evidence.uncountedRuns('d', [run('d', 1)]), []);
+	assert.deepEqual(evidence.uncountedRuns('d', [run('d', 1)], 9000), []);
 	evidence.add(reportedRun(3, 2100, 2200), 0);
-	assert.equal(evidence.uncountedRuns('d', [run('d', 1)]).length, 1);
-	evidence.clear('d');
-	assert.deepEqual(evidence.uncountedRuns('d', []), []);
+	assert.equal(evidence.uncountedRuns('d', [run('d', 1)], 9000).length, 1);
+	evidence.recordAnswer('d', 2500);
+	assert.deepEqual(evidence.uncountedRuns('d', [], 9000), []);
 });
 
 test('of very many losses that end one shortly after the other, a sequence remains', () => {
--- a/src/plugins/forwarding/node/abandonedRunMonitor.ts
+++ b/src/plugins/forwarding/node/abandonedRunMonitor.ts
@@ -12,6 +12,7 @@
 import { Emitter } from '../../../base/event.js';
 import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
 import type { ObservedLostRun } from '../../fleet/common/quarantineTypes.js';
+import { AbandonedRunStatistics } from '../common/abandonedRunStatistics.js';
 import type { TargetProbe } from './targets/targetProbe.js';
 
 /** A target with abandoned runs is probed this often until all of them have expired. */
@@ -23,18 +24,26 @@
 /** Maximum number of runs that are watched; further ones are not. */
 const MAX_RUNS = 512;
 
+interface WatchedRun {
+	readonly run: ObservedLostRun;
+	readonly abandonedAt: Millis;
+	/** When the target was last known to run; later than `abandonedAt` if a probe has found it running. */
+	runningAt: Millis;
+}
+
 interface WatchedTarget {
 	readonly record: TargetRecord;
-	runs: ObservedLostRun[];
+	runs: WatchedRun[];
 	timer?: NodeJS.Timeout;
 }
 
 /** Watches the targets of abandoned runs for a while. */
 export class AbandonedRunMonitor extends Disposable {
 	private readonly _onDidLose = this._register(new Emitter<ObservedLostRun>());
-	/** Fires for each abandoned run whose target stopped. */
+	/** Fires for each abandoned run whose target stopped, unless targets mostly go on after such runs of the request. */
 	readonly onDidLose = this._onDidLose.event;
 	private readonly _targets = new Map<string, WatchedTarget>();
+	private readonly _statistics = new AbandonedRunStatistics();
 	private _runCount = 0;
 	private _probeTokens = MAX_PROBES_PER_SECOND;
 	private _refilledAt: Millis = 0;
@@ -52,7 +61,7 @@
 		const key = keyOf(record);
 		const target = this._targets.get(key) ?? { record, runs: [] };
 		this._targets.set(key, target);
-		target.runs.push(run);
+		target.runs.push({ run, abandonedAt: run.endedAt, runningAt: run.endedAt });
 		this._runCount++;
 		this._scheduleProbe(target);
 	}
@@ -74,17 +83,35 @@
 		target.timer = undefined;
 		const { id, address } = target.record;
 		const probedRuns = new Set(target.runs);
-		const hasStopped = this._takeProbeToken() && (await this._probe.refusesConnections(id, address));
+		const isProbed = this._takeProbeToken();
+		const hasStopped = isProbed && (await this._probe.refusesConnections(id, address));
 		const now = systemClock.now();
 		const lostRuns = hasStopped ? target.runs.filter(run => probedRuns.has(run)) : [];
+		if (isProbed && !hasStopped) {
+			probedRuns.forEach(run => this._recordRunning(run, now));
+		}
 		this._setRuns(
 			target,
-			target.runs.filter(run => isRemaining(run, now) && !lostRuns.includes(run))
+			target.runs.filter(run => now - run.abandonedAt < MAX_RUN_AFTER_ABANDON_MS && !lostRuns.includes(run))
 		);
-		lostRuns.forEach(run => this._onDidLose.fire({ ...run, endedAt: now }));
+		lostRuns.forEach(run => this._recordLost(run, now));
+	}
+
+	private _recordRunning(run: WatchedRun, now: Millis): void {
+		if (run.runningAt === run.abandonedAt && now - run.abandonedAt >= PROBE_INTERVAL_MS) {
+			this._statistics.recordSurvived(run.run.digest, now);
+			run.runningAt = now;
+		}
 	}
 
-	private _setRuns(target: WatchedTarget, runs: ObservedLostRun[]): void {
+	private _recordLost({ run, abandonedAt, runningAt }: WatchedRun, now: Millis): void {
+		this._statistics.recordLost(run.digest, runningAt > abandonedAt, now);
+		if (this._statistics.isSuspicious(run.digest)) {
+			this._onDidLose.fire({ ...run, runningAt, endedAt: now });
+		}
+	}
+
+	private _setRuns(target: WatchedTarget, runs: WatchedRun[]): void {
 		this._runCount += runs.length - target.runs.length;
 		target.runs = runs;
 		if (runs.length > 0) {
@@ -108,10 +135,6 @@
 	}
 }
 
-function isRemaining(run: ObservedLostRun, now: Millis): boolean {
-	return now - run.endedAt < MAX_RUN_AFTER_ABANDON_MS;
-}
-
 function keyOf({ id, bornAt }: TargetRecord): string {
 	return `${id} ${bornAt}`;
 }
--- a/src/plugins/forwarding/node/lostRunDetector.ts
+++ b/src/plugins/forwarding/node/lostRunDetector.ts
@@ -43,7 +43,7 @@
 			labelNames: ['attempt'],
 			registers: [metrics.registry]
 		});
-		this._register(this._abandonedRuns.onDidLose(run => this._recordLostRun(run, 'abandoned')));
+		this._register(this._abandonedRuns.onDidLose(run => this._reportLostRun(run, 'abandoned')));
 	}
 
 	/**
@@ -66,13 +66,12 @@
 	private async _reportIfTargetStopped(context: RequestContext, run: ObservedLostRun, address: string): Promise<void> {
 		if (await this._probe.refusesConnections(run.targetId, address)) {
 			context.wasLostWithTarget = true;
-			this._recordLostRun(run, 'connection-lost');
-			this._onDidLose.fire(run);
+			this._reportLostRun(run, 'connection-lost');
 		}
 	}
 
 	/** @param attempt how the attempt ended for this instance */
-	private _recordLostRun(run: ObservedLostRun, attempt: 'connection-lost' | 'abandoned'): void {
+	private _reportLostRun(run: ObservedLostRun, attempt: 'connection-lost' | 'abandoned'): void {
 		const { digest, requestId, targetId: target, team, wasSuspected, sentAt, endedAt } = run;
 		this._lostRuns.inc({ attempt });
 		if (this._sampler.admits(false, endedAt)) {
@@ -80,6 +79,7 @@
 			const fields = { task: 'forwarding', digest, requestId, target, team, wasSuspected, ranMs, attempt };
 			this._log.warn('target stopped while running a request', fields);
 		}
+		this._onDidLose.fire(run);
 	}
 }
 
--- a/src/plugins/forwarding/node/quarantineGuard.ts
+++ b/src/plugins/forwarding/node/quarantineGuard.ts
@@ -7,10 +7,11 @@
  * this instance observed itself, since control may be unreachable.
  */
 
-import { systemClock } from '../../../base/clock.js';
+import { type IClock, systemClock } from '../../../base/clock.js';
 import { Disposable } from '../../../base/disposable.js';
 import type { IFleetSession } from '../../fleet/common/fleetSession.js';
 import { QuarantineView } from '../../fleet/common/quarantineView.js';
+import { RecentAnswers } from '../../fleet/common/recentAnswers.js';
 import { LossEvidence } from '../../fleet/common/lossEvidence.js';
 import { QuarantinePhase, type ObservedLostRun, toReportedRun } from '../../fleet/common/quarantineTypes.js';
 import { RequestQuarantine } from '../../fleet/common/requestQuarantine.js';
@@ -19,19 +20,25 @@
 import type { LostRunDetector } from './lostRunDetector.js';
 import { identityOf, pathHashOf } from './requestDigest.js';
 
+/** With a view older than this, control does not count in time what instances report. */
+const MAX_VIEW_AGE_MS = 1500;
+
 /** Looks up and updates the quarantine phase of requests at this instance. */
 export class QuarantineGuard extends Disposable {
 	private readonly _localQuarantine = new RequestQuarantine();
 	private readonly _localEvidence = new LossEvidence();
 	private readonly _localView = new QuarantineView();
+	private readonly _recentAnswers = new RecentAnswers();
 
 	constructor(
 		private readonly _session: IFleetSession,
-		lostRunDetector: LostRunDetector
+		lostRunDetector: LostRunDetector,
+		private readonly _clock: IClock = systemClock
 	) {
 		super();
 		this._register(lostRunDetector.onDidLose(run => this._onRunLost(run)));
 		this._register(_session.view.quarantine.onDidClear(digest => this._clear(digest)));
+		this._register(_session.view.quarantine.onDidList(digest => this._reportEarlierAnswer(digest)));
 	}
 
 	/** The quarantine phase of a request; computes no digest unless the path hash matches a suspected or quarantined request. */
@@ -45,7 +52,13 @@
 			return QuarantinePhase.Clear;
 		}
 		const { digest } = identityOf(context);
-		return Math.max(quarantine.phase(digest), this._localView.phase(digest));
+		return Math.max(quarantine.phase(digest), this._localPhase(digest));
+	}
+
+	/** While control counts, a request that only this instance has seen lost is not refused: others may have seen answers to it. */
+	private _localPhase(digest: string): QuarantinePhase {
+		const phase = this._localView.phase(digest);
+		return this._session.ageMs() > MAX_VIEW_AGE_MS ? phase : Math.min(phase, QuarantinePhase.Suspected);
 	}
 
 	/**
@@ -56,27 +69,41 @@
 		if (outcome.type !== 'answer' || isServerError(outcome)) {
 			return;
 		}
+		const { digest } = identityOf(context);
+		this._recentAnswers.add(digest, this._clock.now());
 		if (!context.wasLostWithTarget && this.phase(context) === QuarantinePhase.Clear) {
 			return;
 		}
-		const { digest } = identityOf(context);
 		this._clear(digest);
 		this._session.reportAnswer(digest);
 	}
 
-	private _onRunLost(run: ObservedLostRun): void {
+	private _onRunLost(lostRun: ObservedLostRun): void {
+		const now = this._clock.now();
+		const run = { ...lostRun, answeredAt: this._recentAnswers.answeredAt(lostRun.digest, now) };
 		this._session.reportRun(run);
-		const now = systemClock.now();
+		if (run.runningAt !== undefined) {
+			// Without the answers that other instances get, this instance would accuse whatever callers abandon.
+			return;
+		}
 		this._localEvidence.add(toReportedRun(run, now), now);
 		const counted = this._localQuarantine.get(run.digest)?.runs ?? [];
-		const uncounted = this._localEvidence.uncountedRuns(run.digest, counted);
+		const uncounted = this._localEvidence.uncountedRuns(run.digest, counted, now);
 		if (uncounted.filter(other => this._localQuarantine.recordRun(other)).length > 0) {
 			this._refreshLocalView();
 		}
 	}
 
+	/** Reports an answer from before the request became suspected, which was not known to control then. */
+	private _reportEarlierAnswer(digest: string): void {
+		const answeredAt = this._recentAnswers.answeredAt(digest, this._clock.now());
+		if (answeredAt !== undefined) {
+			this._session.reportEarlierAnswer(digest, answeredAt);
+		}
+	}
+
 	private _clear(digest: string): void {
-		this._localEvidence.clear(digest);
+		this._localEvidence.recordAnswer(digest, this._clock.now());
 		if (this._localQuarantine.clear(digest)) {
 			this._refreshLocalView();
 		}
--- a/test/loads/fatalRequests.test.ts
+++ b/test/loads/fatalRequests.test.ts
@@ -9,7 +9,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { LossModel, type LossModelSettings, type LossReport, QuarantineKnowledge } from './lossModel.js';
+import { FATAL_PATH, LossModel, type LossModelSettings, type LossReport, QuarantineKnowledge } from './lossModel.js';
 
 const SETTINGS: LossModelSettings = {
 	seed: 7,
@@ -113,3 +113,88 @@
 		assert.equal(Math.max(...counts), 0);
 	});
 }
+
+/** The maximum numbers of stopped targets and of avoidable runs over all seeds, and over both kinds of placement. */
+function worstOfPlacements(
+	instances: number,
+	send: (model: LossModel) => void
+): { stopped: number; avoidable: number } {
+	const reports = SEEDS.flatMap(seed =>
+		[false, true].map(isSpread => {
+			const model = new LossModel({ ...SETTINGS, instances, seed, isSpread });
+			send(model);
+			return model.runUntil(LOAD_MS + 5000);
+		})
+	);
+	const stopped = Math.max(...reports.map(({ fatalStops }) => fatalStops));
+	return { stopped, avoidable: Math.max(...reports.map(({ avoidableFatalRuns }) => avoidableFatalRuns)) };
+}
+
+const FATAL_LOADS: readonly (readonly [string, (model: LossModel) => void])[] = [
+	[
+		'callers that disconnect before the target stops',
+		model =>
+			model.sendLoad({
+				path: FATAL_PATH,
+				perSecond: 2.5,
+				fromMs: 0,
+				toMs: LOAD_MS,
+				abandonedPart: 1,
+				abandonAfterMs: 40
+			})
+	],
+	[
+		'callers of whom nine in ten disconnect',
+		model =>
+			model.sendLoad({
+				path: FATAL_PATH,
+				perSecond: 10,
+				fromMs: 0,
+				toMs: LOAD_MS,
+				abandonedPart: 0.9,
+				abandonAfterMs: 40
+			})
+	],
+	['ten requests at once every 100 ms', model => model.sendFatalWaves(10, 100, 0, LOAD_MS)],
+	['five requests at once every second', model => model.sendFatalWaves(5, 1000, 0, LOAD_MS)]
+];
+
+for (const instances of [9, 66, 182]) {
+	for (const [name, send] of FATAL_LOADS) {
+		test(`${instances} instances, ${name}: no target stops under the request once all instances know of it`, t => {
+			const worst = worstOfPlacements(instances, send);
+			t.diagnostic(JSON.stringify(worst));
+			assert.equal(worst.avoidable, 0);
+		});
+	}
+}
+
+/** Number of quarantined requests beside a fatal one, while callers of the others disconnect. */
+function countQuarantinedBesideFatal(
+	abandonedPart: number,
+	seed: number,
+	instances: number,
+	isSpread: boolean
+): number {
+	const model = new LossModel({ ...SETTINGS, seed, instances, isSpread });
+	PATHS.forEach((path, i) =>
+		model.sendLoad({ path, perSecond: 70 / (i + 1), fromMs: 0, toMs: 12000, abandonedPart, abandonAfterMs: 100 })
+	);
+	model.sendLoad({ path: FATAL_PATH, perSecond: 4, fromMs: 2000, toMs: 12000, abandonedPart, abandonAfterMs: 40 });
+	model.stopHall(2, 3500, 2000);
+	model.runUntil(14000);
+	assert.ok(model.isQuarantined(FATAL_PATH));
+	return PATHS.filter(path => model.isQuarantined(path)).length;
+}
+
+for (const abandonedPart of [0.5, 0.9]) {
+	test(`beside a fatal request and the loss of a data hall, ${abandonedPart} of the callers disconnect: no other request is quarantined`, t => {
+		const counts = SEEDS.flatMap(seed =>
+			[9, 66].flatMap(instances =>
+				[false, true].map(isSpread => countQuarantinedBesideFatal(abandonedPart, seed, instances, isSpread))
+			)
+		);
+		t.diagnostic(`quarantined requests in each run: ${counts.join(' ')}`);
+		assert.equal(Math.max(...counts), 0);
+	});
+}
--- a/test/loads/lossModel.ts
+++ b/test/loads/lossModel.ts
@@ -13,13 +13,15 @@
 import { rendezvousRank } from '../../src/base/hashing.js';
 import type { IFleetSession } from '../../src/plugins/fleet/common/fleetSession.js';
 import { QuarantineView } from '../../src/plugins/fleet/common/quarantineView.js';
-import { LossEvidence } from '../../src/plugins/fleet/common/lossEvidence.js';
+import { CONTESTED_DELAY_MS, LossEvidence } from '../../src/plugins/fleet/common/lossEvidence.js';
 import { QuarantineState } from '../../src/plugins/fleet/common/quarantineState.js';
 import {
+	QUARANTINE_THRESHOLD,
 	QuarantinePhase,
 	type ObservedLostRun,
 	toReportedRun
 } from '../../src/plugins/fleet/common/quarantineTypes.js';
+import { AbandonedRunStatistics } from '../../src/plugins/forwarding/common/abandonedRunStatistics.js';
 import { identityOf } from '../../src/plugins/forwarding/node/requestDigest.js';
 import type { RequestContext } from '../../src/plugins/forwarding/node/requestContext.js';
 import type { LostRunDetector } from '../../src/plugins/forwarding/node/lostRunDetector.js';
@@ -46,6 +48,21 @@
 	/** Mean delay from an instance's report to its processing by control; also the delay from there until all instances know the result. */
 	readonly propagationMs: Millis;
 	readonly knowledge: QuarantineKnowledge;
+	/** Whether a request may go to any target, rather than to the preferred one of its path. */
+	readonly isSpread?: boolean;
+}
+
+/** Requests to send. */
+export interface RequestLoad {
+	readonly path: string;
+	/** Requests per second on average. */
+	readonly perSecond: number;
+	readonly fromMs: Millis;
+	readonly toMs: Millis;
+	/** Fraction of callers that disconnect before the response; none by default. */
+	readonly abandonedPart?: number;
+	/** Time after which these callers disconnect. */
+	readonly abandonAfterMs?: Millis;
 }
 
 /** Totals since the start of a simulation. */
@@ -76,6 +93,7 @@
 	readonly quarantineView: QuarantineView;
 	readonly guard: QuarantineGuard;
 	readonly onDidLose: Emitter<ObservedLostRun>;
+	readonly abandonedRuns: AbandonedRunStatistics;
 }
 
 interface ScheduledEvent {
@@ -84,11 +102,15 @@
 	readonly run: () => void;
 }
 
-const FATAL_PATH = '/fatal';
+/** Path of the requests that stop each target that runs them. */
+export const FATAL_PATH = '/fatal';
 /** Time from the start of a fatal request until its target stops. */
 const FATAL_RUN_MS = 60;
 /** Time until a target stopped by a fatal request runs again. */
 const FATAL_RESTART_MS = 1200;
+/** Interval in which an instance checks the targets of its abandoned attempts, and for how long. */
+const ABANDONED_CHECK_INTERVAL_MS = 400;
+const ABANDONED_CHECK_DURATION_MS = 1500;
 const MAX_ATTEMPTS = 2;
 const STOPS_TO_QUARANTINE = 3;
 /** Upper bound of the time until all instances know what one of them has observed. */
@@ -146,8 +168,14 @@
 
 	/** Schedules requests for a path, `perSecond` on average, at random times and to random instances. */
 	sendRequests(path: string, perSecond: number, fromMs: Millis, toMs: Millis): void {
+		this.sendLoad({ path, perSecond, fromMs, toMs });
+	}
+
+	/** Schedules requests at random times and to random instances. */
+	sendLoad(load: RequestLoad): void {
+		const { perSecond, fromMs, toMs } = load;
 		for (let i = 0; i < ((toMs - fromMs) / 1000) * perSecond; i++) {
-			this._scheduleAt(fromMs + this._nextRandom() * (toMs - fromMs), () => this._sendRequest(path));
+			this._scheduleAt(fromMs + this._nextRandom() * (toMs - fromMs), () => this._sendRequest(load));
 		}
 	}
 
@@ -156,6 +184,15 @@
 		this.sendRequests(FATAL_PATH, perSecond, fromMs, toMs);
 	}
 
+	/** Schedules fatal requests, several at the same moment. */
+	sendFatalWaves(requests: number, intervalMs: Millis, fromMs: Millis, toMs: Millis): void {
+		for (let at = fromMs; at < toMs; at += intervalMs) {
+			for (let i = 0; i < requests; i++) {
+				this._scheduleAt(at, () => this._sendRequest({ path: FATAL_PATH, perSecond: 0, fromMs, toMs }));
+			}
+		}
+	}
+
 	/** Schedules a stop of all targets of a data hall. */
 	stopHall(hall: number, atMs: Millis, downMs: Millis): void {
 		const indexes = this._targets.filter(target => target.hall === hall).map(({ index }) => index);
@@ -190,35 +227,73 @@
 		const hasControl = this._settings.knowledge === QuarantineKnowledge.Shared;
 		const session = {
 			view: { quarantine: quarantineView },
+			ageMs: () => (hasControl ? 0 : Number.POSITIVE_INFINITY),
 			reportRun: (run: ObservedLostRun) => hasControl && this._reportRun(run),
-			reportAnswer: (digest: string) => hasControl && this._reportAnswer(digest)
+			reportAnswer: (digest: string) => hasControl && this._reportAnswer(digest),
+			reportEarlierAnswer: (digest: string, answeredAt: Millis) =>
+				hasControl && this._reportEarlierAnswer(digest, answeredAt)
 		} as unknown as IFleetSession;
 		const detector = { onDidLose: onDidLose.event } as unknown as LostRunDetector;
-		return { quarantineView, onDidLose, guard: new QuarantineGuard(session, detector) };
+		const abandonedRuns = new AbandonedRunStatistics();
+		return {
+			quarantineView,
+			onDidLose,
+			abandonedRuns,
+			guard: new QuarantineGuard(session, detector, { now: () => this.now, wallNow: () => this.now })
+		};
 	}
 
 	private _reportRun(run: ObservedLostRun): void {
 		const reportedRun = toReportedRun(run, this.now);
 		this._scheduleIn(this._settings.propagationMs * (0.5 + this._nextRandom()), () => {
 			this._evidence.add(reportedRun, this.now);
-			const counted = this._controlState.countedRuns(run.digest);
-			this._controlState.apply({ type: 'noteRuns', runs: this._evidence.uncountedRuns(run.digest, counted) });
+			this._countRuns(run.digest);
+			this._scheduleIn(CONTESTED_DELAY_MS, () => this._countRuns(run.digest));
+		});
+	}
+
+	private _countRuns(digest: string): void {
+		const runs = this._evidence.uncountedRuns(digest, this._controlState.countedRuns(digest), this.now);
+		if (runs.length > 0) {
+			this._controlState.apply({ type: 'noteRuns', runs });
+			if (this._controlState.countedRuns(digest).length >= QUARANTINE_THRESHOLD) {
+				this._evidence.relatedDigests(digest).forEach(related => this._clearIfUnsupported(related));
+			}
+		}
+	}
+
+	private _clearIfUnsupported(digest: string): void {
+		if (!this._evidence.supports(digest, this._controlState.countedRuns(digest))) {
+			this._controlState.apply({ type: 'clearRequests', digests: [digest] });
+			this._countRuns(digest);
+		}
+	}
+
+	private _reportEarlierAnswer(digest: string, answeredAt: Millis): void {
+		this._scheduleIn(this._settings.propagationMs, () => {
+			this._evidence.recordAnswer(digest, answeredAt);
+			this._clearIfUnsupported(digest);
 		});
 	}
 
 	private _reportAnswer(digest: string): void {
 		this._scheduleIn(this._settings.propagationMs, () => {
-			this._evidence.clear(digest);
+			this._evidence.recordAnswer(digest, this.now);
 			this._controlState.apply({ type: 'clearRequests', digests: [digest] });
 		});
 	}
 
-	private _sendRequest(path: string): void {
+	private _sendRequest(load: RequestLoad): void {
 		const instance = this._instances[Math.floor(this._nextRandom() * this._instances.length)]!;
-		this._attempt(instance, createContext(path, `r-${++this._requestCount}`), 1);
+		const isAbandoned = load.abandonedPart !== undefined && this._nextRandom() < load.abandonedPart;
+		const disconnectsAt = isAbandoned ? this.now + load.abandonAfterMs! : Number.POSITIVE_INFINITY;
+		this._attempt(instance, createContext(load.path, `r-${++this._requestCount}`), 1, disconnectsAt);
 	}
 
-	private _attempt(instance: Instance, context: RequestContext, attempt: number): void {
+	private _attempt(instance: Instance, context: RequestContext, attempt: number, disconnectsAt: Millis): void {
+		if (this.now >= disconnectsAt) {
+			return;
+		}
 		const { guard } = instance;
 		context.phase =
 			this._settings.knowledge === QuarantineKnowledge.None ? QuarantinePhase.Clear : guard.phase(context);
@@ -233,24 +308,41 @@
 			return;
 		}
 		context.tried.add(index);
-		this._run(instance, context, this._targets[Number(index)]!, attempt);
+		this._run(instance, context, this._targets[Number(index)]!, attempt, disconnectsAt);
 	}
 
-	private _run(instance: Instance, context: RequestContext, target: Target, attempt: number): void {
+	private _run(
+		instance: Instance,
+		context: RequestContext,
+		target: Target,
+		attempt: number,
+		disconnectsAt: Millis
+	): void {
 		const sentAt = this.now;
 		const targetId = target.id;
 		let isFinished = false;
 		const onLost = (): void => {
 			isFinished = true;
+			if (this.now >= disconnectsAt) {
+				this._recordAbandonedRun(instance, context, targetId, sentAt, disconnectsAt);
+				return;
+			}
 			this._recordLostRun(instance, context, targetId, sentAt);
 			const mayRetry = attempt < MAX_ATTEMPTS && instance.guard.phase(context) === QuarantinePhase.Clear;
 			if (mayRetry) {
-				this._attempt(instance, context, attempt + 1);
+				this._attempt(instance, context, attempt + 1, disconnectsAt);
 			} else {
 				this._counts.lost++;
 			}
 		};
 		target.lossHandlers.add(onLost);
+		if (disconnectsAt < Number.POSITIVE_INFINITY) {
+			this._scheduleAt(disconnectsAt + ABANDONED_CHECK_INTERVAL_MS, () => {
+				if (target.lossHandlers.has(onLost)) {
+					instance.abandonedRuns.recordSurvived(identityOf(context).digest, this.now);
+				}
+			});
+		}
 		if (context.exchange.path === FATAL_PATH) {
 			const quarantinedAt = this._fatalStopTimes[STOPS_TO_QUARANTINE - 1];
 			if (quarantinedAt !== undefined && sentAt > quarantinedAt + MAX_PROPAGATION_MS) {
@@ -266,7 +358,13 @@
 			return;
 		}
 		this._scheduleIn(this._settings.serviceTimeMs, () => {
-			if (!isFinished) {
+			if (isFinished) {
+				return;
+			}
+			if (this.now >= disconnectsAt) {
+				const watchedUntil = disconnectsAt + ABANDONED_CHECK_DURATION_MS;
+				this._scheduleAt(Math.max(this.now, watchedUntil), () => target.lossHandlers.delete(onLost));
+			} else {
 				target.lossHandlers.delete(onLost);
 				this._counts.answered++;
 				instance.guard.recordOutcome(context, { type: 'answer', status: 200 } as never);
@@ -285,6 +383,29 @@
 		onDidLose.fire({ ...identityOf(context), requestId, team: '', targetId, wasSuspected, afterTargetId, ...times });
 	}
 
+	/** Records a lost run of which the caller had disconnected; it is noticed when its target is next checked. */
+	private _recordAbandonedRun(
+		{ onDidLose, abandonedRuns }: Instance,
+		context: RequestContext,
+		targetId: string,
+		sentAt: Millis,
+		abandonedAt: Millis
+	): void {
+		const checksBefore = Math.floor((this.now - abandonedAt) / ABANDONED_CHECK_INTERVAL_MS);
+		const runningAt = abandonedAt + checksBefore * ABANDONED_CHECK_INTERVAL_MS;
+		const endedAt = runningAt + ABANDONED_CHECK_INTERVAL_MS;
+		const wasSuspected = context.phase !== QuarantinePhase.Clear;
+		const { requestId } = context.exchange;
+		const run = { ...identityOf(context), requestId, team: '', targetId, wasSuspected, sentAt, endedAt, runningAt };
+		this._counts.lostRuns++;
+		this._scheduleAt(endedAt, () => {
+			abandonedRuns.recordLost(run.digest, checksBefore > 0, this.now);
+			if (abandonedRuns.isSuspicious(run.digest)) {
+				onDidLose.fire(run);
+			}
+		});
+	}
+
 	private _stop(targets: readonly Target[], downMs: Millis): void {
 		const stopped = targets.filter(({ isUp }) => isUp);
 		const onLostCallbacks = stopped.flatMap(({ lossHandlers }) => [...lossHandlers]);
@@ -303,7 +424,7 @@
 
 	private _rankTargets(path: string): readonly string[] {
 		const indexes = this._targets.map(({ index }) => String(index));
-		return rendezvousRank(path, indexes);
+		return rendezvousRank(this._settings.isSpread ? `${this._nextRandom()}` : path, indexes);
 	}
 
 	private _scheduleIn(delayMs: Millis, run: () => void): void {
