Targets that stop together under one unanswered request are several losses

Callers saw a request that came ten times at once end all 14 targets of a service two or three times over, with up to 19 runs long after three. Cause: targets that stop within half a second counted as one loss, whatever ran on them, so that a service could be emptied twice before its request was even suspected. Now they count as several where at least three were running the request, no instance knows an answer to it, and at most a quarter as many other targets stopped at the time without running it: three make it suspected, five quarantine it after 600 ms, in which answers can still be reported. Runs abandoned before their target stopped make no wave.

--- a/src/plugins/fleet/common/lossEvidence.ts
+++ b/src/plugins/fleet/common/lossEvidence.ts
@@ -13,6 +13,19 @@
  */
 
 import type { Millis } from '../../../base/clock.js';
+import {
+	countSeparateLosses,
+	isIndependent,
+	isSameRun,
+	largestWave,
+	longestSequence,
+	type Loss,
+	MAX_REPORT_SKEW_MS,
+	SAME_STOP_MS,
+	toLoss,
+	WAVE_MS,
+	withoutMostCrowded
+} from './lossSequence.js';
 import { type CountedLostRun, type LostRun, QUARANTINE_THRESHOLD, type ReportedLostRun } from './quarantineTypes.js';
 
 /** Number of requests tracked; above it the one without a new report for longest is evicted. */
@@ -21,43 +34,33 @@
 const MAX_LOSSES = 48;
 /** Number of targets whose lost runs are kept; above it those of the target that stopped first are no longer related to each other. */
 const MAX_TARGETS = 1024;
-
-/** Maximum difference between the delays of two reports; a run sent this long after an event of another report was certainly sent later. */
-const MAX_REPORT_SKEW_MS = 500;
-
-/**
- * Targets that stop within this time count as one loss, even if the request was sent to the second only after the first had
- * failed. Must exceed the delay between regions, by which an instance may notice two simultaneous stops apart.
- */
-const SIMULTANEOUS_LOSS_MS = 50;
-
+/** Number of requests remembered for each of these targets. */
 const MAX_REQUESTS_OF_TARGET = 256;
-/**
- * Lost runs of one target within this time had the same cause: until then its stop may not have been noticed by all that sent to it.
- */
-const SAME_STOP_MS = 2000;
 
 /** Time after which the decisive run counts although another request was running on the same targets. */
 export const CONTESTED_DELAY_MS = 600;
 /** Number of targets on which two requests must both have been lost for one to be confused with the other. */
 const MIN_SHARED_TARGETS = 2;
 
-/** A lost run with times on the clock of the instance that collects the evidence. */
-interface Loss {
-	readonly run: CountedLostRun;
-	readonly wasSuspected: boolean;
-	readonly afterTargetId: string | undefined;
-	readonly sentAt: Millis;
-	/** The target stopped between these times. */
-	readonly endedAfter: Millis;
-	readonly endedBefore: Millis;
+/** Number of targets that must stop together under an unanswered request for it to be suspected. */
+const MIN_SUSPICIOUS_WAVE = 3;
+/** Number of targets that must stop together under an unanswered request for it to be quarantined. */
+const MIN_DECISIVE_WAVE = 5;
+/** A wave is no evidence if more than this many times its targets stopped beside it without running the request. */
+const MAX_OTHER_STOPS = 0.25;
+
+/** A target that stopped, and the requests that it was running. */
+interface StoppedTarget {
+	readonly digests: Set<string>;
+	/** When its last stop was noticed. */
+	readonly stoppedAt: Millis;
 }
 
 /** Collects the lost runs of requests. Does no I/O; callers pass the time. */
 export class LossEvidence {
 	/** Losses by digest of their request, in the order in which they ended; least recently reported request first. */
 	private readonly _lossesByDigest = new Map<string, readonly Loss[]>();
-	private readonly _digestsByTarget = new Map<string, Set<string>>();
+	private readonly _stoppedTargets = new Map<string, StoppedTarget>();
 	/** Number of losses at different times, by digest; computed when needed. */
 	private readonly _lossCounts = new Map<string, number>();
 	/** When a request was last answered, by digest; no run that was sent before counts. */
@@ -72,7 +75,7 @@
 	 */
 	restart(earlierCounts: ReadonlyMap<string, number>, now: Millis): void {
 		this._lossesByDigest.clear();
-		this._digestsByTarget.clear();
+		this._stoppedTargets.clear();
 		this._lossCounts.clear();
 		this._answeredAt.clear();
 		this._earlierCounts = new Map(earlierCounts);
@@ -93,7 +96,7 @@
 			(a, b) => a.endedBefore - b.endedBefore
 		);
 		this._setLosses(digest, sorted.length > MAX_LOSSES ? withoutMostCrowded(sorted) : sorted);
-		this._relateToTarget(digest, reported.targetId);
+		this._relateToTarget(digest, reported.targetId, now - reported.endedAgoMs);
 	}
 
 	private _setLosses(digest: string, losses: readonly Loss[]): void {
@@ -105,15 +108,19 @@
 		}
 	}
 
-	private _relateToTarget(digest: string, targetId: string): void {
-		const digests = this._digestsByTarget.get(targetId) ?? new Set();
-		this._digestsByTarget.delete(targetId);
-		this._digestsByTarget.set(targetId, digests.add(digest));
+	private _relateToTarget(digest: string, targetId: string, endedAt: Millis): void {
+		const earlier = this._stoppedTargets.get(targetId);
+		const digests = earlier?.digests ?? new Set();
+		this._stoppedTargets.delete(targetId);
+		this._stoppedTargets.set(targetId, {
+			digests: digests.add(digest),
+			stoppedAt: Math.max(endedAt, earlier?.stoppedAt ?? endedAt)
+		});
 		if (digests.size > MAX_REQUESTS_OF_TARGET) {
 			digests.delete(digests.values().next().value!);
 		}
-		if (this._digestsByTarget.size > MAX_TARGETS) {
-			this._digestsByTarget.delete(this._digestsByTarget.keys().next().value!);
+		if (this._stoppedTargets.size > MAX_TARGETS) {
+			this._stoppedTargets.delete(this._stoppedTargets.keys().next().value!);
 		}
 	}
 
@@ -138,13 +145,13 @@
 	/** Whether as many runs as are counted still count, after a late report of an answer or of another request on the same targets. */
 	supports(digest: string, counted: readonly LostRun[]): boolean {
 		const earlierCount = this._earlierCounts.get(digest) ?? 0;
-		return Math.max(earlierCount, longestSequence(this._unexplainedLosses(digest)).length) >= counted.length;
+		return Math.max(earlierCount, this._countedSequence(this._unexplainedLosses(digest)).length) >= counted.length;
 	}
 
 	/** The other requests that were running on targets that stopped under a request. */
 	relatedDigests(digest: string): readonly string[] {
 		const targetIds = this._unansweredLosses(digest).map(({ run }) => run.targetId);
-		const related = new Set(targetIds.flatMap(id => [...(this._digestsByTarget.get(id) ?? [])]));
+		const related = new Set(targetIds.flatMap(id => [...(this._stoppedTargets.get(id)?.digests ?? [])]));
 		related.delete(digest);
 		return [...related];
 	}
@@ -156,25 +163,31 @@
 	uncountedRuns(digest: string, counted: readonly LostRun[], now: Millis): readonly CountedLostRun[] {
 		const losses = this._unexplainedLosses(digest);
 		const earlierCount = this._earlierCounts.get(digest) ?? 0;
-		const all = longestSequence(losses);
-		const later = longestSequence(losses.filter(({ sentAt }) => sentAt > this._startedAt));
+		const all = this._countedSequence(losses);
+		const later = this._countedSequence(losses.filter(({ sentAt }) => sentAt > this._startedAt));
 		const sequence = earlierCount + later.length > all.length ? later : all;
 		const count = Math.max(earlierCount + later.length, all.length);
 		const uncounted = sequence.map(({ run }) => run).filter(run => !counted.some(other => isSameRun(run, other)));
-		const decisive = sequence[QUARANTINE_THRESHOLD - 1] ?? sequence.at(-1);
-		const maxCount = decisive && this._isContested(decisive, now) ? QUARANTINE_THRESHOLD - 1 : count;
+		const maxCount = this._isDelayed(sequence, now) ? QUARANTINE_THRESHOLD - 1 : count;
 		return uncounted.slice(0, Math.max(0, Math.min(count, maxCount) - counted.length));
 	}
 
-	/** Whether the decisive run does not count yet, since another request may be the one that stops the targets. */
-	private _isContested(decisive: Loss, now: Millis): boolean {
-		if (now - decisive.endedBefore >= CONTESTED_DELAY_MS) {
+	/** Whether the decisive run does not count yet, since answers or another request that explains the losses may still be reported. */
+	private _isDelayed(sequence: readonly Loss[], now: Millis): boolean {
+		const decisive = sequence[QUARANTINE_THRESHOLD - 1] ?? sequence.at(-1);
+		if (!decisive || now - decisive.endedBefore >= CONTESTED_DELAY_MS) {
 			return false;
 		}
-		const { digest } = decisive.run;
+		const before = sequence[QUARANTINE_THRESHOLD - 2];
+		const isWave = before !== undefined && before !== decisive && !isIndependent(decisive, before);
+		return isWave || this._isContested(decisive.run.digest);
+	}
+
+	/** Whether another request was lost with several of the same targets. */
+	private _isContested(digest: string): boolean {
 		const sharedCounts = new Map<string, number>();
 		for (const { run, endedBefore } of this._unansweredLosses(digest)) {
-			for (const other of this._digestsByTarget.get(run.targetId) ?? []) {
+			for (const other of this._stoppedTargets.get(run.targetId)?.digests ?? []) {
 				if (other !== digest && this._wasLost(other, run.targetId, endedBefore)) {
 					sharedCounts.set(other, (sharedCounts.get(other) ?? 0) + 1);
 				}
@@ -183,6 +196,33 @@
 		return [...sharedCounts.values()].some(count => count >= MIN_SHARED_TARGETS);
 	}
 
+	/**
+	 * The losses that count. Targets that stop together are one loss, unless no other request explains them: if almost all targets that
+	 * stopped at the time were running this one, and none has answered it, they count as several. Ends that were noticed late are left out,
+	 * since they accuse whatever callers had abandoned before.
+	 */
+	private _countedSequence(losses: readonly Loss[]): readonly Loss[] {
+		const sequence = longestSequence(losses);
+		const wave = largestWave(losses.filter(({ endedAfter, endedBefore }) => endedAfter === endedBefore));
+		if (wave.length < MIN_SUSPICIOUS_WAVE || sequence.length >= QUARANTINE_THRESHOLD || this._hasOtherStops(wave)) {
+			return sequence;
+		}
+		const weight = wave.length < MIN_DECISIVE_WAVE ? QUARANTINE_THRESHOLD - 1 : QUARANTINE_THRESHOLD;
+		const later = losses.filter(loss => wave.every(earlier => isIndependent(loss, earlier)));
+		const sequenceOfWave = [...wave.slice(0, weight), ...longestSequence(later)];
+		return sequenceOfWave.length > sequence.length ? sequenceOfWave : sequence;
+	}
+
+	private _hasOtherStops(wave: readonly Loss[]): boolean {
+		const { digest } = wave[0]!.run;
+		const from = wave[0]!.endedBefore - WAVE_MS;
+		const to = wave.at(-1)!.endedBefore + WAVE_MS;
+		const others = [...this._stoppedTargets.values()].filter(
+			({ digests, stoppedAt }) => stoppedAt >= from && stoppedAt <= to && !digests.has(digest)
+		);
+		return others.length > MAX_OTHER_STOPS * wave.length;
+	}
+
 	private _unexplainedLosses(digest: string): readonly Loss[] {
 		return this._unansweredLosses(digest).filter(loss => !this._isExplainedByAnother(loss));
 	}
@@ -196,7 +236,7 @@
 	/** Whether a request that has lost more targets was running on the target when it stopped. */
 	private _isExplainedByAnother({ run, endedBefore }: Loss): boolean {
 		const count = this._lossCount(run.digest);
-		for (const other of this._digestsByTarget.get(run.targetId) ?? []) {
+		for (const other of this._stoppedTargets.get(run.targetId)?.digests ?? []) {
 			if (this._lossCount(other) > count && this._wasLost(other, run.targetId, endedBefore)) {
 				return true;
 			}
@@ -219,78 +259,3 @@
 		return count;
 	}
 }
-
-/** Number of stops of targets, without those together with the one before; takes the losses in the order in which they ended. */
-function countSeparateLosses(losses: readonly Loss[]): number {
-	const stoppedAt = new Map<string, Millis>();
-	let count = 0;
-	let lastEndedAt = Number.NEGATIVE_INFINITY;
-	for (const { run, endedAfter, endedBefore } of losses) {
-		const isSameStop = endedBefore - (stoppedAt.get(run.targetId) ?? Number.NEGATIVE_INFINITY) <= SAME_STOP_MS;
-		stoppedAt.set(run.targetId, endedBefore);
-		if (!isSameStop && endedAfter >= lastEndedAt + SIMULTANEOUS_LOSS_MS) {
-			count++;
-			lastEndedAt = endedBefore;
-		}
-	}
-	return count;
-}
-
-function isSameRun(a: LostRun, b: LostRun): boolean {
-	return a.requestId === b.requestId && a.targetId === b.targetId;
-}
-
-function toLoss(reported: ReportedLostRun, now: Millis): Loss {
-	const { digest, pathHash, team, requestId, targetId, wasSuspected, afterTargetId, sentAgoMs, endedAgoMs } = reported;
-	return {
-		run: { digest, pathHash, team, requestId, targetId },
-		wasSuspected,
-		afterTargetId,
-		sentAt: now - sentAgoMs,
-		endedAfter: now - (reported.runningAgoMs ?? endedAgoMs),
-		endedBefore: now - endedAgoMs
-	};
-}
-
-/** The longest sequence in which each loss is independent of the one before. */
-function longestSequence(losses: readonly Loss[]): readonly Loss[] {
-	const sequences: (readonly Loss[])[] = [];
-	let longest: readonly Loss[] = [];
-	losses.forEach((loss, index) => {
-		let before: readonly Loss[] = [];
-		for (let i = 0; i < index; i++) {
-			if (sequences[i]!.length > before.length && isIndependent(loss, losses[i]!)) {
-				before = sequences[i]!;
-			}
-		}
-		sequences.push([...before, loss]);
-		longest = before.length + 1 > longest.length ? sequences[index]! : longest;
-	});
-	return longest;
-}
-
-/**
- * Whether a run was sent after an earlier loss. If it is the next attempt of the same request, or was sent while the request
- * was already suspected, that is known without comparing times, and only simultaneous stops are excluded.
- */
-function isIndependent(loss: Loss, earlier: Loss): boolean {
-	if (loss.sentAt >= earlier.endedBefore + MAX_REPORT_SKEW_MS) {
-		return true;
-	}
-	const isNextAttempt = loss.run.requestId === earlier.run.requestId && loss.afterTargetId === earlier.run.targetId;
-	const isOtherTarget = loss.run.targetId !== earlier.run.targetId;
-	return (
-		(isNextAttempt || (loss.wasSuspected && isOtherTarget)) &&
-		loss.endedAfter >= earlier.endedBefore + SIMULTANEOUS_LOSS_MS
-	);
-}
-
-/** Leaves out the loss that ended closest to the one before it, which is the least likely to be independent. */
-function withoutMostCrowded(losses: readonly Loss[]): readonly Loss[] {
-	let crowdedIndex = 1;
-	for (let i = 2; i < losses.length; i++) {
-		const gap = (index: number): Millis => losses[index]!.endedBefore - losses[index - 1]!.endedBefore;
-		crowdedIndex = gap(i) < gap(crowdedIndex) ? i : crowdedIndex;
-	}
-	return losses.filter((_, index) => index !== crowdedIndex);
-}
--- a/src/plugins/fleet/test/quarantine.test.ts
+++ b/src/plugins/fleet/test/quarantine.test.ts
@@ -8,6 +8,7 @@
 import { test } from 'node:test';
 import { QuarantineView } from '../common/quarantineView.js';
 import { LossEvidence } from '../common/lossEvidence.js';
+import { RecentAnswers } from '../common/recentAnswers.js';
 import { QuarantineState } from '../common/quarantineState.js';
 import { type CountedLostRun, QuarantinePhase, type ReportedLostRun } from '../common/quarantineTypes.js';
 import { RequestQuarantine } from '../common/requestQuarantine.js';
@@ -92,6 +93,68 @@
 	assert.deepEqual(evidence.uncountedRuns('d', [], 9000), []);
 });
 
+/** Runs that were lost together, one at each of some targets. */
+function wave(targets: number, more: Partial<ReportedLostRun> = {}): ReportedLostRun[] {
+	return Array.from({ length: targets }, (_, i) => reportedRun(i + 1, 900, 1000 + i, more));
+}
+
+/** Number of runs of request `d` that count at a time, with other runs reported first. */
+function countAt(now: number, runs: readonly ReportedLostRun[], others: readonly ReportedLostRun[] = []): number {
+	const evidence = new LossEvidence();
+	[...others, ...runs].forEach(reported => evidence.add(reported, 0));
+	return evidence.uncountedRuns('d', [], now).length;
+}
+
+test('targets that stop together under one unanswered request are several losses, which decide after a delay', () => {
+	assert.equal(countAt(9000, wave(2)), 1);
+	assert.equal(countAt(9000, wave(3)), 2);
+	assert.equal(countAt(9000, wave(5)), 3);
+	assert.equal(countAt(1100, wave(5)), 2);
+	assert.equal(countAt(9000, wave(5, { answeredAgoMs: -700 })), 0, 'answered 200 ms before it was sent');
+});
+
+test('targets that stop together with others that did not run the request are one loss', () => {
+	const others = [6, 7].map(i => ({ ...reportedRun(i, 800, 1000), digest: `other-${i}` }));
+	assert.equal(countAt(9000, wave(5), others), 1);
+});
+
+test('a run does not count where a request with more stopped targets was running on the same target', () => {
+	const times = [0, 2000, 4000, 6000];
+	const fatalRuns = times.map((at, i) => ({ ...reportedRun(i + 1, at, at + 50), digest: 'fatal' }));
+	const beside = times.slice(1).map((at, i) => reportedRun(i + 2, at - 100, at + 50));
+	assert.equal(countAt(9000, beside), 3);
+	assert.equal(countAt(9000, beside, fatalRuns), 0);
+});
+
+test('while two requests were lost with the same targets, the decisive run counts after a delay', () => {
+	const runs = [0, 2000, 4000].map((at, i) => reportedRun(i + 1, at, at + 50));
+	const others = runs.map(reported => ({ ...reported, digest: 'other' }));
+	assert.equal(countAt(4100, runs), 3);
+	assert.equal(countAt(4100, runs, others), 2);
+	assert.equal(countAt(4800, runs, others), 3);
+});
+
+test('an answer that is reported late withdraws the runs sent before it', () => {
+	const evidence = new LossEvidence();
+	const runs = [0, 2000].map((at, i) => reportedRun(i + 1, at, at + 50));
+	runs.forEach(reported => evidence.add(reported, 0));
+	const counted = evidence.uncountedRuns('d', [], 9000);
+	assert.equal(evidence.supports('d', counted), true);
+	evidence.recordAnswer('d', 1000);
+	assert.equal(evidence.supports('d', counted), false);
+	assert.deepEqual(evidence.uncountedRuns('d', [], 9000), [run('d', 2)]);
+});
+
+test('answers are remembered for some seconds', () => {
+	const answers = new RecentAnswers();
+	answers.add('d', 10000);
+	assert.equal(answers.answeredAt('d', 14900), 10000);
+	assert.equal(answers.answeredAt('d', 15100), 10000);
+	assert.equal(answers.answeredAt('d', 20200), undefined);
+	answers.add('d', 30000);
+	assert.equal(answers.answeredAt('d', 45000), undefined);
+});
+
 test('of very many losses that end one shortly after the other, a sequence remains', () => {
 	const runs = Array.from({ length: 400 }, (_, i) => reportedRun(i, i * 10, i * 10 + 5));
 	assert.ok(countOf(runs) >= 5);
--- a/src/plugins/forwarding/test/lostRunDetector.test.ts
+++ b/src/plugins/forwarding/test/lostRunDetector.test.ts
@@ -12,6 +12,7 @@
 import { MetricsService } from '../../../kernel/node/metricsService.js';
 import { TargetPhase, type TargetRecord } from '../../fleet/common/fleetTypes.js';
 import { QuarantinePhase, type ObservedLostRun } from '../../fleet/common/quarantineTypes.js';
+import { AbandonedRunStatistics } from '../common/abandonedRunStatistics.js';
 import { ResponseFailureCause } from '../common/attempt.js';
 import type { CallerExchange } from '../node/callerExchange.js';
 import type { RequestContext } from '../node/requestContext.js';
@@ -61,6 +62,10 @@
 	return { ...description, phase: TargetPhase.Serving, changedAt: 1, pacedSenders: [] };
 }
 
+function delay(ms: number): Promise<void> {
+	return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 /** Runs that are reported as lost after attempts that broke for these causes. */
 async function lostAt(address: string, causes: readonly ResponseFailureCause[]): Promise<readonly ObservedLostRun[]> {
 	const detector = new LostRunDetector(new MetricsService(), { warn: () => undefined } as unknown as ILogService);
@@ -69,7 +74,7 @@
 	causes.forEach(cause =>
 		detector.recordAttempt(contextOf({}), targetAt(address), { type: 'broken', cause }, systemClock.now() - 5)
 	);
-	await new Promise(resolve => setTimeout(resolve, 100));
+	await delay(100);
 	return lost;
 }
 
@@ -99,6 +104,55 @@
 	assert.ok(lost[0]!.endedAt >= lost[0]!.sentAt + 5);
 });
 
+/** Runs that are reported as lost after attempts that were abandoned while their target ran, and stopped some time after. */
+async function lostAfterAbandoning(runningMs: number, attempts: number): Promise<readonly ObservedLostRun[]> {
+	const server = createServer(socket => socket.destroy());
+	const target = targetAt(await listen(server));
+	const detector = new LostRunDetector(new MetricsService(), { warn: () => undefined } as unknown as ILogService);
+	const lost: ObservedLostRun[] = [];
+	detector.onDidLose(run => lost.push(run));
+	for (let i = 0; i < attempts; i++) {
+		detector.recordAttempt(contextOf({}), target, { type: 'abandoned', mayHaveRun: true }, systemClock.now() - 5);
+	}
+	await delay(runningMs);
+	await new Promise(resolve => server.close(resolve));
+	await delay(900);
+	detector.dispose();
+	return lost;
+}
+
+test('an abandoned run is a lost run if its target refuses connections soon after', async () => {
+	const lost = await lostAfterAbandoning(100, 1);
+	assert.deepEqual(
+		lost.map(({ requestId, targetId }) => [requestId, targetId]),
+		[['r-1', 'i-1']]
+	);
+	const { sentAt, runningAt, endedAt } = lost[0]!;
+	assert.ok(sentAt < runningAt! && runningAt! < endedAt);
+});
+
+test('an abandoned run that was never written, or whose target runs on for long, is no lost run', async () => {
+	assert.deepEqual(await lostAfterAbandoning(2200, 1), []);
+	const detector = new LostRunDetector(new MetricsService(), { warn: () => undefined } as unknown as ILogService);
+	const lost: ObservedLostRun[] = [];
+	detector.onDidLose(run => lost.push(run));
+	const target = targetAt('127.0.0.1:9');
+	detector.recordAttempt(contextOf({}), target, { type: 'abandoned', mayHaveRun: false }, systemClock.now());
+	await delay(600);
+	assert.deepEqual(lost, []);
+});
+
+test('a request is suspicious while its abandoned runs stop as many targets as they leave running', () => {
+	const statistics = new AbandonedRunStatistics();
+	statistics.recordLost('d', false, 0);
+	statistics.recordSurvived('d', 100);
+	assert.equal(statistics.isSuspicious('d'), true);
+	statistics.recordSurvived('d', 200);
+	assert.equal(statistics.isSuspicious('d'), false);
+	statistics.recordLost('d', true, 300);
+	assert.equal(statistics.isSuspicious('d'), true);
+});
+
 test('the identity of a request depends on API key, method, host, path and body', () => {
 	const fields = { method: 'POST', path: '/order/1?a=b', keyDigest: 'k', body: 'two units' };
 	assert.equal(digestOf(fields), digestOf({ ...fields, host: 'SHOP.example' }));
--- a/test/loads/fatalRequests.test.ts
+++ b/test/loads/fatalRequests.test.ts
@@ -71,8 +71,13 @@
 const PATHS = Array.from({ length: 40 }, (_, i) => `/read/${i}`);
 
 /** Simulates requests for all paths, 300 per second in total, while targets stop; returns the number of quarantined requests. */
-function countQuarantined(stopTargets: (model: LossModel) => void, seed: number, instances: number): number {
-	const model = new LossModel({ ...SETTINGS, seed, instances });
+function countQuarantined(
+	stopTargets: (model: LossModel) => void,
+	seed: number,
+	instances: number,
+	isSpread: boolean
+): number {
+	const model = new LossModel({ ...SETTINGS, seed, instances, isSpread });
 	PATHS.forEach((path, i) => model.sendRequests(path, 70 / (i + 1), 0, 12000));
 	stopTargets(model);
 	const { quarantined, lostRuns, answered } = model.runUntil(14000);
@@ -108,7 +113,11 @@
 
 for (const [name, stopTargets] of STOP_PATTERNS) {
 	test(`${name}: no request is quarantined`, t => {
-		const counts = SEEDS.flatMap(seed => [9, 66].map(instances => countQuarantined(stopTargets, seed, instances)));
+		const counts = SEEDS.flatMap(seed =>
+			[9, 66].flatMap(instances =>
+				[false, true].map(isSpread => countQuarantined(stopTargets, seed, instances, isSpread))
+			)
+		);
 		t.diagnostic(`quarantined requests in each run: ${counts.join(' ')}`);
 		assert.equal(Math.max(...counts), 0);
 	});
