A release is judged by the leader, and is unavailable where the leader cannot be reached

Operators saw a second release of the same request answered 200 where 404 is due, three times beside load. Cause: the control instance asked judged by its own replica, which may not have applied the first release yet. The leader now says whether the request was listed when the release was applied; where it cannot be reached the page answers 503, as for the other control pages, in place of an unhandled error.

--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -144,6 +144,8 @@
 /** Acknowledges that the report is in the replicated log. */
 export interface ReportRunsResponse {
 	readonly received: true;
+	/** Whether one of the answered requests was suspected or quarantined, by the leader's state; absent from older instances. */
+	readonly wasListed?: boolean;
 }
 
 /** Synchronizes an entry instance with a control instance. */
--- a/src/plugins/fleet/node/quarantineManager.ts
+++ b/src/plugins/fleet/node/quarantineManager.ts
@@ -43,50 +43,52 @@
 		private readonly _log: ILogService
 	) {
 		_calls.handleUnary(reportRunsMethod, async ({ report, isForwarded }) => {
-			await this._handleReport(report, isForwarded);
-			return { received: true as const };
+			const wasListed = await this._handleReport(report, isForwarded);
+			return { received: true as const, wasListed };
 		});
 		_state.onDidChange(snapshot => this._logChanges(snapshot));
 	}
 
 	/**
 	 * Releases a request from suspicion or quarantine.
-	 * @returns whether it was suspected or quarantined
-	 * @throws FleetUnavailableError there is no leader, or it could not commit; errors of the call to the leader are passed on
+	 * @returns whether it was suspected or quarantined, by the leader's state: the replica here may lag behind
+	 * @throws FleetUnavailableError the leader could not be reached, or it could not commit
 	 */
 	async release(digest: string): Promise<boolean> {
-		const isKnown = this._state.snapshot.records.some(record => record.digest === digest);
-		await this._handleReport({ endedRuns: [], answered: [digest] }, false);
+		const isKnown = await this._handleReport({ endedRuns: [], answered: [digest] }, false);
 		this._log.warn('request released', { task: 'fleet', digest, isKnown });
 		return isKnown;
 	}
 
 	/**
 	 * Commits a report if this instance is the leader, otherwise forwards it once; resolves when it is in the replicated log.
-	 * @throws FleetUnavailableError there is no leader, or it could not commit; errors of the call to the leader are passed on
+	 * @returns whether one of the answered requests was suspected or quarantined
+	 * @throws FleetUnavailableError the leader could not be reached, or it could not commit
 	 */
-	private async _handleReport(report: RunReport, isForwarded: boolean): Promise<void> {
+	private async _handleReport(report: RunReport, isForwarded: boolean): Promise<boolean> {
 		if (this._agreement.hasLease()) {
-			await this._commitReport(report);
-		} else if (isForwarded) {
+			return this._commitReport(report);
+		}
+		if (isForwarded) {
 			throw new FleetUnavailableError('the control instance called is not the leader');
-		} else {
-			await this._forwardToLeader(report);
 		}
+		return this._forwardToLeader(report);
 	}
 
-	private async _commitReport({ endedRuns, answered, earlierAnswers = [] }: RunReport): Promise<void> {
+	private async _commitReport({ endedRuns, answered, earlierAnswers = [] }: RunReport): Promise<boolean> {
 		const now = systemClock.now();
 		this._startTerm();
 		endedRuns.forEach(run => this._evidence.add(run, now));
 		await this._commits.add(() => this._commitRuns(endedRuns));
 		this._recountLater(endedRuns);
+		let wasListed = false;
 		if (answered.length > 0) {
 			answered.forEach(digest => this._evidence.recordAnswer(digest, now));
-			await this._commits.add(() => this._propose({ type: 'clearRequests', digests: answered }));
+			wasListed = await this._commits.add(() => this._propose({ type: 'clearRequests', digests: answered }));
 		}
 		earlierAnswers.forEach(({ digest, agoMs }) => this._evidence.recordAnswer(digest, now - agoMs));
 		await this._commits.add(() => this._clearUnsupported(earlierAnswers.map(({ digest }) => digest)));
+		return wasListed;
 	}
 
 	/** Starts anew in a new term: what an earlier leader counted is in the replicated state, without times. */
@@ -146,21 +148,32 @@
 		return runs;
 	}
 
-	private async _propose(body: QuarantineCommand): Promise<void> {
+	/** @returns whether the suspected and quarantined requests changed */
+	private async _propose(body: QuarantineCommand): Promise<boolean> {
 		try {
-			await this._agreement.propose({ part: QUARANTINE_PART, body });
+			return await this._agreement.propose<boolean>({ part: QUARANTINE_PART, body });
 		} catch (error) {
 			throw new FleetUnavailableError((error as Error).message);
 		}
 	}
 
-	private async _forwardToLeader(report: RunReport): Promise<void> {
+	private async _forwardToLeader(report: RunReport): Promise<boolean> {
 		const { leader, id, members } = this._agreement.status();
 		const address = members.find(member => member.id === leader)?.address;
 		if (leader === id || address === undefined) {
 			throw new FleetUnavailableError('there is currently no leader');
 		}
-		await this._calls.call(address, reportRunsMethod, { report, isForwarded: true }, LEADER_CALL_TIMEOUT_MS);
+		const request = { report, isForwarded: true };
+		try {
+			const response = await this._calls.call(address, reportRunsMethod, request, LEADER_CALL_TIMEOUT_MS);
+			return response.wasListed ?? report.answered.some(digest => this._isListed(digest));
+		} catch (error) {
+			throw new FleetUnavailableError((error as Error).message);
+		}
+	}
+
+	private _isListed(digest: string): boolean {
+		return this._state.snapshot.records.some(record => record.digest === digest);
 	}
 
 	/** Logs which reported runs counted, with the delay of the report; a report has as many lines as it has runs, up to a limit. */
--- a/src/plugins/fleet/test/quarantineReports.test.ts
+++ b/src/plugins/fleet/test/quarantineReports.test.ts
@@ -2,7 +2,10 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Guards against a count of lost runs that depends on the order in which instances report them. */
+/**
+ * Guards against a count of lost runs that depends on the order in which instances report them, and against releases that are judged by a
+ * replica that lags behind its leader.
+ */
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -11,6 +14,7 @@
 import type { ILogService } from '../../../kernel/node/logService.js';
 import type { IAgreement } from '../../agreement/common/agreement.js';
 import type { PartCommand } from '../../agreement/common/replicatedState.js';
+import { FleetUnavailableError } from '../common/fleetControl.js';
 import type { ReportRunsRequest } from '../common/fleetWire.js';
 import { QuarantineState } from '../common/quarantineState.js';
 import type { ReportedLostRun } from '../common/quarantineTypes.js';
@@ -81,3 +85,53 @@
 		{ seed: 49, numRuns: 300 }
 	);
 });
+
+/** A control instance whose calls reach another one, or fail. */
+function createManager(
+	state: QuarantineState,
+	leader: QuarantineManager | undefined,
+	call: (request: ReportRunsRequest) => Promise<unknown>
+): { readonly manager: QuarantineManager; readonly handle: (request: ReportRunsRequest) => Promise<unknown> } {
+	let handle!: (request: ReportRunsRequest) => Promise<unknown>;
+	const calls = {
+		handleUnary: (_method: unknown, handler: typeof handle) => (handle = handler),
+		call: (_address: string, _method: unknown, request: ReportRunsRequest) => call(request)
+	};
+	const status = { term: 1, id: 'b', leader: 'a', members: [{ id: 'a', address: 'a:1' }] };
+	const agreement = {
+		hasLease: () => leader === undefined,
+		status: () => status,
+		propose: async ({ body }: PartCommand) => state.apply(body)
+	};
+	const log = { info: () => undefined, warn: () => undefined };
+	const manager = new QuarantineManager(
+		calls as unknown as IPeerCalls,
+		agreement as unknown as IAgreement,
+		state,
+		log as unknown as ILogService
+	);
+	return { manager, handle };
+}
+
+function suspectedState(): QuarantineState {
+	const runs = [1, 2].map(i => ({ digest: DIGEST, pathHash: 1, team: '', requestId: `r-${i}`, targetId: `t-${i}` }));
+	const state = new QuarantineState();
+	state.apply({ type: 'noteRuns', runs });
+	return state;
+}
+
+test('a request that is released a second time is not known, also by a control instance that lags behind', async () => {
+	const leader = createManager(suspectedState(), undefined, () => Promise.reject(new Error('no call expected')));
+	const follower = createManager(suspectedState(), leader.manager, request => leader.handle(request));
+	assert.equal(await follower.manager.release(DIGEST), true);
+	assert.equal(await follower.manager.release(DIGEST), false);
+	assert.equal(await leader.manager.release(DIGEST), false);
+});
+
+test('a release is unavailable while the leader cannot be reached', async () => {
+	const leader = createManager(suspectedState(), undefined, () => Promise.reject(new Error('no call expected')));
+	const follower = createManager(suspectedState(), leader.manager, () =>
+		Promise.reject(new Error('connection refused'))
+	);
+	await assert.rejects(follower.manager.release(DIGEST), FleetUnavailableError);
+});
