--- a/src/plugins/forwarding/node/requestBody.ts
+++ b/src/plugins/forwarding/node/requestBody.ts
@@ -6,7 +6,8 @@
 
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
-const MAX_BUFFERED_BYTES = 64 * 1024;
+/** A larger body is streamed; at least this much of it is buffered. */
+export const MAX_BUFFERED_BYTES = 64 * 1024;
 
 /** The caller's connection closed before the end of the request body. */
 export class BodyTruncatedError extends Error {
--- a/src/plugins/forwarding/test/lostRunDetector.test.ts
+++ b/src/plugins/forwarding/test/lostRunDetector.test.ts
@@ -153,6 +153,15 @@
 	assert.equal(statistics.isSuspicious('d'), true);
 });
 
+test('the identity of a streamed request does not depend on how its body was split into chunks', () => {
+	const body = 'x'.repeat(100 * 1024);
+	const digests = [64 * 1024 + 1, 80 * 1024, 100 * 1024].map(length => {
+		const streamed = { prefix: Buffer.from(body.slice(0, length)), bufferedLength: undefined };
+		return identityOf({ ...contextOf({}), body: streamed } as unknown as RequestContext).digest;
+	});
+	assert.equal(new Set(digests).size, 1);
+});
+
 test('the identity of a request depends on API key, method, host, path and body', () => {
 	const fields = { method: 'POST', path: '/order/1?a=b', keyDigest: 'k', body: 'two units' };
 	assert.equal(digestOf(fields), digestOf({ ...fields, host: 'SHOP.example' }));
