A response counts as an answer when the whole of it has arrived

A request that answers with more than is buffered and then ends its target was never counted, and its first bytes cleared what had been counted: the outcome of the attempt was settled at the head. The rest of the response is watched now: at its end the request is answered, and where it breaks off the run is looked into like any other one. Failed before: two tests in lostRunDetector.test.ts (0 lost runs for 1; an answer reported before the body). platform/requests and largeBodies pass. Found by reading, not seen in a run.

--- a/src/plugins/forwarding/node/lostRunDetector.ts
+++ b/src/plugins/forwarding/node/lostRunDetector.ts
@@ -7,6 +7,7 @@
  * too; so the target is probed with a new connection, which a stopped target refuses. Targets of abandoned attempts are probed as well.
  */
 
+import type { Readable } from 'node:stream';
 import { Counter } from 'prom-client';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { Emitter } from '../../../base/event.js';
@@ -60,9 +61,26 @@
 			this._abandonedRuns.watch(createRun(context, target, afterTargetId, sentAt), target);
 		} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.NoConnection) {
 			this._abandonedRuns.checkNow(target);
+		} else if (outcome.type === 'answer' && outcome.remainingBody) {
+			this._watchStream(context, createRun(context, target, afterTargetId, sentAt), target, outcome.remainingBody);
 		}
 	}
 
+	/** Watches the rest of a response: it is truncated when the target stops, or given up when the caller disconnects. */
+	private _watchStream(context: RequestContext, run: ObservedLostRun, target: TargetRecord, body: Readable): void {
+		body.once('close', () => {
+			const endedRun = { ...run, endedAt: systemClock.now() };
+			if (body.readableEnded) {
+				return;
+			}
+			if (context.exchange.isDisconnected) {
+				this._abandonedRuns.watch(endedRun, target);
+			} else {
+				void this._reportIfTargetStopped(context, endedRun, target.address);
+			}
+		});
+	}
+
 	private async _reportIfTargetStopped(context: RequestContext, run: ObservedLostRun, address: string): Promise<void> {
 		if (await this._probe.refusesConnections(run.targetId, address)) {
 			context.wasLostWithTarget = true;
--- a/src/plugins/forwarding/node/quarantineGuard.ts
+++ b/src/plugins/forwarding/node/quarantineGuard.ts
@@ -69,6 +69,14 @@
 		if (outcome.type !== 'answer' || isServerError(outcome)) {
 			return;
 		}
+		if (outcome.remainingBody) {
+			outcome.remainingBody.once('end', () => this._recordAnswer(context));
+		} else {
+			this._recordAnswer(context);
+		}
+	}
+
+	private _recordAnswer(context: RequestContext): void {
 		const { digest } = identityOf(context);
 		this._recentAnswers.add(digest, this._clock.now());
 		if (!context.wasLostWithTarget && this.phase(context) === QuarantinePhase.Clear) {
--- a/src/plugins/forwarding/test/lostRunDetector.test.ts
+++ b/src/plugins/forwarding/test/lostRunDetector.test.ts
@@ -6,17 +6,21 @@
 
 import assert from 'node:assert/strict';
 import { createServer, type Server } from 'node:net';
+import { PassThrough } from 'node:stream';
 import { test } from 'node:test';
 import { systemClock } from '../../../base/clock.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import { MetricsService } from '../../../kernel/node/metricsService.js';
 import { TargetPhase, type TargetRecord } from '../../fleet/common/fleetTypes.js';
+import type { IFleetSession } from '../../fleet/common/fleetSession.js';
+import { QuarantineView } from '../../fleet/common/quarantineView.js';
 import { QuarantinePhase, type ObservedLostRun } from '../../fleet/common/quarantineTypes.js';
 import { AbandonedRunStatistics } from '../common/abandonedRunStatistics.js';
-import { ResponseFailureCause } from '../common/attempt.js';
+import { ResponseFailureCause, type TargetResponse } from '../common/attempt.js';
 import type { CallerExchange } from '../node/callerExchange.js';
 import type { RequestContext } from '../node/requestContext.js';
 import { LostRunDetector } from '../node/lostRunDetector.js';
+import { QuarantineGuard } from '../node/quarantineGuard.js';
 import { identityOf } from '../node/requestDigest.js';
 import type { RequestBody } from '../node/requestBody.js';
 
@@ -142,6 +146,40 @@
 	assert.deepEqual(lost, []);
 });
 
+test('a run is a lost run if its target stops while the rest of its response is streamed', async () => {
+	const server = createServer();
+	const target = targetAt(await listen(server));
+	await new Promise(resolve => server.close(resolve));
+	const detector = new LostRunDetector(new MetricsService(), { warn: () => undefined } as unknown as ILogService);
+	const lost: ObservedLostRun[] = [];
+	detector.onDidLose(run => lost.push(run));
+	const [truncated, complete] = [new PassThrough(), new PassThrough()];
+	for (const remainingBody of [truncated, complete]) {
+		const answer = { type: 'answer', status: 200, remainingBody } as unknown as TargetResponse;
+		detector.recordAttempt(contextOf({}), target, answer, systemClock.now());
+	}
+	truncated.destroy();
+	complete.resume().end('the rest');
+	await delay(100);
+	assert.equal(lost.length, 1);
+});
+
+test('an answer clears a request only when the whole of it has arrived', async () => {
+	const answered: string[] = [];
+	const quarantine = new QuarantineView();
+	const runs = [1, 2].map(i => ({ requestId: `r-${i}`, targetId: `t-${i}` }));
+	quarantine.apply({ revision: 1, records: [{ ...identityOf(contextOf({})), team: '', runs }] });
+	const session = { view: { quarantine }, ageMs: () => 0, reportAnswer: (digest: string) => answered.push(digest) };
+	const detector = new LostRunDetector(new MetricsService(), { warn: () => undefined } as unknown as ILogService);
+	const guard = new QuarantineGuard(session as unknown as IFleetSession, detector);
+	const remainingBody = new PassThrough();
+	guard.recordOutcome(contextOf({}), { type: 'answer', status: 200, remainingBody } as unknown as TargetResponse);
+	assert.equal(answered.length, 0);
+	remainingBody.resume().end('the rest');
+	await delay(20);
+	assert.equal(answered.length, 1);
+});
+
 test('a request is suspicious while its abandoned runs stop as many targets as they leave running', () => {
 	const statistics = new AbandonedRunStatistics();
 	statistics.recordLost('d', false, 0);
