Retries of all instances stay within a service's limit through restarts and cuts

Targets could get more retries in a window than is allowed. Causes, all of the sum over instances: an instance that starts again had the whole of its part of the slack anew, though the process before had just used it; a part was divided by the instances heard of now, which are fewer after a cut; and retries were counted over ten tenths of a window of which two lie in it only in part, so that the slack could be used twice in nine tenths of it. Now the slack is there a window after the start of the process, divided by the most instances ever known, and retries are counted over one tenth more than the window. Not measured: what the missing slack costs callers in the ten seconds after a restart.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -51,7 +51,6 @@
 	private _drainedHalls = new Set<string>();
 	private readonly _targets = new Map<string, KnownTarget>();
 	private readonly _servingByService = new Map<string, KnownTarget[]>();
-	private _entryCount = 1;
 	private _peakEntryCount = 1;
 	private _regionEntries: readonly string[] = [];
 	private _hallPeers: readonly string[] = [];
@@ -74,9 +73,9 @@
 		return this._routes;
 	}
 
-	/** Number of entry instances in the system, at least 1; infinite until a control instance with complete observations has responded. */
+	/** Highest entry count ever reported, at least 1; infinite until a control instance with complete observations has responded. */
 	get entryCount(): number {
-		return this._isComplete ? this._entryCount : Number.POSITIVE_INFINITY;
+		return this._isComplete ? this._peakEntryCount : Number.POSITIVE_INFINITY;
 	}
 
 	/**
@@ -161,8 +160,7 @@
 
 	/** Applies what the control instance has observed of entry instances and targets. */
 	private _applyObservations(response: SyncResponse, now: Millis): void {
-		this._entryCount = Math.max(1, response.entryCount);
-		this._peakEntryCount = Math.max(this._peakEntryCount, this._entryCount);
+		this._peakEntryCount = Math.max(this._peakEntryCount, response.entryCount);
 		this._regionEntries = response.regionEntries;
 		this._hallPeers = response.hallPeers;
 		this._senderAddresses = new Map(response.limitSenders?.map(({ name, address }) => [name, address]));
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -240,4 +240,5 @@
 	view.apply({ ...response(5), entryCount: 9 }, 0);
 	view.apply({ ...response(5), entryCount: 4 }, 0);
 	assert.equal(view.peakEntryCount, 9);
+	assert.equal(view.entryCount, 9, 'retries are divided by the highest count as well');
 });
--- a/src/plugins/forwarding/common/serviceRetryBudget.ts
+++ b/src/plugins/forwarding/common/serviceRetryBudget.ts
@@ -8,7 +8,7 @@
  * with other instances is needed.
  */
 
-import type { Millis } from '../../../base/clock.js';
+import { type Millis, PROCESS_STARTED_AT } from '../../../base/clock.js';
 
 /** Limits on the retries of all instances together. */
 export interface RetryLimits {
@@ -26,7 +26,9 @@
 const RATIO_SAFETY_FACTOR = 0.85;
 /** Fraction of the slack that is used. The remainder covers instances that others don't know about yet. */
 const SLACK_SAFETY_FACTOR = 0.7;
-const BUCKETS = 10;
+const BUCKETS_PER_WINDOW = 10;
+/** One more than a window has, since the oldest and the newest bucket lie in it only in part. */
+const BUCKETS = BUCKETS_PER_WINDOW + 1;
 
 /** Retry budget of this instance for one service, over a sliding window. */
 export class ServiceRetryBudget {
@@ -34,7 +36,11 @@
 	private readonly _retries = new Array<number>(BUCKETS).fill(0);
 	private _bucket = 0;
 
-	constructor(private readonly _limits: RetryLimits) {}
+	/** @param _startedAt start of this process; the process before it may have used the slack of the window */
+	constructor(
+		private readonly _limits: RetryLimits,
+		private readonly _startedAt: Millis = PROCESS_STARTED_AT
+	) {}
 
 	/** Records that a request was sent to its first target. */
 	recordFirstAttempt(now: Millis): void {
@@ -49,10 +55,10 @@
 	 */
 	tryTake(entryCount: number, now: Millis): boolean {
 		this._advance(now);
-		const firstAttempts = sum(this._firstAttempts);
-		const { ratio, slack } = this._limits;
+		const oldest = this._firstAttempts[(this._bucket + 1) % BUCKETS]!;
+		const firstAttempts = sum(this._firstAttempts) - oldest;
 		const allowed =
-			RATIO_SAFETY_FACTOR * ratio * firstAttempts + (SLACK_SAFETY_FACTOR * slack) / Math.max(1, entryCount);
+			RATIO_SAFETY_FACTOR * this._limits.ratio * firstAttempts + this._availableSlack(now) / Math.max(1, entryCount);
 		if (sum(this._retries) + 1 > allowed) {
 			return false;
 		}
@@ -60,8 +66,14 @@
 		return true;
 	}
 
+	/** The part of the slack that all instances together may use now. */
+	private _availableSlack(now: Millis): number {
+		const { slack, windowMs } = this._limits;
+		return now - this._startedAt < windowMs ? 0 : SLACK_SAFETY_FACTOR * slack;
+	}
+
 	private _advance(now: Millis): void {
-		const bucket = Math.floor(now / (this._limits.windowMs / BUCKETS));
+		const bucket = Math.floor(now / (this._limits.windowMs / BUCKETS_PER_WINDOW));
 		const elapsedBuckets = Math.min(BUCKETS, bucket - this._bucket);
 		for (let i = 1; i <= elapsedBuckets; i++) {
 			this._firstAttempts[(this._bucket + i) % BUCKETS] = 0;
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -252,7 +252,10 @@
 		limits.onDidChange(() => this._reportLimits(limits));
 		const share = new PaceShare(name, () => 0);
 		const selector = new TargetSelector(view, location, this._regions, shifts, share, limits);
-		const retryBudget = new ServiceRetryBudget({ ratio: 0.2, windowMs: 10000, slack: 2 * this._settings.instances });
+		const retryBudget = new ServiceRetryBudget(
+			{ ratio: 0.2, windowMs: 10000, slack: 2 * this._settings.instances },
+			Number.NEGATIVE_INFINITY
+		);
 		return { name, region, view, limits, selector, outcomes: new OutcomeTracker(), retryBudget };
 	}
 
