Reports of lost runs share commits

Read: the leader committed one report after the other, each with up to three commits, while every end of a target brings reports of whatever callers had abandoned, from all instances, each 30 ms; callers of reports time out after 600 ms and send again. Now all reports that arrive while a commit is under way share the next one, answers are committed beside them and only where something is counted, and of the first run of a request nothing is logged. Failed before: quarantineReports.test.ts (60 reports, at most 3 commits of 30 ms).

--- a/src/plugins/fleet/common/lossEvidence.ts
+++ b/src/plugins/fleet/common/lossEvidence.ts
@@ -148,6 +148,11 @@
 		return Math.max(earlierCount, this._countedSequence(this._unexplainedLosses(digest)).length) >= counted.length;
 	}
 
+	/** Number of lost runs of a request that were reported and not answered since. */
+	lossCount(digest: string): number {
+		return this._unansweredLosses(digest).length;
+	}
+
 	/** The other requests that were running on targets that stopped under a request. */
 	relatedDigests(digest: string): readonly string[] {
 		const targetIds = this._unansweredLosses(digest).map(({ run }) => run.targetId);
@@ -168,8 +173,8 @@
 		const sequence = earlierCount + later.length > all.length ? later : all;
 		const count = Math.max(earlierCount + later.length, all.length);
 		const uncounted = sequence.map(({ run }) => run).filter(run => !counted.some(other => isSameRun(run, other)));
-		const maxCount = this._isDelayed(sequence, now) ? QUARANTINE_THRESHOLD - 1 : count;
-		return uncounted.slice(0, Math.max(0, Math.min(count, maxCount) - counted.length));
+		const isDelayed = count >= QUARANTINE_THRESHOLD && this._isDelayed(sequence, now);
+		return uncounted.slice(0, Math.max(0, (isDelayed ? QUARANTINE_THRESHOLD - 1 : count) - counted.length));
 	}
 
 	/** Whether the decisive run does not count yet, since answers or another request that explains the losses may still be reported. */
@@ -235,9 +240,9 @@
 
 	/** Whether a request that has lost more targets was running on the target when it stopped. */
 	private _isExplainedByAnother({ run, endedBefore }: Loss): boolean {
-		const count = this._lossCount(run.digest);
+		const count = this._separateLossCount(run.digest);
 		for (const other of this._stoppedTargets.get(run.targetId)?.digests ?? []) {
-			if (this._lossCount(other) > count && this._wasLost(other, run.targetId, endedBefore)) {
+			if (this._separateLossCount(other) > count && this._wasLost(other, run.targetId, endedBefore)) {
 				return true;
 			}
 		}
@@ -250,7 +255,7 @@
 		);
 	}
 
-	private _lossCount(digest: string): number {
+	private _separateLossCount(digest: string): number {
 		let count = this._lossesByDigest.has(digest) ? this._lossCounts.get(digest) : 0;
 		if (count === undefined) {
 			count = countSeparateLosses(this._unansweredLosses(digest));
--- a/src/plugins/fleet/node/quarantineManager.ts
+++ b/src/plugins/fleet/node/quarantineManager.ts
@@ -5,16 +5,16 @@
 /** Handles reports of lost runs from entry instances; the leader commits them to the replicated log. */
 
 import PQueue from 'p-queue';
-import { systemClock } from '../../../base/clock.js';
+import { type Millis, systemClock } from '../../../base/clock.js';
 import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import type { IAgreement } from '../../agreement/common/agreement.js';
 import { FleetUnavailableError } from '../common/fleetControl.js';
 import { reportRunsMethod } from '../common/fleetWire.js';
 import { CONTESTED_DELAY_MS, LossEvidence } from '../common/lossEvidence.js';
+import { isSameRun } from '../common/lossSequence.js';
 import { QUARANTINE_PART, type QuarantineCommand, type QuarantineState } from '../common/quarantineState.js';
 import {
-	type CountedLostRun,
 	type QuarantineSnapshot,
 	phaseOf,
 	QuarantinePhase,
@@ -34,6 +34,9 @@
 	private _term?: number;
 	/** Runs commits one at a time: which runs to count depends on those that are counted already. */
 	private readonly _commits = new PQueue({ concurrency: 1 });
+	/** Requests with new evidence that no commit has taken up yet, and the commit that will. */
+	private readonly _uncommitted = new Set<string>();
+	private _nextCommit?: Promise<void>;
 	private _loggedPhases: ReadonlyMap<string, QuarantinePhase> = new Map();
 
 	constructor(
@@ -79,15 +82,41 @@
 		const now = systemClock.now();
 		this._startTerm();
 		endedRuns.forEach(run => this._evidence.add(run, now));
-		await this._commits.add(() => this._commitRuns(endedRuns));
+		earlierAnswers.forEach(({ digest, agoMs }) => this._evidence.recordAnswer(digest, now - agoMs));
+		await this._commit([...digestsOf(endedRuns), ...earlierAnswers.map(({ digest }) => digest)]);
+		this._logReport(endedRuns);
 		this._recountLater(endedRuns);
-		let wasListed = false;
-		if (answered.length > 0) {
-			answered.forEach(digest => this._evidence.recordAnswer(digest, now));
-			wasListed = await this._commits.add(() => this._propose({ type: 'clearRequests', digests: answered }));
+		return this._clear(answered, now);
+	}
+
+	/** Commits what now counts for some requests; all that arrive while a commit is under way share the next one. */
+	private _commit(digests: readonly string[]): Promise<void> {
+		digests.forEach(digest => this._uncommitted.add(digest));
+		if (this._uncommitted.size === 0) {
+			return Promise.resolve();
+		}
+		this._nextCommit ??= this._commits.add(() => this._commitAll());
+		return this._nextCommit;
+	}
+
+	private async _commitAll(): Promise<void> {
+		// An idle queue calls this at once, before the promise of this commit is stored.
+		await Promise.resolve();
+		const uncommitted = [...this._uncommitted];
+		this._uncommitted.clear();
+		this._nextCommit = undefined;
+		await this._clearUnsupported(uncommitted);
+		await this._commitUncounted(uncommitted);
+	}
+
+	/** @returns whether one of the requests was suspected or quarantined */
+	private async _clear(digests: readonly string[], answeredAt: Millis): Promise<boolean> {
+		digests.forEach(digest => this._evidence.recordAnswer(digest, answeredAt));
+		const wasListed = digests.some(digest => this._isListed(digest));
+		const counted = digests.filter(digest => this._state.countedRuns(digest).length > 0);
+		if (counted.length > 0) {
+			await this._propose({ type: 'clearRequests', digests: counted });
 		}
-		earlierAnswers.forEach(({ digest, agoMs }) => this._evidence.recordAnswer(digest, now - agoMs));
-		await this._commits.add(() => this._clearUnsupported(earlierAnswers.map(({ digest }) => digest)));
 		return wasListed;
 	}
 
@@ -103,13 +132,13 @@
 
 	/** Counts again when the decisive runs of contested requests count; if that fails, the next report does. */
 	private _recountLater(reported: readonly ReportedLostRun[]): void {
-		const digests = digestsOf(reported);
+		const digests = digestsOf(reported).filter(digest => this._evidence.lossCount(digest) > 1);
 		if (digests.length === 0) {
 			return;
 		}
 		const recount = async (): Promise<void> => {
 			try {
-				await this._commits.add(() => this._commitUncounted(digests));
+				await this._commit(digests);
 			} catch (error) {
 				const reason = (error as Error).message;
 				this._log.warn('cannot count lost runs', { task: 'fleet', requests: digests.length, reason });
@@ -118,10 +147,6 @@
 		setTimeout(() => void recount(), CONTESTED_DELAY_MS);
 	}
 
-	private async _commitRuns(reported: readonly ReportedLostRun[]): Promise<void> {
-		this._logReport(reported, await this._commitUncounted(digestsOf(reported)));
-	}
-
 	private _isQuarantined(digest: string): boolean {
 		return this._state.countedRuns(digest).length >= QUARANTINE_THRESHOLD;
 	}
@@ -137,7 +162,7 @@
 		}
 	}
 
-	private async _commitUncounted(digests: readonly string[]): Promise<readonly CountedLostRun[]> {
+	private async _commitUncounted(digests: readonly string[]): Promise<void> {
 		const now = systemClock.now();
 		const runs = digests.flatMap(digest => this._evidence.uncountedRuns(digest, this._state.countedRuns(digest), now));
 		if (runs.length > 0) {
@@ -145,13 +170,11 @@
 			const quarantined = digests.filter(digest => this._isQuarantined(digest));
 			await this._clearUnsupported(quarantined.flatMap(digest => this._evidence.relatedDigests(digest)));
 		}
-		return runs;
 	}
 
-	/** @returns whether the suspected and quarantined requests changed */
-	private async _propose(body: QuarantineCommand): Promise<boolean> {
+	private async _propose(body: QuarantineCommand): Promise<void> {
 		try {
-			return await this._agreement.propose<boolean>({ part: QUARANTINE_PART, body });
+			await this._agreement.propose({ part: QUARANTINE_PART, body });
 		} catch (error) {
 			throw new FleetUnavailableError((error as Error).message);
 		}
@@ -176,18 +199,18 @@
 		return this._state.snapshot.records.some(record => record.digest === digest);
 	}
 
-	/** Logs which reported runs counted, with the delay of the report; a report has as many lines as it has runs, up to a limit. */
-	private _logReport(reported: readonly ReportedLostRun[], counted: readonly CountedLostRun[]): void {
-		for (const run of reported.slice(0, MAX_LOGGED_RUNS)) {
+	/** Logs reported runs with the delay of the report and whether they count; the first run of a request is expected when targets stop. */
+	private _logReport(reported: readonly ReportedLostRun[]): void {
+		const repeated = reported.filter(({ digest }) => this._evidence.lossCount(digest) > 1);
+		for (const run of repeated.slice(0, MAX_LOGGED_RUNS)) {
 			const { digest, requestId, targetId: target, wasSuspected } = run;
-			const isCounted = counted.some(other => other.requestId === requestId && other.targetId === target);
+			const isCounted = this._state.countedRuns(digest).some(other => isSameRun(run, other));
 			const times = { sentAgoMs: Math.round(run.sentAgoMs), endedAgoMs: Math.round(run.endedAgoMs) };
 			const fields = { task: 'fleet', digest, requestId, target, wasSuspected, isCounted, ...times };
 			this._log.info('lost run reported', fields);
 		}
-		if (reported.length > MAX_LOGGED_RUNS) {
-			const fields = { task: 'fleet', runs: reported.length, counted: counted.length };
-			this._log.info('more lost runs reported than logged', fields);
+		if (repeated.length > MAX_LOGGED_RUNS) {
+			this._log.info('more lost runs reported than logged', { task: 'fleet', runs: repeated.length });
 		}
 	}
 
--- a/src/plugins/fleet/test/quarantineReports.test.ts
+++ b/src/plugins/fleet/test/quarantineReports.test.ts
@@ -135,3 +135,33 @@
 	);
 	await assert.rejects(follower.manager.release(DIGEST), FleetUnavailableError);
 });
+
+test('reports that arrive while one is being committed share the next commit', async () => {
+	const state = new QuarantineState();
+	let proposals = 0;
+	let handle!: (request: ReportRunsRequest) => Promise<unknown>;
+	const calls = { handleUnary: (_method: unknown, handler: typeof handle) => (handle = handler) };
+	const agreement = {
+		hasLease: () => true,
+		status: () => ({ term: 1 }),
+		propose: async ({ body }: PartCommand) => {
+			proposals++;
+			await new Promise(resolve => setTimeout(resolve, 30));
+			return state.apply(body);
+		}
+	};
+	const log = { info: () => undefined, warn: () => undefined };
+	new QuarantineManager(
+		calls as unknown as IPeerCalls,
+		agreement as unknown as IAgreement,
+		state,
+		log as unknown as ILogService
+	);
+	const reports = Array.from({ length: 60 }, (_, i) => {
+		const run = { ...lostRun(i, { sentAgoMs: 100, endedAgoMs: 10 }), digest: `d-${i}` };
+		return handle({ report: { endedRuns: [run], answered: [] }, isForwarded: false });
+	});
+	await Promise.all(reports);
+	assert.equal(state.records.length, 60);
+	assert.ok(proposals <= 3, `${proposals} commits`);
+});
