--- a/src/plugins/fleet/test/quarantineReports.test.ts
+++ b/src/plugins/fleet/test/quarantineReports.test.ts
@@ -33,27 +33,60 @@
 	return { ...identity, requestId: `r-${number}`, targetId: `t-${number}`, wasSuspected: false, sentAgoMs, endedAgoMs };
 }
 
-/** Sends reports to a leader one after the other, and returns the number of runs that count against the request. */
-async function countAfterReports(reports: readonly (readonly ReportedLostRun[])[]): Promise<number> {
-	const state = new QuarantineState();
-	let report!: (request: ReportRunsRequest) => Promise<unknown>;
-	const calls = { handleUnary: (_method: unknown, handler: typeof report) => (report = handler) };
+type ReportHandler = (request: ReportRunsRequest) => Promise<unknown>;
+
+/** A control instance of a test. */
+interface TestControl {
+	readonly manager: QuarantineManager;
+	readonly state: QuarantineState;
+	/** Handles a report, as a call of another instance does. */
+	readonly handle: ReportHandler;
+	/** Number of commands that it has committed. */
+	commits: number;
+}
+
+/**
+ * Creates a control instance.
+ * @param callLeader reaches the leader; undefined if this instance is the leader
+ */
+function createControl(state: QuarantineState, callLeader?: ReportHandler, commitMs = 0): TestControl {
+	let handle!: ReportHandler;
+	const calls = {
+		handleUnary: (_method: unknown, handler: ReportHandler) => (handle = handler),
+		call: (_address: string, _method: unknown, request: ReportRunsRequest) => callLeader!(request)
+	};
+	const status = { term: 1, id: 'b', leader: 'a', members: [{ id: 'a', address: 'a:1' }] };
 	const agreement = {
-		hasLease: () => true,
-		status: () => ({ term: 1 }),
-		propose: async ({ body }: PartCommand) => state.apply(body)
+		hasLease: () => callLeader === undefined,
+		status: () => status,
+		propose: async ({ body }: PartCommand) => {
+			control.commits++;
+			await new Promise(resolve => setTimeout(resolve, commitMs));
+			return state.apply(body);
+		}
 	};
 	const log = { info: () => undefined, warn: () => undefined };
-	new QuarantineManager(
+	const manager = new QuarantineManager(
 		calls as unknown as IPeerCalls,
 		agreement as unknown as IAgreement,
 		state,
 		log as unknown as ILogService
 	);
+	const control: TestControl = { manager, state, handle, commits: 0 };
+	return control;
+}
+
+function reportOf(endedRuns: readonly ReportedLostRun[]): ReportRunsRequest {
+	return { report: { endedRuns, answered: [] }, isForwarded: false };
+}
+
+/** Sends reports to a leader one after the other, and returns the number of runs that count against the request. */
+async function countAfterReports(reports: readonly (readonly ReportedLostRun[])[]): Promise<number> {
+	const leader = createControl(new QuarantineState());
 	for (const endedRuns of reports) {
-		await report({ report: { endedRuns, answered: [] }, isForwarded: false });
+		await leader.handle(reportOf(endedRuns));
 	}
-	return state.save().records.find(({ digest }) => digest === DIGEST)?.runs.length ?? 0;
+	return leader.state.countedRuns(DIGEST).length;
 }
 
 test('lost runs of earlier times that are reported after a later one count', async () => {
@@ -86,33 +119,6 @@
 	);
 });
 
-/** A control instance whose calls reach another one, or fail. */
-function createManager(
-	state: QuarantineState,
-	leader: QuarantineManager | undefined,
-	call: (request: ReportRunsRequest) => Promise<unknown>
-): { readonly manager: QuarantineManager; readonly handle: (request: ReportRunsRequest) => Promise<unknown> } {
-	let handle!: (request: ReportRunsRequest) => Promise<unknown>;
-	const calls = {
-		handleUnary: (_method: unknown, handler: typeof handle) => (handle = handler),
-		call: (_address: string, _method: unknown, request: ReportRunsRequest) => call(request)
-	};
-	const status = { term: 1, id: 'b', leader: 'a', members: [{ id: 'a', address: 'a:1' }] };
-	const agreement = {
-		hasLease: () => leader === undefined,
-		status: () => status,
-		propose: async ({ body }: PartCommand) => state.apply(body)
-	};
-	const log = { info: () => undefined, warn: () => undefined };
-	const manager = new QuarantineManager(
-		calls as unknown as IPeerCalls,
-		agreement as unknown as IAgreement,
-		state,
-		log as unknown as ILogService
-	);
-	return { manager, handle };
-}
-
 function suspectedState(): QuarantineState {
 	const runs = [1, 2].map(i => ({ digest: DIGEST, pathHash: 1, team: '', requestId: `r-${i}`, targetId: `t-${i}` }));
 	const state = new QuarantineState();
@@ -121,47 +127,22 @@
 }
 
 test('a request that is released a second time is not known, also by a control instance that lags behind', async () => {
-	const leader = createManager(suspectedState(), undefined, () => Promise.reject(new Error('no call expected')));
-	const follower = createManager(suspectedState(), leader.manager, request => leader.handle(request));
+	const leader = createControl(suspectedState());
+	const follower = createControl(suspectedState(), request => leader.handle(request));
 	assert.equal(await follower.manager.release(DIGEST), true);
 	assert.equal(await follower.manager.release(DIGEST), false);
 	assert.equal(await leader.manager.release(DIGEST), false);
 });
 
 test('a release is unavailable while the leader cannot be reached', async () => {
-	const leader = createManager(suspectedState(), undefined, () => Promise.reject(new Error('no call expected')));
-	const follower = createManager(suspectedState(), leader.manager, () =>
-		Promise.reject(new Error('connection refused'))
-	);
+	const follower = createControl(suspectedState(), () => Promise.reject(new Error('connection refused')));
 	await assert.rejects(follower.manager.release(DIGEST), FleetUnavailableError);
 });
 
 test('reports that arrive while one is being committed share the next commit', async () => {
-	const state = new QuarantineState();
-	let proposals = 0;
-	let handle!: (request: ReportRunsRequest) => Promise<unknown>;
-	const calls = { handleUnary: (_method: unknown, handler: typeof handle) => (handle = handler) };
-	const agreement = {
-		hasLease: () => true,
-		status: () => ({ term: 1 }),
-		propose: async ({ body }: PartCommand) => {
-			proposals++;
-			await new Promise(resolve => setTimeout(resolve, 30));
-			return state.apply(body);
-		}
-	};
-	const log = { info: () => undefined, warn: () => undefined };
-	new QuarantineManager(
-		calls as unknown as IPeerCalls,
-		agreement as unknown as IAgreement,
-		state,
-		log as unknown as ILogService
-	);
-	const reports = Array.from({ length: 60 }, (_, i) => {
-		const run = { ...lostRun(i, { sentAgoMs: 100, endedAgoMs: 10 }), digest: `d-${i}` };
-		return handle({ report: { endedRuns: [run], answered: [] }, isForwarded: false });
-	});
-	await Promise.all(reports);
-	assert.equal(state.records.length, 60);
-	assert.ok(proposals <= 3, `${proposals} commits`);
+	const leader = createControl(new QuarantineState(), undefined, 30);
+	const runs = Array.from({ length: 60 }, (_, i) => lostRun(i, { sentAgoMs: 100, endedAgoMs: 10 }));
+	await Promise.all(runs.map((run, i) => leader.handle(reportOf([{ ...run, digest: `d-${i}` }]))));
+	assert.equal(leader.state.records.length, 60);
+	assert.ok(leader.commits <= 3, `${leader.commits} commits`);
 });
