Answers are remembered only after a lost run, since the digest of each request costs time

Each answer computed the digest of its request. Now an instance does so for 30 s after it noticed a lost run, and while any request is suspected or quarantined.

--- a/src/plugins/forwarding/node/quarantineGuard.ts
+++ b/src/plugins/forwarding/node/quarantineGuard.ts
@@ -7,7 +7,7 @@
  * this instance observed itself, since control may be unreachable.
  */
 
-import { type IClock, systemClock } from '../../../base/clock.js';
+import { type IClock, type Millis, systemClock } from '../../../base/clock.js';
 import { Disposable } from '../../../base/disposable.js';
 import type { IFleetSession } from '../../fleet/common/fleetSession.js';
 import { QuarantineView } from '../../fleet/common/quarantineView.js';
@@ -23,12 +23,17 @@
 /** With a view older than this, control does not count in time what instances report. */
 const MAX_VIEW_AGE_MS = 1500;
 
+/** While no target stops, answers are not remembered, since the digest of each request costs time. */
+const LOSS_MEMORY_MS = 30000;
+
 /** Looks up and updates the quarantine phase of requests at this instance. */
 export class QuarantineGuard extends Disposable {
 	private readonly _localQuarantine = new RequestQuarantine();
 	private readonly _localEvidence = new LossEvidence();
 	private readonly _localView = new QuarantineView();
 	private readonly _recentAnswers = new RecentAnswers();
+	/** When this instance last noticed a lost run; answers are remembered only for some time after that. */
+	private _lastLossAt: Millis = Number.NEGATIVE_INFINITY;
 
 	constructor(
 		private readonly _session: IFleetSession,
@@ -77,8 +82,12 @@
 	}
 
 	private _recordAnswer(context: RequestContext): void {
+		const now = this._clock.now();
+		if (now - this._lastLossAt > LOSS_MEMORY_MS && this._session.view.quarantine.isEmpty) {
+			return;
+		}
 		const { digest } = identityOf(context);
-		this._recentAnswers.add(digest, this._clock.now());
+		this._recentAnswers.add(digest, now);
 		if (!context.wasLostWithTarget && this.phase(context) === QuarantinePhase.Clear) {
 			return;
 		}
@@ -88,6 +97,7 @@
 
 	private _onRunLost(lostRun: ObservedLostRun): void {
 		const now = this._clock.now();
+		this._lastLossAt = now;
 		const run = { ...lostRun, answeredAt: this._recentAnswers.answeredAt(lostRun.digest, now) };
 		this._session.reportRun(run);
 		if (run.runningAt !== undefined) {
