The test of fatal requests counts later runs by when they were sent, as the rule does

The check took the time of the end, so that a run counted that was sent 1.5 s earlier, while instances could not know yet. The rule is about requests sent later than the contact time after the third end, so the time from the arrival to the end is taken off; bound and load stay as they were, and for the requests that end targets after 60 ms the check is the same within that time.

--- a/test/platform/fatalRequests.test.ts
+++ b/test/platform/fatalRequests.test.ts
@@ -63,11 +63,11 @@
 	}
 }
 
-/** The lost runs that ended later than all instances should have known of the third lost target. */
-function laterRuns(lostRuns: readonly LostRun[]): LostRun[] {
+/** The lost runs that were sent later than all instances should have known of the third lost target. */
+function laterRuns(lostRuns: readonly LostRun[], crashAfterMs: number): LostRun[] {
 	const thirdTarget = [...new Set(lostRuns.map(({ targetId }) => targetId))][QUARANTINE_THRESHOLD - 1];
 	const thresholdReachedAt = lostRuns.find(({ targetId }) => targetId === thirdTarget)?.at ?? Number.POSITIVE_INFINITY;
-	return lostRuns.filter(run => run.at > thresholdReachedAt + PROPAGATION_MS);
+	return lostRuns.filter(run => run.at - crashAfterMs > thresholdReachedAt + PROPAGATION_MS);
 }
 
 /** Number of lines with all of the texts that instances have logged. */
@@ -94,7 +94,7 @@
 	await delay(load.crashAfterMs);
 	const lostRuns = targets.lostRuns.filter(run => run.request.path === load.path);
 	const lostTargets = new Set(lostRuns.map(({ targetId }) => targetId)).size;
-	const later = laterRuns(lostRuns).length;
+	const later = laterRuns(lostRuns, load.crashAfterMs).length;
 	t.diagnostic(`${lostTargets} targets were lost; ${later} later runs; since the start ${describeEvidence()}`);
 	assert.ok(lostTargets >= QUARANTINE_THRESHOLD, `${lostTargets} targets were lost`);
 	assert.ok(later <= MAX_LATER_RUNS, `${lostTargets} targets were lost; ${later} runs after all instances should know`);
@@ -142,7 +142,7 @@
 	const recoveredAt = performance.now();
 	await sending;
 	const lostRuns = targets.lostRuns.filter(run => run.request.path === load.path);
-	const later = lostRuns.filter(run => run.at > recoveredAt + PROPAGATION_MS).length;
+	const later = lostRuns.filter(run => run.at - load.crashAfterMs > recoveredAt + PROPAGATION_MS).length;
 	t.diagnostic(`${lostRuns.length} targets were lost; ${later} later runs; since the start ${describeEvidence()}`);
 	assert.ok(
 		later <= MAX_LATER_RUNS,
