Target selection is a plug-in of its own, placement

The folder of forwarding held target selection, the state of targets and the handling of requests; three parts are to be built side by side there. Selection, shares of regions, demand and the state of targets move to plugins/placement, with a type for what selection needs of a request (PlacementRequest), so that it no longer sees the exchange with callers.

--- a/src/plugins/forwarding/common/placement/retryAfterScheduler.ts
+++ b/src/plugins/admission/common/retryAfterScheduler.ts
@@ -4,7 +4,7 @@
 
 /** Schedules the retries of rejected callers, spaced by the interval at which permits become available. */
 
-import type { Millis } from '../../../../base/clock.js';
+import type { Millis } from '../../../base/clock.js';
 
 /** Assigns retry times to the callers of one service at one instance. */
 export class RetryAfterScheduler {
--- a/src/plugins/forwarding/common/targets/adaptiveIdleTimeout.ts
+++ b/src/plugins/forwarding/common/adaptiveIdleTimeout.ts
@@ -8,7 +8,7 @@
  * executed twice. Such losses at several targets reduce the idle timeout of all connections for a while.
  */
 
-import type { Millis } from '../../../../base/clock.js';
+import type { Millis } from '../../../base/clock.js';
 
 /** A reused connection that is lost within this time after sending is taken to have been dropped while it was idle. */
 const MAX_TIME_TO_LOSS_MS = 200;
--- a/src/plugins/forwarding/common/attempt.ts
+++ b/src/plugins/forwarding/common/attempt.ts
@@ -6,6 +6,8 @@
 
 import type { Readable } from 'node:stream';
 
+const MIN_SERVER_ERROR_STATUS = 500;
+
 /** Alternating header names and values, as received (see `IncomingMessage.rawHeaders`). */
 export type RawHeaders = readonly string[];
 
@@ -82,3 +84,8 @@
 
 /** Outcome of one attempt. */
 export type AttemptOutcome = TargetResponse | NotRun | ResponseFailure | Abandoned;
+
+/** Whether the response has a 5xx status. */
+export function isServerError(response: TargetResponse): boolean {
+	return response.status >= MIN_SERVER_ERROR_STATUS;
+}
--- a/src/plugins/forwarding/common/serviceBounds.ts
+++ b/src/plugins/forwarding/common/serviceBounds.ts
@@ -7,7 +7,7 @@
 import type { Millis } from '../../../base/clock.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
 import type { RetryLimits } from './serviceRetryBudget.js';
-import type { ShiftBounds } from './placement/sharePacer.js';
+import type { ShiftBounds } from '../../placement/common/sharePacer.js';
 
 /** Limits of the platform. */
 export interface IServiceBounds {
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -23,8 +23,8 @@
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { LargeResponseLimiter } from '../common/largeResponseLimiter.js';
-import { chooseService } from '../common/placement/weightedServiceChoice.js';
-import type { ChosenTarget } from '../common/placement/targetChoice.js';
+import { chooseService } from '../../placement/common/weightedServiceChoice.js';
+import type { ChosenTarget } from '../../placement/common/targetChoice.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
 import type { CallerExchange, LocalResponse } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
@@ -40,13 +40,13 @@
 import { RetryPolicy, SHORT_RETRY_AFTER_MS } from './retryPolicy.js';
 import { LostRunDetector } from './lostRunDetector.js';
 import { LimitMonitor } from './targets/limitMonitor.js';
-import { OutcomeTracker } from './targets/outcomeTracker.js';
+import { OutcomeTracker } from '../../placement/common/outcomeTracker.js';
 import { QuarantineGuard } from './quarantineGuard.js';
-import { RegionTrafficMonitor } from './placement/regionTrafficMonitor.js';
+import { RegionTrafficMonitor } from './regionTrafficMonitor.js';
 import { RequestBody } from './requestBody.js';
 import { RequestEnd, RequestRecorder } from './requestRecorder.js';
 import { BackoffMonitor } from './targets/backoffMonitor.js';
-import { TargetSelector } from './placement/targetSelector.js';
+import { TargetSelector } from '../../placement/common/targetSelector.js';
 
 /** No attempt is started with less time than this left before the deadline. */
 const MIN_REMAINING_MS = 20;
--- a/src/plugins/forwarding/node/quarantineGuard.ts
+++ b/src/plugins/forwarding/node/quarantineGuard.ts
@@ -15,8 +15,8 @@
 import { LossEvidence } from '../../fleet/common/lossEvidence.js';
 import { QuarantinePhase, type ObservedLostRun, toReportedRun } from '../../fleet/common/quarantineTypes.js';
 import { RequestQuarantine } from '../../fleet/common/requestQuarantine.js';
-import type { AttemptOutcome } from '../common/attempt.js';
-import { isServerError, type RequestContext } from './requestContext.js';
+import { type AttemptOutcome, isServerError } from '../common/attempt.js';
+import type { RequestContext } from './requestContext.js';
 import type { LostRunDetector } from './lostRunDetector.js';
 import { identityOf, pathHashOf } from './requestDigest.js';
 
--- a/src/plugins/forwarding/node/placement/regionTrafficMonitor.ts
+++ b/src/plugins/forwarding/node/regionTrafficMonitor.ts
@@ -7,13 +7,13 @@
  * off lost targets, which is exempt from the shift bounds.
  */
 
-import { Disposable, toDisposable } from '../../../../base/disposable.js';
-import type { Event } from '../../../../base/event.js';
-import type { Millis } from '../../../../base/clock.js';
-import type { ILogService } from '../../../../kernel/node/logService.js';
-import type { IFleetSession } from '../../../fleet/common/fleetSession.js';
-import type { RouteShareJump } from '../../common/placement/placementPlans.js';
-import { RegionTraffic } from '../../common/placement/regionTraffic.js';
+import { Disposable, toDisposable } from '../../../base/disposable.js';
+import type { Event } from '../../../base/event.js';
+import type { Millis } from '../../../base/clock.js';
+import type { ILogService } from '../../../kernel/node/logService.js';
+import type { IFleetSession } from '../../fleet/common/fleetSession.js';
+import type { RouteShareJump } from '../../placement/common/placementPlans.js';
+import { RegionTraffic } from '../../placement/common/regionTraffic.js';
 
 /** Writes the log lines about regions. */
 export class RegionTrafficMonitor extends Disposable {
--- a/src/plugins/forwarding/node/requestContext.ts
+++ b/src/plugins/forwarding/node/requestContext.ts
@@ -17,7 +17,6 @@
 import type { RequestBody } from './requestBody.js';
 import { RequestEnd } from './requestRecorder.js';
 
-const MIN_SERVER_ERROR_STATUS = 500;
 const STATUS_UNAUTHORIZED = 401;
 const STATUS_FORBIDDEN = 403;
 const STATUS_TOO_MANY = 429;
@@ -61,11 +60,6 @@
 	wasLostWithTarget?: boolean;
 }
 
-/** Whether the response has a 5xx status. */
-export function isServerError(response: TargetResponse): boolean {
-	return response.status >= MIN_SERVER_ERROR_STATUS;
-}
-
 /** Whether the target may have started to run the request. */
 export function mayHaveRun(outcome: AttemptOutcome): boolean {
 	return outcome.type === 'abandoned' ? outcome.mayHaveRun : outcome.type !== 'not-run';
--- a/src/plugins/forwarding/node/retryPolicy.ts
+++ b/src/plugins/forwarding/node/retryPolicy.ts
@@ -9,14 +9,14 @@
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
 import { RepeatRule } from '../../routes/common/routeTable.js';
-import { type AttemptOutcome, type NotRun, NotRunCause, type TargetResponse } from '../common/attempt.js';
-import { RetryAfterScheduler } from '../common/placement/retryAfterScheduler.js';
+import { type AttemptOutcome, isServerError, type NotRun, NotRunCause, type TargetResponse } from '../common/attempt.js';
+import { RetryAfterScheduler } from '../../admission/common/retryAfterScheduler.js';
 import { ServiceRetryBudget } from '../common/serviceRetryBudget.js';
 import type { IServiceBounds } from '../common/serviceBounds.js';
-import { mayRetrySameTarget } from '../common/targets/targetRefusal.js';
+import { mayRetrySameTarget } from '../../placement/common/targets/targetRefusal.js';
 import type { LocalResponse } from './callerExchange.js';
-import { isServerError, type RequestContext, unavailableResponse } from './requestContext.js';
-import type { TargetSelector } from './placement/targetSelector.js';
+import { type RequestContext, unavailableResponse } from './requestContext.js';
+import type { TargetSelector } from '../../placement/common/targetSelector.js';
 import type { QuarantineGuard } from './quarantineGuard.js';
 
 /** Causes for which nothing was sent to the target; selecting another one does not count as a retry. */
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -9,8 +9,8 @@
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { type AttemptOutcome, ResponseFailureCause, NotRunCause, type RawHeaders } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
-import { refusalCause } from '../common/targets/targetRefusal.js';
-import { parseTargetReport, type TargetReport } from '../common/targets/targetReport.js';
+import { refusalCause } from '../../placement/common/targets/targetRefusal.js';
+import { parseTargetReport, type TargetReport } from '../../placement/common/targets/targetReport.js';
 import type { RequestBody } from './requestBody.js';
 import type { TargetAgent } from './targets/targetAgent.js';
 
--- a/src/plugins/forwarding/node/targets/backoffMonitor.ts
+++ b/src/plugins/forwarding/node/targets/backoffMonitor.ts
@@ -11,8 +11,8 @@
 import type { TargetRecord } from '../../../fleet/common/fleetTypes.js';
 import type { AttemptOutcome } from '../../common/attempt.js';
 import { LogSampler } from '../../common/requestTrace.js';
-import type { TargetState } from '../../common/targets/targetState.js';
-import type { TargetReport } from '../../common/targets/targetReport.js';
+import type { TargetState } from '../../../placement/common/targets/targetState.js';
+import type { TargetReport } from '../../../placement/common/targets/targetReport.js';
 
 /** One request that was sent to a target. */
 export interface SentRequest {
--- a/src/plugins/forwarding/node/targets/targetAgent.ts
+++ b/src/plugins/forwarding/node/targets/targetAgent.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { type Millis, systemClock } from '../../../../base/clock.js';
-import { AdaptiveIdleTimeout } from '../../common/targets/adaptiveIdleTimeout.js';
+import { AdaptiveIdleTimeout } from '../../common/adaptiveIdleTimeout.js';
 
 /** Idle timeout of connections to targets that announce no keep-alive timeout. */
 const DEFAULT_IDLE_TIMEOUT_MS = 6000;
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -9,7 +9,7 @@
 import { test } from 'node:test';
 import { type AttemptOutcome, ResponseFailureCause, NotRunCause } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
-import type { TargetReport } from '../common/targets/targetReport.js';
+import type { TargetReport } from '../../placement/common/targets/targetReport.js';
 import { RequestBody } from '../node/requestBody.js';
 import { TargetAgent } from '../node/targets/targetAgent.js';
 import { TargetExchange } from '../node/targetExchange.js';
--- a/src/plugins/forwarding/common/placement/demandMeter.ts
+++ b/src/plugins/placement/common/demandMeter.ts
@@ -7,7 +7,7 @@
  * low quantile of the observed latencies, so that queueing and cold targets do not inflate the estimate.
  */
 
-import type { Millis } from '../../../../base/clock.js';
+import type { Millis } from '../../../base/clock.js';
 
 /**
  * Time constant of the moving average of the request rate. A shorter one moves objects between regions more often, away from
--- a/src/plugins/forwarding/common/placement/firstRequests.ts
+++ b/src/plugins/placement/common/firstRequests.ts
@@ -9,9 +9,9 @@
  * targets that no other instance uses for the same objects.
  */
 
-import { rendezvousRank } from '../../../../base/hashing.js';
-import type { Millis } from '../../../../base/clock.js';
-import type { TargetRecord } from '../../../fleet/common/fleetTypes.js';
+import { rendezvousRank } from '../../../base/hashing.js';
+import type { Millis } from '../../../base/clock.js';
+import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
 import type { Candidate } from './targetChoice.js';
 
 /** Returns the instance that sends a target its first request: one that may send to it while it is cold, if there is any. */
--- a/src/plugins/forwarding/node/targets/outcomeTracker.ts
+++ b/src/plugins/placement/common/outcomeTracker.ts
@@ -4,12 +4,12 @@
 
 /** Updates demand and target state from the outcomes of the requests that this instance forwards. */
 
-import type { Millis } from '../../../../base/clock.js';
-import { type AttemptOutcome, NotRunCause, type TargetResponse } from '../../common/attempt.js';
-import { DemandMeter } from '../../common/placement/demandMeter.js';
-import type { TargetState } from '../../common/targets/targetState.js';
-import type { LoadReport } from '../../common/targets/targetReport.js';
-import { isServerError, type RequestContext } from '../requestContext.js';
+import type { Millis } from '../../../base/clock.js';
+import { type AttemptOutcome, isServerError, NotRunCause, type TargetResponse } from '../../forwarding/common/attempt.js';
+import { DemandMeter } from './demandMeter.js';
+import type { TargetState } from './targets/targetState.js';
+import type { LoadReport } from './targets/targetReport.js';
+import type { PlacementRequest } from './placementRequest.js';
 
 /** Tracks the demand for services, and applies outcomes of attempts to target states. */
 export class OutcomeTracker {
@@ -52,7 +52,7 @@
 	 * @param durationMs time from the selection of the target to the outcome
 	 */
 	recordOutcome(
-		context: RequestContext,
+		context: PlacementRequest,
 		state: TargetState,
 		outcome: AttemptOutcome,
 		durationMs: Millis,
--- a/src/plugins/forwarding/common/placement/placementPlans.ts
+++ b/src/plugins/placement/common/placementPlans.ts
@@ -4,10 +4,10 @@
 
 /** Plans periodically how this instance divides the requests of each service among regions and halls. */
 
-import type { Millis } from '../../../../base/clock.js';
-import { Emitter } from '../../../../base/event.js';
-import type { FleetView } from '../../../fleet/common/fleetView.js';
-import { RepeatRule, type Route } from '../../../routes/common/routeTable.js';
+import type { Millis } from '../../../base/clock.js';
+import { Emitter } from '../../../base/event.js';
+import type { FleetView } from '../../fleet/common/fleetView.js';
+import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import { hasProportionateSlots } from './hallPreference.js';
 import { RegionRejections } from './regionRejections.js';
 import { RegionCapacities } from './regionCapacities.js';
--- a/src/plugins/forwarding/common/placement/regionCapacities.ts
+++ b/src/plugins/placement/common/regionCapacities.ts
@@ -4,8 +4,8 @@
 
 /** Capacity of a service in each region, and how much of it was lost recently. */
 
-import type { Millis } from '../../../../base/clock.js';
-import type { FleetView, KnownTarget } from '../../../fleet/common/fleetView.js';
+import type { Millis } from '../../../base/clock.js';
+import type { FleetView, KnownTarget } from '../../fleet/common/fleetView.js';
 import type { RegionCapacity } from './regionShares.js';
 
 /** Smaller losses are not reported: the remaining targets of the region compensate for them. */
--- a/src/plugins/forwarding/common/placement/regionLoad.ts
+++ b/src/plugins/placement/common/regionLoad.ts
@@ -8,7 +8,7 @@
  * are idle would overfill their queues under overload; they are assumed to be as utilized as the others.
  */
 
-import type { Millis } from '../../../../base/clock.js';
+import type { Millis } from '../../../base/clock.js';
 
 /** Time constant of the average: long enough for several responses, short compared to the time in which a queue fills. */
 const AVERAGING_TIME_CONSTANT_MS = 400;
--- a/src/plugins/forwarding/common/placement/regionRejections.ts
+++ b/src/plugins/placement/common/regionRejections.ts
@@ -4,7 +4,7 @@
 
 /** Measures the fraction of a region's assigned requests that its targets reject because they are full. */
 
-import type { Millis } from '../../../../base/clock.js';
+import type { Millis } from '../../../base/clock.js';
 
 /** Time constant of the decay of counts: long enough to cover some requests of each region, short compared to a surge. */
 const DECAY_TIME_CONSTANT_MS = 600;
--- a/src/plugins/forwarding/common/placement/sharePacer.ts
+++ b/src/plugins/placement/common/sharePacer.ts
@@ -7,7 +7,7 @@
  * change, but requests that change their region reach targets that have not cached their objects.
  */
 
-import type { Millis } from '../../../../base/clock.js';
+import type { Millis } from '../../../base/clock.js';
 import { movedFraction, type RegionShare, type RegionShares, shareOf, totalShare } from './regionShares.js';
 
 /** Limits how fast requests may move to other regions. */
--- a/src/plugins/forwarding/common/placement/targetChoice.ts
+++ b/src/plugins/placement/common/targetChoice.ts
@@ -8,12 +8,12 @@
  * requests for recently used objects several times faster.
  */
 
-import type { Millis } from '../../../../base/clock.js';
-import { hash32 } from '../../../../base/hashing.js';
-import type { KnownTarget } from '../../../fleet/common/fleetView.js';
+import type { Millis } from '../../../base/clock.js';
+import { hash32 } from '../../../base/hashing.js';
+import type { KnownTarget } from '../../fleet/common/fleetView.js';
 import { regionAtPosition, orderRegions, type RegionShares } from './regionShares.js';
-import type { SkippedTarget } from '../requestTrace.js';
-import type { TargetState } from '../targets/targetState.js';
+import type { SkippedTarget } from '../../forwarding/common/requestTrace.js';
+import type { TargetState } from './targets/targetState.js';
 
 /** A target that may get the request. */
 export interface Candidate {
--- a/src/plugins/forwarding/node/placement/targetSelector.ts
+++ b/src/plugins/placement/common/targetSelector.ts
@@ -4,20 +4,20 @@
 
 /** Selects the target for a request among the known ones and enforces the rate limits of cold targets. */
 
-import type { Millis } from '../../../../base/clock.js';
-import type { FleetView } from '../../../fleet/common/fleetView.js';
-import type { PaceShare } from '../../../fleet/common/paceShare.js';
-import type { WorkByTarget } from '../../../fleet/common/requestedWork.js';
-import { RepeatRule, type Route } from '../../../routes/common/routeTable.js';
-import type { ITargetLimitStatus } from '../../../limits/common/targetLimits.js';
-import { NotRunCause } from '../../common/attempt.js';
-import { findUnusedTarget } from '../../common/placement/firstRequests.js';
-import type { Event } from '../../../../base/event.js';
-import { type InstanceLocation, PlacementPlans, type RouteShareJump } from '../../common/placement/placementPlans.js';
-import { regionAtPosition } from '../../common/placement/regionShares.js';
-import type { SkippedTarget } from '../../common/requestTrace.js';
-import type { ShiftBounds } from '../../common/placement/sharePacer.js';
-import { SpillAllowance } from '../../common/placement/spillAllowance.js';
+import type { Millis } from '../../../base/clock.js';
+import type { FleetView } from '../../fleet/common/fleetView.js';
+import type { PaceShare } from '../../fleet/common/paceShare.js';
+import type { WorkByTarget } from '../../fleet/common/requestedWork.js';
+import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
+import type { ITargetLimitStatus } from '../../limits/common/targetLimits.js';
+import { NotRunCause } from '../../forwarding/common/attempt.js';
+import { findUnusedTarget } from './firstRequests.js';
+import type { Event } from '../../../base/event.js';
+import { type InstanceLocation, PlacementPlans, type RouteShareJump } from './placementPlans.js';
+import { regionAtPosition } from './regionShares.js';
+import type { SkippedTarget } from '../../forwarding/common/requestTrace.js';
+import type { ShiftBounds } from './sharePacer.js';
+import { SpillAllowance } from './spillAllowance.js';
 import {
 	type Candidate,
 	chooseTarget,
@@ -25,10 +25,9 @@
 	type ChoiceContext,
 	type ChosenTarget,
 	regionPosition
-} from '../../common/placement/targetChoice.js';
-import type { CallerExchange } from '../callerExchange.js';
-import type { RequestContext } from '../requestContext.js';
-import { TargetStates } from '../targets/targetStates.js';
+} from './targetChoice.js';
+import type { PlacementCaller, PlacementRequest } from './placementRequest.js';
+import { TargetStates } from './targets/targetStates.js';
 
 /** Fraction of a cold target's rate limit that is used: a margin for requests that arrive closer together than sent. */
 const COLD_RATE_FRACTION = 0.6;
@@ -84,7 +83,7 @@
 	}
 
 	/** Returns the target for the next attempt of a request; undefined if none can take it now. */
-	choose(request: RequestContext, now: Millis): ChosenTarget | undefined {
+	choose(request: PlacementRequest, now: Millis): ChosenTarget | undefined {
 		const { route, service, exchange, homeRegions, tried } = request;
 		const mayAsk = mayAskForPermit(request);
 		const { candidates, deferred, reachableRegions } = this._states.candidates(
@@ -125,7 +124,7 @@
 	 * Returns when capacity becomes available again for a request if all targets that it may use back off or are rate limited;
 	 * undefined if one of them takes requests or there are none.
 	 */
-	nextCapacity(request: RequestContext, now: Millis): NextCapacity | undefined {
+	nextCapacity(request: PlacementRequest, now: Millis): NextCapacity | undefined {
 		const { route, service, homeRegions, exchange } = request;
 		// Permits that the request may no longer ask for don't count as capacity, or all its callers would retry at once.
 		const mayAsk = mayAskForPermit(request);
@@ -217,7 +216,7 @@
 	}
 
 	/** Every attempt counts: a request that a full target refused is looked up again. */
-	private _recordTargetLookup(request: RequestContext, context: ChoiceContext, chosen: ChosenTarget | undefined): void {
+	private _recordTargetLookup(request: PlacementRequest, context: ChoiceContext, chosen: ChosenTarget | undefined): void {
 		const { shares, position, reachableRegions, now } = context;
 		const region = regionAtPosition(shares, position);
 		if (region !== undefined && reachableRegions.has(region)) {
@@ -225,7 +224,7 @@
 		}
 	}
 
-	private _recordChoice(request: RequestContext, chosen: ChosenTarget, now: Millis): void {
+	private _recordChoice(request: PlacementRequest, chosen: ChosenTarget, now: Millis): void {
 		if (chosen.known.coldUntil > now) {
 			chosen.state.tryTakeColdToken(this._coldRate(chosen), now);
 		}
@@ -239,7 +238,7 @@
 
 	/** Returns an unused target that needs its first request; only for repeatable requests that the shares keep in this region. */
 	private _unusedTarget(
-		{ route, service }: RequestContext,
+		{ route, service }: PlacementRequest,
 		candidates: readonly Candidate[],
 		{ shares, position, now }: ChoiceContext
 	): ChosenTarget | undefined {
@@ -270,15 +269,15 @@
 }
 
 /** Returns the object key, scoped to the route's path prefix; undefined if the request is not bound to an object. */
-function scopedObjectKey(route: Route, { objectKey }: CallerExchange): string | undefined {
+function scopedObjectKey(route: Route, { objectKey }: PlacementCaller): string | undefined {
 	return route.isSticky && objectKey !== undefined ? `${route.pathPrefix} ${objectKey}` : undefined;
 }
 
 /** Whether no target was chosen for the request before; a choice that failed because a permit was denied counts. */
-function isFirstAttempt({ attempts, permitsDenied }: RequestContext): boolean {
+function isFirstAttempt({ attempts, permitsDenied }: PlacementRequest): boolean {
 	return attempts.length === 0 && permitsDenied === 0;
 }
 
-function mayAskForPermit({ permitsDenied }: RequestContext): boolean {
+function mayAskForPermit({ permitsDenied }: PlacementRequest): boolean {
 	return permitsDenied < MAX_DENIED_PERMITS;
 }
--- a/src/plugins/forwarding/common/targets/targetRefusal.ts
+++ b/src/plugins/placement/common/targets/targetRefusal.ts
@@ -8,8 +8,8 @@
  * Treating the first target as full would also move all its other objects.
  */
 
-import type { AttemptTrace } from '../requestTrace.js';
-import { NotRunCause } from '../attempt.js';
+import type { AttemptTrace } from '../../../forwarding/common/requestTrace.js';
+import { NotRunCause } from '../../../forwarding/common/attempt.js';
 import type { LoadReport } from './targetReport.js';
 
 /** Maximum number of attempts of one request at the same target. Further retries are better spent at other targets. */
--- a/src/plugins/forwarding/common/targets/targetReport.ts
+++ b/src/plugins/placement/common/targets/targetReport.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage } from 'node:http';
 import type { Millis } from '../../../../base/clock.js';
-import type { IHeaderNames } from '../headerNames.js';
+import type { IHeaderNames } from '../../../forwarding/common/headerNames.js';
 
 const STATUS_OTHER_TARGET = 421;
 const STATUS_TOO_MANY = 429;
--- a/src/plugins/forwarding/common/targets/targetState.ts
+++ b/src/plugins/placement/common/targets/targetState.ts
@@ -5,7 +5,7 @@
 /** State of one target as observed by this instance's own requests: load, health, backoff and cold-start pacing. */
 
 import type { Millis } from '../../../../base/clock.js';
-import type { RegionLoad } from '../placement/regionLoad.js';
+import type { RegionLoad } from '../regionLoad.js';
 import { TargetHealth } from './targetHealth.js';
 import { TargetBackoff } from './targetBackoff.js';
 import type { LoadReport } from './targetReport.js';
--- a/src/plugins/forwarding/node/targets/targetStates.ts
+++ b/src/plugins/placement/common/targets/targetStates.ts
@@ -7,9 +7,9 @@
 import { type Millis } from '../../../../base/clock.js';
 import type { FleetView, ITargetReachability, KnownTarget } from '../../../fleet/common/fleetView.js';
 import type { ITargetLimitStatus } from '../../../limits/common/targetLimits.js';
-import type { Candidate } from '../../common/placement/targetChoice.js';
-import { RegionLoad } from '../../common/placement/regionLoad.js';
-import { TargetState } from '../../common/targets/targetState.js';
+import type { Candidate } from '../targetChoice.js';
+import { RegionLoad } from '../regionLoad.js';
+import { TargetState } from './targetState.js';
 
 const SWEEP_INTERVAL_MS = 10000;
 
--- a/src/plugins/forwarding/common/placement/weightedServiceChoice.ts
+++ b/src/plugins/placement/common/weightedServiceChoice.ts
@@ -4,8 +4,8 @@
 
 /** Divides the requests of a route among its services by weight. */
 
-import { hash32 } from '../../../../base/hashing.js';
-import type { Route, WeightedService } from '../../../routes/common/routeTable.js';
+import { hash32 } from '../../../base/hashing.js';
+import type { Route, WeightedService } from '../../routes/common/routeTable.js';
 
 const HASH_RANGE = 2 ** 32;
 
--- a/src/plugins/forwarding/test/choice.test.ts
+++ b/src/plugins/placement/test/choice.test.ts
@@ -6,12 +6,12 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { DemandMeter } from '../common/placement/demandMeter.js';
-import { planShares, type RegionShares } from '../common/placement/regionShares.js';
-import { SharePacer } from '../common/placement/sharePacer.js';
-import { ServiceRetryBudget } from '../common/serviceRetryBudget.js';
-import { type Candidate, chooseTarget } from '../common/placement/targetChoice.js';
-import { RegionLoad } from '../common/placement/regionLoad.js';
+import { DemandMeter } from '../common/demandMeter.js';
+import { planShares, type RegionShares } from '../common/regionShares.js';
+import { SharePacer } from '../common/sharePacer.js';
+import { ServiceRetryBudget } from '../../forwarding/common/serviceRetryBudget.js';
+import { type Candidate, chooseTarget } from '../common/targetChoice.js';
+import { RegionLoad } from '../common/regionLoad.js';
 import { TargetState } from '../common/targets/targetState.js';
 import { parseLoadReport } from '../common/targets/targetReport.js';
 import { TargetPhase } from '../../fleet/common/fleetTypes.js';
--- a/src/plugins/forwarding/test/coldTargets.test.ts
+++ b/src/plugins/placement/test/coldTargets.test.ts
@@ -14,8 +14,8 @@
 import { TargetPhase, type TargetRecord } from '../../fleet/common/fleetTypes.js';
 import type { SyncResponse } from '../../fleet/common/fleetWire.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
-import { TargetSelector } from '../node/placement/targetSelector.js';
-import type { RequestContext } from '../node/requestContext.js';
+import { TargetSelector } from '../common/targetSelector.js';
+import type { PlacementRequest } from '../common/placementRequest.js';
 
 const COLD_START_MS = 3000;
 const COLD_PER_SECOND = 3;
@@ -81,7 +81,7 @@
 	);
 }
 
-function requestFor(object: number): RequestContext {
+function requestFor(object: number): PlacementRequest {
 	const exchange = { objectKey: `o${object}`, requestId: `request-${object}` };
 	return {
 		route: ROUTE,
@@ -90,7 +90,7 @@
 		exchange,
 		tried: new Set(),
 		attempts: []
-	} as unknown as RequestContext;
+	} as unknown as PlacementRequest;
 }
 
 /** Returns the number of requests that all selectors together send in one second, each trying every 50 ms. */
--- a/src/plugins/forwarding/test/placement.test.ts
+++ b/src/plugins/placement/test/placement.test.ts
@@ -8,11 +8,11 @@
 import { test } from 'node:test';
 import { type KnownTarget } from '../../fleet/common/fleetView.js';
 import { TargetPhase } from '../../fleet/common/fleetTypes.js';
-import { hasProportionateSlots } from '../common/placement/hallPreference.js';
-import { findUnusedTarget, firstRequestSender } from '../common/placement/firstRequests.js';
-import { planShares } from '../common/placement/regionShares.js';
-import { type Candidate, chooseTarget } from '../common/placement/targetChoice.js';
-import { RegionLoad } from '../common/placement/regionLoad.js';
+import { hasProportionateSlots } from '../common/hallPreference.js';
+import { findUnusedTarget, firstRequestSender } from '../common/firstRequests.js';
+import { planShares } from '../common/regionShares.js';
+import { type Candidate, chooseTarget } from '../common/targetChoice.js';
+import { RegionLoad } from '../common/regionLoad.js';
 import { TargetState } from '../common/targets/targetState.js';
 
 const ENTRIES = ['e1', 'e2', 'e3', 'e4'];
--- a/src/plugins/forwarding/test/rateLimitedTargets.test.ts
+++ b/src/plugins/placement/test/rateLimitedTargets.test.ts
@@ -14,10 +14,10 @@
 import { PaceShare } from '../../fleet/common/paceShare.js';
 import { TargetLimitTable } from '../../limits/common/targetLimitTable.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
-import { NotRunCause } from '../common/attempt.js';
-import { RetryAfterScheduler } from '../common/placement/retryAfterScheduler.js';
-import type { RequestContext } from '../node/requestContext.js';
-import { TargetSelector } from '../node/placement/targetSelector.js';
+import { NotRunCause } from '../../forwarding/common/attempt.js';
+import { RetryAfterScheduler } from '../../admission/common/retryAfterScheduler.js';
+import type { PlacementRequest } from '../common/placementRequest.js';
+import { TargetSelector } from '../common/targetSelector.js';
 
 const NOW = 5000;
 const PER_SECOND = 2;
@@ -74,7 +74,7 @@
 	return new TargetSelector(view, place, ['r'], shifts, share, new TargetLimitTable(view, share));
 }
 
-function requestWithDeniedPermits(permitsDenied: number): RequestContext {
+function requestWithDeniedPermits(permitsDenied: number): PlacementRequest {
 	return {
 		exchange: { objectKey: 'o', requestId: 'q', isDisconnected: false },
 		route: ROUTE,
@@ -84,7 +84,7 @@
 		refusals: 0,
 		permitsDenied,
 		attempts: []
-	} as unknown as RequestContext;
+	} as unknown as PlacementRequest;
 }
 
 test('after two denied permits a request asks for no more and the rate limit is reported', () => {
--- a/src/plugins/forwarding/test/simulatedRegion.ts
+++ b/src/plugins/placement/test/simulatedRegion.ts
@@ -14,12 +14,11 @@
 import { type FleetRevision, type TargetRecord, TargetPhase } from '../../fleet/common/fleetTypes.js';
 import type { RegionDemand, SyncResponse } from '../../fleet/common/fleetWire.js';
 import { RepeatRule, type Route, type RouteTable } from '../../routes/common/routeTable.js';
-import { NotRunCause } from '../common/attempt.js';
+import { NotRunCause } from '../../forwarding/common/attempt.js';
 import type { TargetState } from '../common/targets/targetState.js';
-import type { CallerExchange } from '../node/callerExchange.js';
-import type { RequestContext } from '../node/requestContext.js';
-import { OutcomeTracker } from '../node/targets/outcomeTracker.js';
-import { TargetSelector } from '../node/placement/targetSelector.js';
+import type { PlacementCaller, PlacementRequest } from '../common/placementRequest.js';
+import { OutcomeTracker } from '../common/outcomeTracker.js';
+import { TargetSelector } from '../common/targetSelector.js';
 
 const REGIONS = ['north', 'central', 'south'] as const;
 /** The region of the callers; it has few targets, so most of its requests run elsewhere. */
@@ -53,6 +52,11 @@
 	readonly complete: (now: Millis) => void;
 }
 
+/** A request of the simulation, which records the targets that it tried. */
+interface SimulatedRequest extends PlacementRequest {
+	readonly tried: Set<string>;
+}
+
 interface Instance {
 	readonly view: FleetView;
 	readonly selector: TargetSelector;
@@ -244,7 +248,7 @@
 		const position = pseudoRandom(number) * route.parts.reduce((sum, part) => sum + part.weight, 0);
 		const service = position < route.parts[0]!.weight ? route.parts[0]!.service : route.parts.at(-1)!.service;
 		const objectKey = String(Math.floor(pseudoRandom(number + 0.5) * OBJECTS));
-		const exchange = { objectKey, requestId: `request-${number}`, isDisconnected: false } as unknown as CallerExchange;
+		const exchange = { objectKey, requestId: `request-${number}`, isDisconnected: false } as unknown as PlacementCaller;
 		const request = {
 			exchange,
 			route,
@@ -252,11 +256,11 @@
 			service,
 			tried: new Set<string>(),
 			attempts: []
-		} as unknown as RequestContext;
+		} as unknown as SimulatedRequest;
 		this._attempt(instance, request);
 	}
 
-	private _attempt(instance: Instance, request: RequestContext): void {
+	private _attempt(instance: Instance, request: SimulatedRequest): void {
 		const chosen = instance.selector.choose(request, this.now);
 		if (!chosen) {
 			this._countRequest(REFUSED);
@@ -288,7 +292,7 @@
 	}
 
 	/** Handles a failed connection: retries with another target, up to the maximum number of attempts. */
-	private _fail(instance: Instance, request: RequestContext, state: TargetState, now: Millis): void {
+	private _fail(instance: Instance, request: SimulatedRequest, state: TargetState, now: Millis): void {
 		state.inFlight--;
 		const outcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.NoConnection } as const;
 		instance.outcomeTracker.recordOutcome(request, state, outcome, REFUSAL_MS, now);
--- a/src/plugins/forwarding/test/targetHealth.test.ts
+++ b/src/plugins/placement/test/targetHealth.test.ts
@@ -6,7 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { AdaptiveIdleTimeout } from '../common/targets/adaptiveIdleTimeout.js';
+import { AdaptiveIdleTimeout } from '../../forwarding/common/adaptiveIdleTimeout.js';
 import { TargetHealth } from '../common/targets/targetHealth.js';
 
 test('a target is ejected after two consecutive failures, not after one', () => {
--- a/src/plugins/forwarding/test/targetReport.test.ts
+++ b/src/plugins/placement/test/targetReport.test.ts
@@ -7,7 +7,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import type { IHeaderNames } from '../common/headerNames.js';
+import type { IHeaderNames } from '../../forwarding/common/headerNames.js';
 import { TargetBackoff } from '../common/targets/targetBackoff.js';
 import { LimitChange, TargetLimit } from '../../limits/common/targetLimit.js';
 import {
--- a/src/plugins/forwarding/test/weightedServiceChoice.test.ts
+++ b/src/plugins/placement/test/weightedServiceChoice.test.ts
@@ -7,7 +7,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RepeatRule, type Route, type WeightedService } from '../../routes/common/routeTable.js';
-import { chooseService } from '../common/placement/weightedServiceChoice.js';
+import { chooseService } from '../common/weightedServiceChoice.js';
 
 const REQUESTS = 2000;
 /** Tolerance; three standard deviations of a share of 0.5 with this number of requests are 0.034. */
--- a/test/bench/choice.ts
+++ b/test/bench/choice.ts
@@ -12,7 +12,7 @@
 import { TargetPhase, type TargetRecord } from '../../src/plugins/fleet/common/fleetTypes.js';
 import { PaceShare } from '../../src/plugins/fleet/common/paceShare.js';
 import type { SyncResponse } from '../../src/plugins/fleet/common/fleetWire.js';
-import { TargetSelector } from '../../src/plugins/forwarding/node/placement/targetSelector.js';
+import { TargetSelector } from '../../src/plugins/placement/common/targetSelector.js';
 import type { RequestContext } from '../../src/plugins/forwarding/node/requestContext.js';
 import { TargetLimitTable } from '../../src/plugins/limits/common/targetLimitTable.js';
 import { RepeatRule, type Route } from '../../src/plugins/routes/common/routeTable.js';
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -18,13 +18,13 @@
 import { type CrowdedTarget, RequestedWork } from '../../src/plugins/fleet/common/requestedWork.js';
 import type { AttemptTrace } from '../../src/plugins/forwarding/common/requestTrace.js';
 import { ServiceRetryBudget } from '../../src/plugins/forwarding/common/serviceRetryBudget.js';
-import { mayRetrySameTarget, refusalCause } from '../../src/plugins/forwarding/common/targets/targetRefusal.js';
-import { parseLoadReport } from '../../src/plugins/forwarding/common/targets/targetReport.js';
-import type { ChosenTarget } from '../../src/plugins/forwarding/common/placement/targetChoice.js';
+import { mayRetrySameTarget, refusalCause } from '../../src/plugins/placement/common/targets/targetRefusal.js';
+import { parseLoadReport } from '../../src/plugins/placement/common/targets/targetReport.js';
+import type { ChosenTarget } from '../../src/plugins/placement/common/targetChoice.js';
 import type { CallerExchange } from '../../src/plugins/forwarding/node/callerExchange.js';
 import type { RequestContext } from '../../src/plugins/forwarding/node/requestContext.js';
-import { OutcomeTracker } from '../../src/plugins/forwarding/node/targets/outcomeTracker.js';
-import { TargetSelector } from '../../src/plugins/forwarding/node/placement/targetSelector.js';
+import { OutcomeTracker } from '../../src/plugins/placement/common/outcomeTracker.js';
+import { TargetSelector } from '../../src/plugins/placement/common/targetSelector.js';
 import { RepeatRule, type Route } from '../../src/plugins/routes/common/routeTable.js';
 import type { TargetLimitTable } from '../../src/plugins/limits/common/targetLimitTable.js';
 import { describeEntry } from '../fakes/describeEntry.js';
