--- /dev/null
+++ b/src/plugins/admission/admission.entry.plugin.ts
@@ -0,0 +1,12 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Registers admission under shortage on entry instances. */
+
+import { pluginRegistry } from '../../kernel/common/pluginRegistry.js';
+import { FixedReturnTimes, IReturnTimes } from './common/returnTimes.js';
+import { IShortageAdmission, UnrankedAdmission } from './common/shortageAdmission.js';
+
+pluginRegistry.registerSingleton(IShortageAdmission, UnrankedAdmission);
+pluginRegistry.registerSingleton(IReturnTimes, FixedReturnTimes);
--- a/src/plugins/forwarding/node/requestContext.ts
+++ b/src/plugins/forwarding/node/requestContext.ts
@@ -7,6 +7,7 @@
 import type { Millis } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
 import { type LimitDecision, LimitVerdict } from '../../limits/common/teamLimits.js';
+import type { RequestRank } from '../../admission/common/requestRank.js';
 import type { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
 import type { RequestIdentity } from '../../fleet/common/requestIdentity.js';
 import type { Route, Team } from '../../routes/common/routeTable.js';
@@ -30,6 +31,9 @@
 	readonly homeRegions: readonly string[];
 	/** The team on whose behalf the request is sent; undefined for none. */
 	readonly team: Team | undefined;
+	/** Name of the team; undefined for none. */
+	readonly teamName: string | undefined;
+	readonly rank: RequestRank;
 	readonly service: string;
 	readonly body: RequestBody;
 	/** On the monotonic clock. */
@@ -38,6 +42,8 @@
 	readonly tried: Set<string>;
 	/** Whether an unused permit of the team's rate limit covers the next attempt; stays true for a team without a limit. */
 	hasTeamPermit: boolean;
+	/** Factor on the utilization up to which targets take the request, as admission decided for the next attempt. */
+	utilizationFactor: number;
 	/** Attempts that may have run the request. */
 	possibleRuns: number;
 	/** Attempts that reached a target and were refused by it. */
@@ -105,7 +111,10 @@
 	return { status: STATUS_UNAVAILABLE, verdict: 'not-run', reason: RefusalReason.Quarantined };
 }
 
-/** 503 for a request that has not run and may succeed when retried. */
-export function unavailableResponse(reason: RefusalReason, retryAfterMs: Millis): LocalResponse {
+/**
+ * 503 for a request that has not run.
+ * @param retryAfterMs delay after which a retry may succeed; undefined where it would not
+ */
+export function unavailableResponse(reason: RefusalReason, retryAfterMs: Millis | undefined): LocalResponse {
 	return { status: STATUS_UNAVAILABLE, verdict: 'not-run', reason, retryAfterMs };
 }
--- /dev/null
+++ b/src/plugins/forwarding/node/requestForwarder.ts
@@ -0,0 +1,167 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Makes the attempts of one request, each after the checks that it has to pass, until it can be answered. */
+
+import { type Millis, systemClock } from '../../../base/clock.js';
+import { RefusalReason } from '../../../base/verdict.js';
+import { type IReturnTimes, SHORT_RETRY_AFTER_MS } from '../../admission/common/returnTimes.js';
+import { type IShortageAdmission, ShortageOutcome } from '../../admission/common/shortageAdmission.js';
+import { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
+import type { IPermit, ITargetLimits } from '../../limits/common/targetLimits.js';
+import { type ITeamLimits, LimitVerdict } from '../../limits/common/teamLimits.js';
+import type { ChosenTarget } from '../../placement/common/targetChoice.js';
+import type { TargetSelector } from '../../placement/common/targetSelector.js';
+import { type AttemptOutcome, NotRunCause } from '../common/attempt.js';
+import type { AttemptSender } from './attemptSender.js';
+import type { LocalResponse } from './callerExchange.js';
+import type { QuarantineGuard } from './quarantineGuard.js';
+import type { RequestCompletion } from './requestCompletion.js';
+import { quarantinedResponse, type RequestContext, teamLimitResponse, unavailableResponse } from './requestContext.js';
+import type { RequestIntake } from './requestIntake.js';
+import type { RetryPolicy } from './retryPolicy.js';
+
+/** No attempt is started with less time than this left before the deadline. */
+const MIN_REMAINING_MS: Millis = 20;
+
+/** Services that forwarding a request uses. */
+export interface RequestForwarderDependencies {
+	readonly intake: RequestIntake;
+	readonly admission: IShortageAdmission;
+	readonly returnTimes: IReturnTimes;
+	readonly teamLimits: ITeamLimits;
+	readonly targetLimits: ITargetLimits;
+	readonly quarantineGuard: QuarantineGuard;
+	readonly selector: TargetSelector;
+	readonly attemptSender: AttemptSender;
+	readonly retryPolicy: RetryPolicy;
+	readonly completion: RequestCompletion;
+}
+
+/** Forwards requests to targets. */
+export class RequestForwarder {
+	constructor(private readonly _dependencies: RequestForwarderDependencies) {}
+
+	/**
+	 * Makes attempts until the request is answered or its caller has disconnected. The checks before each attempt go from those
+	 * that cost nothing to those that wait for other instances: deadline, access, admission under shortage, the limit of the team,
+	 * quarantine, target selection, the limit of the target.
+	 */
+	async forward(context: RequestContext): Promise<void> {
+		const { exchange } = context;
+		const { attemptSender, quarantineGuard, retryPolicy, completion } = this._dependencies;
+		while (!exchange.isDisconnected) {
+			const refusal = this._refuseBeforeWaiting(context) ?? (await this._acquireTeamPermit(context));
+			if (refusal) {
+				completion.finishWithLocalResponse(context, refusal);
+				return;
+			}
+			if (exchange.isDisconnected) {
+				return;
+			}
+			const candidate = this._chooseTarget(context);
+			if (!('known' in candidate)) {
+				completion.finishWithLocalResponse(context, candidate);
+				return;
+			}
+			const permit = await this._acquireTargetPermit(context, candidate);
+			if (permit === 'none') {
+				continue;
+			}
+			const outcome = await attemptSender.send(context, candidate, permit);
+			this._recordOutcome(context, outcome);
+			quarantineGuard.recordOutcome(context, outcome);
+			const decision = retryPolicy.decide(context, outcome);
+			if (decision === 'again') {
+				continue;
+			}
+			if (decision !== 'pass') {
+				completion.finishWithLocalResponse(context, decision);
+			} else if (outcome.type === 'answer') {
+				completion.finishWithTargetResponse(context, outcome);
+			}
+			return;
+		}
+	}
+
+	/** The response that refuses the request by what this instance knows; undefined where it may go on. */
+	private _refuseBeforeWaiting(context: RequestContext): LocalResponse | undefined {
+		const { intake, admission, returnTimes } = this._dependencies;
+		const now = systemClock.now();
+		if (context.deadline - now < MIN_REMAINING_MS) {
+			return unavailableResponse(RefusalReason.DeadlinePassed, SHORT_RETRY_AFTER_MS);
+		}
+		const accessDenied = intake.recheckAccess(context);
+		if (accessDenied) {
+			return accessDenied;
+		}
+		const decision = admission.decide(context, now);
+		if (decision.kind === 'refuse') {
+			return unavailableResponse(RefusalReason.NoCapacity, returnTimes.retryAfterMs(context, now));
+		}
+		context.utilizationFactor = decision.utilizationFactor;
+		return undefined;
+	}
+
+	/** The target of the next attempt, or the response where there is none. */
+	private _chooseTarget(context: RequestContext): ChosenTarget | LocalResponse {
+		const { quarantineGuard, selector, retryPolicy, admission } = this._dependencies;
+		context.phase = quarantineGuard.phase(context);
+		if (context.phase === QuarantinePhase.Quarantined) {
+			return quarantinedResponse();
+		}
+		const now = systemClock.now();
+		const candidate = selector.choose(context, now);
+		if (candidate) {
+			return candidate;
+		}
+		admission.recordOutcome(context, ShortageOutcome.NoTarget, now);
+		return retryPolicy.noTargetResponse(context);
+	}
+
+	private _recordOutcome(context: RequestContext, outcome: AttemptOutcome): void {
+		const { admission, returnTimes } = this._dependencies;
+		const now = systemClock.now();
+		admission.recordOutcome(context, shortageOutcomeOf(outcome), now);
+		if (outcome.type === 'answer') {
+			returnTimes.recordCompletion(context, now);
+		}
+	}
+
+	/**
+	 * Takes a permit from the team's rate limit. One permit covers one attempt that may have run; attempts that certainly did not run
+	 * leave it unused.
+	 * @returns the response that refuses the request where no permit was granted; otherwise undefined
+	 */
+	private async _acquireTeamPermit(context: RequestContext): Promise<LocalResponse | undefined> {
+		if (context.hasTeamPermit || !context.team) {
+			return undefined;
+		}
+		const admission = await this._dependencies.teamLimits.admit(context.team);
+		context.hasTeamPermit = admission.verdict === LimitVerdict.Admitted;
+		return context.hasTeamPermit ? undefined : teamLimitResponse(admission);
+	}
+
+	/** Takes a permit from the target's rate limit; undefined where the target has no limit, `'none'` where no permit is available. */
+	private async _acquireTargetPermit(
+		context: RequestContext,
+		{ known }: ChosenTarget
+	): Promise<IPermit | 'none' | undefined> {
+		const { targetLimits } = this._dependencies;
+		if (targetLimits.perSecond(known.record, systemClock.now()) === undefined) {
+			return undefined;
+		}
+		const permit = await targetLimits.acquirePermit(known.record);
+		context.permitsDenied += permit ? 0 : 1;
+		return permit ?? 'none';
+	}
+}
+
+function shortageOutcomeOf(outcome: AttemptOutcome): ShortageOutcome {
+	if (outcome.type === 'answer') {
+		return ShortageOutcome.Completed;
+	}
+	const isFull = outcome.type === 'not-run' && outcome.cause === NotRunCause.Full;
+	return isFull ? ShortageOutcome.TargetFull : ShortageOutcome.Other;
+}
--- /dev/null
+++ b/src/plugins/forwarding/node/requestIntake.ts
@@ -0,0 +1,83 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Turns a caller's exchange into a request that can be forwarded: finds its route, checks access and reads the body. */
+
+import { RefusalReason } from '../../../base/verdict.js';
+import { rankOf } from '../../admission/common/requestRank.js';
+import type { FleetView } from '../../fleet/common/fleetView.js';
+import { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
+import { chooseService } from '../../placement/common/weightedServiceChoice.js';
+import type { Route } from '../../routes/common/routeTable.js';
+import { checkAccess, type GrantedAccess } from '../../routes/common/teamAccess.js';
+import type { CallerExchange, LocalResponse } from './callerExchange.js';
+import { accessDeniedResponse, type RequestContext, unavailableResponse } from './requestContext.js';
+import { RequestBody } from './requestBody.js';
+
+const NO_CONFIGURATION_RETRY_AFTER_MS = 500;
+
+/** Admits exchanges of callers by the current route table. */
+export class RequestIntake {
+	constructor(private readonly _view: FleetView) {}
+
+	/**
+	 * Returns the request, or the response that refuses it; undefined where the caller disconnected before the end of the body.
+	 */
+	async accept(exchange: CallerExchange): Promise<RequestContext | LocalResponse | undefined> {
+		const { routes } = this._view;
+		if (!routes) {
+			return unavailableResponse(RefusalReason.NoConfiguration, NO_CONFIGURATION_RETRY_AFTER_MS);
+		}
+		const route = routes.find(exchange.host, exchange.path);
+		if (!route) {
+			return { status: 404, verdict: 'not-run', reason: 'no-route' };
+		}
+		const access = checkAccess(routes, route, exchange.keyDigest);
+		if (!access.isGranted) {
+			return accessDeniedResponse(access);
+		}
+		let body: RequestBody;
+		try {
+			body = await RequestBody.read(exchange.request);
+		} catch {
+			return undefined;
+		}
+		return createContext(exchange, route, access, body);
+	}
+
+	/** Checks access again before each attempt, since a key can be revoked between attempts; undefined where access is still granted. */
+	recheckAccess({ route, exchange }: RequestContext): LocalResponse | undefined {
+		const { routes } = this._view;
+		const access = routes && checkAccess(routes, route, exchange.keyDigest);
+		return access && !access.isGranted ? accessDeniedResponse(access) : undefined;
+	}
+}
+
+function createContext(
+	exchange: CallerExchange,
+	route: Route,
+	{ homeRegions, team }: GrantedAccess,
+	body: RequestBody
+): RequestContext {
+	return {
+		exchange,
+		route,
+		homeRegions,
+		team,
+		teamName: team?.name,
+		rank: rankOf(team, route),
+		service: chooseService(route, exchange.requestId),
+		body,
+		deadline: exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs),
+		tried: new Set(),
+		hasTeamPermit: team?.limit === undefined,
+		utilizationFactor: 1,
+		possibleRuns: 0,
+		refusals: 0,
+		connectFailures: 0,
+		permitsDenied: 0,
+		attempts: [],
+		phase: QuarantinePhase.Clear
+	};
+}
--- a/src/plugins/forwarding/node/retryPolicy.ts
+++ b/src/plugins/forwarding/node/retryPolicy.ts
@@ -9,8 +9,15 @@
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
 import { RepeatRule } from '../../routes/common/routeTable.js';
-import { type AttemptOutcome, isServerError, type NotRun, NotRunCause, type TargetResponse } from '../common/attempt.js';
+import {
+	type AttemptOutcome,
+	isServerError,
+	type NotRun,
+	NotRunCause,
+	type TargetResponse
+} from '../common/attempt.js';
 import { RetryAfterScheduler } from '../../admission/common/retryAfterScheduler.js';
+import { type IReturnTimes, SHORT_RETRY_AFTER_MS } from '../../admission/common/returnTimes.js';
 import { ServiceRetryBudget } from '../common/serviceRetryBudget.js';
 import type { IServiceBounds } from '../common/serviceBounds.js';
 import { mayRetrySameTarget } from '../../placement/common/targets/targetRefusal.js';
@@ -29,8 +36,6 @@
 const MAX_CONNECT_FAILURES = 4;
 /** Refusals by targets after which a request is not retried. */
 const MAX_REFUSALS = 3;
-/** Retry-After for callers whose request may find capacity soon. */
-export const SHORT_RETRY_AFTER_MS = 100;
 
 /** Decides what follows each attempt. */
 export class RetryPolicy {
@@ -41,6 +46,7 @@
 		private readonly _view: FleetView,
 		private readonly _selector: TargetSelector,
 		private readonly _quarantine: QuarantineGuard,
+		private readonly _returnTimes: IReturnTimes,
 		private readonly _bounds: IServiceBounds
 	) {}
 
@@ -109,7 +115,7 @@
 		const now = systemClock.now();
 		const capacity = this._selector.nextCapacity(context, now);
 		if (capacity === undefined) {
-			return unavailableResponse(RefusalReason.NoCapacity, SHORT_RETRY_AFTER_MS);
+			return unavailableResponse(RefusalReason.NoCapacity, this._returnTimes.retryAfterMs(context, now));
 		}
 		const retryAfterMs = this._retryAfterSchedulerOf(context.service).after(capacity, context.deadline) - now;
 		const isAtLimit = capacity.cause === NotRunCause.RateLimited;
--- a/src/plugins/placement/common/outcomeTracker.ts
+++ b/src/plugins/placement/common/outcomeTracker.ts
@@ -5,7 +5,12 @@
 /** Updates demand and target state from the outcomes of the requests that this instance forwards. */
 
 import type { Millis } from '../../../base/clock.js';
-import { type AttemptOutcome, isServerError, NotRunCause, type TargetResponse } from '../../forwarding/common/attempt.js';
+import {
+	type AttemptOutcome,
+	isServerError,
+	NotRunCause,
+	type TargetResponse
+} from '../../forwarding/common/attempt.js';
 import { DemandMeter } from './demandMeter.js';
 import type { TargetState } from './targets/targetState.js';
 import type { LoadReport } from './targets/targetReport.js';
--- a/src/plugins/placement/common/placementRequest.ts
+++ b/src/plugins/placement/common/placementRequest.ts
@@ -28,4 +28,6 @@
 	readonly attempts: readonly unknown[];
 	/** Permits within rate limits of targets that were requested and denied. */
 	readonly permitsDenied: number;
+	/** Factor on the utilization limits of targets, more than 0; 1 if omitted. */
+	readonly utilizationFactor?: number;
 }
--- a/src/plugins/placement/common/targetChoice.ts
+++ b/src/plugins/placement/common/targetChoice.ts
@@ -46,6 +46,8 @@
 	readonly reachableRegions: ReadonlySet<string>;
 	/** Whether the request may go to another region while the one that the shares assign is reachable. */
 	readonly maySpill: boolean;
+	/** Factor on the utilization limits, more than 0. */
+	readonly utilizationFactor: number;
 	/** Returns whether a cold target may get a request now. */
 	mayUseCold(candidate: Candidate): boolean;
 }
@@ -187,12 +189,12 @@
 	limits: readonly number[],
 	context: ChoiceContext
 ): Candidate | undefined {
-	const { now } = context;
+	const { now, utilizationFactor } = context;
 	// Cold targets without a token are excluded before ranking, so that their objects go to the next target of the region.
 	const usable = candidates.filter(candidate => isUsable(candidate, context));
 	const targets = rankTargets(usable, keyHash, MAX_RANKED_TARGETS, context);
 	return orderByRetention(targets, keyHash).find(
-		(candidate, rank) => utilization(candidate, now) < (limits[rank] ?? 0)
+		(candidate, rank) => utilization(candidate, now) < (limits[rank] ?? 0) * utilizationFactor
 	);
 }
 
@@ -200,7 +202,8 @@
 	let best: Candidate | undefined;
 	for (const candidate of candidates) {
 		const isBelowLimit =
-			utilization(candidate, context.now) < UNHEALTHY_UTILIZATION_LIMIT && isUsable(candidate, context);
+			utilization(candidate, context.now) < UNHEALTHY_UTILIZATION_LIMIT * context.utilizationFactor &&
+			isUsable(candidate, context);
 		if (isBelowLimit && (!best || utilization(candidate, context.now) < utilization(best, context.now))) {
 			best = candidate;
 		}
--- a/src/plugins/placement/common/targetSelector.ts
+++ b/src/plugins/placement/common/targetSelector.ts
@@ -101,6 +101,7 @@
 			maySpill: this._spill.hasToken,
 			...this._plans.planFor(service, request, now),
 			now,
+			utilizationFactor: request.utilizationFactor ?? 1,
 			mayUseCold: candidate => this._mayUseCold(candidate, now)
 		};
 		const chosen = this._unusedTarget(request, candidates, context) ?? chooseTarget(candidates, context);
@@ -216,7 +217,11 @@
 	}
 
 	/** Every attempt counts: a request that a full target refused is looked up again. */
-	private _recordTargetLookup(request: PlacementRequest, context: ChoiceContext, chosen: ChosenTarget | undefined): void {
+	private _recordTargetLookup(
+		request: PlacementRequest,
+		context: ChoiceContext,
+		chosen: ChosenTarget | undefined
+	): void {
 		const { shares, position, reachableRegions, now } = context;
 		const region = regionAtPosition(shares, position);
 		if (region !== undefined && reachableRegions.has(region)) {
--- a/src/plugins/placement/test/choice.test.ts
+++ b/src/plugins/placement/test/choice.test.ts
@@ -48,6 +48,7 @@
 		position: Math.random(),
 		reachableRegions: new Set<string>(),
 		maySpill: true,
+		utilizationFactor: 1,
 		mayUseCold: () => mayUseCold
 	})?.known.record.id;
 }
--- a/src/plugins/placement/test/placement.test.ts
+++ b/src/plugins/placement/test/placement.test.ts
@@ -96,6 +96,7 @@
 			position: 0,
 			reachableRegions: new Set<string>(),
 			maySpill: true,
+			utilizationFactor: 1,
 			mayUseCold: () => false
 		})?.known.record.id;
 	assert.match(choose()!, /^near/);
