The load of targets that also report how long work takes is heard

Cause: the parser of load reports gave up at four figures, so on services whose targets send the fourth one the load of no target was known; a full target got as many requests as a free one. Change: the fourth figure is the work time in percent of the usual; a figure out of range leaves the other three valid, five figures are refused as before. Nothing uses the work time yet. The new test failed before ('3,1,8,100' was undefined).

--- a/src/plugins/placement/common/targets/targetReport.ts
+++ b/src/plugins/placement/common/targets/targetReport.ts
@@ -13,6 +13,9 @@
 const STATUS_UNAVAILABLE = 503;
 /** Upper bound of a requested backoff. No target process is expected to run longer, and a restart ends the backoff. */
 const MAX_BACKOFF_MS: Millis = 24 * 3600 * 1000;
+/** Work times outside this range are taken for errors of the target, as no request could be placed by them. */
+const MIN_WORK_TIME_FACTOR = 0.01;
+const MAX_WORK_TIME_FACTOR = 100;
 /** An unsigned decimal number with an optional fraction. */
 const DECIMAL = /^\d+(\.\d+)?$/;
 /** The preferred date format of HTTP (RFC 9110, section 5.6.7), such as `Thu, 03 Dec 2026 10:00:05 GMT`. */
@@ -23,6 +26,8 @@
 	readonly running: number;
 	readonly waiting: number;
 	readonly slots: number;
+	/** How long work takes there at present, relative to its usual duration; undefined if the target does not report it. */
+	readonly workTimeFactor: number | undefined;
 }
 
 /** A request of a target not to be sent further requests. */
@@ -48,13 +53,23 @@
 /** Status and headers of a response. */
 export type ResponseHead = Pick<IncomingMessage, 'statusCode' | 'headers' | 'headersDistinct'>;
 
-/** Parses `running,waiting,slots`; undefined for anything else. */
+/**
+ * Parses `running,waiting,slots` and the optional `workTimePercent`; undefined for anything else. A work time out of range does
+ * not invalidate the other figures.
+ */
 export function parseLoadReport(text: string | readonly string[] | undefined): LoadReport | undefined {
-	const numbers = typeof text === 'string' ? text.split(',').map(Number) : undefined;
-	if (numbers?.length !== 3 || numbers.some(number => !Number.isFinite(number) || number < 0)) {
+	const numbers = typeof text === 'string' ? text.split(',').map(Number) : [];
+	const [running, waiting, slots, workTimePercent] = numbers;
+	const isValid = [running, waiting, slots].every(number => Number.isFinite(number) && number! >= 0);
+	if (numbers.length < 3 || numbers.length > 4 || !isValid) {
 		return undefined;
 	}
-	return { running: numbers[0]!, waiting: numbers[1]!, slots: numbers[2]! };
+	return { running: running!, waiting: waiting!, slots: slots!, workTimeFactor: workTimeFactorOf(workTimePercent) };
+}
+
+function workTimeFactorOf(percent: number | undefined): number | undefined {
+	const factor = (percent ?? Number.NaN) / 100;
+	return factor >= MIN_WORK_TIME_FACTOR && factor <= MAX_WORK_TIME_FACTOR ? factor : undefined;
 }
 
 /**
--- a/src/plugins/placement/test/choice.test.ts
+++ b/src/plugins/placement/test/choice.test.ts
@@ -145,12 +145,21 @@
 });
 
 test('malformed load reports are ignored', () => {
-	assert.deepEqual(parseLoadReport('3,0,8'), { running: 3, waiting: 0, slots: 8 });
-	for (const text of [undefined, '', '3,0', 'a,b,c', '-1,0,8']) {
+	assert.deepEqual(parseLoadReport('3,0,8'), { running: 3, waiting: 0, slots: 8, workTimeFactor: undefined });
+	for (const text of [undefined, '', '3,0', 'a,b,c', '-1,0,8', 'a,0,8,100', '-1,0,8,100', '3,0,8,100,1']) {
 		assert.equal(parseLoadReport(text), undefined);
 	}
 });
 
+test('a load report may state how long work takes, and a work time out of range leaves the other figures valid', () => {
+	const load = { running: 3, waiting: 1, slots: 8 };
+	assert.deepEqual(parseLoadReport('3,1,8,100'), { ...load, workTimeFactor: 1 });
+	assert.deepEqual(parseLoadReport('3,1,8,250'), { ...load, workTimeFactor: 2.5 });
+	for (const text of ['3,1,8,0', '3,1,8,-100', '3,1,8,1000000', '3,1,8,fast', '3,1,8,']) {
+		assert.deepEqual(parseLoadReport(text), { ...load, workTimeFactor: undefined }, text);
+	}
+});
+
 test('shares use only a part of the shift bound, and leave a region without targets at once', () => {
 	const pacer = new SharePacer({ maxMovedFraction: 0.15, windowMs: 2000 });
 	const at = (here: number): RegionShares => [
--- a/src/plugins/placement/test/simulatedRegion.ts
+++ b/src/plugins/placement/test/simulatedRegion.ts
@@ -282,7 +282,12 @@
 		const complete = (now: Millis): void => {
 			const left = this._loads.get(id)! - 1;
 			this._loads.set(id, left);
-			const load = { running: Math.min(left, SLOTS), waiting: Math.max(0, left - SLOTS), slots: SLOTS };
+			const load = {
+				running: Math.min(left, SLOTS),
+				waiting: Math.max(0, left - SLOTS),
+				slots: SLOTS,
+				workTimeFactor: undefined
+			};
 			instance.outcomeTracker.recordLoad(state, load, now);
 			state.inFlight--;
 			const response = { type: 'answer', status: 200, rawHeaders: [], endsWithConnection: false } as never;
