--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -18,24 +18,24 @@
 } from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
-import { IAgreement, NotLeaderError, OutcomeUnknownError, type ReplicaStatus } from '../common/agreement.js';
+import { IAgreement, NotLeaderError, type ReplicaStatus } from '../common/agreement.js';
 import { AgreementCore, type ReplicaIdentity } from '../common/agreementCore.js';
 import {
 	type AgreementMessage,
 	type Effects,
 	EntryKind,
 	type LogEntry,
-	type LogIndex,
 	type MemberId,
 	ReplicaRole
 } from '../common/agreementTypes.js';
 import { createBootstrapState, INITIAL_INCARNATION } from '../common/bootstrapState.js';
 import { type IReplicatedPart, type PartCommand, ReplicatedState } from '../common/replicatedState.js';
 import type { AgreementSettings } from './agreementSettings.js';
+import { AppendedProposals, type Proposal } from './appendedProposals.js';
 import { deliverMethod, helloMethod } from './agreementWire.js';
 import { LogStore, StoreCondition } from './logStore.js';
 import { type ConfiguredPeer, MemberDiscovery } from './memberDiscovery.js';
-import { PeerSender } from './peerSender.js';
+import { PeerSenders } from './peerSenders.js';
 
 const TICK_MS = 20;
 
@@ -48,19 +48,6 @@
 	| { readonly type: 'remove'; readonly id: MemberId; readonly resolve: (done: boolean) => void }
 	| { readonly type: 'bootstrap' };
 
-/** A proposed command and the callbacks of its promise. */
-interface Proposal {
-	readonly command: PartCommand;
-	resolve(result: unknown): void;
-	reject(error: Error): void;
-}
-
-/** A proposal whose entry was appended to the log and is not applied yet. */
-interface AppendedProposal extends Proposal {
-	/** Term of the entry; if another entry is committed at its index, the outcome is unknown. */
-	readonly term: number;
-}
-
 /** The replicated log of this control instance. */
 export class AgreementTask extends Disposable implements IAgreement {
 	private readonly _onDidChangeLeadership = this._register(new Emitter<boolean>());
@@ -70,8 +57,8 @@
 	private readonly _settings: AgreementSettings;
 	private readonly _instance: InstanceSettings;
 	private readonly _controls: ReadonlyMap<string, ControlPeerSettings>;
-	private readonly _senders = new Map<MemberId, PeerSender>();
-	private readonly _appendedProposals = new Map<LogIndex, AppendedProposal>();
+	private readonly _senders: PeerSenders;
+	private readonly _appendedProposals = new AppendedProposals();
 	private readonly _mailbox = this._register(
 		new Mailbox<TaskMessage>(
 			batch => this._handleBatch(batch),
@@ -93,6 +80,7 @@
 		@ILogService private readonly _log: ILogService
 	) {
 		super();
+		this._senders = new PeerSenders(this._peerCalls, id => this._addressOf(id));
 		this._settings = _allSettings.section<AgreementSettings>('agreement');
 		this._instance = _allSettings.section<InstanceSettings>('instance');
 		this._controls = _allSettings.namedSections<ControlPeerSettings>('control');
@@ -277,21 +265,19 @@
 			proposals.forEach(proposal => proposal.reject(error));
 			return [];
 		}
-		proposals.forEach((proposal, i) =>
-			this._appendedProposals.set(appended.first + i, { ...proposal, term: this._core.term })
-		);
+		this._appendedProposals.add(proposals, appended.first, this._core.term);
 		return [appended.effects];
 	}
 
 	/** Sends early messages, writes and syncs all records at once, sends the other messages, then applies committed entries. */
 	private async _performEffects(allEffects: readonly Effects[]): Promise<void> {
-		allEffects.forEach(effects => effects.earlyMessages.forEach(message => this._send(message)));
+		allEffects.forEach(effects => effects.earlyMessages.forEach(message => this._senders.send(message)));
 		const records = allEffects.flatMap(effects => effects.records);
 		const lastAppended = { index: this._core.lastIndex, term: this._core.term };
 		if (records.length > 0) {
 			await this._store.append([...records, { commit: this._core.commitIndex }]);
 		}
-		allEffects.forEach(effects => effects.messages.forEach(message => this._send(message)));
+		allEffects.forEach(effects => effects.messages.forEach(message => this._senders.send(message)));
 		allEffects.forEach(effects => this._apply(effects));
 		if (records.length > 0) {
 			const after = this._core.onPersisted(lastAppended.index, lastAppended.term, systemClock.now());
@@ -302,7 +288,7 @@
 	private _apply(effects: Effects): void {
 		if (effects.restore) {
 			this._state.restore(effects.restore.data);
-			this._rejectAppendedProposals();
+			this._appendedProposals.rejectAll();
 		}
 		effects.committed.forEach(entry => this._applyEntry(entry));
 	}
@@ -310,29 +296,7 @@
 	private _applyEntry(entry: LogEntry): void {
 		const isCommand = entry.kind === EntryKind.Command;
 		const result = isCommand ? this._state.apply(entry.command as PartCommand, entry.index) : undefined;
-		const proposal = this._appendedProposals.get(entry.index);
-		if (!proposal) {
-			return;
-		}
-		this._appendedProposals.delete(entry.index);
-		if (proposal.term === entry.term) {
-			proposal.resolve(result);
-		} else {
-			proposal.reject(new OutcomeUnknownError());
-		}
-	}
-
-	private _send(message: AgreementMessage): void {
-		const address = this._addressOf(message.to);
-		if (!address) {
-			return;
-		}
-		let sender = this._senders.get(message.to);
-		if (!sender || sender.address !== address) {
-			sender = new PeerSender(this._peerCalls, address);
-			this._senders.set(message.to, sender);
-		}
-		sender.send(message);
+		this._appendedProposals.settle(entry, result);
 	}
 
 	/**
@@ -354,18 +318,11 @@
 		this._wasLeader = isLeader;
 		this._log.info(isLeader ? 'became leader' : 'lost leadership', { task: 'agreement', term: this._core.term });
 		if (!isLeader) {
-			this._rejectAppendedProposals();
+			this._appendedProposals.rejectAll();
 		}
 		this._onDidChangeLeadership.fire(isLeader);
 	}
 
-	private _rejectAppendedProposals(): void {
-		for (const proposal of this._appendedProposals.values()) {
-			proposal.reject(new OutcomeUnknownError());
-		}
-		this._appendedProposals.clear();
-	}
-
 	private async _compactIfDue(): Promise<void> {
 		const applied = this._core.commitIndex;
 		if (applied - this._core.snapshotIndex < this._settings.snapshotEveryEntries) {
