Teams within their limits are not refused after a change of leader

The initial ceiling, its raises every 200 ms and the pause of 100 ms and more after each shortage refused fewer, from a start on. Teams that a holder meets seldom waited for a leader in another region.

Change: a ceiling bounds the credits a ledger issues in its whole term, and the log also gets how many of them can no longer be spent. The next leader counts the ceiling less what was known as finished a window ago by its own clock; after a restart it counts all. Requests that lack only a higher ceiling wait for its commit. Holders keep 1.5 s of requests and two more, replaced within 100 ms once a quarter is spent. Metrics of credits waited for and refused by cause. A mend of a fault: it applies to all deployments with limits of teams.

--- a/src/plugins/limits/common/creditBatches.ts
+++ b/src/plugins/limits/common/creditBatches.ts
@@ -27,6 +27,11 @@
 		this._total += count;
 	}
 
+	/** Number of credits that expire after the given time. */
+	totalExpiringAfter(time: Millis): number {
+		return this._batches.reduce((sum, { count, expiresAt }) => sum + (expiresAt > time ? count : 0), 0);
+	}
+
 	/** @returns the number of credits removed, at most `maxCount` */
 	removeOldest(maxCount: number): number {
 		let remaining = Math.min(maxCount, this._total);
--- a/src/plugins/limits/common/creditLedger.ts
+++ b/src/plugins/limits/common/creditLedger.ts
@@ -8,50 +8,70 @@
  * credits that holders may still spend, and credits that earlier leaders may have granted. Every request admitted later is
  * covered by one of these amounts, so the limit holds if messages are lost, delayed or duplicated, and during partitions.
  *
- * The credits of a team are granted up to a ceiling that was committed to the replicated log beforehand. It gives the next
- * leader an upper bound on what this one granted, even if no instance of that time can be reached.
+ * The credits that a ledger issues for a team in its whole term, without those that came back unspent, stay within a ceiling that
+ * was committed to the replicated log beforehand. Together with the recorded number of credits that can no longer be spent, it gives
+ * the next leader an upper bound on what this one granted, even if no instance of that time can be reached.
  */
 
 import type { Millis } from '../../../base/clock.js';
 import type { TeamLimit } from '../../routes/common/routeTable.js';
 import { HolderAccount } from './holderAccount.js';
-import { type ILimitPolicy, maxRequestsPerWindow, settlementMs } from './limitPolicy.js';
-import type { CreditGrant, CreditReport, RenewRequest } from './limitWire.js';
+import { type ILimitPolicy, maxRequestsPerWindow } from './limitPolicy.js';
+import { type CreditGrant, type CreditReport, CreditShortage, type RenewRequest } from './limitWire.js';
 import { SpendHistory } from './spendHistory.js';
 
 /** Fraction of a team's allowed usage up to which credits are granted ahead of need; the rest is reserved for waiting requests. */
 const PREFETCH_FRACTION = 0.85;
-/** A ceiling is raised once usage exceeds this fraction of it. */
-const RAISE_THRESHOLD_FRACTION = 0.9;
 /**
- * A raised ceiling is this multiple of the required credits, plus `RAISE_MARGIN`. Lower values cause refusals while the rate of a
- * team rises; higher ones leave less capacity to the next leader.
+ * Ceiling of a team without one in the log, as a fraction of the allowed requests per window; a new ceiling leaves as much for
+ * further credits. Lower values make the first requests of a sudden rise wait for a commit; what is left unused counts against the
+ * next leader, and two leaders in quick succession must leave capacity to a third one.
  */
-const RAISE_FACTOR = 1.12;
-/** Credits added to a raised ceiling. */
-const RAISE_MARGIN = 8;
-/** A ceiling that exceeds the required one by more than this factor is lowered, to leave capacity to the next leader. */
-const LOWER_THRESHOLD_FACTOR = 1.4;
-/** Ceiling of a team without one in the log, and minimum of all ceilings, as a fraction of the allowed requests per window. */
 export const INITIAL_CEILING_FRACTION = 0.12;
+/** What a new ceiling leaves for further credits, as a fraction of the allowed requests per window. */
+const MARGIN_FRACTION = 0.08;
+/** Minimum of what a new ceiling leaves for further credits, so that a low limit does not need a commit for each of them. */
+const MIN_MARGIN = 4;
+/** The log is updated when this fraction of what a new ceiling leaves is issued, or finished since the last update. */
+const UPDATE_THRESHOLD_FRACTION = 0.5;
+/** A ceiling that leaves this many times as much as a new one would is lowered, to leave capacity to the next leader. */
+const LOWER_THRESHOLD_FACTOR = 1.4;
 /** Retry delay if the window contains too few spent credits to wait for; the outstanding ones expire after `CREDIT_LIFETIME_MS`. */
 const DEFAULT_CAPACITY_WAIT_MS = 500;
 
 /** Ceilings of teams in the replicated log. `maxRequests` is the number of requests that a window may contain. */
 export interface ICeilings {
-	/** Ceiling of the current leader's ledger. */
+	/** Ceiling on the credits that the current leader's ledger issues. */
 	currentCeiling(team: string, maxRequests: number): number;
-	/** Sum of the ceilings of earlier leaders whose credits may still be outstanding. */
-	previousCeilingSum(team: string, maxRequests: number): number;
+	/** Upper bound on the requests of the last window, and later ones, admitted by credits of earlier leaders. */
+	previousCredits(team: string, maxRequests: number): number;
 }
 
-/** Ceilings by team, in credits. */
+/** Numbers of credits by team. */
 export type Ceilings = Readonly<Record<string, number>>;
 
+/** What a leader commits to the log. */
+export interface CeilingUpdate {
+	readonly ceilings: Ceilings;
+	/** Credits of these teams that can no longer be spent. */
+	readonly finished: Ceilings;
+}
+
+/** Limits on one grant. */
+interface GrantBounds {
+	/** Upper bound of the usage after the grant. */
+	readonly maxUsage: number;
+	/** The same if no earlier leader had granted credits. */
+	readonly allowedUsage: number;
+	/** Upper bound of the credits issued after the grant. */
+	readonly maxIssued: number;
+}
+
 /** The credits of one team at all holders. */
 class TeamAccount {
 	private readonly _holders = new Map<string, HolderAccount>();
 	private readonly _spent: SpendHistory;
+	private _granted = 0;
 
 	constructor(windowMs: Millis) {
 		this._spent = new SpendHistory(windowMs);
@@ -86,25 +106,51 @@
 		}
 	}
 
+	/** Credits granted, without those that came back unspent. */
+	get issued(): number {
+		let unused = 0;
+		for (const holder of this._holders.values()) {
+			unused += holder.unused;
+		}
+		return this._granted - unused;
+	}
+
+	/** Issued credits that can no longer be spent. */
+	finished(now: Millis): number {
+		this.usage(now);
+		let outstanding = 0;
+		for (const holder of this._holders.values()) {
+			outstanding += holder.outstanding;
+		}
+		return this.issued - outstanding;
+	}
+
 	/**
 	 * Grants credits.
 	 * @param needed credits for waiting requests
 	 * @param ahead credits for expected requests
-	 * @param maxUsage upper bound of the usage after the grant
 	 */
-	grant(holder: string, needed: number, ahead: number, maxUsage: number, now: Millis): CreditGrant {
-		const available = Math.max(0, Math.floor(maxUsage - this.usage(now)));
+	grant(holder: string, needed: number, ahead: number, bounds: GrantBounds, now: Millis): CreditGrant {
+		const { maxUsage, allowedUsage, maxIssued } = bounds;
+		const usage = this.usage(now);
+		const available = Math.max(0, Math.floor(Math.min(maxUsage - usage, maxIssued - this.issued)));
 		const urgent = Math.min(needed, available);
 		const prefetched = Math.max(
 			0,
-			Math.min(ahead, Math.floor(available - urgent - (1 - PREFETCH_FRACTION) * maxUsage))
+			Math.min(ahead, available - urgent, Math.floor(PREFETCH_FRACTION * maxUsage - usage - urgent))
 		);
 		const granted = urgent + prefetched;
 		if (granted > 0) {
 			this._holders.get(holder)!.grant(granted, now);
+			this._granted += granted;
 		}
 		const missing = needed - urgent;
-		return { granted, roomInMs: missing === 0 ? 0 : this._capacityWaitMs(missing, now) };
+		if (missing === 0) {
+			return { granted, roomInMs: 0 };
+		}
+		return usage + granted + 1 <= allowedUsage
+			? { granted, roomInMs: 0, shortage: CreditShortage.Ceiling }
+			: { granted, roomInMs: this._capacityWaitMs(missing, now), shortage: CreditShortage.Limit };
 	}
 
 	private _capacityWaitMs(missing: number, now: Millis): Millis {
@@ -117,21 +163,18 @@
 export class CreditLedger {
 	private readonly _accounts = new Map<string, TeamAccount>();
 	private readonly _sequences = new Map<string, number>();
-	/** Credits refused because of a ceiling, by team, since the ceilings were last computed. */
+	/** Credits that only the ceiling refused, by team, since ceilings were last computed. */
 	private readonly _shortfalls = new Map<string, number>();
-
 	/** Ceilings that were proposed and may not be committed yet; lower ones apply at once. */
 	private readonly _proposed = new Map<string, number>();
+	/** Finished credits as last proposed. */
+	private readonly _recordedFinished = new Map<string, number>();
 
-	/**
-	 * @param _limitOf limit of a team in the current route table; undefined for none
-	 * @param _startedAt when this leader's ledger started
-	 */
+	/** @param _limitOf limit of a team in the current route table; undefined for none */
 	constructor(
 		private readonly _policy: ILimitPolicy,
 		private readonly _ceilings: ICeilings,
-		private readonly _limitOf: (team: string) => TeamLimit | undefined,
-		private readonly _startedAt: Millis
+		private readonly _limitOf: (team: string) => TeamLimit | undefined
 	) {}
 
 	/**
@@ -153,32 +196,56 @@
 		});
 	}
 
+	/** Whether waiting requests got no credit only for want of a higher ceiling. */
+	needsCeiling({ reports }: RenewRequest, grants: readonly CreditGrant[]): boolean {
+		return grants.some(
+			({ shortage }, i) => shortage === CreditShortage.Ceiling && this._shortfalls.has(reports[i]!.team)
+		);
+	}
+
+	/** Completes the grants for requests that still wait, after ceilings were raised. */
+	grantRemaining({ holder, reports }: RenewRequest, grants: readonly CreditGrant[], now: Millis): CreditGrant[] {
+		return grants.map((grant, i) => {
+			const report = reports[i]!;
+			if (grant.shortage !== CreditShortage.Ceiling || grant.granted >= report.needed) {
+				return grant;
+			}
+			const added = this._grant(holder, { ...report, needed: report.needed - grant.granted, ahead: 0 }, now);
+			return { ...added, granted: grant.granted + added.granted };
+		});
+	}
+
 	/** Returns the ceilings to be committed to the log, and clears the recorded shortfalls. */
-	takeNewCeilings(now: Millis): Ceilings {
+	takeNewCeilings(now: Millis): CeilingUpdate {
 		const ceilings: Record<string, number> = {};
+		const finished: Record<string, number> = {};
 		for (const [team, account] of this._accounts) {
 			const limit = this._limitOf(team);
-			if (limit) {
-				const maxRequests = maxRequestsPerWindow(limit, this._policy);
-				const ceiling = this._newCeiling(team, account.usage(now), maxRequests);
-				if (ceiling !== undefined) {
-					ceilings[team] = ceiling;
-					this._proposed.set(team, ceiling);
-				}
+			const ceiling = limit && this._newCeiling(team, account, maxRequestsPerWindow(limit, this._policy), now);
+			if (ceiling !== undefined) {
+				ceilings[team] = ceiling;
+				finished[team] = account.finished(now);
+				this._proposed.set(team, ceiling);
+				this._recordedFinished.set(team, finished[team]);
 			}
 		}
 		this._shortfalls.clear();
-		return ceilings;
+		return { ceilings, finished };
 	}
 
-	/** @returns undefined if the ceiling need not change */
-	private _newCeiling(team: string, usage: number, maxRequests: number): number | undefined {
-		const current = this._ceiling(team, maxRequests);
-		const needed = RAISE_FACTOR * (usage + (this._shortfalls.get(team) ?? 0)) + RAISE_MARGIN;
-		const newCeiling = Math.min(maxRequests, Math.ceil(Math.max(needed, INITIAL_CEILING_FRACTION * maxRequests)));
-		const shouldRaise =
-			newCeiling > current && (this._shortfalls.has(team) || usage > RAISE_THRESHOLD_FRACTION * current);
-		return shouldRaise || newCeiling * LOWER_THRESHOLD_FACTOR < current ? newCeiling : undefined;
+	/** @returns undefined if neither the ceiling nor the number of finished credits in the log needs an update */
+	private _newCeiling(team: string, account: TeamAccount, maxRequests: number, now: Millis): number | undefined {
+		const { issued } = account;
+		const margin = Math.max(MIN_MARGIN, MARGIN_FRACTION * maxRequests);
+		const shortfall = Math.min(this._shortfalls.get(team) ?? 0, Math.max(0, maxRequests - account.usage(now)));
+		const left = this._ceiling(team, maxRequests) - issued;
+		const unrecorded = account.finished(now) - (this._recordedFinished.get(team) ?? 0);
+		const isDue =
+			shortfall > 0 ||
+			left < UPDATE_THRESHOLD_FRACTION * margin ||
+			left > LOWER_THRESHOLD_FACTOR * margin ||
+			unrecorded > UPDATE_THRESHOLD_FRACTION * margin;
+		return isDue ? Math.ceil(issued + shortfall + margin) : undefined;
 	}
 
 	private _grant(holder: string, { team, needed, ahead }: CreditReport, now: Millis): CreditGrant {
@@ -186,13 +253,14 @@
 		if (!limit) {
 			return { granted: needed, roomInMs: 0 };
 		}
-		const maxRequests = maxRequestsPerWindow(limit, this._policy);
-		const ceiling = this._ceiling(team, maxRequests);
-		const isSettled = now >= this._startedAt + settlementMs(this._policy);
-		const available = Math.max(0, maxRequests - (isSettled ? 0 : this._ceilings.previousCeilingSum(team, maxRequests)));
-		const grant = this._getOrCreateAccount(team).grant(holder, needed, ahead, Math.min(ceiling, available), now);
-		if (grant.granted < needed + ahead && ceiling < available) {
-			this._shortfalls.set(team, (this._shortfalls.get(team) ?? 0) + needed + ahead - grant.granted);
+		const allowedUsage = maxRequestsPerWindow(limit, this._policy);
+		const maxUsage = Math.max(0, allowedUsage - this._ceilings.previousCredits(team, allowedUsage));
+		const maxIssued = this._ceiling(team, allowedUsage);
+		const account = this._getOrCreateAccount(team);
+		const grant = account.grant(holder, needed, ahead, { maxUsage, allowedUsage, maxIssued }, now);
+		const missing = needed + ahead - grant.granted;
+		if (missing > 0 && maxIssued - account.issued < 1 && account.usage(now) + 1 <= maxUsage) {
+			this._shortfalls.set(team, (this._shortfalls.get(team) ?? 0) + missing);
 		}
 		return grant;
 	}
--- a/src/plugins/limits/common/holderAccount.ts
+++ b/src/plugins/limits/common/holderAccount.ts
@@ -31,6 +31,9 @@
 	private _writtenOff = 0;
 	private _spent: number;
 	private _returned: number;
+	private _givenBack: number | undefined;
+	/** Credits of this account that were returned and never spent. */
+	private _unused = 0;
 	/** Credits reported as spent since this account was opened. */
 	private _spentSinceStart = 0;
 	private readonly _receivedAtStart: number;
@@ -38,10 +41,11 @@
 	private _inherited: number;
 
 	/** Opens the account with the holder's first report, which precedes any grant. */
-	constructor({ received, spent, returned }: CreditReport) {
+	constructor({ received, spent, returned, givenBack }: CreditReport) {
 		this._receivedAtStart = received;
 		this._spent = spent;
 		this._returned = returned;
+		this._givenBack = givenBack;
 		this._inherited = received - spent - returned;
 	}
 
@@ -50,6 +54,11 @@
 		return this._batches.total;
 	}
 
+	/** Credits of this account that were certainly never spent. */
+	get unused(): number {
+		return this._unused;
+	}
+
 	grant(count: number, now: Millis): void {
 		this._batches.add(count, now + CREDIT_LIFETIME_MS + EXPIRY_MARGIN_MS);
 		this._recentGrants.push({ at: now, count });
@@ -59,13 +68,19 @@
 	 * Applies a report of the holder.
 	 * @returns credits spent since its last report; negative if credits counted as spent were given back by requests
 	 */
-	applyReport({ received, spent, returned }: CreditReport, now: Millis): number {
+	applyReport({ received, spent, returned, givenBack }: CreditReport, now: Millis): number {
 		const newSpent = Math.max(spent - this._spent, -this._spentSinceStart);
 		const accounted = spent - this._spent + returned - this._returned;
+		const everSpent =
+			givenBack === undefined || this._givenBack === undefined
+				? Number.POSITIVE_INFINITY
+				: spent - this._spent + givenBack - this._givenBack;
 		this._spent = spent;
 		this._returned = returned;
+		this._givenBack = givenBack;
 		this._spentSinceStart += newSpent;
-		this._batches.removeOldest(this._deductOlderCredits(Math.max(0, accounted)));
+		const removed = this._batches.removeOldest(this._deductOlderCredits(Math.max(0, accounted)));
+		this._unused += Math.max(0, removed - everSpent);
 		this._batches.removeOldest(this._countNewlyLost(received - this._receivedAtStart, now));
 		return newSpent;
 	}
--- a/src/plugins/limits/common/ledgerCeilings.ts
+++ b/src/plugins/limits/common/ledgerCeilings.ts
@@ -2,10 +2,17 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** The replicated record of the ceilings of ledgers: a new leader's upper bound on credits granted by earlier leaders. */
+/**
+ * The replicated record of the ceilings of ledgers: a new leader's upper bound on what credits of earlier leaders may still add to a
+ * window. A ceiling bounds the credits that a ledger issues in its whole term. Each change of a ceiling also records how many of them
+ * could no longer be spent by then; once that is a window ago, these no longer count.
+ */
 
+import type { Millis } from '../../../base/clock.js';
 import type { IReplicatedPart } from '../../agreement/common/replicatedState.js';
 import { type Ceilings, INITIAL_CEILING_FRACTION, type ICeilings } from './creditLedger.js';
+import { FinishedCredits } from './finishedCredits.js';
+import { type ILimitPolicy, settlementMs } from './limitPolicy.js';
 
 /** Id of this part of the replicated state. */
 export const LEDGER_PART = 'limits';
@@ -21,6 +28,8 @@
 	readonly type: 'ceilings';
 	readonly term: number;
 	readonly ceilings: Ceilings;
+	/** Credits that can no longer be spent, by team, when the command was proposed; absent counts as 0. */
+	readonly finished?: Ceilings;
 }
 
 /** Records that credits granted by leaders before the given term no longer count. */
@@ -32,27 +41,49 @@
 /** Any command of this part of the replicated state. */
 export type LedgerCommand = BeginLedger | SetCeilings | SettleLedger;
 
+/** The ceilings of one ledger. */
+interface LedgerRecord {
+	readonly ceilings: Record<string, number>;
+	readonly finished: FinishedCredits;
+	/** When this instance learned that the ledger had ended; its leader granted nothing later. */
+	readonly endedAt: Millis;
+}
+
 interface SavedCeilings {
 	readonly term?: number;
 	readonly current: Ceilings;
 	readonly before: readonly Ceilings[];
+	readonly finished?: Ceilings;
+	readonly finishedBefore?: readonly Ceilings[];
 }
 
-/** Applies ledger commands; must be deterministic. */
+/** Applies ledger commands. What it replicates is deterministic; the times at which it learned of it are local. */
 export class LedgerCeilings implements IReplicatedPart, ICeilings {
 	readonly id = LEDGER_PART;
 	/** Term of the current ledger; undefined before the first one. */
 	private _term: number | undefined;
-	private _current: Record<string, number> = {};
+	private _current: LedgerRecord;
 	/** Ceilings of earlier leaders whose credits may still be outstanding. */
-	private _previous: Ceilings[] = [];
+	private _previous: LedgerRecord[] = [];
+
+	constructor(
+		private readonly _policy: ILimitPolicy,
+		private readonly _now: () => Millis
+	) {
+		this._current = this._createRecord();
+	}
 
 	currentCeiling(team: string, maxRequests: number): number {
 		return ceilingOf(this._current, team, maxRequests);
 	}
 
-	previousCeilingSum(team: string, maxRequests: number): number {
-		return this._previous.reduce((sum, ceilings) => sum + ceilingOf(ceilings, team, maxRequests), 0);
+	previousCredits(team: string, maxRequests: number): number {
+		const windowStart = this._now() - this._policy.windowMs;
+		const settledBefore = this._now() - settlementMs(this._policy);
+		return this._previous
+			.filter(({ endedAt }) => endedAt > settledBefore)
+			.map(record => ceilingOf(record, team, maxRequests) - record.finished.countBefore(team, windowStart))
+			.reduce((sum, count) => sum + Math.max(0, count), 0);
 	}
 
 	apply(body: unknown): undefined {
@@ -66,14 +97,20 @@
 	}
 
 	save(): SavedCeilings {
-		return { term: this._term, current: this._current, before: this._previous };
+		return {
+			term: this._term,
+			current: this._current.ceilings,
+			before: this._previous.map(({ ceilings }) => ceilings),
+			finished: this._current.finished.latest(),
+			finishedBefore: this._previous.map(({ finished }) => finished.latest())
+		};
 	}
 
 	restore(saved: unknown): void {
-		const { term, current, before } = saved as SavedCeilings;
+		const { term, current, before, finished, finishedBefore } = saved as SavedCeilings;
 		this._term = term;
-		this._current = { ...current };
-		this._previous = [...before];
+		this._current = this._createRecord(current, finished);
+		this._previous = before.map((ceilings, i) => this._createRecord(ceilings, finishedBefore?.[i]));
 	}
 
 	/**
@@ -82,21 +119,32 @@
 	 */
 	private _begin(term: number): void {
 		if (this._term !== undefined) {
-			this._previous.push(this._current);
+			this._previous.push({ ...this._current, endedAt: this._now() });
 		}
 		this._term = term;
-		this._current = {};
+		this._current = this._createRecord();
 	}
 
 	private _applyToCurrent(command: SetCeilings | SettleLedger): void {
 		if (command.type === 'ceilings') {
-			Object.assign(this._current, command.ceilings);
+			Object.assign(this._current.ceilings, command.ceilings);
+			this._current.finished.record(command.finished ?? {}, this._now());
 		} else {
 			this._previous = [];
 		}
 	}
+
+	private _createRecord(ceilings: Ceilings = {}, finished: Ceilings = {}): LedgerRecord {
+		const record = {
+			ceilings: { ...ceilings },
+			finished: new FinishedCredits(this._policy.windowMs),
+			endedAt: this._now()
+		};
+		record.finished.record(finished, this._now());
+		return record;
+	}
 }
 
-function ceilingOf(ceilings: Ceilings, team: string, maxRequests: number): number {
-	return Math.min(maxRequests, ceilings[team] ?? INITIAL_CEILING_FRACTION * maxRequests);
+function ceilingOf({ ceilings }: LedgerRecord, team: string, maxRequests: number): number {
+	return ceilings[team] ?? INITIAL_CEILING_FRACTION * maxRequests;
 }
--- a/src/plugins/limits/common/limitWire.ts
+++ b/src/plugins/limits/common/limitWire.ts
@@ -16,17 +16,29 @@
 	readonly spent: number;
 	/** Credits that expired or were returned unused. */
 	readonly returned: number;
+	/** The part of `returned` that was spent first, on requests that did not run; absent if the holder does not count it. */
+	readonly givenBack?: number;
 	/** Requests that wait for a credit. */
 	readonly needed: number;
 	/** Credits for expected requests, granted as far as there is capacity. */
 	readonly ahead: number;
 }
 
+/** Why a waiting request got no credit. */
+export enum CreditShortage {
+	/** The team has reached its limit. */
+	Limit = 'limit',
+	/** The leader's ceiling, or credits of earlier leaders, leave none now. */
+	Ceiling = 'ceiling'
+}
+
 /** The leader's response to a report. */
 export interface CreditGrant {
 	readonly granted: number;
-	/** Time until there may be credits for requests that got none; 0 if none is waiting. */
+	/** Time until there may be credits for requests that got none; 0 if none is waiting, or if the team is within its limit. */
 	readonly roomInMs: Millis;
+	/** Absent if all waiting requests got a credit. */
+	readonly shortage?: CreditShortage;
 }
 
 /** Reports on credits and requests more. A holder may have several such calls in flight. */
--- a/src/plugins/limits/common/teamCredits.ts
+++ b/src/plugins/limits/common/teamCredits.ts
@@ -11,12 +11,21 @@
 
 /** Time constant of the decaying average of the request rate. */
 const RATE_TIME_CONSTANT_MS = 3000;
-/** Credits are prefetched for the requests expected in this time, which covers two renewals and their responses. */
-const PREFETCH_MS = 1000;
-/** Credits added to the expected requests, so that teams with few requests hold at least one. */
-const PREFETCH_MARGIN = 1.3;
+/**
+ * Credits are prefetched for the requests expected in this time: until a new leader grants credits after the loss of one. At most
+ * `CREDIT_LIFETIME_MS - MIN_REMAINING_LIFETIME_MS`, or credits would expire before they are spent.
+ */
+const PREFETCH_MS = 1500;
+/** Credits added to the expected requests, so that a team with few requests finds one while the one before is replaced. */
+const PREFETCH_MARGIN = 2;
+/** Credits that expire sooner do not count as prefetched: they would not last until a new leader grants credits. */
+const MIN_REMAINING_LIFETIME_MS = 1000;
+/** Prefetched credits are replaced before the next periodic renewal once this fraction of them is spent. */
+const REFILL_FRACTION = 0.25;
+/** Credits beyond this multiple of the prefetched ones are returned. */
+const MAX_BALANCE_FACTOR = 1.25;
 /** No credits are prefetched for a team without a request for this long. */
-const IDLE_MS = 10000;
+const IDLE_MS = 60000;
 
 /** The credits of one team at one holder; the caller passes the current time. */
 export class TeamCredits {
@@ -24,6 +33,9 @@
 	private _received = 0;
 	private _spent = 0;
 	private _returned = 0;
+	private _givenBack = 0;
+	/** Credits requested ahead of need in reports that are in flight. */
+	private _aheadInFlight = 0;
 	/** Last report to which the leader has responded. */
 	private _acknowledged: CreditReport | undefined;
 	/** Sum of past requests, decayed with `RATE_TIME_CONSTANT_MS` up to `_decayedAt`. */
@@ -57,6 +69,7 @@
 		const unspent = Math.min(count, this._spent);
 		this._spent -= unspent;
 		this._returned += unspent;
+		this._givenBack += unspent;
 	}
 
 	/**
@@ -76,8 +89,20 @@
 		this._returnSurplus(now);
 		const needed = this.waitingRequests;
 		this.waitingRequests = 0;
-		const ahead = Math.max(0, this._targetBalance(now) - this._batches.total);
-		return { team, received: this._received, spent: this._spent, returned: this._returned, needed, ahead };
+		const ahead = this._missingAhead(now);
+		this._aheadInFlight += ahead;
+		return { ...this._totals(team), needed, ahead };
+	}
+
+	/** Records that a report is no longer in flight, whether or not it was answered. */
+	endReport({ ahead }: CreditReport): void {
+		this._aheadInFlight -= ahead;
+	}
+
+	/** Whether prefetched credits should be replaced before the next periodic renewal. */
+	needsRefill(now: Millis): boolean {
+		const missing = this._missingAhead(now);
+		return now >= this.noCreditsUntil && missing >= Math.max(1, REFILL_FRACTION * this._targetBalance(now));
 	}
 
 	/** Whether a report requests credits or contains changes that the leader has not acknowledged. */
@@ -109,7 +134,22 @@
 	/** Returns all held credits before the holder stops; the report tells the leader. */
 	releaseAll(team: string): CreditReport {
 		this.returnAll();
-		return { team, received: this._received, spent: this._spent, returned: this._returned, needed: 0, ahead: 0 };
+		return { ...this._totals(team), needed: 0, ahead: 0 };
+	}
+
+	private _totals(team: string): Omit<CreditReport, 'needed' | 'ahead'> {
+		return {
+			team,
+			received: this._received,
+			spent: this._spent,
+			returned: this._returned,
+			givenBack: this._givenBack
+		};
+	}
+
+	private _missingAhead(now: Millis): number {
+		const lasting = this._batches.totalExpiringAfter(now + MIN_REMAINING_LIFETIME_MS);
+		return Math.max(0, this._targetBalance(now) - lasting - this._aheadInFlight);
 	}
 
 	private _targetBalance(now: Millis): number {
@@ -118,9 +158,10 @@
 		return isIdle ? 0 : Math.floor((this._decayedRequests / RATE_TIME_CONSTANT_MS) * PREFETCH_MS + PREFETCH_MARGIN);
 	}
 
-	/** Returns credits beyond twice the target balance, so that other holders can get them. */
+	/** Returns the oldest credits beyond the target balance and a part more, so that other holders can get them. */
 	private _returnSurplus(now: Millis): void {
-		this._returned += this._batches.removeOldest(Math.max(0, this._batches.total - 2 * this._targetBalance(now)));
+		const maxBalance = Math.ceil(MAX_BALANCE_FACTOR * this._targetBalance(now));
+		this._returned += this._batches.removeOldest(Math.max(0, this._batches.total - maxBalance));
 	}
 
 	private _dropExpired(now: Millis): void {
--- a/src/plugins/limits/node/creditHolder.ts
+++ b/src/plugins/limits/node/creditHolder.ts
@@ -13,13 +13,24 @@
 import { type ISuspensionDetector, SuspensionDetector } from '../../../base/suspensionDetector.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import type { TeamLimit } from '../../routes/common/routeTable.js';
-import type { CreditGrant, CreditReport, RenewRequest, TakeRequest, TakeResponse } from '../common/limitWire.js';
+import {
+	type CreditGrant,
+	type CreditReport,
+	CreditShortage,
+	type RenewRequest,
+	type TakeRequest,
+	type TakeResponse
+} from '../common/limitWire.js';
 import { TeamCredits } from '../common/teamCredits.js';
 
 /** Interval of periodic renewals; `CREDIT_LIFETIME_MS` is five times as long. */
 const RENEW_INTERVAL_MS = 500;
-/** Maximum time that a request waits for the leader: two round trips to another region. */
-const MAX_WAIT_MS = 200;
+/** Maximum time that a request waits for the leader: the delay after which its caller would be told to return otherwise. */
+const MAX_WAIT_MS = 300;
+/** Time after which requests that still wait ask again: there was no leader, or it had no credits although the team is within its limit. */
+const LEADER_RETRY_DELAY_MS = 50;
+/** Time for which replacements of spent credits are collected for one call; also bounds the number of these calls. */
+const REFILL_DELAY_MS = 100;
 /** Requests that start to wait within this time share a call to the leader. */
 const BATCH_DELAY_MS = 3;
 /** Timeout of renewals for waiting requests. Credits of a later response are not used; the ledger detects that they were lost. */
@@ -34,6 +45,17 @@
 /** Renews credits at the leader's ledger; undefined if no leader responds. */
 export type RenewCredits = (request: RenewRequest, timeoutMs: Millis) => Promise<readonly CreditGrant[] | undefined>;
 
+/** Why a request got no credit; `leader` if no leader responded. */
+export type RefusalCause = CreditShortage | 'leader';
+
+/** Observes requests that found no credit. */
+export interface ICreditObserver {
+	/** Requests waited for the leader. */
+	recordWaited(count: number): void;
+	/** Requests got no credit. */
+	recordRefused(cause: RefusalCause, count: number): void;
+}
+
 /** Credits by team. */
 export class CreditHolder extends Disposable {
 	private readonly _credits = new Map<string, TeamCredits>();
@@ -42,6 +64,7 @@
 	private _suspensionDetectedAt: Millis = Number.NEGATIVE_INFINITY;
 	/** The next call for waiting requests, until it is sent; resolves with whether the leader responded. */
 	private _urgentRenewal: Promise<boolean> | undefined;
+	private _isRefilling = false;
 
 	/**
 	 * @param _holderId id of this holder, a new one after each start
@@ -52,7 +75,8 @@
 		private readonly _renewAtLeader: RenewCredits,
 		private readonly _limitOf: (team: string) => TeamLimit | undefined,
 		private readonly _log: ILogService,
-		private readonly _suspension: ISuspensionDetector = new SuspensionDetector()
+		private readonly _suspension: ISuspensionDetector = new SuspensionDetector(),
+		private readonly _observer?: ICreditObserver
 	) {
 		super();
 		const timer = setInterval(() => void this._renew(() => true, PERIODIC_RENEW_TIMEOUT_MS), RENEW_INTERVAL_MS);
@@ -67,10 +91,14 @@
 		credits.giveBack(returned);
 		credits.recordRequests(needed, now);
 		const granted = credits.takeUpTo(needed, now);
+		if (credits.needsRefill(now)) {
+			void this._refill();
+		}
 		if (granted === needed) {
 			return { granted, retryAfterMs: 0 };
 		}
 		if (now < credits.noCreditsUntil) {
+			this._observer?.recordRefused(CreditShortage.Limit, needed - granted);
 			return { granted, retryAfterMs: clampRetryAfterMs(credits.noCreditsUntil - now) };
 		}
 		return this._takeAfterRenewal(credits, granted, needed - granted);
@@ -87,15 +115,43 @@
 		}
 	}
 
+	/** Waits until the leader has granted credits, the team is known to be over its limit, or `MAX_WAIT_MS` have passed. */
 	private async _takeAfterRenewal(credits: TeamCredits, granted: number, missing: number): Promise<TakeResponse> {
-		credits.waitingRequests += missing;
-		this._urgentRenewal ??= this._renewForWaitingRequests();
-		const isAnswered = await Promise.race([this._urgentRenewal, delay(MAX_WAIT_MS)]);
-		this._returnCreditsAfterSuspension();
+		this._observer?.recordWaited(missing);
+		const giveUpAt = systemClock.now() + MAX_WAIT_MS;
+		let remaining = missing;
+		let hasAnswer = false;
+		for (let now = systemClock.now(); remaining > 0 && now < giveUpAt; now = systemClock.now()) {
+			if (now < credits.noCreditsUntil) {
+				break;
+			}
+			credits.waitingRequests += remaining;
+			this._urgentRenewal ??= this._renewForWaitingRequests();
+			hasAnswer = await Promise.race([this._urgentRenewal, delay(giveUpAt - now)]);
+			this._returnCreditsAfterSuspension();
+			remaining -= credits.takeUpTo(remaining, systemClock.now());
+			if (remaining > 0 && systemClock.now() >= credits.noCreditsUntil) {
+				await delay(Math.min(LEADER_RETRY_DELAY_MS, Math.max(0, giveUpAt - systemClock.now())));
+			}
+		}
+		const waitMs = credits.noCreditsUntil - systemClock.now();
+		if (remaining > 0) {
+			const shortage = hasAnswer ? CreditShortage.Ceiling : 'leader';
+			this._observer?.recordRefused(waitMs > 0 ? CreditShortage.Limit : shortage, remaining);
+		}
+		return { granted: granted + missing - remaining, retryAfterMs: waitMs > 0 ? clampRetryAfterMs(waitMs) : 0 };
+	}
+
+	/** Replaces spent credits of all teams that hold few; one call at a time. */
+	private async _refill(): Promise<void> {
+		if (this._isRefilling) {
+			return;
+		}
+		this._isRefilling = true;
+		await delay(REFILL_DELAY_MS);
 		const now = systemClock.now();
-		const added = credits.takeUpTo(missing, now);
-		const isKnown = added === missing || isAnswered;
-		return { granted: granted + added, retryAfterMs: isKnown ? clampRetryAfterMs(credits.noCreditsUntil - now) : 0 };
+		await this._renew(([, credits]) => credits.needsRefill(now), URGENT_RENEW_TIMEOUT_MS);
+		this._isRefilling = false;
 	}
 
 	/** Renews credits for all waiting requests in one call; resolves with whether the leader responded. */
@@ -110,13 +166,18 @@
 		const included = [...this._credits].filter(isIncluded);
 		const reports = included.flatMap(([team, credits]) => {
 			const report = credits.report(team, sentAt);
-			return credits.needsSending(report) ? report : [];
+			if (credits.needsSending(report)) {
+				return report;
+			}
+			credits.endReport(report);
+			return [];
 		});
 		if (reports.length === 0) {
 			return true;
 		}
 		const request = { holder: this._holderId, sequence: ++this._sequence, reports };
 		const grants = await this._renewAtLeader(request, timeoutMs);
+		reports.forEach(report => this._credits.get(report.team)?.endReport(report));
 		grants?.forEach((grant, i) => this._applyGrant(reports[i]!, grant, sentAt));
 		return grants !== undefined;
 	}
--- a/src/plugins/limits/node/leaderLedger.ts
+++ b/src/plugins/limits/node/leaderLedger.ts
@@ -14,15 +14,17 @@
 import { type ILimitPolicy, settlementMs } from '../common/limitPolicy.js';
 import type { RenewRequest, RenewResponse } from '../common/limitWire.js';
 
-/** Teams that need more credits than their ceiling wait for the next update. */
+/** Interval at which ceilings are raised ahead of need. */
 const CEILING_UPDATE_INTERVAL_MS = 200;
+/** Commits that a call waits for: the one in flight, which may lack its teams, and the next one. */
+const MAX_CEILING_WAITS = 2;
 
 /** The ledger of this instance while it is the leader. */
 export class LeaderLedger extends Disposable {
-	private readonly _ceilings = new LedgerCeilings();
+	private readonly _ceilings: LedgerCeilings;
 	private _ledger: CreditLedger | undefined;
 	private _term = 0;
-	private _isUpdatingCeilings = false;
+	private _ceilingUpdate: Promise<void> | undefined;
 	private _settleTimer: NodeJS.Timeout | undefined;
 
 	/** @param _limitOf limit of a team in the current route table; undefined for none */
@@ -33,6 +35,7 @@
 		private readonly _log: ILogService
 	) {
 		super();
+		this._ceilings = new LedgerCeilings(_policy, () => systemClock.now());
 		_agreement.addPart(this._ceilings);
 		this._register(_agreement.onDidChangeLeadership(isLeader => this._onLeadershipChange(isLeader)));
 		const timer = setInterval(() => void this._updateCeilings(), CEILING_UPDATE_INTERVAL_MS);
@@ -40,9 +43,21 @@
 		this._register(toDisposable(() => clearTimeout(this._settleTimer)));
 	}
 
-	/** Applies a holder's reports and grants credits; without grants in the response if this instance is not the leader. */
-	renew(request: RenewRequest): RenewResponse {
-		return { grants: this._activeLedger()?.renew(request, systemClock.now()) };
+	/**
+	 * Applies a holder's reports and grants credits; without grants in the response if this instance is not the leader. Requests that
+	 * lack only a higher ceiling wait until it is committed.
+	 */
+	async renew(request: RenewRequest): Promise<RenewResponse> {
+		const ledger = this._activeLedger();
+		let grants = ledger?.renew(request, systemClock.now());
+		for (let i = 0; i < MAX_CEILING_WAITS && grants && ledger?.needsCeiling(request, grants); i++) {
+			await this._updateCeilings();
+			if (this._activeLedger() !== ledger) {
+				break;
+			}
+			grants = ledger.grantRemaining(request, grants, systemClock.now());
+		}
+		return { grants };
 	}
 
 	private _activeLedger(): CreditLedger | undefined {
@@ -64,21 +79,21 @@
 			return;
 		}
 		this._term = term;
-		this._ledger = new CreditLedger(this._policy, this._ceilings, this._limitOf, systemClock.now());
+		this._ledger = new CreditLedger(this._policy, this._ceilings, this._limitOf);
 		this._log.info('credit ledger started', { task: 'limits', term });
 		this._settleTimer = setTimeout(() => void this._propose({ type: 'settle', term }), settlementMs(this._policy));
 	}
 
-	private async _updateCeilings(): Promise<void> {
-		const ledger = this._activeLedger();
-		if (!ledger || this._isUpdatingCeilings) {
-			return;
-		}
-		const ceilings = ledger.takeNewCeilings(systemClock.now());
-		if (Object.keys(ceilings).length > 0) {
-			this._isUpdatingCeilings = true;
-			await this._propose({ type: 'ceilings', term: this._term, ceilings });
-			this._isUpdatingCeilings = false;
+	/** Raises ceilings; a call during another update resolves with that one. */
+	private _updateCeilings(): Promise<void> {
+		this._ceilingUpdate ??= this._commitCeilings().finally(() => (this._ceilingUpdate = undefined));
+		return this._ceilingUpdate;
+	}
+
+	private async _commitCeilings(): Promise<void> {
+		const { ceilings, finished } = this._activeLedger()?.takeNewCeilings(systemClock.now()) ?? {};
+		if (ceilings && Object.keys(ceilings).length > 0) {
+			await this._propose({ type: 'ceilings', term: this._term, ceilings, finished });
 		}
 	}
 
--- a/src/plugins/limits/node/limitControlTask.ts
+++ b/src/plugins/limits/node/limitControlTask.ts
@@ -7,13 +7,16 @@
 import { randomUUID } from 'node:crypto';
 import { Disposable } from '../../../base/disposable.js';
 import type { Millis } from '../../../base/clock.js';
+import { SuspensionDetector } from '../../../base/suspensionDetector.js';
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ILogService } from '../../../kernel/node/logService.js';
+import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
 import { IFleetControl } from '../../fleet/common/fleetControl.js';
 import type { TeamLimit } from '../../routes/common/routeTable.js';
 import { ILimitPolicy } from '../common/limitPolicy.js';
 import { type CreditGrant, renewMethod, type RenewRequest, takeMethod } from '../common/limitWire.js';
+import { CreditMetrics } from './creditMetrics.js';
 import { CreditHolder } from './creditHolder.js';
 import { LeaderLedger } from './leaderLedger.js';
 
@@ -27,15 +30,23 @@
 		@IAgreement private readonly _agreement: IAgreement,
 		@IFleetControl fleet: IFleetControl,
 		@ILimitPolicy policy: ILimitPolicy,
-		@ILogService private readonly _log: ILogService
+		@ILogService private readonly _log: ILogService,
+		@IMetricsService metrics: IMetricsService
 	) {
 		super();
 		const limitOf = (team: string): TeamLimit | undefined => fleet.team(team)?.limit;
 		this._ledger = this._register(new LeaderLedger(_agreement, policy, limitOf, _log));
 		this._holder = this._register(
-			new CreditHolder(randomUUID(), (request, timeoutMs) => this._renewAtLeader(request, timeoutMs), limitOf, _log)
+			new CreditHolder(
+				randomUUID(),
+				(request, timeoutMs) => this._renewAtLeader(request, timeoutMs),
+				limitOf,
+				_log,
+				new SuspensionDetector(),
+				new CreditMetrics(metrics)
+			)
 		);
-		_calls.handleUnary(renewMethod, async request => this._ledger.renew(request));
+		_calls.handleUnary(renewMethod, request => this._ledger.renew(request));
 		_calls.handleUnary(takeMethod, async request => this._holder.take(request));
 	}
 
@@ -48,7 +59,7 @@
 	private async _renewAtLeader(request: RenewRequest, timeoutMs: Millis): Promise<readonly CreditGrant[] | undefined> {
 		const { leader, id, members } = this._agreement.status();
 		if (leader === id) {
-			return this._ledger.renew(request).grants;
+			return (await this._ledger.renew(request)).grants;
 		}
 		const address = members.find(member => member.id === leader)?.address;
 		if (address === undefined) {
--- a/src/plugins/limits/test/limitSimulation.ts
+++ b/src/plugins/limits/test/limitSimulation.ts
@@ -25,7 +25,9 @@
 	constructor(readonly id: string) {}
 
 	renewal(now: number): RenewRequest {
-		return { holder: this.id, sequence: ++this._sequence, reports: [this.credits.report(TEAM, now)] };
+		const report = this.credits.report(TEAM, now);
+		this.credits.endReport(report);
+		return { holder: this.id, sequence: ++this._sequence, reports: [report] };
 	}
 }
 
@@ -36,7 +38,7 @@
 	refusedCount = 0;
 	/** Number of requests that found no credit at their holder, so that it called the leader. */
 	urgentRenewalCount = 0;
-	private readonly _ceilings = new LedgerCeilings();
+	private _ceilings = this._createCeilings();
 	private _term = 0;
 	private _termStartedAt = 0;
 	private _ledger!: CreditLedger;
@@ -134,17 +136,25 @@
 		}
 		this._ceilings.apply({ type: 'begin', term: ++this._term });
 		this._termStartedAt = this.now;
-		this._ledger = new CreditLedger(POLICY, this._ceilings, () => this.limit, this.now);
+		this._ledger = new CreditLedger(POLICY, this._ceilings, () => this.limit);
 	}
 
 	/** Proposes new ceilings, whose commit may fail. */
 	updateCeilings(isCommitted = true): void {
-		const ceilings = this._ledger.takeNewCeilings(this.now);
+		const update = this._ledger.takeNewCeilings(this.now);
 		if (isCommitted) {
-			this._ceilings.apply({ type: 'ceilings', term: this._term, ceilings });
+			this._ceilings.apply({ type: 'ceilings', term: this._term, ...update });
 		}
 	}
 
+	/** Restarts the next leader, which then knows the replicated state, but not since when. */
+	restoreState(): void {
+		const saved = this._ceilings.save();
+		this._ceilings = this._createCeilings();
+		this._ceilings.restore(saved);
+		this.changeLeader();
+	}
+
 	renewAll(): void {
 		this._holders.forEach((_, i) => this.renew(i, 'answered'));
 		this.updateCeilings();
@@ -172,8 +182,17 @@
 		return (perWindow + this.limit.burst) * (1 + POLICY.excessFraction) + POLICY.slackRequests;
 	}
 
+	private _createCeilings(): LedgerCeilings {
+		return new LedgerCeilings(POLICY, () => this.now);
+	}
+
 	private _renewAtLeader(request: RenewRequest): CreditGrant {
-		return this._ledger.renew(request, this.now)[0]!;
+		let grants = this._ledger.renew(request, this.now);
+		if (this._ledger.needsCeiling(request, grants)) {
+			this.updateCeilings();
+			grants = this._ledger.grantRemaining(request, grants, this.now);
+		}
+		return grants[0]!;
 	}
 
 	private _applyGrant({ credits }: SimulatedHolder, request: RenewRequest, grant: CreditGrant, sentAt: number): void {
--- a/src/plugins/limits/test/limitSimulationSteps.ts
+++ b/src/plugins/limits/test/limitSimulationSteps.ts
@@ -47,6 +47,7 @@
 	{ weight: 30, arbitrary: singleLeaderStep },
 	{ weight: 2, arbitrary: fc.record({ type: fc.constant('changeLeader' as const) }) },
 	{ weight: 1, arbitrary: fc.record({ type: fc.constant('restartAll' as const) }) },
+	{ weight: 1, arbitrary: fc.record({ type: fc.constant('restoreState' as const) }) },
 	{
 		weight: 1,
 		arbitrary: fc.record({ type: fc.constant('waitLong' as const), ms: fc.integer({ min: 5000, max: 12000 }) })
@@ -63,6 +64,9 @@
 			case 'changeLeader':
 				simulation.changeLeader();
 				break;
+			case 'restoreState':
+				simulation.restoreState();
+				break;
 			case 'restartAll':
 				for (let i = 0; i < DEFAULT_HOLDER_COUNT; i++) {
 					simulation.restart(i);
--- a/src/plugins/limits/test/limits.test.ts
+++ b/src/plugins/limits/test/limits.test.ts
@@ -9,6 +9,9 @@
 import fc from 'fast-check';
 import { sendRandomRequests, LimitSimulation, DEFAULT_HOLDER_COUNT, overload, POLICY } from './limitSimulation.js';
 import { multiLeaderStep, runSteps, singleLeaderStep } from './limitSimulationSteps.js';
+import { CreditLedger } from '../common/creditLedger.js';
+import { HolderAccount } from '../common/holderAccount.js';
+import { LedgerCeilings } from '../common/ledgerCeilings.js';
 import { CREDIT_LIFETIME_MS, maxRequestsPerWindow } from '../common/limitPolicy.js';
 
 function assertWithinLimit(simulation: LimitSimulation): void {
@@ -91,6 +94,72 @@
 	assertWithinLimit(simulation);
 });
 
+test('credits of the previous leader count until a window after the last one may have been spent', () => {
+	const simulation = new LimitSimulation({ perSecond: 60, burst: 0 });
+	simulation.renewUrgently(0, 150, 'answered');
+	simulation.changeLeader();
+	simulation.now += CREDIT_LIFETIME_MS - 100;
+	simulation.request(0, 150);
+	simulation.now += 2700;
+	overload(simulation, 2000, [0], [0]);
+	assertWithinLimit(simulation);
+});
+
+test('a leader that was restarted counts all requests of the window before', () => {
+	const simulation = new LimitSimulation({ perSecond: 60, burst: 0 });
+	overload(simulation, 10000, []);
+	simulation.renewAll();
+	simulation.restoreState();
+	overload(simulation, 5000, []);
+	assertWithinLimit(simulation);
+});
+
+test('a saved state without numbers of finished credits counts them all', () => {
+	const ceilings = new LedgerCeilings(POLICY, () => 1000);
+	ceilings.restore({ term: 2, current: { t: 50 }, before: [{ t: 100 }] });
+	assert.equal(ceilings.previousCredits('t', 200), 100);
+	ceilings.apply({ type: 'begin', term: 3 });
+	assert.equal(ceilings.previousCredits('t', 200), 150);
+});
+
+test('a lower ceiling applies before it is committed', () => {
+	const limit = { perSecond: 60, burst: 0 };
+	const ceilings = new LedgerCeilings(POLICY, () => 1000);
+	ceilings.apply({ type: 'begin', term: 1 });
+	const ledger = new CreditLedger(POLICY, ceilings, () => limit);
+	const renew = (sequence: number, needed: number): number => {
+		const report = { team: 't', received: 0, spent: 0, returned: 0, givenBack: 0, needed, ahead: 0 };
+		return ledger.renew({ holder: 'h', sequence, reports: [report] }, 1000)[0]!.granted;
+	};
+	const issued = renew(1, 200);
+	assert.ok(issued < 50, `${issued} before the first commit`);
+	ceilings.apply({ type: 'ceilings', term: 1, ...ledger.takeNewCeilings(1000) });
+	const lowered = ledger.takeNewCeilings(1000).ceilings['t']!;
+	assert.ok(lowered < ceilings.currentCeiling('t', 1000));
+	assert.ok(issued + renew(2, 200) <= lowered);
+});
+
+test('credits that were spent before their reports count as issued, also beside others that were given back', () => {
+	const account = new HolderAccount({
+		team: 't',
+		received: 0,
+		spent: 0,
+		returned: 0,
+		givenBack: 0,
+		needed: 0,
+		ahead: 0
+	});
+	const report = (spent: number, returned: number, givenBack: number): void => {
+		account.applyReport({ team: 't', received: 200, spent, returned, givenBack, needed: 0, ahead: 0 }, 1000);
+	};
+	account.grant(200, 1000);
+	report(100, 0, 0);
+	report(90, 100, 100);
+	assert.equal(account.unused, 0);
+	report(90, 110, 100);
+	assert.equal(account.unused, 10);
+});
+
 test('a lowered limit holds once held credits have expired', () => {
 	const simulation = new LimitSimulation({ perSecond: 50, burst: 50 });
 	for (let i = 0; i < 200; i++) {
