Credits given back late free nothing in the window

Cause: an entry instance returned the credit of a request that did not run with its next call for the team, however late. The ledger took it off the present window although it was spent before, and credits spent since the last report beside returned ones were not added at all. So a window could hold more requests than the limit allows.

Change: credits are returned only for requests that arrived at most 2 s ago; the ledger counts them only if the holder's report before is at most 1 s old, and adds all credits spent before it takes returned ones off.

Both new tests in limits.test.ts fail without it (the bound is exceeded).

--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -144,7 +144,7 @@
 			this._refuseForFullLink(accepted);
 		}
 		if (team?.limit && accepted.hasTeamPermit) {
-			this._teamLimits.giveBack(team);
+			this._teamLimits.giveBack(team, exchange.arrivedAt);
 		}
 		body.discardRest();
 	}
--- a/src/plugins/limits/common/creditLedger.ts
+++ b/src/plugins/limits/common/creditLedger.ts
@@ -95,15 +95,12 @@
 	applyReport(holder: string, report: CreditReport, now: Millis): void {
 		const account = this._holders.get(holder);
 		if (!account) {
-			this._holders.set(holder, new HolderAccount(report));
+			this._holders.set(holder, new HolderAccount(report, now));
 			return;
 		}
-		const newSpent = account.applyReport(report, now);
-		if (newSpent >= 0) {
-			this._spent.add(newSpent, now);
-		} else {
-			this._spent.remove(-newSpent);
-		}
+		const { spent, givenBack } = account.applyReport(report, now);
+		this._spent.add(spent, now);
+		this._spent.remove(givenBack);
 	}
 
 	/** Credits granted, without those that came back unspent. */
--- a/src/plugins/limits/common/holderAccount.ts
+++ b/src/plugins/limits/common/holderAccount.ts
@@ -9,7 +9,7 @@
 
 import type { Millis } from '../../../base/clock.js';
 import { CreditBatches } from './creditBatches.js';
-import { CREDIT_LIFETIME_MS, EXPIRY_MARGIN_MS } from './limitPolicy.js';
+import { CREDIT_LIFETIME_MS, EXPIRY_MARGIN_MS, MAX_REPORT_GAP_MS } from './limitPolicy.js';
 import type { CreditReport } from './limitWire.js';
 
 /**
@@ -18,6 +18,13 @@
  */
 const GRANT_LOST_AFTER_MS = 2300;
 
+/** What a report changes in the window. */
+export interface ReportedChange {
+	readonly spent: number;
+	/** Credits that had counted as spent, on requests that did not run. */
+	readonly givenBack: number;
+}
+
 /** The credits of one team at one holder, as known to the ledger. */
 export class HolderAccount {
 	/** Outstanding credits, oldest first. */
@@ -37,11 +44,13 @@
 	/** Credits reported as spent since this account was opened. */
 	private _spentSinceStart = 0;
 	private readonly _receivedAtStart: number;
+	private _reportedAt: Millis;
 	/** Credits of an earlier leader, held when this account was opened; they are covered by that leader's ceiling. */
 	private _inherited: number;
 
 	/** Opens the account with the holder's first report, which precedes any grant. */
-	constructor({ received, spent, returned, givenBack }: CreditReport) {
+	constructor({ received, spent, returned, givenBack }: CreditReport, now: Millis) {
+		this._reportedAt = now;
 		this._receivedAtStart = received;
 		this._spent = spent;
 		this._returned = returned;
@@ -64,25 +73,30 @@
 		this._recentGrants.push({ at: now, count });
 	}
 
-	/**
-	 * Applies a report of the holder.
-	 * @returns credits spent since its last report; negative if credits counted as spent were given back by requests
-	 */
-	applyReport({ received, spent, returned, givenBack }: CreditReport, now: Millis): number {
-		const newSpent = Math.max(spent - this._spent, -this._spentSinceStart);
-		const accounted = spent - this._spent + returned - this._returned;
-		const everSpent =
-			givenBack === undefined || this._givenBack === undefined
-				? Number.POSITIVE_INFINITY
-				: spent - this._spent + givenBack - this._givenBack;
+	/** Applies a report of the holder and returns what it changes in the window. */
+	applyReport({ received, spent, returned, givenBack }: CreditReport, now: Millis): ReportedChange {
+		const netSpent = spent - this._spent;
+		const newGivenBack =
+			givenBack === undefined || this._givenBack === undefined ? undefined : givenBack - this._givenBack;
+		const accounted = netSpent + returned - this._returned;
+		const change = this._windowChange(netSpent, newGivenBack, now);
 		this._spent = spent;
 		this._returned = returned;
 		this._givenBack = givenBack;
-		this._spentSinceStart += newSpent;
+		this._reportedAt = now;
+		this._spentSinceStart += change.spent - change.givenBack;
 		const removed = this._batches.removeOldest(this._deductOlderCredits(Math.max(0, accounted)));
-		this._unused += Math.max(0, removed - everSpent);
+		this._unused += newGivenBack === undefined ? 0 : Math.max(0, removed - netSpent - newGivenBack);
 		this._batches.removeOldest(this._countNewlyLost(received - this._receivedAtStart, now));
-		return newSpent;
+		return change;
+	}
+
+	/** Credits given back lower the window's total only if they were certainly spent within it, by requests that this account counted. */
+	private _windowChange(netSpent: number, newGivenBack: number | undefined, now: Millis): ReportedChange {
+		const spent = Math.max(0, netSpent + (newGivenBack ?? 0));
+		const isRecent = now - this._reportedAt <= MAX_REPORT_GAP_MS;
+		const givenBack = newGivenBack ?? Math.max(0, -netSpent);
+		return { spent, givenBack: isRecent ? Math.min(givenBack, this._spentSinceStart + spent) : 0 };
 	}
 
 	/** @returns credits that must have expired at the holder without a report; they may have been spent */
--- a/src/plugins/limits/common/limitPolicy.ts
+++ b/src/plugins/limits/common/limitPolicy.ts
@@ -24,6 +24,13 @@
 export const CREDIT_LIFETIME_MS: Millis = 2500;
 /** The ledger counts unreported credits as spent this much later, to allow for clock drift and messages in transit. */
 export const EXPIRY_MARGIN_MS: Millis = 500;
+/**
+ * Credits of requests that arrived longer ago are not returned: the window in which they were counted as spent may have passed. With the
+ * delays of messages and `MAX_REPORT_GAP_MS` less than a window.
+ */
+export const MAX_GIVE_BACK_AGE_MS: Millis = 2000;
+/** The ledger ignores credits that were given back if the holder's report before is older; they may have been spent long ago. */
+export const MAX_REPORT_GAP_MS: Millis = 1000;
 /** Only this fraction of the allowed requests is admitted, since requests may reach targets closer together than they were admitted. */
 const ADMITTED_FRACTION = 0.92;
 
--- a/src/plugins/limits/common/teamLimits.ts
+++ b/src/plugins/limits/common/teamLimits.ts
@@ -28,8 +28,11 @@
 export interface ITeamLimits {
 	/** Decides whether one request may be sent to one target. */
 	admit(team: Team): LimitDecision | Promise<LimitDecision>;
-	/** Returns the credit of an admitted request that will not run. */
-	giveBack(team: Team): void;
+	/**
+	 * Returns the credit of an admitted request that will not run.
+	 * @param arrivedAt when the request arrived; its credit was taken no earlier
+	 */
+	giveBack(team: Team, arrivedAt: Millis): void;
 }
 
 /** Identifier of the limits of teams. */
--- a/src/plugins/limits/node/teamAdmissionQueue.ts
+++ b/src/plugins/limits/node/teamAdmissionQueue.ts
@@ -4,7 +4,8 @@
 
 /** Takes the credits that the requests of one team need at this instance, one call at a time. */
 
-import type { Millis } from '../../../base/clock.js';
+import { type Millis, systemClock } from '../../../base/clock.js';
+import { MAX_GIVE_BACK_AGE_MS } from '../common/limitPolicy.js';
 import type { TakeResponse } from '../common/limitWire.js';
 import { type LimitDecision, LimitVerdict } from '../common/teamLimits.js';
 
@@ -21,7 +22,8 @@
  */
 export class TeamAdmissionQueue {
 	private _waiting: ((decision: LimitDecision) => void)[] = [];
-	private _returned = 0;
+	/** When the requests arrived whose credits are returned with the next call. */
+	private _returnedArrivals: Millis[] = [];
 	private _isRequesting = false;
 
 	constructor(private readonly _take: TakeTeamCredits) {}
@@ -36,18 +38,27 @@
 		});
 	}
 
-	/** Returns an unused credit, with the next call. */
-	giveBack(): void {
-		this._returned++;
+	/** Returns the unused credit of a request, with the next call if that is soon enough; see `MAX_GIVE_BACK_AGE_MS`. */
+	giveBack(arrivedAt: Millis): void {
+		this._returnedArrivals.push(arrivedAt);
+		if (this._returnedArrivals[0]! <= systemClock.now() - MAX_GIVE_BACK_AGE_MS) {
+			this._dropOldReturns();
+		}
+	}
+
+	private _dropOldReturns(): void {
+		const oldest = systemClock.now() - MAX_GIVE_BACK_AGE_MS;
+		this._returnedArrivals = this._returnedArrivals.filter(at => at > oldest);
 	}
 
 	private async _requestCredits(): Promise<void> {
 		this._isRequesting = true;
 		while (this._waiting.length > 0) {
 			const batch = this._waiting;
-			const returned = this._returned;
+			this._dropOldReturns();
+			const returned = this._returnedArrivals.length;
 			this._waiting = [];
-			this._returned = 0;
+			this._returnedArrivals = [];
 			const { granted, retryAfterMs } = await this._take(batch.length, returned);
 			batch.forEach((resolve, i) => resolve(i < granted ? ADMITTED : refusal(retryAfterMs)));
 		}
--- a/src/plugins/limits/node/teamLimitsTask.ts
+++ b/src/plugins/limits/node/teamLimitsTask.ts
@@ -57,9 +57,9 @@
 		return team.limit ? this._getOrCreateQueue(team.name).admit() : ADMITTED;
 	}
 
-	giveBack(team: Team): void {
+	giveBack(team: Team, arrivedAt: Millis): void {
 		if (team.limit) {
-			this._getOrCreateQueue(team.name).giveBack();
+			this._getOrCreateQueue(team.name).giveBack(arrivedAt);
 		}
 	}
 
--- a/src/plugins/limits/test/limitSimulation.ts
+++ b/src/plugins/limits/test/limitSimulation.ts
@@ -87,6 +87,11 @@
 		}
 	}
 
+	/** Returns credits of earlier requests that did not run; the caller leaves these out of the admitted ones. */
+	giveBackLate(index: number, count: number): void {
+		this._holders[index]!.credits.giveBack(count);
+	}
+
 	renew(index: number, outcome: 'answered' | 'request lost' | 'response lost' | 'request duplicated'): void {
 		const holder = this._holders[index]!;
 		const request = holder.renewal(this.now);
--- a/src/plugins/limits/test/limits.test.ts
+++ b/src/plugins/limits/test/limits.test.ts
@@ -140,15 +140,18 @@
 });
 
 test('credits that were spent before their reports count as issued, also beside others that were given back', () => {
-	const account = new HolderAccount({
-		team: 't',
-		received: 0,
-		spent: 0,
-		returned: 0,
-		givenBack: 0,
-		needed: 0,
-		ahead: 0
-	});
+	const account = new HolderAccount(
+		{
+			team: 't',
+			received: 0,
+			spent: 0,
+			returned: 0,
+			givenBack: 0,
+			needed: 0,
+			ahead: 0
+		},
+		1000
+	);
 	const report = (spent: number, returned: number, givenBack: number): void => {
 		account.applyReport({ team: 't', received: 200, spent, returned, givenBack, needed: 0, ahead: 0 }, 1000);
 	};
@@ -160,6 +163,39 @@
 	assert.equal(account.unused, 10);
 });
 
+test('credits given back long after they were spent free nothing in the window', () => {
+	const simulation = new LimitSimulation({ perSecond: 60, burst: 0 });
+	simulation.renewUrgently(0, 150, 'answered');
+	simulation.request(0, 150);
+	simulation.admittedAt.length = 0;
+	simulation.renew(0, 'answered');
+	simulation.now += POLICY.windowMs + 100;
+	overload(simulation, 500, [0], [0]);
+	simulation.giveBackLate(0, 150);
+	simulation.renew(0, 'answered');
+	overload(simulation, 3000, [0], [0]);
+	assertWithinLimit(simulation);
+});
+
+test('credits given back with the report of later ones leave these in the window for its whole length', () => {
+	const simulation = new LimitSimulation({ perSecond: 60, burst: 0 });
+	simulation.renewUrgently(0, 150, 'answered');
+	simulation.request(0, 150);
+	simulation.admittedAt.length = 0;
+	simulation.renew(0, 'answered');
+	for (let i = 0; i < 4; i++) {
+		simulation.now += 900;
+		simulation.renew(0, 'answered');
+	}
+	simulation.renewUrgently(0, 150, 'answered');
+	simulation.request(0, 150);
+	simulation.giveBackLate(0, 150);
+	simulation.renew(0, 'answered');
+	simulation.now += 1500;
+	overload(simulation, 3000, [0], [0]);
+	assertWithinLimit(simulation);
+});
+
 test('a lowered limit holds once held credits have expired', () => {
 	const simulation = new LimitSimulation({ perSecond: 50, burst: 50 });
 	for (let i = 0; i < 200; i++) {
--- a/src/plugins/limits/test/teamAdmissionQueue.test.ts
+++ b/src/plugins/limits/test/teamAdmissionQueue.test.ts
@@ -6,6 +6,8 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { systemClock } from '../../../base/clock.js';
+import { MAX_GIVE_BACK_AGE_MS } from '../common/limitPolicy.js';
 import { LimitVerdict } from '../common/teamLimits.js';
 import { TeamAdmissionQueue } from '../node/teamAdmissionQueue.js';
 
@@ -20,7 +22,7 @@
 	const others = [queue.admit(), queue.admit(), queue.admit()];
 	responses[0]!({ granted: 1, retryAfterMs: 0 });
 	assert.equal((await first).verdict, LimitVerdict.Admitted);
-	queue.giveBack();
+	queue.giveBack(systemClock.now());
 	responses[1]!({ granted: 2, retryAfterMs: 150 });
 	const verdicts = (await Promise.all(others)).map(({ verdict }) => verdict);
 	assert.deepEqual(verdicts, [LimitVerdict.Admitted, LimitVerdict.Admitted, LimitVerdict.OverLimit]);
@@ -33,3 +35,15 @@
 		[1, 1]
 	]);
 });
+
+test('credits of requests that arrived long ago are not returned', async () => {
+	const calls: [number, number][] = [];
+	const queue = new TeamAdmissionQueue((needed, returned) => {
+		calls.push([needed, returned]);
+		return Promise.resolve({ granted: needed, retryAfterMs: 0 });
+	});
+	queue.giveBack(systemClock.now() - MAX_GIVE_BACK_AGE_MS);
+	queue.giveBack(systemClock.now() - MAX_GIVE_BACK_AGE_MS / 2);
+	await queue.admit();
+	assert.deepEqual(calls, [[1, 1]]);
+});
