--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -31,6 +31,7 @@
 import type { IForwarding } from './forwarding.js';
 import { LostRunDetector } from './lostRunDetector.js';
 import { QuarantineGuard } from './quarantineGuard.js';
+import { registerRegionPlanMetrics } from './regionPlanMetrics.js';
 import { RegionTrafficMonitor } from './regionTrafficMonitor.js';
 import { RequestCompletion } from './requestCompletion.js';
 import { type RequestContext, unavailableResponse } from './requestContext.js';
@@ -84,6 +85,7 @@
 			targetLimits,
 			this._outcomeTracker
 		);
+		registerRegionPlanMetrics(metrics, () => this._selector.regionPlans());
 		const { onDidShiftFromLostTargets } = this._selector;
 		const regionTrafficMonitor = this._register(
 			new RegionTrafficMonitor(_session, log, this._serviceBounds.shifts.windowMs, onDidShiftFromLostTargets)
--- a/src/plugins/placement/common/placementPlans.ts
+++ b/src/plugins/placement/common/placementPlans.ts
@@ -38,6 +38,18 @@
 	readonly preferredHall: string | undefined;
 }
 
+/** What a service's plan expects of one region. */
+export interface RegionPlan {
+	readonly service: string;
+	readonly region: string;
+	/** Planned share of the requests of this instance's callers, 0 to 1. */
+	readonly share: number;
+	/** Slots that the region's callers need; undefined if none was reported. */
+	readonly demand: number | undefined;
+	/** Slots of its available targets, by their speed where it is known. */
+	readonly slots: number;
+}
+
 /** A move of the shares of a route's requests to a service off lost targets. */
 export interface RouteShareJump extends ShareJump {
 	readonly route: string;
@@ -46,6 +58,7 @@
 
 /** The plan of a service for all routes with the same home regions and size of responses. */
 interface ServicePlan {
+	readonly service: string;
 	readonly capacities: RegionCapacities;
 	/** Used where load is uneven. */
 	readonly steadyShares: SteadyShares;
@@ -126,6 +139,21 @@
 		this._servicePlan(service, regionalRoute, now).rejections.record(region, isRejected, now);
 	}
 
+	/** The plans by service and region; the first one of a service whose routes have several. */
+	regionPlans(): readonly RegionPlan[] {
+		const first = new Map<string, ServicePlan>();
+		this._services.forEach(plan => first.set(plan.service, first.get(plan.service) ?? plan));
+		return [...first.values()].flatMap(({ service, capacities, desired }) =>
+			[...capacities.capacities].map(([region, { demand, slots }]) => ({
+				service,
+				region,
+				share: shareOf(desired.shares, region),
+				demand,
+				slots
+			}))
+		);
+	}
+
 	private _sharesOf(service: string, { route, homeRegions }: RegionalRoute): RouteServiceShares {
 		const key = `${route.name} ${homeRegions.join(' ')}`;
 		let shares = this._routes.get(key);
@@ -162,6 +190,7 @@
 				evenDemandOwnShare: 1
 			};
 			plan = {
+				service,
 				capacities,
 				steadyShares: new SteadyShares(this._location.region, isLarge),
 				rejections: new RegionRejections(),
--- a/src/plugins/placement/common/targetSelector.ts
+++ b/src/plugins/placement/common/targetSelector.ts
@@ -13,7 +13,7 @@
 import { NotRunCause } from '../../forwarding/common/attempt.js';
 import { findUnusedTarget } from './firstRequests.js';
 import type { Event } from '../../../base/event.js';
-import { type InstanceLocation, PlacementPlans, type RouteShareJump } from './placementPlans.js';
+import { type InstanceLocation, PlacementPlans, type RegionPlan, type RouteShareJump } from './placementPlans.js';
 import { regionAtPosition } from './regionShares.js';
 import type { SkippedTarget } from '../../forwarding/common/requestTrace.js';
 import type { ShiftBounds } from './sharePacer.js';
@@ -191,6 +191,11 @@
 			: { target, limitPerSecond: this._targetLimits.perSecond(primary.known.record, now) };
 	}
 
+	/** Planned share, demand and capacity by service and region. */
+	regionPlans(): readonly RegionPlan[] {
+		return this._plans.regionPlans();
+	}
+
 	/** Number of targets that back off, by service. */
 	backedOffByService(now: Millis): ReadonlyMap<string, number> {
 		return this._states.backedOffByService(now);
