--- a/src/plugins/placement/common/placementPlans.ts
+++ b/src/plugins/placement/common/placementPlans.ts
@@ -12,6 +12,8 @@
 import { RegionRejections } from './regionRejections.js';
 import { RegionCapacities } from './regionCapacities.js';
 import { planShares, type RegionShares, shareOf, evenDemandShare } from './regionShares.js';
+import { SteadyShares } from './steadyShares.js';
+import { evenLoad, type IUnevenLoad } from './unevenLoad.js';
 import { SharePacer, type ShareJump, type ShiftBounds, type DesiredShares } from './sharePacer.js';
 
 const MAX_PLAN_AGE_MS = 200;
@@ -36,6 +38,18 @@
 	readonly preferredHall: string | undefined;
 }
 
+/** What a service's plan expects of one region. */
+export interface RegionPlan {
+	readonly service: string;
+	readonly region: string;
+	/** Planned share of the requests of this instance's callers, 0 to 1. */
+	readonly share: number;
+	/** Slots that the region's callers need; undefined if none was reported. */
+	readonly demand: number | undefined;
+	/** Slots of its available targets, by their speed where it is known. */
+	readonly slots: number;
+}
+
 /** A move of the shares of a route's requests to a service off lost targets. */
 export interface RouteShareJump extends ShareJump {
 	readonly route: string;
@@ -44,7 +58,10 @@
 
 /** The plan of a service for all routes with the same home regions and size of responses. */
 interface ServicePlan {
+	readonly service: string;
 	readonly capacities: RegionCapacities;
+	/** Used where load is uneven. */
+	readonly steadyShares: SteadyShares;
 	readonly rejections: RegionRejections;
 	desired: DesiredShares;
 	preferredHall: string | undefined;
@@ -80,12 +97,16 @@
 	/** Fires when shares moved off lost targets, exempt from the shift bounds. */
 	readonly onDidShiftFromLostTargets = this._onDidShiftFromLostTargets.event;
 
-	/** @param _regions all regions, with or without targets */
+	/**
+	 * @param _regions all regions, with or without targets
+	 * @param _load which services get shares that hold still
+	 */
 	constructor(
 		private readonly _view: FleetView,
 		private readonly _location: InstanceLocation,
 		private readonly _regions: readonly string[],
-		private readonly _shiftBounds: ShiftBounds
+		private readonly _shiftBounds: ShiftBounds,
+		private readonly _load: IUnevenLoad = evenLoad
 	) {}
 
 	/** Returns the plan for a route's requests to one of its services, updated if it is too old. */
@@ -118,6 +139,21 @@
 		this._servicePlan(service, regionalRoute, now).rejections.record(region, isRejected, now);
 	}
 
+	/** The plans by service and region; the first one of a service whose routes have several. */
+	regionPlans(): readonly RegionPlan[] {
+		const first = new Map<string, ServicePlan>();
+		this._services.forEach(plan => first.set(plan.service, first.get(plan.service) ?? plan));
+		return [...first.values()].flatMap(({ service, capacities, desired }) =>
+			[...capacities.capacities].map(([region, { demand, slots }]) => ({
+				service,
+				region,
+				share: shareOf(desired.shares, region),
+				demand,
+				slots
+			}))
+		);
+	}
+
 	private _sharesOf(service: string, { route, homeRegions }: RegionalRoute): RouteServiceShares {
 		const key = `${route.name} ${homeRegions.join(' ')}`;
 		let shares = this._routes.get(key);
@@ -145,7 +181,7 @@
 		const key = `${service} ${homeRegions.join(',')} ${isLarge}`;
 		let plan = this._services.get(key);
 		if (!plan) {
-			const capacities = new RegionCapacities(this._view, service, this._regions, homeRegions);
+			const capacities = new RegionCapacities(this._view, service, this._regions, homeRegions, this._load);
 			const desired = {
 				shares: [],
 				lostFractions: new Map(),
@@ -154,7 +190,9 @@
 				evenDemandOwnShare: 1
 			};
 			plan = {
+				service,
 				capacities,
+				steadyShares: new SteadyShares(this._location.region, isLarge),
 				rejections: new RegionRejections(),
 				desired,
 				preferredHall: undefined,
@@ -167,7 +205,9 @@
 			plan.capacities.update(now);
 			const { capacities, lostFractions } = plan.capacities;
 			plan.desired = {
-				shares: planShares(this._location.region, capacities, isLarge),
+				shares: this._load.isUneven(service)
+					? plan.steadyShares.update(capacities, now)
+					: planShares(this._location.region, capacities, isLarge),
 				lostFractions,
 				rejectionRates: plan.rejections.rates(now),
 				slots: new Map([...capacities].map(([region, capacity]) => [region, capacity.slots])),
