Targets that report how long work takes are chosen by when they answer

Cause: the choice of a target knew requests per slot only. A target at a third of its speed got nearly as much as the quick one beside it, a full one was asked again as soon as its report was old, and a slow phase that a target reported ejected it as unhealthy.

AnswerTimes estimates the time to the answer for the few targets of an object. The first one stays unless it answers after the objective, or another one has the object at hand and saves a tenth of the work or more; targets that are slow for long come last. Health divides response times by the reported factor. Figures that cannot be right are left out and counted; a figure that a response refutes is dropped. Without learned work times a low quartile of the service's responses stands in, with 3.3 times as much for a first touch.

--- a/src/plugins/forwarding/common/requestTrace.ts
+++ b/src/plugins/forwarding/common/requestTrace.ts
@@ -29,6 +29,10 @@
 	readonly isCold: boolean;
 	/** The preferred target of the object, if it was skipped. */
 	readonly passedOver: SkippedTarget | undefined;
+	/** Estimated time from the selection of the target to its answer; undefined if the service's targets report no work time. */
+	readonly estimateMs?: Millis;
+	/** Estimated duration of work at the target relative to its usual duration; undefined if the service's targets report none. */
+	readonly workTimeFactor?: number;
 	/** Outcome, followed by its cause if it has one. */
 	outcome: string;
 	tookMs: number;
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -160,6 +160,7 @@
 		const { outcomeTracker, backoffMonitor } = this._dependencies;
 		this._applyTargetLimit(known.record, report, requestSentAt);
 		outcomeTracker.recordLoad(state, report.load, now);
+		state.speed.service.invalidReports += report.hasInvalidLoad ? 1 : 0;
 		backoffMonitor.recordReport(known.record, state, report, state.inFlight, now);
 		state.backoff.apply(report, now);
 		if (state.backoff.isActive(now)) {
@@ -233,7 +234,7 @@
 }
 
 function createTrace({ exchange }: RequestContext, candidate: ChosenTarget, now: Millis): AttemptTrace {
-	const { known, state, firstRegion, passedOver } = candidate;
+	const { known, state, firstRegion, passedOver, estimate } = candidate;
 	return {
 		target: known.record.id,
 		region: known.region,
@@ -243,6 +244,10 @@
 		slots: known.record.slots,
 		isCold: known.coldUntil > now,
 		passedOver,
+		...(estimate && {
+			estimateMs: Math.round(estimate.timeMs),
+			workTimeFactor: Math.round(estimate.workTimeFactor * 100) / 100
+		}),
 		outcome: 'unknown',
 		tookMs: 0
 	};
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -39,6 +39,7 @@
 import { RetryPolicy } from './retryPolicy.js';
 import { BackoffMonitor } from './targets/backoffMonitor.js';
 import { LimitMonitor } from './targets/limitMonitor.js';
+import { registerWorkTimeMetrics } from './targets/workTimeMetrics.js';
 
 const DEMAND_REPORT_INTERVAL_MS = 250;
 
@@ -80,6 +81,7 @@
 			share,
 			targetLimits
 		);
+		registerWorkTimeMetrics(metrics, now => this._selector.factorsByService(now));
 		const { onDidShiftFromLostTargets } = this._selector;
 		const regionTrafficMonitor = this._register(
 			new RegionTrafficMonitor(_session, log, this._serviceBounds.shifts.windowMs, onDidShiftFromLostTargets)
--- /dev/null
+++ b/src/plugins/placement/common/answerTimes.ts
@@ -0,0 +1,114 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * Estimates when targets would answer a request, and selects among an object's first targets by that. Answers the load of targets
+ * that differ in speed and objectives that are shorter than a first touch: an object stays at its first target, where it is at
+ * hand, unless that would answer after the objective and another one costs all requests less.
+ */
+
+import type { Millis } from '../../../base/clock.js';
+import type { Candidate } from './targetChoice.js';
+import type { WorkTimes } from './workProfile.js';
+
+/** Assumed ratio of the work times without and with the object at hand, until both are known. */
+export const FIRST_TOUCH_RATIO = 3.3;
+/** Time to another region and back. */
+const REMOTE_ROUND_TRIP_MS: Millis = 70;
+/** A target is left to the requests that tell its speed if it has been slower than the service's others by this factor for long. */
+const LASTING_SLOW_FACTOR = 1.5;
+
+/**
+ * Another target is selected in place of the first one only if it saves this fraction of a request's work or more. Otherwise a
+ * target whose slow phase is over would get no request that tells.
+ */
+const MIN_SAVED_WORK = 0.1;
+
+/** When a target would answer a request. */
+export interface AnswerEstimate {
+	/** Time until the answer, from now. */
+	readonly timeMs: Millis;
+	/** Expected duration of work at the target, relative to its usual duration. */
+	readonly workTimeFactor: number;
+	readonly isAtHand: boolean;
+	/** Time for which slots of the target are taken beyond the work of a request whose object is at hand. */
+	readonly extraWorkMs: Millis;
+}
+
+/** A candidate with its estimate. */
+export interface TimedCandidate extends Candidate {
+	readonly estimate: AnswerEstimate;
+}
+
+/** What the estimates for one request depend on. */
+export interface AnswerTimesContext {
+	/** Work times of the route at a target of usual speed. */
+	readonly work: Pick<WorkTimes, 'atHandMs' | 'firstTouchMs'>;
+	/** Region of this instance. */
+	readonly region: string;
+	/** Time left until the objective of the route; may be negative. */
+	readonly objectiveLeftMs: Millis;
+	/** Whether this instance has recently sent a request for the object to a target. */
+	isRecent(targetId: string): boolean;
+	readonly now: Millis;
+}
+
+/** Estimates for one request. */
+export class AnswerTimes {
+	constructor(private readonly _context: AnswerTimesContext) {}
+
+	/** @param isFirst whether the target is the first one for the object */
+	estimate({ known, state }: Candidate, isFirst: boolean): AnswerEstimate {
+		const { work, region, now } = this._context;
+		const slots = Math.max(1, known.record.slots);
+		const workTimeFactor = state.speed.factor(now);
+		const isAtHand = isFirst || this._context.isRecent(known.record.id);
+		const queued = Math.max(0, state.load(now) - slots + 1);
+		const waitMs = (queued / slots) * work.atHandMs * workTimeFactor;
+		const workMs = (isAtHand ? work.atHandMs : work.firstTouchMs) * workTimeFactor;
+		const wayMs = known.region === region ? 0 : REMOTE_ROUND_TRIP_MS;
+		return {
+			timeMs: wayMs + waitMs + workMs,
+			workTimeFactor,
+			isAtHand,
+			extraWorkMs: isAtHand ? 0 : workMs - work.atHandMs * workTimeFactor
+		};
+	}
+
+	/** Moves targets that have been slow for long behind the others, as their objects would be late with each request. */
+	orderByLastingSpeed(targets: readonly Candidate[]): Candidate[] {
+		const { now } = this._context;
+		const isSlow = ({ state: { speed } }: Candidate): boolean =>
+			(speed.lastingFactor(now) ?? 0) > LASTING_SLOW_FACTOR * speed.service.meanFactor();
+		const others = targets.filter(target => !isSlow(target));
+		return others.length === targets.length ? others : [...others, ...targets.filter(isSlow)];
+	}
+
+	/**
+	 * Selects one of an object's targets: the first one if it answers within the objective and the object is at hand at no other,
+	 * else the one that costs all requests least.
+	 * @param targets targets below their utilization limits, in the order of the object
+	 * @param first the first target of the object, whether or not it is below its limit; undefined for a request without an object
+	 */
+	select(targets: readonly Candidate[], first: Candidate | undefined): TimedCandidate | undefined {
+		const timed = targets.map(candidate => ({ ...candidate, estimate: this.estimate(candidate, candidate === first) }));
+		const [head, ...others] = timed;
+		if (!head || others.length === 0) {
+			return head;
+		}
+		const { isAtHand, timeMs } = head.estimate;
+		const isTimely = isAtHand && timeMs <= this._context.objectiveLeftMs;
+		if (isTimely && others.every(other => !other.estimate.isAtHand)) {
+			return head;
+		}
+		const best = others.reduce((least, other) => (costMs(other.estimate) < costMs(least.estimate) ? other : least));
+		const savedMs = costMs(head.estimate) - costMs(best.estimate);
+		return savedMs >= MIN_SAVED_WORK * this._context.work.atHandMs ? best : head;
+	}
+}
+
+/** Time until the answer, and the time for which others wait as a first touch takes a slot longer. */
+function costMs({ timeMs, extraWorkMs }: AnswerEstimate): Millis {
+	return timeMs + extraWorkMs;
+}
--- a/src/plugins/placement/common/outcomeTracker.ts
+++ b/src/plugins/placement/common/outcomeTracker.ts
@@ -94,7 +94,7 @@
 			return;
 		}
 		const meter = this._demandOf(service, now);
-		state.health.recordResponse(durationMs, meter.meanLatencyMs, now);
+		state.recordResponse(durationMs, meter.meanLatencyMs, now);
 		meter.recordResponse(durationMs);
 	}
 }
--- a/src/plugins/placement/common/placementRequest.ts
+++ b/src/plugins/placement/common/placementRequest.ts
@@ -4,11 +4,14 @@
 
 /** What target selection needs to know of a request that is being forwarded. */
 
+import type { Millis } from '../../../base/clock.js';
 import type { Route } from '../../routes/common/routeTable.js';
 
 /** The caller's side of a request. */
 export interface PlacementCaller {
 	readonly requestId: string;
+	/** When the request arrived, on the monotonic clock; undefined for now. */
+	readonly arrivedAt?: Millis;
 	/** Key of the object that the request is about; undefined for none. */
 	readonly objectKey: string | undefined;
 	/** Whether the connection closed before the caller had the whole response. */
--- a/src/plugins/placement/common/targetChoice.ts
+++ b/src/plugins/placement/common/targetChoice.ts
@@ -9,6 +9,7 @@
  */
 
 import type { Millis } from '../../../base/clock.js';
+import type { AnswerEstimate, AnswerTimes, TimedCandidate } from './answerTimes.js';
 import { hash32 } from '../../../base/hashing.js';
 import type { KnownTarget } from '../../fleet/common/fleetView.js';
 import { regionAtPosition, orderRegions, type RegionShares } from './regionShares.js';
@@ -23,6 +24,8 @@
 
 /** The candidate that was chosen. */
 export interface ChosenTarget extends Candidate {
+	/** When it would answer; undefined where the service's targets do not report how long work takes there. */
+	readonly estimate?: AnswerEstimate;
 	/** Region that the shares assign to the request; undefined if there are no shares. */
 	readonly firstRegion: string | undefined;
 	/** Whether another region was chosen although `firstRegion` is reachable. */
@@ -48,6 +51,8 @@
 	readonly maySpill: boolean;
 	/** Factor on the utilization limits, more than 0. */
 	readonly utilizationFactor: number;
+	/** When targets would answer; undefined where the service's targets do not report how long work takes there. */
+	readonly answerTimes?: AnswerTimes;
 	/** Returns whether a cold target may get a request now. */
 	mayUseCold(candidate: Candidate): boolean;
 }
@@ -188,14 +193,24 @@
 	keyHash: number | undefined,
 	limits: readonly number[],
 	context: ChoiceContext
-): Candidate | undefined {
-	const { now, utilizationFactor } = context;
+): Candidate | TimedCandidate | undefined {
+	const { now, utilizationFactor, answerTimes } = context;
 	// Cold targets without a token are excluded before ranking, so that their objects go to the next target of the region.
 	const usable = candidates.filter(candidate => isUsable(candidate, context));
 	const targets = rankTargets(usable, keyHash, MAX_RANKED_TARGETS, context);
-	return orderByRetention(targets, keyHash).find(
-		(candidate, rank) => utilization(candidate, now) < (limits[rank] ?? 0) * utilizationFactor
-	);
+	const isBelowLimit = (candidate: Candidate, rank: number): boolean =>
+		utilization(candidate, now) < (limits[rank] ?? 0) * utilizationFactor;
+	const ordered = orderByRetention(targets, keyHash);
+	if (!answerTimes) {
+		return ordered.find(isBelowLimit);
+	}
+	const bySpeed = answerTimes.orderByLastingSpeed(ordered);
+	return keyHash === undefined
+		? answerTimes.select(
+				bySpeed.filter(candidate => isBelowLimit(candidate, 0)),
+				undefined
+			)
+		: answerTimes.select(bySpeed.filter(isBelowLimit), bySpeed[0]);
 }
 
 function leastUtilized(candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
@@ -254,7 +269,7 @@
 	regions: readonly string[],
 	keyHash: number | undefined,
 	context: ChoiceContext
-): Candidate | undefined {
+): Candidate | TimedCandidate | undefined {
 	const hasObject = keyHash !== undefined;
 	let limits = hasObject ? UTILIZATION_LIMITS : KEYLESS_UTILIZATION_LIMITS;
 	for (const region of regions) {
--- a/src/plugins/placement/common/targetSelector.ts
+++ b/src/plugins/placement/common/targetSelector.ts
@@ -5,6 +5,7 @@
 /** Selects the target for a request among the known ones and enforces the rate limits of cold targets. */
 
 import type { Millis } from '../../../base/clock.js';
+import { AnswerTimes, FIRST_TOUCH_RATIO } from './answerTimes.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import type { PaceShare } from '../../fleet/common/paceShare.js';
 import type { WorkByTarget } from '../../fleet/common/requestedWork.js';
@@ -27,6 +28,9 @@
 	regionPosition
 } from './targetChoice.js';
 import type { PlacementCaller, PlacementRequest } from './placementRequest.js';
+import { RecentObjects } from './recentObjects.js';
+import type { IWorkProfile, WorkTimes } from './workProfile.js';
+import type { FactorSummary } from './targets/serviceSpeed.js';
 import { TargetStates } from './targets/targetStates.js';
 
 /** Fraction of a cold target's rate limit that is used: a margin for requests that arrive closer together than sent. */
@@ -56,6 +60,7 @@
 	private readonly _states: TargetStates;
 	private readonly _plans: PlacementPlans;
 	private readonly _spill: SpillAllowance;
+	private readonly _recentObjects = new RecentObjects();
 	/** Time of this instance's first request, by service. */
 	private readonly _servingSince = new Map<string, Millis>();
 	/** Number of requests since the last report, by id of the primary target of their objects. */
@@ -67,6 +72,7 @@
 	 * @param regions all regions, with or without targets
 	 * @param _paceShare this instance's share of the rate limits of cold targets
 	 * @param _targetLimits rate limits of targets and their permits
+	 * @param _workProfile work times of routes; those of a service's latest responses if omitted
 	 */
 	constructor(
 		private readonly _view: FleetView,
@@ -74,7 +80,8 @@
 		regions: readonly string[],
 		shiftBounds: ShiftBounds,
 		private readonly _paceShare: PaceShare,
-		private readonly _targetLimits: ITargetLimitStatus
+		private readonly _targetLimits: ITargetLimitStatus,
+		private readonly _workProfile?: Pick<IWorkProfile, 'timesOf'>
 	) {
 		this._states = new TargetStates(_view, _targetLimits);
 		this._plans = new PlacementPlans(_view, _instance, regions, shiftBounds);
@@ -102,12 +109,16 @@
 			...this._plans.planFor(service, request, now),
 			now,
 			utilizationFactor: request.utilizationFactor ?? 1,
+			answerTimes: this._answerTimes(request, objectKey, now),
 			mayUseCold: candidate => this._mayUseCold(candidate, now)
 		};
 		const chosen = this._unusedTarget(request, candidates, context) ?? chooseTarget(candidates, context);
 		this._recordTargetLookup(request, context, chosen);
 		if (chosen) {
 			this._recordChoice(request, chosen, now);
+			if (context.answerTimes && objectKey !== undefined) {
+				this._recentObjects.record(objectKey, chosen.known.record.id, now);
+			}
 		}
 		if (objectKey === undefined || !isFirstAttempt(request)) {
 			return chosen;
@@ -121,6 +132,34 @@
 		return chosen && { ...chosen, passedOver: this._passedOver(primary, deferred, now) };
 	}
 
+	/** Estimates for a request; undefined unless the service's targets report how long work takes and its usual time is known. */
+	private _answerTimes(
+		{ service, route, exchange }: PlacementRequest,
+		objectKey: string | undefined,
+		now: Millis
+	): AnswerTimes | undefined {
+		const work = this._states.speedOf(service).isReported(now) ? this._workTimes(service, route.name) : undefined;
+		return (
+			work &&
+			new AnswerTimes({
+				work,
+				region: this._instance.region,
+				objectiveLeftMs: route.objectiveMs - (now - (exchange.arrivedAt ?? now)),
+				isRecent: id => objectKey !== undefined && this._recentObjects.has(objectKey, id, now),
+				now
+			})
+		);
+	}
+
+	private _workTimes(service: string, route: string): Pick<WorkTimes, 'atHandMs' | 'firstTouchMs'> | undefined {
+		const learned = this._workProfile?.timesOf(service, route);
+		const typicalMs = this._states.speedOf(service).typicalWorkMs;
+		return (
+			learned ??
+			(typicalMs === undefined ? undefined : { atHandMs: typicalMs, firstTouchMs: FIRST_TOUCH_RATIO * typicalMs })
+		);
+	}
+
 	/**
 	 * Returns when capacity becomes available again for a request if all targets that it may use back off or are rate limited;
 	 * undefined if one of them takes requests or there are none.
@@ -193,6 +232,11 @@
 		return this._states.backedOffByService(now);
 	}
 
+	/** Work time factors by service, for services whose targets report them. */
+	factorsByService(now: Millis): ReadonlyMap<string, FactorSummary> {
+		return this._states.factorsByService(now);
+	}
+
 	/**
 	 * Returns the work, in slots times seconds, that callers requested of the primary targets of their objects since the last
 	 * call, and resets it.
--- a/src/plugins/placement/common/targets/targetReport.ts
+++ b/src/plugins/placement/common/targets/targetReport.ts
@@ -42,6 +42,8 @@
 export interface TargetReport extends BackoffRequest {
 	/** Undefined if the target does not report its load. */
 	readonly load: LoadReport | undefined;
+	/** Whether a figure of the load that the target reports is left out as it cannot be right. */
+	readonly hasInvalidLoad: boolean;
 	/** Rate limit of the target for all instances together, in requests per second; undefined if it reports none. */
 	readonly limitPerSecond: number | undefined;
 	/** Whether the response echoes the id of the request. If not, other headers of the target may be missing as well. */
@@ -101,8 +103,10 @@
 export function parseTargetReport(head: ResponseHead, names: IHeaderNames, wallNow: number): TargetReport {
 	const { statusCode, headers } = head;
 	const isRefusal = statusCode === STATUS_UNAVAILABLE || statusCode === STATUS_TOO_MANY;
+	const load = parseLoadReport(headers[names.load]);
 	return {
-		load: parseLoadReport(headers[names.load]),
+		load,
+		hasInvalidLoad: isInvalidLoad(headers[names.load], load),
 		backoffMs: isRefusal ? longestBackoffMs(head, names, wallNow) : 0,
 		isLeaving: headers[names.leaving] === '1',
 		limitPerSecond: lowestLimit(head, names),
@@ -111,6 +115,11 @@
 	};
 }
 
+function isInvalidLoad(text: string | readonly string[] | undefined, load: LoadReport | undefined): boolean {
+	const hasWorkTime = typeof text === 'string' && text.split(',').length === 4;
+	return text !== undefined && (load === undefined || (hasWorkTime && load.workTimeFactor === undefined));
+}
+
 /** The longest backoff, if the header occurs more than once. */
 function longestBackoffMs({ headers, headersDistinct }: ResponseHead, names: IHeaderNames, wallNow: number): Millis {
 	if (headers[names.retryAfter] === undefined) {
--- a/src/plugins/placement/common/targets/targetState.ts
+++ b/src/plugins/placement/common/targets/targetState.ts
@@ -9,6 +9,8 @@
 import { TargetHealth } from './targetHealth.js';
 import { TargetBackoff } from './targetBackoff.js';
 import type { LoadReport } from './targetReport.js';
+import { ServiceSpeed } from './serviceSpeed.js';
+import { TargetSpeed } from './targetSpeed.js';
 
 /** Load reports older than this are ignored. */
 const LOAD_REPORT_MAX_AGE_MS = 1500;
@@ -22,6 +24,10 @@
 	readonly health = new TargetHealth();
 	/** Backoff that the target asked for. */
 	readonly backoff = new TargetBackoff();
+	/** Name of the service that `speed` compares the target with. */
+	serviceName: string | undefined;
+	/** How long work takes there. */
+	readonly speed: TargetSpeed;
 	/** Number of requests of this instance that are in progress at the target. */
 	inFlight = 0;
 	/** Whether this instance has sent a request to the target. */
@@ -37,14 +43,20 @@
 	private _coldTokens = 1;
 	private _coldTokensAt: Millis = 0;
 
-	/** @param regionLoad load of the service's targets in the region of this target */
+	/**
+	 * @param regionLoad load of the service's targets in the region of this target
+	 * @param serviceSpeed speed of the service's targets
+	 */
 	constructor(
 		readonly id: string,
 		/** Start time that identifies the run of the target's process. */
 		readonly bornAt: number,
 		readonly slots: number,
-		readonly regionLoad: RegionLoad
-	) {}
+		readonly regionLoad: RegionLoad,
+		serviceSpeed = new ServiceSpeed()
+	) {
+		this.speed = new TargetSpeed(serviceSpeed);
+	}
 
 	/** Whether a connection attempt failed recently and the target has not responded since. */
 	isUnreachable(now: Millis): boolean {
@@ -75,6 +87,14 @@
 		this.regionLoad.recordUtilization((report.running + report.waiting) / Math.max(1, report.slots), now);
 		this._otherInstancesLoad = Math.max(0, report.running + report.waiting - Math.max(0, this.inFlight - 1));
 		this._loadReportedAt = now;
+		if (report.workTimeFactor !== undefined) {
+			this.speed.record(report.workTimeFactor, now);
+		}
+	}
+
+	/** Whether the target has reported its load recently enough to count. */
+	hasRecentLoad(now: Millis): boolean {
+		return now - this._loadReportedAt < LOAD_REPORT_MAX_AGE_MS;
 	}
 
 	/** Records that the target refused a request as full. Its slots count as taken, with the weight of a new load report. */
@@ -83,6 +103,14 @@
 		this._loadReportedAt = now;
 	}
 
+	/**
+	 * Records a successful response. Time that the target's reported speed explains does not count against its health.
+	 * @param serviceMs average response time of the service
+	 */
+	recordResponse(durationMs: Millis, serviceMs: Millis, now: Millis): void {
+		this.health.recordResponse(this.speed.recordResponse(durationMs), serviceMs, now);
+	}
+
 	/**
 	 * Consumes a token to send one request to a cold target.
 	 * @param perSecond this instance's share of the request rate that the target accepts while it is cold
--- a/src/plugins/placement/common/targets/targetStates.ts
+++ b/src/plugins/placement/common/targets/targetStates.ts
@@ -9,6 +9,7 @@
 import type { ITargetLimitStatus } from '../../../limits/common/targetLimits.js';
 import type { Candidate } from '../targetChoice.js';
 import { RegionLoad } from '../regionLoad.js';
+import { type FactorSummary, ServiceSpeed } from './serviceSpeed.js';
 import { TargetState } from './targetState.js';
 
 const SWEEP_INTERVAL_MS = 10000;
@@ -26,6 +27,7 @@
 export class TargetStates implements ITargetReachability {
 	private readonly _states = new Map<string, TargetState>();
 	private readonly _regionLoads = new Map<string, RegionLoad>();
+	private readonly _serviceSpeeds = new Map<string, ServiceSpeed>();
 	private _sweptAt: Millis = 0;
 
 	constructor(
@@ -45,11 +47,15 @@
 
 	/** The state of a target; a new one if the target has restarted. */
 	stateOf(target: KnownTarget): TargetState {
-		const { id, bornAt, slots } = target.record;
+		const { id, bornAt, slots, service } = target.record;
 		let state = this._states.get(id);
 		if (state?.bornAt !== bornAt) {
-			state = new TargetState(id, bornAt, slots, this._regionLoadOf(target));
+			state = new TargetState(id, bornAt, slots, this._regionLoadOf(target), this.speedOf(service));
+			state.serviceName = service;
 			this._states.set(id, state);
+		} else if (state.serviceName !== service) {
+			state.serviceName = service;
+			state.speed.service = this.speedOf(service);
 		}
 		return state;
 	}
@@ -105,6 +111,35 @@
 		return counts;
 	}
 
+	/** Speed of a service's targets. */
+	speedOf(service: string): ServiceSpeed {
+		let speed = this._serviceSpeeds.get(service);
+		if (!speed) {
+			speed = new ServiceSpeed();
+			this._serviceSpeeds.set(service, speed);
+		}
+		return speed;
+	}
+
+	/** Work time factors by service, for services whose targets report them. */
+	factorsByService(now: Millis): ReadonlyMap<string, FactorSummary> {
+		const largest = new Map<string, number>();
+		for (const [id, { speed }] of this._states) {
+			const service = this._view.target(id)?.record.service;
+			if (service !== undefined) {
+				largest.set(service, Math.max(largest.get(service) ?? 0, speed.factor(now)));
+			}
+		}
+		const summaries = [...this._serviceSpeeds]
+			.filter(([, speed]) => speed.isReported(now) || speed.invalidReports > 0)
+			.map(([service, speed]) => {
+				const mean = speed.meanFactor();
+				const { invalidReports } = speed;
+				return [service, { mean, largest: largest.get(service) ?? mean, invalidReports }] as const;
+			});
+		return new Map(summaries);
+	}
+
 	private _regionLoadOf({ record, region }: KnownTarget): RegionLoad {
 		const key = `${record.service} ${region}`;
 		let load = this._regionLoads.get(key);
@@ -125,5 +160,11 @@
 				this._states.delete(id);
 			}
 		}
+		const services = new Set([...this._states.values()].map(state => state.serviceName));
+		for (const service of this._serviceSpeeds.keys()) {
+			if (!services.has(service)) {
+				this._serviceSpeeds.delete(service);
+			}
+		}
 	}
 }
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -24,7 +24,10 @@
 import type { CallerExchange } from '../../src/plugins/forwarding/node/callerExchange.js';
 import type { RequestContext } from '../../src/plugins/forwarding/node/requestContext.js';
 import { OutcomeTracker } from '../../src/plugins/placement/common/outcomeTracker.js';
+import { RegionLoad } from '../../src/plugins/placement/common/regionLoad.js';
 import { TargetSelector } from '../../src/plugins/placement/common/targetSelector.js';
+import { TargetState } from '../../src/plugins/placement/common/targets/targetState.js';
+import type { WorkTimes } from '../../src/plugins/placement/common/workProfile.js';
 import { RepeatRule, type Route } from '../../src/plugins/routes/common/routeTable.js';
 import type { TargetLimitTable } from '../../src/plugins/limits/common/targetLimitTable.js';
 import { describeEntry } from '../fakes/describeEntry.js';
@@ -34,9 +37,10 @@
 const SERVICE = 'service';
 const SYNC_MS = 500;
 const CROWDED_UPDATE_MS = 250;
-/** Round-trip time within a region; `REMOTE_ROUND_TRIP_MS` is that between regions. */
-const ROUND_TRIP_MS = 2;
-const REMOTE_ROUND_TRIP_MS = 70;
+/** Round-trip time within a region. */
+export const ROUND_TRIP_MS = 2;
+/** Round-trip time between regions. */
+export const REMOTE_ROUND_TRIP_MS = 70;
 const MAX_REFUSALS = 3;
 /** Delay until a rate limit reported by an instance is in control's target records. */
 const LIMIT_REPORT_MS = 250;
@@ -73,6 +77,12 @@
 	readonly callLossRatio?: number;
 	/** Time over which targets register before the first request; 0 if omitted. Instances run from the start. */
 	readonly registrationMs?: Millis;
+	/** Time after which the caller of a request no longer waits for the response; 10 s if omitted. */
+	readonly timeoutMs?: Millis;
+	/** Work times of the route, as instances know them; not known if omitted. */
+	readonly workTimes?: WorkTimes;
+	/** Selects targets in place of the instances' selectors, from the true state of all targets. */
+	readonly selectById?: (object: string, region: string, model: FleetModel) => string | undefined;
 }
 
 /** Totals of a simulation. */
@@ -81,6 +91,8 @@
 	readonly inTime: number;
 	readonly late: number;
 	readonly refused: number;
+	/** Responses that came after the timeout of their caller. */
+	readonly inVain: number;
 	/** Attempts that a target rejected. */
 	readonly rejected: number;
 	/** Attempts that a target rejected while it had requested backoff from the instance, other than those sent before that was known. */
@@ -115,6 +127,7 @@
 	readonly objectKey: string | undefined;
 	readonly requestId: string;
 	readonly firstSentAt: Millis;
+	readonly sentAt: Millis;
 	readonly isRetry: boolean;
 }
 
@@ -143,6 +156,7 @@
 		inTime: 0,
 		late: 0,
 		refused: 0,
+		inVain: 0,
 		rejected: 0,
 		rejectedDuringBackoff: 0,
 		permitCalls: 0
@@ -251,7 +265,9 @@
 		const limits = createLimitTable(name, this._settings.limitEnforcement ?? 'permits', this._settings.instances, view);
 		limits.onDidChange(() => this._reportLimits(limits));
 		const share = new PaceShare(name, () => 0);
-		const selector = new TargetSelector(view, location, this._regions, shifts, share, limits);
+		const selector = new TargetSelector(view, location, this._regions, shifts, share, limits, {
+			timesOf: () => this._settings.workTimes
+		});
 		const retryBudget = new ServiceRetryBudget(
 			{ ratio: 0.2, windowMs: 10000, slack: 2 * this._settings.instances },
 			Number.NEGATIVE_INFINITY
@@ -364,6 +380,7 @@
 			objectKey,
 			requestId: `request-${this._counts.requests}`,
 			firstSentAt: this.now,
+			sentAt: this.now,
 			isRetry: false
 		});
 	}
@@ -377,9 +394,15 @@
 		instance.outcomes.recordRequest(SERVICE, this.now);
 		instance.retryBudget.recordFirstAttempt(this.now);
 		const { objectKey, requestId } = request;
-		const exchange = { objectKey, requestId, isDisconnected: false } as unknown as CallerExchange;
+		const exchange = {
+			objectKey,
+			requestId,
+			arrivedAt: this.now,
+			isDisconnected: false
+		} as unknown as CallerExchange;
 		const context = {
 			exchange,
+			deadline: this.now + this._timeoutMs,
 			route: { ...ROUTE, objectiveMs: this._settings.objectiveMs },
 			homeRegions: [],
 			service: SERVICE,
@@ -400,12 +423,40 @@
 		}
 		this._schedule(this.now + callerRetryMs, () => {
 			const other = this._pickInstance(instance.region);
-			this._send(other, { ...request, requestId: `${request.requestId}-back`, isRetry: true });
+			this._send(other, {
+				...request,
+				requestId: `${request.requestId}-back`,
+				sentAt: this.now,
+				isRetry: true
+			});
 		});
 	}
 
+	private get _timeoutMs(): Millis {
+		return this._settings.timeoutMs ?? ROUTE.timeoutMs;
+	}
+
+	private _choose(instance: Instance, context: RequestContext): ChosenTarget | undefined {
+		const { selectById } = this._settings;
+		if (!selectById) {
+			return instance.selector.choose(context, this.now);
+		}
+		const { objectKey, requestId } = context.exchange;
+		const id = selectById(objectKey ?? requestId, instance.region, this);
+		const known = id === undefined ? undefined : instance.view.target(id);
+		const regionLoad = new RegionLoad();
+		return (
+			known && {
+				known,
+				state: new TargetState(known.record.id, 0, known.record.slots, regionLoad),
+				firstRegion: known.region,
+				isSpill: false
+			}
+		);
+	}
+
 	private _tryTarget(instance: Instance, context: RequestContext, request: CallerRequest): void {
-		const chosen = instance.selector.choose(context, this.now);
+		const chosen = this._choose(instance, context);
 		if (!chosen) {
 			this._refuse(instance, request);
 			return;
@@ -542,6 +593,7 @@
 			const second = Math.floor((request.firstSentAt - this._startedAt) / 1000);
 			this._inTimeBySecond[second] = (this._inTimeBySecond[second] ?? 0) + 1;
 		}
+		this._counts.inVain += this.now - request.sentAt > this._timeoutMs ? 1 : 0;
 		instance.outcomes.recordLoad(state, parseLoadReport(loadReport), this.now);
 		const response = { type: 'answer', status: 200, rawHeaders: [], endsWithConnection: false } as never;
 		instance.outcomes.recordOutcome(context, state, response, this.now - sentAt, this.now);
--- a/test/loads/targetModel.ts
+++ b/test/loads/targetModel.ts
@@ -17,6 +17,8 @@
 	readonly missMs: Millis;
 	/** Service time of a request whose object is cached. */
 	readonly hitMs: Millis;
+	/** Whether load reports have a fourth figure, how long work takes; false if omitted. */
+	readonly reportsWorkTime?: boolean;
 }
 
 interface QueuedRequest {
@@ -36,18 +38,53 @@
 	limitPerSecond: number | undefined;
 	/** Backoff that the target requests when it rejects a request; 0 for none. */
 	backoffMs: Millis = 0;
+	/** How long work that starts now takes, relative to the service times. */
+	workTimeFactor = 1;
 	private readonly _queue: QueuedRequest[] = [];
 	private readonly _cache = new Map<string, true>();
 	private _running = 0;
+	private _endTimes: Millis[] = [];
 
 	constructor(
 		readonly id: string,
 		private readonly _settings: TargetModelSettings
 	) {}
 
-	/** Load report sent with each response: running requests, queued requests and slots, separated by commas. */
+	/** Load report sent with each response: running requests, queued requests, slots and possibly the work time in percent. */
 	get loadReport(): string {
-		return `${this._running},${this._queue.length},${this._settings.slots}`;
+		const load = `${this._running},${this._queue.length},${this._settings.slots}`;
+		return this._settings.reportsWorkTime ? `${load},${Math.round(100 * this.workTimeFactor)}` : load;
+	}
+
+	/** Running and queued requests. */
+	get load(): number {
+		return this._running + this._queue.length;
+	}
+
+	/** Number of cached objects. */
+	get cachedCount(): number {
+		return this._cache.size;
+	}
+
+	/** Whether an object is cached. */
+	isCached(object: string): boolean {
+		return this._cache.has(object);
+	}
+
+	/** Time until a request that arrives now would complete, if nothing else arrives and the speed stays as it is. */
+	completionMs(object: string, now: Millis): Millis {
+		const { slots, hitMs, missMs } = this._settings;
+		const workMs = (key: string): Millis => (this._cache.has(key) ? hitMs : missMs) * this.workTimeFactor;
+		if (this._running < slots) {
+			return workMs(object);
+		}
+		const free = [...this._endTimes];
+		const takeSlot = (key: string): Millis => {
+			const first = free.indexOf(Math.min(...free));
+			return (free[first] = Math.max(now, free[first]!) + workMs(key));
+		};
+		this._queue.forEach(request => takeSlot(request.object));
+		return takeSlot(object) - now;
 	}
 
 	/**
@@ -69,6 +106,7 @@
 	/** Frees the slot of a completed request. */
 	release(now: Millis): void {
 		this._running--;
+		this._endTimes = this._endTimes.filter(endsAt => endsAt > now);
 		this._startNext(now);
 	}
 
@@ -79,7 +117,9 @@
 		const next = this._queue.shift();
 		if (next) {
 			this._running++;
-			next.onStarted(now + this._serviceTimeMs(next.object));
+			const endsAt = now + this._serviceTimeMs(next.object) * this.workTimeFactor;
+			this._endTimes.push(endsAt);
+			next.onStarted(endsAt);
 		}
 	}
 
