--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -41,6 +41,7 @@
 import { RetryPolicy } from './retryPolicy.js';
 import { BackoffMonitor } from './targets/backoffMonitor.js';
 import { LimitMonitor } from './targets/limitMonitor.js';
+import { registerWorkTimeMetrics } from './targets/workTimeMetrics.js';
 
 const DEMAND_REPORT_INTERVAL_MS = 250;
 
@@ -83,9 +84,11 @@
 			this._serviceBounds.shifts,
 			share,
 			targetLimits,
-			this._outcomeTracker
+			this._outcomeTracker,
+			this._outcomeTracker.profile
 		);
 		registerRegionPlanMetrics(metrics, () => this._selector.regionPlans());
+		registerWorkTimeMetrics(metrics, now => this._selector.factorsByService(now));
 		const { onDidShiftFromLostTargets } = this._selector;
 		const regionTrafficMonitor = this._register(
 			new RegionTrafficMonitor(_session, log, this._serviceBounds.shifts.windowMs, onDidShiftFromLostTargets)
--- a/src/plugins/placement/common/outcomeTracker.ts
+++ b/src/plugins/placement/common/outcomeTracker.ts
@@ -145,7 +145,7 @@
 			return;
 		}
 		const meter = this._demandOf(service, now);
-		state.health.recordResponse(durationMs, meter.meanLatencyMs, now);
+		state.recordResponse(durationMs, meter.meanLatencyMs, now);
 		meter.recordResponse(durationMs);
 		this._recordWork(service, route.name, this._loads.get(state), durationMs);
 	}
--- a/test/loads/swing.test.ts
+++ b/test/loads/swing.test.ts
@@ -50,7 +50,7 @@
 			cacheSize: 22,
 			missMs: 3.3 * HIT_MS,
 			hitMs: HIT_MS,
-			reportedWorkTime: 100
+			reportsWorkTime: true
 		},
 		registrationMs: 2000,
 		...load
