Pipelined requests are taken up in a bounded number and each gets its response

Behind a response that closes the connection, Node.js drops the responses of requests that were already sent to targets, takes up all requests that a read returns, and does not tell the waiting responses that the caller left.

The plug-in connections puts a socket of its own between the caller and the HTTP server. The closing mark goes on the last response of what was taken up; at a stop what was not taken up stays unanswered and is not sent. A request that may run only once waits for the responses before it. A caller that leaves cancels all its requests.

--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -6,8 +6,9 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
-import { type Millis, systemClock } from '../../../base/clock.js';
-import type { RefusalReason, Verdict } from '../../../base/verdict.js';
+import type { Millis } from '../../../base/clock.js';
+import { RefusalReason, type Verdict } from '../../../base/verdict.js';
+import type { ICallerRequest } from '../../connections/common/callerConnections.js';
 import { digestKey } from '../../routes/common/teamIndex.js';
 import type { TargetResponse } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
@@ -15,6 +16,7 @@
 import type { LinkScheduler } from './linkScheduler.js';
 import { PacedBody } from './pacedBody.js';
 
+const STATUS_BAD_GATEWAY = 502;
 const VERDICT_HEADER = 'Shelffield-Verdict';
 const NO_HEADERS: ReadonlySet<string> = new Set();
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(['content-length']);
@@ -27,9 +29,18 @@
 	readonly retryAfterMs?: Millis;
 }
 
+/** Response to a request that may have run and has no response that the caller could get. */
+const FAILED_RESPONSE: LocalResponse = {
+	status: STATUS_BAD_GATEWAY,
+	verdict: 'may-have-run',
+	reason: RefusalReason.TargetFailed
+};
+
 /** One request of a caller and its response. */
 export class CallerExchange {
-	readonly arrivedAt = systemClock.now();
+	readonly request: IncomingMessage;
+	/** On the monotonic clock. */
+	readonly arrivedAt: Millis;
 	readonly requestId: string;
 	/** How long the caller waits from `arrivedAt`, by its request header; infinite if it gives none. */
 	readonly remainingMs: Millis;
@@ -39,20 +50,24 @@
 	private _disconnectHandler: (() => void) | undefined;
 	private _isDisconnected = false;
 	private _closeHandler: (() => void) | undefined;
+	private readonly _response: ServerResponse;
 
 	constructor(
-		readonly request: IncomingMessage,
-		private readonly _response: ServerResponse,
+		private readonly _callerRequest: ICallerRequest,
 		names: IHeaderNames,
 		private readonly _linkScheduler: LinkScheduler
 	) {
+		const { request, response, arrivedAt } = _callerRequest;
+		this.request = request;
+		this.arrivedAt = arrivedAt;
+		this._response = response;
 		const remaining = Number(request.headers[names.remainingMs] ?? Number.NaN);
 		this.requestId = String(request.headers[names.requestId] ?? '');
 		this.remainingMs = Number.isFinite(remaining) ? remaining : Number.POSITIVE_INFINITY;
 		this.objectKey = cookieValue(request.rawHeaders, names.objectCookie);
 		const key = request.headers[names.teamKey];
 		this.keyDigest = typeof key === 'string' && key !== '' ? digestKey(key) : undefined;
-		_response.on('close', () => this._onResponseClose());
+		_callerRequest.setCloseHandler(isComplete => this._onClose(isComplete));
 	}
 
 	/** The Host header as the caller sent it; empty for none. */
@@ -97,6 +112,9 @@
 			this._response.setHeader('Retry-After', (retryAfterMs / 1000).toFixed(2));
 		}
 		this._response.setHeader('Content-Length', Buffer.byteLength(body));
+		if (this._callerRequest.closesConnection) {
+			this._response.setHeader('Connection', 'close');
+		}
 		this._response.end(body);
 	}
 
@@ -106,20 +124,35 @@
 			response.remainingBody?.destroy();
 			return;
 		}
+		if (response.endsWithConnection && !this._callerRequest.tryCloseConnection()) {
+			// The responses to the requests behind it have to follow, so its end cannot be the end of the connection.
+			response.remainingBody?.destroy();
+			this.sendLocalResponse(FAILED_RESPONSE);
+			return;
+		}
 		this._writeHead(response);
 		if (!response.remainingBody) {
 			this._response.end(response.body);
 			return;
 		}
-		this._streamBody(response.body, response.remainingBody);
+		this._streamBody(response, response.remainingBody);
+	}
+
+	/** Ends the exchange after an internal error: with a response where none was begun, otherwise by closing the connection. */
+	fail(): void {
+		if (this._response.headersSent) {
+			this._callerRequest.abort(true);
+		} else {
+			this.sendLocalResponse(FAILED_RESPONSE);
+		}
 	}
 
 	/** Streams a body that is not buffered whole, at the rate that the link scheduler allows. */
-	private _streamBody(prefix: Buffer, remainingBody: Readable): void {
+	private _streamBody({ body, endsWithConnection }: TargetResponse, remainingBody: Readable): void {
 		const paced = new PacedBody(this._linkScheduler);
 		const abort = (): void => {
 			paced.destroy();
-			this._response.destroy();
+			this._callerRequest.abort(endsWithConnection);
 		};
 		this.setDisconnectHandler(() => {
 			remainingBody.destroy();
@@ -131,7 +164,7 @@
 				abort();
 			}
 		});
-		paced.write(prefix);
+		paced.write(body);
 		remainingBody.pipe(paced).pipe(this._response);
 	}
 
@@ -145,16 +178,16 @@
 		if (response.endsWithConnection) {
 			this._response.useChunkedEncodingByDefault = false;
 		}
-		if (response.endsWithConnection || this._response.getHeader('connection') !== undefined) {
+		if (response.endsWithConnection || this._callerRequest.closesConnection) {
 			headers.push('Connection', 'close');
 		}
 		headers.push(VERDICT_HEADER, 'ran');
 		this._response.writeHead(response.status, headers);
 	}
 
-	private _onResponseClose(): void {
+	private _onClose(isComplete: boolean): void {
 		this._closeHandler?.();
-		if (this._response.writableFinished) {
+		if (isComplete) {
 			return;
 		}
 		this._isDisconnected = true;
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -4,15 +4,16 @@
 
 /** The HTTP listener for callers, including its readiness endpoint and graceful shutdown. */
 
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { HttpListener } from '../../../kernel/node/httpListener.js';
-import { ConnectionTracker } from '../../../kernel/node/connectionTracker.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
+import { ICallerConnections, type ICallerRequest } from '../../connections/common/callerConnections.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
+import { RepeatRule } from '../../routes/common/routeTable.js';
 import '../common/frontSettings.js';
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
@@ -38,17 +39,15 @@
 /** Accepts callers' connections and hands their requests to forwarding. */
 export class FrontListener extends Disposable {
 	private readonly _settings: FrontSettings;
-	private readonly _server: Server;
-	private readonly _idleConnections: ConnectionTracker;
 	private readonly _readinessListener: HttpListener;
 	private readonly _linkScheduler: LinkScheduler;
-	private _inFlight = 0;
 	private _isDraining = false;
 	private _isListening = false;
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
 		@IFleetSession private readonly _session: IFleetSession,
+		@ICallerConnections private readonly _connections: ICallerConnections,
 		@IForwarding private readonly _forwarding: IForwarding,
 		@IHeaderNames private readonly _headerNames: IHeaderNames,
 		@IServiceBounds private readonly _serviceBounds: IServiceBounds,
@@ -58,11 +57,6 @@
 		super();
 		this._settings = settings.section<FrontSettings>('front');
 		this._linkScheduler = new LinkScheduler(new LinkPacer(this._settings.linkMbit));
-		this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS });
-		this._idleConnections = new ConnectionTracker(this._server);
-		this._server.requestTimeout = 0;
-		this._server.maxConnections = this._settings.maxConnections;
-		this._server.on('request', (request, response) => this._onRequest(request, response));
 		this._readinessListener = this._register(
 			new HttpListener({
 				address: this._settings.readyAddress,
@@ -72,15 +66,17 @@
 				onError: error => this._log.error('readiness listener request failed', { task: 'front', error: error.message })
 			})
 		);
-		this._register(toDisposable(() => this._server.closeAllConnections()));
 	}
 
 	/** Opens the listeners for callers and for readiness checks; look-ups return this instance once it is ready. */
 	async start(): Promise<void> {
-		const [host, port] = this._settings.callerAddress.split(':');
-		await new Promise<void>((resolve, reject) => {
-			this._server.once('error', reject);
-			this._server.listen(Number(port), host, () => resolve());
+		await this._connections.listen({
+			address: this._settings.callerAddress,
+			maxConnections: this._settings.maxConnections,
+			maxHeaderBytes: MAX_HEADER_BYTES,
+			idleTimeoutMs: () => this._idleTimeoutMs(),
+			isRepeatable: request => this._isRepeatable(request),
+			serve: request => this._serve(request)
 		});
 		this._isListening = true;
 		await this._readinessListener.listen();
@@ -96,22 +92,22 @@
 		const startedAt = systemClock.now();
 		this._isDraining = true;
 		this._session.setReady(false);
-		this._idleConnections.closeIdle();
+		this._connections.endTakingUp();
 		const drainDeadline = startedAt + this._serviceBounds.stopGraceMs - EXIT_MARGIN_MS;
 		for (;;) {
 			const elapsedMs = systemClock.now() - startedAt;
 			const isAccepting = elapsedMs < Math.min(ACCEPT_DURING_DRAIN_MS, this._serviceBounds.stopGraceMs / 2);
 			if (!isAccepting && this._isListening) {
 				this._isListening = false;
-				this._idleConnections.stopAccepting();
-				this._idleConnections.closeIdle();
+				this._connections.stopAccepting();
 			}
-			if ((!isAccepting && this._inFlight === 0) || systemClock.now() > drainDeadline) {
+			const { inFlight, closing } = this._connections;
+			if ((!isAccepting && inFlight + closing === 0) || systemClock.now() > drainDeadline) {
 				break;
 			}
 			await delay(DRAIN_POLL_MS);
 		}
-		this._log.info('caller listener stopped', { task: 'front', inFlight: this._inFlight });
+		this._log.info('caller listener stopped', { task: 'front', inFlight: this._connections.inFlight });
 	}
 
 	private _isReady(): boolean {
@@ -119,18 +115,22 @@
 		return !this._isDraining && hasRoutes && this._session.ageMs() < MAX_VIEW_AGE_MS;
 	}
 
-	private _onRequest(request: IncomingMessage, response: ServerResponse): void {
-		this._inFlight++;
-		response.once('close', () => this._inFlight--);
+	private _idleTimeoutMs(): Millis {
 		const idleTimeoutMs = this._session.view.routes?.table.limits.idleTimeoutMs;
-		this._server.keepAliveTimeout = (idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS) + IDLE_TIMEOUT_MARGIN_MS;
-		if (this._isDraining) {
-			response.setHeader('Connection', 'close');
-		}
-		const exchange = new CallerExchange(request, response, this._headerNames, this._linkScheduler);
+		return (idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS) + IDLE_TIMEOUT_MARGIN_MS;
+	}
+
+	/** Requests without a route are refused, which may happen in any order. */
+	private _isRepeatable({ headers, url }: IncomingMessage): boolean {
+		const route = this._session.view.routes?.find(headers.host ?? '', url ?? '/');
+		return route?.repeatRule !== RepeatRule.AtMostOnce;
+	}
+
+	private _serve(request: ICallerRequest): void {
+		const exchange = new CallerExchange(request, this._headerNames, this._linkScheduler);
 		this._forwarding.serve(exchange).catch((error: Error) => {
 			this._log.error('request failed', { task: 'front', requestId: exchange.requestId, error: error.stack });
-			response.destroy();
+			exchange.fail();
 		});
 	}
 }
