Held memory is accounted, and limits on headers, bodies and reading time are enforced

The account of an instance counts what waits for callers: responses that are not read, responses that wait behind others, and what was read ahead of the parser. As it fills, nothing more is taken up behind others, then new requests get 503 (not run), then connections of callers that do not read are closed, those with the most bytes first. The limit follows the new setting memoryMb in [front].

Limits of the route table that nothing acted on: long headers get 431, an announced body that is too long gets 413 and the close, headers that are not complete in time get 408 and the close; none of these has run.

The property test found that the time for headers ran while the parser was paused, so that a request behind large responses got 408; it now runs only while the caller is waited for.

--- a/src/plugins/connections/common/callerConnections.ts
+++ b/src/plugins/connections/common/callerConnections.ts
@@ -15,6 +15,8 @@
 	readonly response: ServerResponse;
 	/** When its first bytes arrived, on the monotonic clock. */
 	readonly arrivedAt: Millis;
+	/** Whether there is memory for its response; otherwise it is to be refused. */
+	readonly hasRoom: boolean;
 	/** Whether the response has to announce that the connection closes; to be read when its headers are written. */
 	readonly closesConnection: boolean;
 	/**
@@ -36,6 +38,10 @@
 	readonly maxHeaderBytes: number;
 	/** How long a connection may be idle between two requests. */
 	idleTimeoutMs(): Millis;
+	/** Time from the first byte of a request until its headers are complete. */
+	headerTimeoutMs(): Millis;
+	/** Whom bytes of a request are held for beside its connection; undefined for nobody. */
+	ownerOf(request: IncomingMessage): string | undefined;
 	/** Whether a request may be served while others of its connection are. */
 	isRepeatable(request: IncomingMessage): boolean;
 	/** Serves a request that was taken up. */
--- a/src/plugins/connections/common/requestPipeline.ts
+++ b/src/plugins/connections/common/requestPipeline.ts
@@ -65,8 +65,9 @@
 	/**
 	 * Takes up the next request; undefined where there is none, or where it has to wait. A request that may run only once waits
 	 * until all requests before it have been answered, and those behind it wait for its response.
+	 * @param hasRoom whether there is room for the response
 	 */
-	takeNext(): T | undefined {
+	takeNext(hasRoom: (item: T) => boolean = () => true): T | undefined {
 		const next = this._waiting[0];
 		if (!next || this._isEnding || this._taken.length >= MAX_SIDE_BY_SIDE) {
 			return undefined;
@@ -75,6 +76,9 @@
 		if (!isAlone && !(next.isRepeatable() && this._taken[0]!.isRepeatable())) {
 			return undefined;
 		}
+		if (!hasRoom(next.item)) {
+			return undefined;
+		}
 		this._waiting.shift();
 		this._taken.push(next);
 		return next.item;
--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -6,28 +6,55 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Millis } from '../../../base/clock.js';
+import { type Millis, systemClock } from '../../../base/clock.js';
 import type { ICallerRequest } from '../common/callerConnections.js';
+import { HeldBytes, type IHeldMemory, type IMemoryAccount, MemoryPressure } from '../common/memoryAccount.js';
 import { RequestPipeline } from '../common/requestPipeline.js';
 import { CallerSocket, type IReadControl } from './callerSocket.js';
 
 /** Status lines of responses to bytes that are no valid request. */
 const BAD_REQUEST = '400 Bad Request';
 const HEADERS_TOO_LARGE = '431 Request Header Fields Too Large';
+const HEADERS_TOO_LATE = '408 Request Timeout';
 const HEADER_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
 
+/** How long a new connection may stay without a byte of a request. */
+const FIRST_REQUEST_TIMEOUT_MS: Millis = 60000;
+/** Held for each request that runs, beside its response: the objects of the request and of its connection to a target. */
+const REQUEST_BYTES = 8 * 1024;
+/** Response size that is assumed before the first one. */
+const INITIAL_RESPONSE_BYTES = 16 * 1024;
+const RESPONSE_SIZE_SMOOTHING = 0.25;
+
 /** What a connection needs from its listener. */
 export interface ICallerConnectionHost {
+	readonly account: IMemoryAccount;
+	headerTimeoutMs(): Millis;
+	ownerOf(request: IncomingMessage): string | undefined;
 	isRepeatable(request: IncomingMessage): boolean;
 	serve(request: ICallerRequest): void;
 	/** Called when the number of requests that were taken up changes. */
 	onTakenChange(difference: number): void;
+	/** Called when the connection is closed early on this side. */
+	onEarlyClose(cause: EarlyCloseCause): void;
+}
+
+/** Why a connection is closed although its caller may still wait for something; also a metric label. */
+export enum EarlyCloseCause {
+	/** The caller reads nothing. */
+	Unread = 'unread',
+	/** The account of held memory is full, and the caller reads slowly. */
+	Memory = 'memory',
+	/** The headers of a request were not complete in time. */
+	HeaderTimeout = 'header-timeout'
 }
 
 class CallerRequest implements ICallerRequest {
 	private _closeHandler: ((isComplete: boolean) => void) | undefined;
 	/** Undefined until the exchange has ended. */
 	private _isComplete: boolean | undefined;
+	/** Bytes reserved for a response that has to wait behind others. */
+	reservation: IHeldMemory | undefined;
 
 	constructor(
 		private readonly _connection: CallerConnection,
@@ -36,6 +63,10 @@
 		readonly arrivedAt: Millis
 	) {}
 
+	get hasRoom(): boolean {
+		return this.reservation !== undefined || this._connection.hasRoom;
+	}
+
 	get closesConnection(): boolean {
 		return this._connection.closesWith(this);
 	}
@@ -61,6 +92,7 @@
 			return false;
 		}
 		this._isComplete = isComplete;
+		this.reservation?.release();
 		this._closeHandler?.(isComplete);
 		return true;
 	}
@@ -78,24 +110,73 @@
 	/** The request whose body is invalid. */
 	private _broken: CallerRequest | undefined;
 	private _isTaking = false;
+	private readonly _owner: string;
+	/** Data for this caller that has no reservation. */
+	private readonly _heldResponses: IHeldMemory;
+	/** Data of this caller that no target has got. */
+	private readonly _heldRequests: IHeldMemory;
+	private _responseBytes = INITIAL_RESPONSE_BYTES;
+	private _sentBytes = 0;
+	/** Since when the headers of a request are awaited; undefined between two requests. */
+	private _headersSince: Millis | undefined = systemClock.now();
+	private _isHeaderLate = false;
+	private _hasFirstByte = false;
 
-	/** @param _endsAfterFirst whether the connection is closed after its first response */
+	/**
+	 * @param number distinguishes it from other connections
+	 * @param _endsAfterFirst whether the connection is closed after its first response
+	 */
 	constructor(
 		raw: Socket,
 		private readonly _host: ICallerConnectionHost,
+		number: number,
 		private _endsAfterFirst: boolean
 	) {
+		this._owner = `connection-${number}`;
+		this._heldResponses = _host.account.hold(HeldBytes.ResponseBody, this._owner);
+		this._heldRequests = _host.account.hold(HeldBytes.RequestBody, this._owner);
 		this.socket = new CallerSocket(raw, this);
+		this.socket.onUnread = () => _host.onEarlyClose(EarlyCloseCause.Unread);
 		this.socket.once('close', () => this._onClose());
 	}
 
+	/** Requests that were read and have to wait for the response to another. */
+	get waitingBehind(): number {
+		return Math.max(0, this.pipeline.takenCount + this.pipeline.waitingCount - 1);
+	}
+
+	/** Whether the account has memory for a further response. */
+	get hasRoom(): boolean {
+		return this._host.account.pressure < MemoryPressure.Refuse;
+	}
+
 	/** Whether it has no request and no response in progress. */
 	get isIdle(): boolean {
 		return this._open.size === 0 && this.pipeline.waitingCount === 0 && this.socket.writableLength === 0;
 	}
 
+	/** Data that waits for this caller to read it; 0 where nothing was written that it does not read. */
+	get unreadBytes(): number {
+		if (this.socket.writableLength === 0) {
+			return 0;
+		}
+		return this._waitingBytes((total, item) => total + item.response.writableLength);
+	}
+
 	mayFeed(): boolean {
-		return this.pipeline.mayRead || this.isInBody();
+		if (this.isInBody()) {
+			return true;
+		}
+		const isQuiet = this._open.size === 0 && this.socket.writableLength === 0;
+		return this.pipeline.mayRead && (isQuiet || this.hasRoom);
+	}
+
+	onFeed(): void {
+		this._hasFirstByte = true;
+		if (!this.isInBody()) {
+			this._headersSince ??= systemClock.now();
+			this._isHeaderLate = false;
+		}
 	}
 
 	isInBody(): boolean {
@@ -107,6 +188,8 @@
 	add(request: IncomingMessage, response: ServerResponse): void {
 		const item = new CallerRequest(this, request, response, this.socket.fedArrivedAt);
 		this._latest = item;
+		this._headersSince = undefined;
+		this._isHeaderLate = false;
 		if (this._open.size > 0) {
 			this.socket.lingers = true;
 		}
@@ -146,6 +229,37 @@
 		this._closeIfDone();
 	}
 
+	/** Updates the account, and closes the connection where headers are late; called periodically. */
+	check(now: Millis): void {
+		this._heldRequests.resize(this.socket.heldBytes);
+		this._heldResponses.resize(
+			this._waitingBytes((total, { reservation, response }) => total + (reservation ? 0 : response.writableLength))
+		);
+		if (this._headersSince === undefined) {
+			return;
+		}
+		if (!this.mayFeed() || this.socket.heldBytes + this.socket.readableLength > 0) {
+			// The parser has not got all that the caller sent.
+			this._headersSince = now;
+			return;
+		}
+		const timeoutMs = this._hasFirstByte ? this._host.headerTimeoutMs() : FIRST_REQUEST_TIMEOUT_MS;
+		if (now - this._headersSince < timeoutMs) {
+			return;
+		}
+		// After a pause of this process, the bytes may be there and not be read yet.
+		if (this._isHeaderLate) {
+			this._onHeaderTimeout();
+		}
+		this._isHeaderLate = true;
+	}
+
+	/** Closes the connection to release the memory that is held for it. */
+	closeForMemory(): void {
+		this._host.onEarlyClose(EarlyCloseCause.Memory);
+		this.socket.destroy();
+	}
+
 	/** Closes the connection when the response of this request would be next. */
 	abort(item: CallerRequest, withReset: boolean): void {
 		this.pipeline.end();
@@ -153,7 +267,8 @@
 			if (withReset) {
 				this.socket.resetAndDestroy();
 			} else {
-				this.socket.destroy();
+				this.socket.destroySoon();
+				this._closeAll();
 			}
 		};
 		if (item.response.socket) {
@@ -168,7 +283,8 @@
 			return;
 		}
 		this._isTaking = true;
-		for (let next = this.pipeline.takeNext(); next; next = this.pipeline.takeNext()) {
+		const hasRoom = (item: CallerRequest): boolean => this._tryReserve(item);
+		for (let next = this.pipeline.takeNext(hasRoom); next; next = this.pipeline.takeNext(hasRoom)) {
 			const item = next;
 			if (this._endsAfterFirst) {
 				this.pipeline.end();
@@ -181,7 +297,41 @@
 		this._isTaking = false;
 	}
 
+	/** Reserves memory for a response that others have to be sent before; any other response needs no reservation. */
+	private _tryReserve(item: CallerRequest): boolean {
+		if (this._open.size === 0 && this.socket.writableLength === 0) {
+			return true;
+		}
+		const owner = this._host.ownerOf(item.request) ?? this._owner;
+		const bytes = REQUEST_BYTES + this._responseBytes;
+		item.reservation = this._host.account.tryReserve(HeldBytes.ResponseBody, bytes, owner);
+		return item.reservation !== undefined;
+	}
+
+	private _waitingBytes(add: (total: number, item: CallerRequest) => number): number {
+		let total = this.socket.writableLength;
+		for (const item of this._open) {
+			// The response that is being sent counts the bytes of the socket as its own.
+			total = item.response.socket ? total : add(total, item);
+		}
+		return total;
+	}
+
+	private _onHeaderTimeout(): void {
+		this._host.onEarlyClose(EarlyCloseCause.HeaderTimeout);
+		if (this._hasFirstByte) {
+			this._errorStatus ??= HEADERS_TOO_LATE;
+		}
+		this.socket.lingers = true;
+		this._headersSince = undefined;
+		this.pipeline.seal();
+		this._closeIfDone();
+	}
+
 	private _onResponseClose(item: CallerRequest): void {
+		const sentBytes = this.socket.sentBytes - this._sentBytes;
+		this._sentBytes = this.socket.sentBytes;
+		this._responseBytes += (sentBytes - this._responseBytes) * RESPONSE_SIZE_SMOOTHING;
 		this._closeRequest(item);
 		if (this.socket.destroyed) {
 			return;
@@ -215,6 +365,12 @@
 	/** The HTTP server does not tell the responses that wait behind others about the close. */
 	private _onClose(): void {
 		this.pipeline.end();
+		this._closeAll();
+		this._heldRequests.release();
+		this._heldResponses.release();
+	}
+
+	private _closeAll(): void {
 		[...this._open].forEach(item => this._closeRequest(item));
 	}
 }
--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -7,12 +7,19 @@
 import { createServer as createHttpServer, type Server as HttpServer } from 'node:http';
 import { createServer, type Server, type Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { Counter, Gauge } from 'prom-client';
+import { type Millis, systemClock } from '../../../base/clock.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
+import { ILogService } from '../../../kernel/node/logService.js';
+import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import type { CallerConnectionOptions, ICallerConnections } from '../common/callerConnections.js';
-import { CallerConnection, type ICallerConnectionHost } from './callerConnection.js';
+import { IMemoryAccount, MemoryPressure } from '../common/memoryAccount.js';
+import { CallerConnection, type EarlyCloseCause, type ICallerConnectionHost } from './callerConnection.js';
 
 /** Prefix of the error codes of the Node.js HTTP parser. */
 const PARSER_ERROR_PREFIX = 'HPE_';
+/** Interval at which the account of held memory is updated from the connections; short against the time in which it could fill. */
+const CHECK_INTERVAL_MS: Millis = 50;
 
 /** Accepts connections and parses their requests with the HTTP server of Node.js. */
 export class CallerConnections extends Disposable implements ICallerConnections {
@@ -20,9 +27,30 @@
 	private _acceptor: Server | undefined;
 	private _inFlight = 0;
 	private _isEnding = false;
+	private _lastNumber = 0;
+	private readonly _earlyCloses: Counter<'cause'>;
 
-	constructor() {
+	constructor(
+		@IMemoryAccount private readonly _account: IMemoryAccount,
+		@IMetricsService metrics: IMetricsService,
+		@ILogService private readonly _log: ILogService
+	) {
 		super();
+		const registers = [metrics.registry];
+		this._earlyCloses = new Counter({
+			name: 'shelffield_caller_connections_closed_early_total',
+			help: 'Connections of callers closed by this instance although a request or response was not complete, by cause.',
+			labelNames: ['cause'],
+			registers
+		});
+		const gauge: Gauge = new Gauge({
+			name: 'shelffield_requests_waiting_behind',
+			help: 'Requests read from callers that wait for the response to an earlier request of their connection.',
+			registers,
+			collect: () => gauge.set(this._sum(connection => connection.waitingBehind))
+		});
+		const timer = setInterval(() => this._check(), CHECK_INTERVAL_MS);
+		this._register(toDisposable(() => clearInterval(timer)));
 		this._register(
 			toDisposable(() => {
 				this._acceptor?.close();
@@ -44,7 +72,11 @@
 		const host: ICallerConnectionHost = {
 			isRepeatable: request => options.isRepeatable(request),
 			serve: request => options.serve(request),
-			onTakenChange: difference => (this._inFlight += difference)
+			onTakenChange: difference => (this._inFlight += difference),
+			account: this._account,
+			headerTimeoutMs: () => options.headerTimeoutMs(),
+			ownerOf: request => options.ownerOf(request),
+			onEarlyClose: cause => this._onEarlyClose(cause)
 		};
 		const acceptor = createServer({ allowHalfOpen: true, noDelay: true }, socket => this._accept(socket, http, host));
 		acceptor.maxConnections = options.maxConnections;
@@ -90,13 +122,45 @@
 	}
 
 	private _accept(raw: Socket, http: HttpServer, host: ICallerConnectionHost): void {
-		const connection = new CallerConnection(raw, host, this._isEnding);
+		const connection = new CallerConnection(raw, host, ++this._lastNumber, this._isEnding);
 		const { socket } = connection;
 		this._connections.set(socket, connection);
 		socket.once('close', () => this._connections.delete(socket));
 		http.emit('connection', socket);
 	}
 
+	private _sum(valueOf: (connection: CallerConnection) => number): number {
+		return [...this._connections.values()].reduce((total, connection) => total + valueOf(connection), 0);
+	}
+
+	private _onEarlyClose(cause: EarlyCloseCause): void {
+		this._earlyCloses.inc({ cause });
+		this._log.debug('caller connection closed early', { task: 'connections', cause });
+	}
+
+	private _check(): void {
+		const now = systemClock.now();
+		this._connections.forEach(connection => connection.check(now));
+		if (this._account.pressure >= MemoryPressure.Close) {
+			this._closeLargest();
+		}
+	}
+
+	/** Closes connections whose callers do not read, those with the most bytes first, until new requests can be served again. */
+	private _closeLargest(): void {
+		const unread = [...this._connections.values()]
+			.map(connection => ({ connection, bytes: connection.unreadBytes }))
+			.filter(({ bytes }) => bytes > 0)
+			.sort((a, b) => b.bytes - a.bytes);
+		let closed = 0;
+		while (closed < unread.length && this._account.pressure >= MemoryPressure.Refuse) {
+			unread[closed++]!.connection.closeForMemory();
+		}
+		if (closed > 0) {
+			this._log.warn('connections of slow readers closed, held memory is full', { task: 'connections', closed });
+		}
+	}
+
 	private _closeIdle(): void {
 		for (const connection of this._connections.values()) {
 			if (connection.isIdle && !connection.socket.isClosing) {
--- a/src/plugins/connections/node/callerSocket.ts
+++ b/src/plugins/connections/node/callerSocket.ts
@@ -37,6 +37,8 @@
 	mayFeed(): boolean;
 	/** Whether the next bytes belong to the body of a request. */
 	isInBody(): boolean;
+	/** Called before the parser gets bytes. */
+	onFeed(): void;
 }
 
 interface HeldChunk {
@@ -48,6 +50,8 @@
 export class CallerSocket extends Duplex {
 	/** When the bytes that the parser got last arrived, on the monotonic clock. */
 	fedArrivedAt: Millis = systemClock.now();
+	/** Bytes that were passed on for the caller. */
+	sentBytes = 0;
 	/** Whether closing waits for the caller, which may have sent requests that stay unread. */
 	lingers = false;
 	/** Called when the connection is closed since the caller reads nothing. */
@@ -100,6 +104,7 @@
 		}
 		this._isFeeding = true;
 		while (this._isWanted && this._held.length > 0 && !this.destroyed && this._control.mayFeed()) {
+			this._control.onFeed();
 			this._isWanted = this.push(this._takeSlice());
 		}
 		this._isFeeding = false;
@@ -136,6 +141,7 @@
 	}
 
 	override _write(chunk: Buffer | string, encoding: BufferEncoding, done: (error?: Error | null) => void): void {
+		this.sentBytes += chunk.length;
 		this._raw.write(chunk, encoding, error => this._onWritten(error, done));
 		this._watchReader();
 	}
@@ -146,6 +152,7 @@
 	): void {
 		this._raw.cork();
 		chunks.forEach(({ chunk, encoding }, index) => {
+			this.sentBytes += chunk.length;
 			const isLast = index === chunks.length - 1;
 			this._raw.write(chunk, encoding, isLast ? error => this._onWritten(error, done) : undefined);
 		});
--- a/src/plugins/connections/test/callerConnections.test.ts
+++ b/src/plugins/connections/test/callerConnections.test.ts
@@ -7,7 +7,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { MAX_SIDE_BY_SIDE } from '../common/requestPipeline.js';
-import { delay, RawCaller, TestListener, until } from './testListener.js';
+import { delay, HEADER_TIMEOUT_MS, RawCaller, TestListener, until } from './testListener.js';
 
 /** Time in which an event that must not occur would have occurred. */
 const QUIET_MS = 50;
@@ -233,3 +233,35 @@
 	);
 	assert.equal(caller.isClosed, false);
 });
+
+for (const [name, first, bytes, expected] of [
+	['whose headers are late', [], 'GET /2 HTTP/1.1\r\nHost', [408]],
+	['whose headers are late behind a good one', ['/1'], 'GET /2 HTTP/1.1\r\nHost', [200, 408]]
+] as const) {
+	test(`a request ${name} is refused as not read`, async () => {
+		caller.send(...first);
+		await taken(first.length);
+		const startedAt = performance.now();
+		caller.socket.write(bytes);
+		await delay(2 * HEADER_TIMEOUT_MS);
+		listener.taken.forEach(request => listener.answer(request));
+		await until('the connection is closed', () => caller.isClosed);
+		assert.ok(performance.now() - startedAt > HEADER_TIMEOUT_MS);
+		assert.deepEqual(
+			caller.responses.map(({ status }) => status),
+			expected
+		);
+		assert.equal(listener.taken.length, first.length);
+	});
+}
+
+test('connections at rest, new or used, are not closed for late headers', async () => {
+	const used = new RawCaller(listener.connections.port);
+	listener.onTaken = request => listener.answer(request);
+	used.send('/1');
+	await delay(3 * HEADER_TIMEOUT_MS);
+	caller.send('/2');
+	used.send('/3');
+	await until('all are answered', () => caller.bodies.length === 1 && used.bodies.length === 2);
+	used.socket.destroy();
+});
--- a/src/plugins/connections/test/testListener.ts
+++ b/src/plugins/connections/test/testListener.ts
@@ -5,9 +5,16 @@
 /** A listener for callers whose requests a test answers itself, and a caller with a raw socket. */
 
 import { connect, type Socket } from 'node:net';
+import type { ILogService } from '../../../kernel/node/logService.js';
+import { MetricsService } from '../../../kernel/node/metricsService.js';
 import type { ICallerRequest } from '../common/callerConnections.js';
+import { HeldMemoryAccount } from '../common/heldMemoryAccount.js';
 import { CallerConnections } from '../node/callerConnections.js';
 
+/** Time that a caller has for the headers of a request. */
+export const HEADER_TIMEOUT_MS = 150;
+const LOG = { debug: () => undefined, warn: () => undefined } as unknown as ILogService;
+
 /** A response as a caller received it. */
 export interface ReceivedResponse {
 	readonly status: number;
@@ -17,13 +24,23 @@
 
 /** A listener whose taken up requests are kept until the test answers them. */
 export class TestListener {
-	readonly connections = new CallerConnections();
+	readonly metrics = new MetricsService();
+	readonly account: HeldMemoryAccount;
+	readonly connections: CallerConnections;
 	/** Requests that were taken up, oldest first. */
 	readonly taken: ICallerRequest[] = [];
 	/** Paths of requests whose caller left before the whole response was sent. */
 	readonly cancelled: string[] = [];
 	/** Called with each request that is taken up. */
 	onTaken: (request: ICallerRequest) => void = () => undefined;
+	/** Called with the path of each request whose exchange has ended. */
+	onClosed: (path: string) => void = () => undefined;
+
+	/** @param memoryMb memory of the instance */
+	constructor(memoryMb = 1024) {
+		this.account = new HeldMemoryAccount(memoryMb);
+		this.connections = new CallerConnections(this.account, this.metrics, LOG);
+	}
 
 	/** Requests with a path that begins with `/once` may run only once. */
 	async listen(): Promise<void> {
@@ -32,10 +49,13 @@
 			maxConnections: 1000,
 			maxHeaderBytes: 4096,
 			idleTimeoutMs: () => 5000,
+			headerTimeoutMs: () => HEADER_TIMEOUT_MS,
+			ownerOf: () => undefined,
 			isRepeatable: ({ url }) => !url!.startsWith('/once'),
 			serve: request => {
 				this.taken.push(request);
 				request.setCloseHandler(isComplete => {
+					this.onClosed(request.request.url!);
 					if (!isComplete) {
 						this.cancelled.push(request.request.url!);
 					}
--- a/src/plugins/forwarding/common/frontSettings.ts
+++ b/src/plugins/forwarding/common/frontSettings.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Section `[front]`: listening addresses of an entry instance, and the bandwidth of its link. */
+/** Section `[front]`: listening addresses of an entry instance, the bandwidth of its link and its memory. */
 
 import { ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import {
@@ -19,6 +19,8 @@
 	readonly maxConnections: number;
 	/** Bandwidth of the instance's network link in one direction, in Mbit/s. */
 	readonly linkMbit: number;
+	/** Memory that the process may use, in MiB. */
+	readonly memoryMb: number;
 }
 
 settingsRegistry.register({
@@ -38,6 +40,12 @@
 			schema: numberSchema(0.1, 1000000),
 			description: 'Bandwidth of the network link in Mbit/s, 0.1 to 1000000; large responses are paced to fit it.',
 			default: '1000'
+		},
+		memoryMb: {
+			schema: numberSchema(16, 1048576),
+			description:
+				'Memory that the process may use in MiB, 16 to 1048576; a part of it holds data for callers and targets.',
+			default: '256'
 		}
 	}
 });
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -138,6 +138,14 @@
 		this._streamBody(response, response.remainingBody);
 	}
 
+	/** Refuses the request before its body was read; a body that is too long ends the connection rather than being read. */
+	refuse(response: LocalResponse): void {
+		if (response.reason === RefusalReason.BodyTooLarge) {
+			this._callerRequest.tryCloseConnection();
+		}
+		this.sendLocalResponse(response);
+	}
+
 	/** Ends the exchange after an internal error: with a response where none was begun, otherwise by closing the connection. */
 	fail(): void {
 		if (this._response.headersSent) {
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -7,23 +7,28 @@
 import type { IncomingMessage } from 'node:http';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import { RefusalReason } from '../../../base/verdict.js';
 import { HttpListener } from '../../../kernel/node/httpListener.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
+import { SHORT_RETRY_AFTER_MS } from '../../admission/common/returnTimes.js';
 import { ICallerConnections, type ICallerRequest } from '../../connections/common/callerConnections.js';
 import { IFleetSession } from '../../fleet/common/fleetSession.js';
-import { RepeatRule } from '../../routes/common/routeTable.js';
+import { type CallerLimits, RepeatRule } from '../../routes/common/routeTable.js';
 import '../common/frontSettings.js';
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { LinkPacer } from '../common/linkPacer.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
 import { CallerExchange } from './callerExchange.js';
+import { refuseByLimits } from './callerLimits.js';
 import { IForwarding } from './forwarding.js';
 import { LinkScheduler } from './linkScheduler.js';
+import { unavailableResponse } from './requestContext.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
+const DEFAULT_HEADER_TIMEOUT_MS = 60000;
 const DEFAULT_IDLE_TIMEOUT_MS = 30000;
 /** Idle connections are kept this much longer than the timeout that callers know, so that no request arrives while they are being closed. */
 const IDLE_TIMEOUT_MARGIN_MS = 2000;
@@ -75,6 +80,8 @@
 			maxConnections: this._settings.maxConnections,
 			maxHeaderBytes: MAX_HEADER_BYTES,
 			idleTimeoutMs: () => this._idleTimeoutMs(),
+			headerTimeoutMs: () => this._limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS,
+			ownerOf: ({ headers }) => headers[this._headerNames.teamKey]?.toString(),
 			isRepeatable: request => this._isRepeatable(request),
 			serve: request => this._serve(request)
 		});
@@ -115,9 +122,12 @@
 		return !this._isDraining && hasRoutes && this._session.ageMs() < MAX_VIEW_AGE_MS;
 	}
 
+	private get _limits(): CallerLimits | undefined {
+		return this._session.view.routes?.table.limits;
+	}
+
 	private _idleTimeoutMs(): Millis {
-		const idleTimeoutMs = this._session.view.routes?.table.limits.idleTimeoutMs;
-		return (idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS) + IDLE_TIMEOUT_MARGIN_MS;
+		return (this._limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS) + IDLE_TIMEOUT_MARGIN_MS;
 	}
 
 	/** Requests without a route are refused, which may happen in any order. */
@@ -128,6 +138,13 @@
 
 	private _serve(request: ICallerRequest): void {
 		const exchange = new CallerExchange(request, this._headerNames, this._linkScheduler);
+		const refusal = request.hasRoom
+			? refuseByLimits(request.request, this._limits)
+			: unavailableResponse(RefusalReason.NoCapacity, SHORT_RETRY_AFTER_MS);
+		if (refusal) {
+			exchange.refuse(refusal);
+			return;
+		}
 		this._forwarding.serve(exchange).catch((error: Error) => {
 			this._log.error('request failed', { task: 'front', requestId: exchange.requestId, error: error.stack });
 			exchange.fail();
