--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -7,6 +7,8 @@
  * what it learned from its own requests. The simulation has its own clock and a seeded random number generator.
  */
 
+import type { IReturnTimes } from '../../src/plugins/admission/common/returnTimes.js';
+import type { ShortageRequest } from '../../src/plugins/admission/common/shortageAdmission.js';
 import TinyQueue from 'tinyqueue';
 import type { Millis } from '../../src/base/clock.js';
 import { selectPacedSenders } from '../../src/plugins/fleet/common/pacedSenders.js';
@@ -62,6 +64,10 @@
 	readonly loadFactor?: (sinceStartMs: Millis) => number;
 	/** Delay after which a refused caller retries once; callers do not retry if omitted. */
 	readonly callerRetryMs?: Millis;
+	/** Creates the return times of an instance, by which a refused caller returns once; instead of `callerRetryMs`. */
+	readonly createReturnTimes?: () => IReturnTimes;
+	/** Time after which callers give up; needed with `createReturnTimes`. */
+	readonly callerTimeoutMs?: Millis;
 	/** Latency objective of callers. */
 	readonly objectiveMs: Millis;
 	readonly target: TargetModelSettings;
@@ -109,6 +115,7 @@
 	readonly selector: TargetSelector;
 	readonly outcomes: OutcomeTracker;
 	readonly retryBudget: ServiceRetryBudget;
+	readonly returnTimes: IReturnTimes | undefined;
 }
 
 interface CallerRequest {
@@ -256,7 +263,8 @@
 			{ ratio: 0.2, windowMs: 10000, slack: 2 * this._settings.instances },
 			Number.NEGATIVE_INFINITY
 		);
-		return { name, region, view, limits, selector, outcomes: new OutcomeTracker(), retryBudget };
+		const returnTimes = this._settings.createReturnTimes?.();
+		return { name, region, view, limits, selector, outcomes: new OutcomeTracker(), retryBudget, returnTimes };
 	}
 
 	private get _entries(): EntryDescription[] {
@@ -394,16 +402,22 @@
 	/** Refuses a request; its caller may retry once, at any instance of the same region. */
 	private _refuse(instance: Instance, request: CallerRequest): void {
 		const { callerRetryMs } = this._settings;
-		if (callerRetryMs === undefined || request.isRetry) {
+		const returnMs = instance.returnTimes?.retryAfterMs(this._shortageRequest(request), this.now) ?? callerRetryMs;
+		if (returnMs === undefined || request.isRetry) {
 			this._counts.refused++;
 			return;
 		}
-		this._schedule(this.now + callerRetryMs, () => {
+		this._schedule(this.now + returnMs, () => {
 			const other = this._pickInstance(instance.region);
 			this._send(other, { ...request, requestId: `${request.requestId}-back`, isRetry: true });
 		});
 	}
 
+	private _shortageRequest({ firstSentAt }: CallerRequest): ShortageRequest {
+		const deadline = firstSentAt + (this._settings.callerTimeoutMs ?? 0);
+		return { service: SERVICE, rank: { team: 0, route: 0 }, teamName: undefined, deadline };
+	}
+
 	private _tryTarget(instance: Instance, context: RequestContext, request: CallerRequest): void {
 		const chosen = instance.selector.choose(context, this.now);
 		if (!chosen) {
@@ -545,6 +559,7 @@
 		instance.outcomes.recordLoad(state, parseLoadReport(loadReport), this.now);
 		const response = { type: 'answer', status: 200, rawHeaders: [], endsWithConnection: false } as never;
 		instance.outcomes.recordOutcome(context, state, response, this.now - sentAt, this.now);
+		instance.returnTimes?.recordCompletion(this._shortageRequest(request), this.now);
 		state.inFlight--;
 	}
 
--- a/test/platform/platformTestSystem.ts
+++ b/test/platform/platformTestSystem.ts
@@ -102,7 +102,12 @@
 	private readonly _subnet: string;
 	private _lastSequence = 0;
 
-	constructor(controls: number, entries: number) {
+	/** @param _contracts names of the parts of the platform's rules that hold, separated by commas */
+	constructor(
+		controls: number,
+		entries: number,
+		private readonly _contracts = ''
+	) {
 		systemCount++;
 		this._subnet = `127.${10 + (process.pid % 200)}.${systemCount}`;
 		for (let i = 1; i <= controls; i++) {
@@ -293,7 +298,8 @@
 			'[metrics]',
 			`address = ${instance.ip}:${METRICS_PORT}`,
 			'[platform]',
-			`bounds = ${BOUNDS}`
+			`bounds = ${BOUNDS}`,
+			`contracts = ${this._contracts}`
 		];
 		if (instance.kind === 'control') {
 			mkdirSync(this._dataFolder(instance), { recursive: true });
--- a/test/platform/testTarget.ts
+++ b/test/platform/testTarget.ts
@@ -56,6 +56,8 @@
 	readonly slots: number;
 	/** Time that each request takes to run. */
 	readonly workMs: number;
+	/** Maximum number of requests that wait for a slot; more are rejected as not executed. By default all run at once. */
+	readonly queueLength?: number;
 	/** Length of the response body after the request id and a colon. */
 	readonly paddingBytes: number;
 	/** Time that a particular request takes to run; `workMs` where it is undefined. */
@@ -82,7 +84,9 @@
 	peakConnections = 0;
 	private _openConnections = 0;
 	private _hasCrashed = false;
+	/** Running and waiting requests. */
 	private _runningRequests = 0;
+	private readonly _slotsFreeAt: number[];
 	private readonly _server: Server;
 
 	/** @param injectedFaults one is taken for each request that is not rejected by `rejectionHeaders`; targets may share the array */
@@ -90,6 +94,7 @@
 		readonly options: TestTargetOptions,
 		readonly injectedFaults: InjectedFault[] = []
 	) {
+		this._slotsFreeAt = new Array<number>(options.slots).fill(0);
 		this._server = createServer((request, response) => void this._handleRequest(request, response));
 		this._server.on('connection', socket => {
 			this.peakConnections = Math.max(this.peakConnections, ++this._openConnections);
@@ -142,6 +147,10 @@
 			response.writeHead(503, { 'Not-Executed': '1', ...this.rejectionHeaders, ...this.extraHeaders }).end();
 			return;
 		}
+		if (this._runningRequests >= this.options.slots + (this.options.queueLength ?? Number.POSITIVE_INFINITY)) {
+			response.writeHead(503, { 'Not-Executed': '1', 'Server-Load': this._load }).end();
+			return;
+		}
 		const fault = this.injectedFaults.shift();
 		if (fault === 'full') {
 			response.writeHead(503, { 'Not-Executed': '1' }).end();
@@ -159,10 +168,28 @@
 				}
 				this._respond(response, received, fault);
 			},
-			this.options.workMsOf?.(received) ?? this.options.workMs
+			this._reserveSlot(this.options.workMsOf?.(received) ?? this.options.workMs)
 		);
 	}
 
+	/** Time until a request that arrives now has run, on the slot that is free first. */
+	private _reserveSlot(workMs: number): number {
+		if (this.options.queueLength === undefined) {
+			return workMs;
+		}
+		const now = performance.now();
+		const freeAt = Math.min(...this._slotsFreeAt);
+		const endsAt = Math.max(now, freeAt) + workMs;
+		this._slotsFreeAt[this._slotsFreeAt.indexOf(freeAt)] = endsAt;
+		return endsAt - now;
+	}
+
+	private get _load(): string {
+		const { slots, queueLength } = this.options;
+		const queued = queueLength === undefined ? 0 : Math.max(0, this._runningRequests - slots);
+		return `${this._runningRequests - queued},${queued},${slots}`;
+	}
+
 	private _crashOnce(): void {
 		if (!this._hasCrashed) {
 			this._hasCrashed = true;
@@ -173,10 +200,9 @@
 
 	private _respond(response: ServerResponse, received: ReceivedRequest, fault: InjectedFault | undefined): void {
 		const body = `${received.id}:${'x'.repeat(this.options.paddingBytes)}`;
-		const load = `${this._runningRequests},0,${this.options.slots}`;
 		const headers = {
 			'Server-Stamp': this.options.id,
-			'Server-Load': load,
+			'Server-Load': this._load,
 			'Content-Length': String(body.length),
 			...this.extraHeaders
 		};
