Scarce slots go by rank, and within a rank by teams' shares

Cause: while more was asked of a service than its targets can do, all requests counted alike.

Change: each instance controls the part of the demand for a service that it admits, by the admitted attempts that find no room, and divides it by rank and, within a rank, into max-min fair shares of teams. Ranks and teams that are cut are admitted to targets with short queues only. On only where the deployment or [admission] asks for it; no message, no stored state.

--- a/src/base/verdict.ts
+++ b/src/base/verdict.ts
@@ -30,6 +30,10 @@
 	BodyTooLarge = 'body-too-large',
 	NoConfiguration = 'no-configuration',
 	NoCapacity = 'no-capacity',
+	/** During a shortage of slots, requests of a higher rank go first. */
+	LowRank = 'low-rank',
+	/** During a shortage of slots, the team asks for more than its share. */
+	OverTeamShare = 'over-team-share',
 	/** All eligible targets requested backoff. */
 	TargetsBackingOff = 'targets-at-rest',
 	/** All eligible targets are at their reported rate limits or requested backoff. */
--- a/src/plugins/admission/admission.entry.plugin.ts
+++ b/src/plugins/admission/admission.entry.plugin.ts
@@ -4,9 +4,11 @@
 
 /** Registers admission under shortage on entry instances. */
 
+import './common/admissionSettings.js';
 import { pluginRegistry } from '../../kernel/common/pluginRegistry.js';
 import { FixedReturnTimes, IReturnTimes } from './common/returnTimes.js';
-import { IShortageAdmission, UnrankedAdmission } from './common/shortageAdmission.js';
+import { IShortageAdmission } from './common/shortageAdmission.js';
+import { ShortageAdmissionService } from './node/shortageAdmissionService.js';
 
-pluginRegistry.registerSingleton(IShortageAdmission, UnrankedAdmission);
+pluginRegistry.registerSingleton(IShortageAdmission, ShortageAdmissionService);
 pluginRegistry.registerSingleton(IReturnTimes, FixedReturnTimes);
--- a/src/plugins/admission/common/shortageAdmission.ts
+++ b/src/plugins/admission/common/shortageAdmission.ts
@@ -9,6 +9,7 @@
 
 import type { Millis } from '../../../base/clock.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
+import type { Team } from '../../routes/common/routeTable.js';
 import type { RequestRank } from './requestRank.js';
 
 /** A request as admission sees it. */
@@ -17,8 +18,14 @@
 	readonly rank: RequestRank;
 	/** Name of the team; undefined for none. */
 	readonly teamName: string | undefined;
+	/** Regions in which the request may be served; left out or empty for any. */
+	readonly homeRegions?: readonly string[];
+	/** The team; undefined for none. */
+	readonly team?: Pick<Team, 'limit'> | undefined;
 	/** On the monotonic clock. */
 	readonly deadline: Millis;
+	/** Attempts made so far; left out before the first. */
+	readonly attempts?: readonly unknown[];
 }
 
 /** What admission decided for one attempt. */
--- a/src/plugins/forwarding/node/requestForwarder.ts
+++ b/src/plugins/forwarding/node/requestForwarder.ts
@@ -25,6 +25,13 @@
 /** No attempt is started with less time than this left before the deadline. */
 const MIN_REMAINING_MS: Millis = 20;
 
+/** Why a request is refused during a shortage, by the cause that admission named. */
+const SHORTAGE_REASONS = {
+	rank: RefusalReason.LowRank,
+	'team-share': RefusalReason.OverTeamShare,
+	deadline: RefusalReason.DeadlineUnreachable
+} as const;
+
 /** Services that forwarding a request uses. */
 export interface RequestForwarderDependencies {
 	readonly intake: RequestIntake;
@@ -98,7 +105,7 @@
 		}
 		const decision = admission.decide(context, now);
 		if (decision.kind === 'refuse') {
-			return unavailableResponse(RefusalReason.NoCapacity, returnTimes.retryAfterMs(context, now));
+			return unavailableResponse(SHORTAGE_REASONS[decision.cause], returnTimes.retryAfterMs(context, now));
 		}
 		context.utilizationFactor = decision.utilizationFactor;
 		return undefined;
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -9,6 +9,12 @@
 
 import TinyQueue from 'tinyqueue';
 import type { Millis } from '../../src/base/clock.js';
+import type { RequestRank } from '../../src/plugins/admission/common/requestRank.js';
+import {
+	type IShortageAdmission,
+	ShortageOutcome,
+	UnrankedAdmission
+} from '../../src/plugins/admission/common/shortageAdmission.js';
 import { selectPacedSenders } from '../../src/plugins/fleet/common/pacedSenders.js';
 import { PaceShare } from '../../src/plugins/fleet/common/paceShare.js';
 import { FleetView } from '../../src/plugins/fleet/common/fleetView.js';
@@ -48,6 +54,21 @@
 /** Requests that arrive within this time after a backoff request may have been sent before it was known. */
 const BACKOFF_PROPAGATION_MS = 500;
 
+/** Callers of one rank and one team. */
+export interface CallerGroup {
+	readonly name: string;
+	readonly rank: RequestRank;
+	readonly teamName?: string;
+	readonly requestsPerSecond: number;
+}
+
+/** Totals of the requests of one group of callers. */
+export interface GroupReport {
+	requests: number;
+	inTime: number;
+	refused: number;
+}
+
 /** Size, load and faults of a simulation. */
 export interface FleetModelSettings {
 	readonly seed: number;
@@ -73,6 +94,10 @@
 	readonly callLossRatio?: number;
 	/** Time over which targets register before the first request; 0 if omitted. Instances run from the start. */
 	readonly registrationMs?: Millis;
+	/** The callers; their rates add up to `requestsPerSecond`. All alike if omitted. */
+	readonly groups?: readonly CallerGroup[];
+	/** Creates the admission under shortage of each instance; all requests are admitted alike if omitted. */
+	readonly createAdmission?: () => IShortageAdmission;
 }
 
 /** Totals of a simulation. */
@@ -99,6 +124,10 @@
 	readonly peakToMeanArrivals: number;
 	/** Requests answered within the objective, by the second in which they were first sent, counted from the start of the load. */
 	readonly inTimeBySecond: readonly number[];
+	/** Totals by group of callers. */
+	readonly groups: Readonly<Record<string, Readonly<GroupReport>>>;
+	/** Fraction of the time of all slots that was used while requests were sent, 0 to 1. */
+	readonly slotsUsed: number;
 }
 
 interface Instance {
@@ -109,6 +138,7 @@
 	readonly selector: TargetSelector;
 	readonly outcomes: OutcomeTracker;
 	readonly retryBudget: ServiceRetryBudget;
+	readonly admission: IShortageAdmission;
 }
 
 interface CallerRequest {
@@ -116,6 +146,7 @@
 	readonly requestId: string;
 	readonly firstSentAt: Millis;
 	readonly isRetry: boolean;
+	readonly group: CallerGroup;
 }
 
 interface Rejection {
@@ -159,6 +190,9 @@
 	private _isSending = false;
 	private _startedAt: Millis = 0;
 	private readonly _inTimeBySecond: number[] = [];
+	private readonly _groupReports: Record<string, GroupReport> = {};
+	private _slotTimeUsedMs: Millis = 0;
+	private _slotTimeMs: Millis = 0;
 
 	constructor(private readonly _settings: FleetModelSettings) {
 		this._randomState = _settings.seed;
@@ -177,6 +211,8 @@
 		this._startedAt = this.now;
 		this._scheduleNextRequest();
 		this._advance(durationMs);
+		this._slotTimeMs = this._records.reduce((total, { slots }) => total + slots * durationMs, 0);
+		this._slotTimeUsedMs = [...this.targets.values()].reduce((total, { busyMs }) => total + busyMs, 0);
 		this._isSending = false;
 		this._advance(durationMs + 20 * this._settings.target.missMs);
 		return this._report();
@@ -256,7 +292,8 @@
 			{ ratio: 0.2, windowMs: 10000, slack: 2 * this._settings.instances },
 			Number.NEGATIVE_INFINITY
 		);
-		return { name, region, view, limits, selector, outcomes: new OutcomeTracker(), retryBudget };
+		const admission = this._settings.createAdmission?.() ?? new UnrankedAdmission();
+		return { name, region, view, limits, selector, outcomes: new OutcomeTracker(), retryBudget, admission };
 	}
 
 	private get _entries(): EntryDescription[] {
@@ -356,7 +393,9 @@
 		const isKeyless = this._nextRandom() < (this._settings.keylessRatio ?? 0);
 		const objectNumber = Math.floor(this._nextRandom() * this._settings.objectsPerRegion);
 		const objectKey = isKeyless ? undefined : `${instance.region}-${objectNumber}`;
+		const group = this._pickGroup();
 		this._counts.requests++;
+		this._groupReport(group).requests++;
 		if (objectKey !== undefined) {
 			this._requestedObjects.add(objectKey);
 		}
@@ -364,10 +403,24 @@
 			objectKey,
 			requestId: `request-${this._counts.requests}`,
 			firstSentAt: this.now,
-			isRetry: false
+			isRetry: false,
+			group
 		});
 	}
 
+	private _pickGroup(): CallerGroup {
+		const { groups } = this._settings;
+		if (!groups) {
+			return EQUAL_CALLERS;
+		}
+		let left = this._nextRandom() * groups.reduce((total, { requestsPerSecond }) => total + requestsPerSecond, 0);
+		return groups.find(({ requestsPerSecond }) => (left -= requestsPerSecond) < 0) ?? groups[0]!;
+	}
+
+	private _groupReport({ name }: CallerGroup): GroupReport {
+		return (this._groupReports[name] ??= { requests: 0, inTime: 0, refused: 0 });
+	}
+
 	private _pickInstance(region?: string): Instance {
 		const instances = this._instances.filter(instance => region === undefined || instance.region === region);
 		return instances[Math.floor(this._nextRandom() * instances.length)]!;
@@ -386,7 +439,10 @@
 			tried: new Set<string>(),
 			refusals: 0,
 			permitsDenied: 0,
-			attempts: []
+			attempts: [],
+			rank: request.group.rank,
+			teamName: request.group.teamName,
+			deadline: this.now + ROUTE.timeoutMs
 		} as unknown as RequestContext;
 		this._tryTarget(instance, context, request);
 	}
@@ -396,6 +452,7 @@
 		const { callerRetryMs } = this._settings;
 		if (callerRetryMs === undefined || request.isRetry) {
 			this._counts.refused++;
+			this._groupReport(request.group).refused++;
 			return;
 		}
 		this._schedule(this.now + callerRetryMs, () => {
@@ -405,8 +462,15 @@
 	}
 
 	private _tryTarget(instance: Instance, context: RequestContext, request: CallerRequest): void {
+		const decision = instance.admission.decide(context, this.now);
+		if (decision.kind === 'refuse') {
+			this._refuse(instance, request);
+			return;
+		}
+		context.utilizationFactor = decision.utilizationFactor;
 		const chosen = instance.selector.choose(context, this.now);
 		if (!chosen) {
+			instance.admission.recordOutcome(context, ShortageOutcome.NoTarget, this.now);
 			this._refuse(instance, request);
 			return;
 		}
@@ -538,7 +602,9 @@
 	): void {
 		const isInTime = this.now - request.firstSentAt <= this._settings.objectiveMs;
 		this._counts[isInTime ? 'inTime' : 'late']++;
+		instance.admission.recordOutcome(context, ShortageOutcome.Completed, this.now);
 		if (isInTime) {
+			this._groupReport(request.group).inTime++;
 			const second = Math.floor((request.firstSentAt - this._startedAt) / 1000);
 			this._inTimeBySecond[second] = (this._inTimeBySecond[second] ?? 0) + 1;
 		}
@@ -557,6 +623,7 @@
 	): void {
 		const cause = refusalCause(parseLoadReport(loadReport));
 		const outcome = { type: 'not-run', hasArrived: true, cause } as const;
+		instance.admission.recordOutcome(context, ShortageOutcome.TargetFull, this.now);
 		instance.outcomes.recordLoad(state, parseLoadReport(loadReport), this.now);
 		instance.outcomes.recordOutcome(context, state, outcome, 0, this.now);
 		state.backoff.apply({ backoffMs, isLeaving: false }, this.now);
@@ -587,12 +654,16 @@
 				this._allLimitedArrivals.length,
 			cacheMisses: targets.reduce((sum, target) => sum + target.cacheMisses, 0),
 			distinctObjects: this._requestedObjects.size,
+			groups: this._groupReports,
+			slotsUsed: this._slotTimeUsedMs / this._slotTimeMs,
 			inTimeBySecond: Array.from(this._inTimeBySecond, count => count ?? 0),
 			peakToMeanArrivals: (Math.max(...arrivals) * targets.length) / total
 		};
 	}
 }
 
+const EQUAL_CALLERS: CallerGroup = { name: 'all', rank: { team: 0, route: 1 }, requestsPerSecond: 1 };
+
 const ROUTE: Route = {
 	name: 'reads',
 	host: 'h',
--- /dev/null
+++ b/test/loads/shortage.test.ts
@@ -0,0 +1,123 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * Callers of several ranks and teams ask for more than twice what the targets can do. Guards against urgent requests that are refused as often
+ * as others, a small team displaced by a large one, and slots that stand free meanwhile.
+ */
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RankedAdmission } from '../../src/plugins/admission/common/rankedAdmission.js';
+import { type IShortageAdmission, UnrankedAdmission } from '../../src/plugins/admission/common/shortageAdmission.js';
+import { type CallerGroup, FleetModel, type SimulationReport } from './fleetModel.js';
+
+const URGENT = { team: 0, route: 0 };
+const LESS_URGENT = { team: 0, route: 2 };
+/** Requests per second that the targets of three instances can serve: two targets of 4 slots, 100 ms a request. */
+const CAPACITY = 80;
+const END_MS = 20000;
+
+const RANKS: readonly CallerGroup[] = [
+	{ name: 'urgent', rank: URGENT, requestsPerSecond: 40 },
+	{ name: 'less urgent', rank: LESS_URGENT, requestsPerSecond: 160 }
+];
+const TEAMS: readonly CallerGroup[] = [
+	{ name: 'small', rank: URGENT, teamName: 'small', requestsPerSecond: 20 },
+	{ name: 'large', rank: URGENT, teamName: 'large', requestsPerSecond: 160 }
+];
+const RANKS_AND_TEAMS: readonly CallerGroup[] = [
+	{ name: 'small, urgent', rank: URGENT, teamName: 'small', requestsPerSecond: 10 },
+	{ name: 'large, urgent', rank: URGENT, teamName: 'large', requestsPerSecond: 30 },
+	{ name: 'small', rank: LESS_URGENT, teamName: 'small', requestsPerSecond: 15 },
+	{ name: 'large', rank: LESS_URGENT, teamName: 'large', requestsPerSecond: 130 }
+];
+
+interface Load {
+	readonly callers: readonly CallerGroup[];
+	readonly instances: number;
+	readonly keylessRatio?: number;
+	/** Factor on all request rates. */
+	readonly factor?: number;
+	readonly createAdmission?: () => IShortageAdmission;
+}
+
+/** Simulates a load, with the same requests and targets per instance whatever their number. */
+function simulate({ callers, instances, keylessRatio = 1, factor = 1, createAdmission }: Load): SimulationReport {
+	const scale = (instances / 3) * factor;
+	const groups = callers.map(group => ({ ...group, requestsPerSecond: group.requestsPerSecond * scale }));
+	return new FleetModel({
+		seed: 1,
+		targets: { south: Math.round((instances * 2) / 3) },
+		instances,
+		objectsPerRegion: 200 * instances,
+		requestsPerSecond: groups.reduce((sum, { requestsPerSecond }) => sum + requestsPerSecond, 0),
+		objectiveMs: 400,
+		target: { slots: 4, queueLength: 16, cacheSize: 1e6, missMs: 100, hitMs: 100 },
+		keylessRatio,
+		groups,
+		createAdmission: createAdmission ?? (() => new RankedAdmission(() => 0.5))
+	}).simulate(END_MS);
+}
+
+function inTimeRatio(report: SimulationReport, name: string): number {
+	const { inTime, requests } = report.groups[name]!;
+	return inTime / requests;
+}
+
+/** Asserts that groups are served in time at least at this ratio, and that slots are used as much. */
+function assertServed(report: SimulationReport, names: readonly string[], minimum: number): void {
+	for (const name of names) {
+		const ratio = inTimeRatio(report, name);
+		assert.ok(ratio >= minimum, `${name}: ${ratio.toFixed(3)} in time`);
+	}
+	assert.ok(report.slotsUsed >= minimum, `${report.slotsUsed.toFixed(3)} of the slots used`);
+}
+
+for (const instances of [3, 9]) {
+	test(`${instances} instances: urgent requests are served before less urgent ones, and no slot stands free`, () => {
+		assertServed(simulate({ callers: RANKS, instances }), ['urgent'], 0.95);
+	});
+
+	test(`${instances} instances: a small team is served beside a large one, and no slot stands free`, () => {
+		assertServed(simulate({ callers: TEAMS, instances }), ['small'], 0.95);
+	});
+
+	test(`${instances} instances: ranks decide first, then shares of teams within each rank`, () => {
+		const report = simulate({ callers: RANKS_AND_TEAMS, instances });
+		assertServed(report, ['small, urgent', 'large, urgent'], 0.95);
+		assertServed(report, ['small'], 0.9);
+	});
+
+	test(`${instances} instances, requests for objects: ranks and shares decide, although a busy target cannot be avoided`, () => {
+		assertServed(simulate({ callers: RANKS, instances, keylessRatio: 0 }), ['urgent'], 0.93);
+		assertServed(simulate({ callers: TEAMS, instances, keylessRatio: 0 }), ['small'], 0.93);
+	});
+}
+
+test('65 instances: ranks and shares of teams decide by what each instance sees itself', () => {
+	const report = simulate({ callers: RANKS_AND_TEAMS, instances: 65 });
+	assertServed(report, ['small, urgent', 'large, urgent', 'small'], 0.95);
+});
+
+test('urgent requests alone exceed the capacity: less urgent ones still get a part of their own', () => {
+	const callers = [
+		{ name: 'urgent', rank: URGENT, requestsPerSecond: 2 * CAPACITY },
+		{ name: 'less urgent', rank: LESS_URGENT, requestsPerSecond: CAPACITY / 2 }
+	];
+	const report = simulate({ callers, instances: 9 });
+	const all = (inTimeRatio(report, 'urgent') * 4 + inTimeRatio(report, 'less urgent')) / 5;
+	assert.ok(inTimeRatio(report, 'less urgent') >= all / 5, `${inTimeRatio(report, 'less urgent')} of ${all}`);
+	assert.ok(inTimeRatio(report, 'urgent') >= inTimeRatio(report, 'less urgent'));
+});
+
+test('a little more is asked than targets can do: the least urgent requests pay for it', () => {
+	const report = simulate({ callers: RANKS, instances: 9, factor: (1.15 * CAPACITY) / 200 });
+	assertServed(report, ['urgent'], 0.95);
+});
+
+test('targets have free slots: all requests are served as without ranks', () => {
+	const load = { callers: RANKS_AND_TEAMS, instances: 9, factor: (0.7 * CAPACITY) / 185 };
+	assert.deepEqual(simulate(load), simulate({ ...load, createAdmission: () => new UnrankedAdmission() }));
+});
--- a/test/loads/targetModel.ts
+++ b/test/loads/targetModel.ts
@@ -30,6 +30,8 @@
 	arrivals = 0;
 	/** Requests that were started while their object was not cached. */
 	cacheMisses = 0;
+	/** Time that the slots were used, added up over the slots. */
+	busyMs: Millis = 0;
 	/** Fraction of requests that are rejected although the target has capacity, 0 to 1. */
 	shedRatio = 0;
 	/** Rate limit for all instances together, in requests per second; undefined if the target reports none. */
@@ -79,7 +81,9 @@
 		const next = this._queue.shift();
 		if (next) {
 			this._running++;
-			next.onStarted(now + this._serviceTimeMs(next.object));
+			const serviceTimeMs = this._serviceTimeMs(next.object);
+			this.busyMs += serviceTimeMs;
+			next.onStarted(now + serviceTimeMs);
 		}
 	}
 
--- a/test/platform/platformTestSystem.ts
+++ b/test/platform/platformTestSystem.ts
@@ -102,7 +102,12 @@
 	private readonly _subnet: string;
 	private _lastSequence = 0;
 
-	constructor(controls: number, entries: number) {
+	/** @param _entrySettings further lines of the settings of entry instances */
+	constructor(
+		controls: number,
+		entries: number,
+		private readonly _entrySettings: readonly string[] = []
+	) {
 		systemCount++;
 		this._subnet = `127.${10 + (process.pid % 200)}.${systemCount}`;
 		for (let i = 1; i <= controls; i++) {
@@ -307,6 +312,7 @@
 				`callerAddress = ${instance.ip}:${CALLER_PORT}`,
 				`readyAddress = ${instance.ip}:${READY_PORT}`
 			);
+			lines.push(...this._entrySettings);
 		}
 		return `${lines.join('\n')}\n`;
 	}
@@ -320,6 +326,8 @@
 	readonly timeout?: string;
 	readonly attempts?: number;
 	readonly isPublic?: boolean;
+	/** Priority, 0 for the highest; 1 if omitted. */
+	readonly rank?: number;
 }
 
 /** A team of a configuration document. */
@@ -369,7 +377,7 @@
 				route.kind,
 				route.timeout ?? '2000ms',
 				'400ms',
-				1,
+				route.rank ?? 1,
 				route.service,
 				route.attempts ?? 2,
 				route.isPublic ?? false,
--- a/test/platform/testTarget.ts
+++ b/test/platform/testTarget.ts
@@ -60,6 +60,8 @@
 	readonly paddingBytes: number;
 	/** Time that a particular request takes to run; `workMs` where it is undefined. */
 	readonly workMsOf?: (request: ReceivedRequest) => number | undefined;
+	/** Whether requests beyond the number of slots wait until one is free; by default all run at once. */
+	readonly hasQueue?: boolean;
 	/** Whether a request crashes the target at the end of its run; by default none does. */
 	readonly crashesOn?: (request: ReceivedRequest) => boolean;
 	/** Called once, after the first request that crashed the target. */
@@ -83,6 +85,7 @@
 	private _openConnections = 0;
 	private _hasCrashed = false;
 	private _runningRequests = 0;
+	private readonly _waitingRequests: (() => void)[] = [];
 	private readonly _server: Server;
 
 	/** @param injectedFaults one is taken for each request that is not rejected by `rejectionHeaders`; targets may share the array */
@@ -148,11 +151,21 @@
 			return;
 		}
 		this.executedRequests.push(received);
-		this._runningRequests++;
 		response.on('close', () => (received.closedEarly = !response.writableFinished));
+		const run = (): void => this._run(response, received, fault);
+		if (this.options.hasQueue && this._runningRequests >= this.options.slots) {
+			this._waitingRequests.push(run);
+		} else {
+			run();
+		}
+	}
+
+	private _run(response: ServerResponse, received: ReceivedRequest, fault: InjectedFault | undefined): void {
+		this._runningRequests++;
 		setTimeout(
 			() => {
 				this._runningRequests--;
+				this._waitingRequests.shift()?.();
 				if (this.options.crashesOn?.(received)) {
 					this._crashOnce();
 					return;
@@ -173,7 +186,7 @@
 
 	private _respond(response: ServerResponse, received: ReceivedRequest, fault: InjectedFault | undefined): void {
 		const body = `${received.id}:${'x'.repeat(this.options.paddingBytes)}`;
-		const load = `${this._runningRequests},0,${this.options.slots}`;
+		const load = `${this._runningRequests},${this._waitingRequests.length},${this.options.slots}`;
 		const headers = {
 			'Server-Stamp': this.options.id,
 			'Server-Load': load,
