--- a/src/plugins/admission/admission.entry.plugin.ts
+++ b/src/plugins/admission/admission.entry.plugin.ts
@@ -4,10 +4,12 @@
 
 /** Registers admission under shortage on entry instances. */
 
+import './common/admissionSettings.js';
 import { pluginRegistry } from '../../kernel/common/pluginRegistry.js';
 import { IReturnTimes } from './common/returnTimes.js';
 import { ReturnTimesService } from './common/returnTimesService.js';
-import { IShortageAdmission, UnrankedAdmission } from './common/shortageAdmission.js';
+import { IShortageAdmission } from './common/shortageAdmission.js';
+import { ShortageAdmissionService } from './node/shortageAdmissionService.js';
 
-pluginRegistry.registerSingleton(IShortageAdmission, UnrankedAdmission);
+pluginRegistry.registerSingleton(IShortageAdmission, ShortageAdmissionService);
 pluginRegistry.registerSingleton(IReturnTimes, ReturnTimesService);
--- a/src/plugins/admission/common/measuredReturnTimes.ts
+++ b/src/plugins/admission/common/measuredReturnTimes.ts
@@ -9,6 +9,7 @@
  */
 
 import type { Millis } from '../../../base/clock.js';
+import { DecayingCount } from './decayingCount.js';
 import { compareRanks, type RequestRank } from './requestRank.js';
 import { type IReturnTimes, SHORT_RETRY_AFTER_MS } from './returnTimes.js';
 import type { ShortageRequest } from './shortageAdmission.js';
@@ -41,28 +42,11 @@
 /** Services without a request for this long are forgotten. */
 const IDLE_MS = 60000;
 
-/** A sum that decays exponentially. */
-class DecayingCount {
-	private _value = 0;
-	private _at: Millis = 0;
-
-	constructor(private readonly _timeConstantMs: Millis) {}
-
-	add(now: Millis): void {
-		this._value = this.value(now) + 1;
-		this._at = now;
-	}
-
-	value(now: Millis): number {
-		return this._value * Math.exp(-(now - this._at) / this._timeConstantMs);
-	}
-}
-
 /** The returns told to callers of one service. */
 class ServiceReturns {
-	private readonly _completions = new DecayingCount(RATE_TIME_CONSTANT_MS);
-	private readonly _recentCompletions = new DecayingCount(SHORTAGE_TIME_CONSTANT_MS);
-	private readonly _recentRefusals = new DecayingCount(SHORTAGE_TIME_CONSTANT_MS);
+	private readonly _completions = new DecayingCount(RATE_TIME_CONSTANT_MS, 0);
+	private readonly _recentCompletions = new DecayingCount(SHORTAGE_TIME_CONSTANT_MS, 0);
+	private readonly _recentRefusals = new DecayingCount(SHORTAGE_TIME_CONSTANT_MS, 0);
 	/** The last return told to callers of each rank. */
 	private readonly _lastReturns = new Map<string, { readonly rank: RequestRank; at: Millis }>();
 	private _firstCompletionAt: Millis | undefined;
@@ -103,8 +87,8 @@
 	}
 
 	private _isShort(now: Millis): boolean {
-		const refusals = this._recentRefusals.value(now);
-		return refusals > SHORTAGE_FRACTION * (refusals + this._recentCompletions.value(now));
+		const refusals = this._recentRefusals.perSecond(now);
+		return refusals > SHORTAGE_FRACTION * (refusals + this._recentCompletions.perSecond(now));
 	}
 
 	private _recordRefusal(now: Millis): void {
@@ -131,7 +115,7 @@
 		}
 		const observedMs = Math.max(SHORTAGE_TIME_CONSTANT_MS, now - this._firstCompletionAt);
 		const weight = 1 - Math.exp(-observedMs / RATE_TIME_CONSTANT_MS);
-		return this._completions.value(now) / (RATE_TIME_CONSTANT_MS * weight);
+		return this._completions.perSecond(now) / (1000 * weight);
 	}
 }
 
--- a/test/loads/coldStart.test.ts
+++ b/test/loads/coldStart.test.ts
@@ -9,7 +9,8 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { FleetModel, type FleetModelSettings } from './fleetModel.js';
+import { FleetModel } from './fleetModel.js';
+import type { FleetModelSettings } from './fleetModelTypes.js';
 
 const TARGET = { slots: 9, queueLength: 27, cacheSize: 11, missMs: 3040, hitMs: 912 };
 const FLEET: FleetModelSettings = {
--- a/test/loads/crowdedTargets.test.ts
+++ b/test/loads/crowdedTargets.test.ts
@@ -9,7 +9,8 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { FleetModel, type SimulationReport } from './fleetModel.js';
+import { FleetModel } from './fleetModel.js';
+import type { SimulationReport } from './fleetModelTypes.js';
 
 const SEEDS = [1, 2, 3];
 
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -11,6 +11,11 @@
 import type { ShortageRequest } from '../../src/plugins/admission/common/shortageAdmission.js';
 import TinyQueue from 'tinyqueue';
 import type { Millis } from '../../src/base/clock.js';
+import {
+	type IShortageAdmission,
+	ShortageOutcome,
+	UnrankedAdmission
+} from '../../src/plugins/admission/common/shortageAdmission.js';
 import { selectPacedSenders } from '../../src/plugins/fleet/common/pacedSenders.js';
 import { PaceShare } from '../../src/plugins/fleet/common/paceShare.js';
 import { FleetView } from '../../src/plugins/fleet/common/fleetView.js';
@@ -29,12 +34,13 @@
 import { RegionLoad } from '../../src/plugins/placement/common/regionLoad.js';
 import { TargetSelector } from '../../src/plugins/placement/common/targetSelector.js';
 import { TargetState } from '../../src/plugins/placement/common/targets/targetState.js';
-import type { WorkTimes } from '../../src/plugins/placement/common/workProfile.js';
 import { RepeatRule, type Route } from '../../src/plugins/routes/common/routeTable.js';
 import type { TargetLimitTable } from '../../src/plugins/limits/common/targetLimitTable.js';
 import { describeEntry } from '../fakes/describeEntry.js';
-import { LimitedArrivals, type LimitEnforcement, createLimitTable } from './limitModel.js';
-import { TargetModel, type TargetModelSettings } from './targetModel.js';
+import type { CallerGroup, FleetModelSettings, GroupReport, SimulationReport } from './fleetModelTypes.js';
+import { LimitedArrivals, createLimitTable } from './limitModel.js';
+import { maxMovedFraction } from './movedRequests.js';
+import { TargetModel } from './targetModel.js';
 
 const SERVICE = 'service';
 const SYNC_MS = 500;
@@ -55,84 +61,6 @@
 const BACKOFF_PROPAGATION_MS = 500;
 /** Windows over which moves between regions are counted begin at each multiple of this; each is `MOVE_WINDOW_BUCKETS` of them long. */
 const MOVE_BUCKET_MS = 500;
-const MOVE_WINDOW_BUCKETS = 4;
-
-/** Size, load and faults of a simulation. */
-export interface FleetModelSettings {
-	readonly seed: number;
-	/** Number of targets by region; instances and callers are distributed evenly over the regions. */
-	readonly targets: Readonly<Record<string, number>>;
-	readonly instances: number;
-	/** Number of objects that the callers of each region request, all with the same frequency. */
-	readonly objectsPerRegion: number;
-	/** How unevenly objects are requested: the exponent of a power of a uniform random number; 1, all alike, if omitted. */
-	readonly objectSkew?: number;
-	/** Mean request rate of all callers together. */
-	readonly requestsPerSecond: number;
-	/** Factor on the request rate, by the time since the first request; 1 if omitted. */
-	readonly loadFactor?: (sinceStartMs: Millis) => number;
-	/** Relative number of callers of a region, by the time since the first request; 1 if omitted. Control then tells the demand that instances report. */
-	readonly regionFactor?: (region: string, sinceStartMs: Millis) => number;
-	/** The region at whose instances the callers of a region arrive, by the time since the first request and a random number in [0, 1); their own if omitted. */
-	readonly entryRegion?: (region: string, sinceStartMs: Millis, randomValue: number) => string;
-	/** Delay after which a refused caller retries once; callers do not retry if omitted. */
-	readonly callerRetryMs?: Millis;
-	/** Creates the return times of an instance, by which a refused caller returns once; instead of `callerRetryMs`. */
-	readonly createReturnTimes?: () => IReturnTimes;
-	/** Time after which callers give up; needed with `createReturnTimes`. */
-	readonly callerTimeoutMs?: Millis;
-	/** Latency objective of callers. */
-	readonly objectiveMs: Millis;
-	readonly target: TargetModelSettings;
-	/** Fraction of requests without an object key, 0 to 1; 0 if omitted. */
-	readonly keylessRatio?: number;
-	/** How instances enforce the rate limits of targets; `permits` if omitted. */
-	readonly limitEnforcement?: LimitEnforcement;
-	/** Fraction of calls between instances that get no response, 0 to 1; 0 if omitted. */
-	readonly callLossRatio?: number;
-	/** Time over which targets register before the first request; 0 if omitted. Instances run from the start. */
-	readonly registrationMs?: Millis;
-	/** Time since the first request from which cache misses count as later ones; 0 if omitted. */
-	readonly steadyAfterMs?: Millis;
-	/** Time after which the caller of a request no longer waits for the response; 10 s if omitted. */
-	readonly timeoutMs?: Millis;
-	/** Work times of the route, as instances know them; not known if omitted. */
-	readonly workTimes?: WorkTimes;
-	/** Selects targets in place of the instances' selectors, from the true state of all targets. */
-	readonly selectById?: (object: string, region: string, model: FleetModel) => string | undefined;
-}
-
-/** Totals of a simulation. */
-export interface SimulationReport {
-	readonly requests: number;
-	readonly inTime: number;
-	readonly late: number;
-	readonly refused: number;
-	/** Responses that came after the timeout of their caller. */
-	readonly inVain: number;
-	/** Attempts that a target rejected. */
-	readonly rejected: number;
-	/** Attempts that a target rejected while it had requested backoff from the instance, other than those sent before that was known. */
-	readonly rejectedDuringBackoff: number;
-	/** Maximum arrivals at a target with a rate limit in any 4 s, relative to what it allows; the first 4 s of each limit are not counted. */
-	readonly peakLimitUtilization: number;
-	/** Arrivals relative to the rate limit, as the mean over all limits; the first 4 s of each limit are not counted. NaN if there was no limit. */
-	readonly meanLimitUtilization: number;
-	/** Calls to other instances that requested a permit of a rate limit. */
-	readonly permitCalls: number;
-	/** Attempts started by a target that did not have their object cached. */
-	readonly cacheMisses: number;
-	/** Attempts started by a target that did not have their object cached, from `steadyAfterMs` on. */
-	readonly laterCacheMisses: number;
-	/** Largest fraction of a region's first attempts that changed their region between adjacent windows of 2 s. */
-	readonly maxMovedFraction: number;
-	/** Number of different objects requested; the minimum of `cacheMisses` if each of them is served. */
-	readonly distinctObjects: number;
-	/** Arrivals at the busiest target relative to the mean over all targets. */
-	readonly peakToMeanArrivals: number;
-	/** Requests answered within the objective, by the second in which they were first sent, counted from the start of the load. */
-	readonly inTimeBySecond: readonly number[];
-}
 
 interface Instance {
 	readonly name: string;
@@ -143,6 +71,7 @@
 	readonly outcomes: OutcomeTracker;
 	readonly retryBudget: ServiceRetryBudget;
 	readonly returnTimes: IReturnTimes | undefined;
+	readonly admission: IShortageAdmission;
 }
 
 interface CallerRequest {
@@ -151,6 +80,7 @@
 	readonly firstSentAt: Millis;
 	readonly sentAt: Millis;
 	readonly isRetry: boolean;
+	readonly group: CallerGroup;
 }
 
 interface Rejection {
@@ -198,6 +128,9 @@
 	private _earlyCacheMisses = 0;
 	/** Numbers of first attempts by region of the callers, time and region of the target. */
 	private readonly _firstAttempts = new Map<string, Map<string, number>[]>();
+	private readonly _groupReports: Record<string, GroupReport> = {};
+	private _slotTimeUsedMs: Millis = 0;
+	private _slotTimeMs: Millis = 0;
 
 	constructor(private readonly _settings: FleetModelSettings) {
 		this._randomState = _settings.seed;
@@ -219,6 +152,8 @@
 			this._earlyCacheMisses = this._cacheMisses();
 		});
 		this._advance(durationMs);
+		this._slotTimeMs = this._records.reduce((total, { slots }) => total + slots * durationMs, 0);
+		this._slotTimeUsedMs = [...this.targets.values()].reduce((total, { busyMs }) => total + busyMs, 0);
 		this._isSending = false;
 		this._advance(durationMs + 20 * this._settings.target.missMs);
 		return this._report();
@@ -302,7 +237,8 @@
 			Number.NEGATIVE_INFINITY
 		);
 		const returnTimes = this._settings.createReturnTimes?.();
-		return { name, region, view, limits, selector, outcomes, retryBudget, returnTimes };
+		const admission = this._settings.createAdmission?.() ?? new UnrankedAdmission();
+		return { name, region, view, limits, selector, outcomes, retryBudget, returnTimes, admission };
 	}
 
 	private get _entries(): EntryDescription[] {
@@ -412,7 +348,9 @@
 			this._nextRandom() ** (this._settings.objectSkew ?? 1) * this._settings.objectsPerRegion
 		);
 		const objectKey = isKeyless ? undefined : `${region ?? instance.region}-${objectNumber}`;
+		const group = this._pickGroup();
 		this._counts.requests++;
+		this._groupReport(group).requests++;
 		if (objectKey !== undefined) {
 			this._requestedObjects.add(objectKey);
 		}
@@ -421,7 +359,8 @@
 			requestId: `request-${this._counts.requests}`,
 			firstSentAt: this.now,
 			sentAt: this.now,
-			isRetry: false
+			isRetry: false,
+			group
 		});
 	}
 
@@ -440,6 +379,19 @@
 		return entryRegion ? entryRegion(region, this.now - this._startedAt, this._nextRandom()) : region;
 	}
 
+	private _pickGroup(): CallerGroup {
+		const { groups } = this._settings;
+		if (!groups) {
+			return EQUAL_CALLERS;
+		}
+		let left = this._nextRandom() * groups.reduce((total, { requestsPerSecond }) => total + requestsPerSecond, 0);
+		return groups.find(({ requestsPerSecond }) => (left -= requestsPerSecond) < 0) ?? groups[0]!;
+	}
+
+	private _groupReport({ name }: CallerGroup): GroupReport {
+		return (this._groupReports[name] ??= { requests: 0, inTime: 0, refused: 0 });
+	}
+
 	private _pickInstance(region?: string): Instance {
 		const instances = this._instances.filter(instance => region === undefined || instance.region === region);
 		return instances[Math.floor(this._nextRandom() * instances.length)]!;
@@ -464,7 +416,9 @@
 			tried: new Set<string>(),
 			refusals: 0,
 			permitsDenied: 0,
-			attempts: []
+			attempts: [],
+			rank: request.group.rank,
+			teamName: request.group.teamName
 		} as unknown as RequestContext;
 		this._tryTarget(instance, context, request);
 	}
@@ -475,6 +429,7 @@
 		const returnMs = instance.returnTimes?.retryAfterMs(this._shortageRequest(request), this.now) ?? callerRetryMs;
 		if (returnMs === undefined || request.isRetry) {
 			this._counts.refused++;
+			this._groupReport(request.group).refused++;
 			return;
 		}
 		this._schedule(this.now + returnMs, () => {
@@ -511,14 +466,21 @@
 		);
 	}
 
-	private _shortageRequest({ firstSentAt }: CallerRequest): ShortageRequest {
+	private _shortageRequest({ firstSentAt, group }: CallerRequest): ShortageRequest {
 		const deadline = firstSentAt + (this._settings.callerTimeoutMs ?? 0);
-		return { service: SERVICE, rank: { team: 0, route: 0 }, teamName: undefined, deadline };
+		return { service: SERVICE, rank: group.rank, teamName: group.teamName, deadline };
 	}
 
 	private _tryTarget(instance: Instance, context: RequestContext, request: CallerRequest): void {
+		const decision = instance.admission.decide(context, this.now);
+		if (decision.kind === 'refuse') {
+			this._refuse(instance, request);
+			return;
+		}
+		context.utilizationFactor = decision.utilizationFactor;
 		const chosen = this._choose(instance, context);
 		if (!chosen) {
+			instance.admission.recordOutcome(context, ShortageOutcome.NoTarget, this.now);
 			this._refuse(instance, request);
 			return;
 		}
@@ -653,7 +615,9 @@
 	): void {
 		const isInTime = this.now - request.firstSentAt <= this._settings.objectiveMs;
 		this._counts[isInTime ? 'inTime' : 'late']++;
+		instance.admission.recordOutcome(context, ShortageOutcome.Completed, this.now);
 		if (isInTime) {
+			this._groupReport(request.group).inTime++;
 			const second = Math.floor((request.firstSentAt - this._startedAt) / 1000);
 			this._inTimeBySecond[second] = (this._inTimeBySecond[second] ?? 0) + 1;
 		}
@@ -674,6 +638,7 @@
 	): void {
 		const cause = refusalCause(parseLoadReport(loadReport));
 		const outcome = { type: 'not-run', hasArrived: true, cause } as const;
+		instance.admission.recordOutcome(context, ShortageOutcome.TargetFull, this.now);
 		instance.outcomes.recordLoad(state, parseLoadReport(loadReport), this.now);
 		instance.outcomes.recordOutcome(context, state, outcome, 0, this.now);
 		state.backoff.apply({ backoffMs, isLeaving: false }, this.now);
@@ -721,12 +686,16 @@
 				...this._regions.map(region => maxMovedFraction(this._firstAttempts.get(region) ?? []))
 			),
 			distinctObjects: this._requestedObjects.size,
+			groups: this._groupReports,
+			slotsUsed: this._slotTimeUsedMs / this._slotTimeMs,
 			inTimeBySecond: Array.from(this._inTimeBySecond, count => count ?? 0),
 			peakToMeanArrivals: (Math.max(...arrivals) * targets.length) / total
 		};
 	}
 }
 
+const EQUAL_CALLERS: CallerGroup = { name: 'all', rank: { team: 0, route: 1 }, requestsPerSecond: 1 };
+
 const ROUTE: Route = {
 	name: 'reads',
 	host: 'h',
@@ -745,23 +714,3 @@
 function regionOf(hall: string): string {
 	return hall.slice(0, -'-hall'.length);
 }
-
-/** Returns the largest fraction of the requests that are in another region in one window than in the one before. */
-function maxMovedFraction(buckets: readonly ReadonlyMap<string, number>[]): number {
-	const fractions = (from: number): ReadonlyMap<string, number> => {
-		const counts = new Map<string, number>();
-		for (const bucket of buckets.slice(from, from + MOVE_WINDOW_BUCKETS)) {
-			bucket?.forEach((count, region) => counts.set(region, (counts.get(region) ?? 0) + count));
-		}
-		const total = [...counts.values()].reduce((sum, count) => sum + count, 0);
-		return new Map([...counts].map(([region, count]) => [region, count / total]));
-	};
-	let max = 0;
-	for (let from = 0; from + 2 * MOVE_WINDOW_BUCKETS < buckets.length; from++) {
-		const before = fractions(from);
-		const after = fractions(from + MOVE_WINDOW_BUCKETS);
-		const moved = [...after].reduce((sum, [region, part]) => sum + Math.max(0, part - (before.get(region) ?? 0)), 0);
-		max = Math.max(max, moved);
-	}
-	return max;
-}
--- a/test/loads/limitedTargets.test.ts
+++ b/test/loads/limitedTargets.test.ts
@@ -9,7 +9,8 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { FleetModel, type SimulationReport } from './fleetModel.js';
+import { FleetModel } from './fleetModel.js';
+import type { SimulationReport } from './fleetModelTypes.js';
 
 const WARM_MS = 6000;
 const LIMITED_MS = 9000;
--- a/test/loads/returnTimes.test.ts
+++ b/test/loads/returnTimes.test.ts
@@ -8,7 +8,8 @@
 import { test } from 'node:test';
 import { MeasuredReturnTimes } from '../../src/plugins/admission/common/measuredReturnTimes.js';
 import { FixedReturnTimes, type IReturnTimes } from '../../src/plugins/admission/common/returnTimes.js';
-import { FleetModel, type SimulationReport } from './fleetModel.js';
+import { FleetModel } from './fleetModel.js';
+import type { SimulationReport } from './fleetModelTypes.js';
 
 /** Half of what the targets can do. */
 const USUAL_PER_SECOND = 40;
--- a/test/loads/swing.test.ts
+++ b/test/loads/swing.test.ts
@@ -9,7 +9,8 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { FleetModel, type FleetModelSettings, type SimulationReport } from './fleetModel.js';
+import { FleetModel } from './fleetModel.js';
+import type { FleetModelSettings, SimulationReport } from './fleetModelTypes.js';
 
 const PERIOD_MS = 36000;
 const SIMULATED_MS = 48000;
--- a/test/loads/unevenTargets.test.ts
+++ b/test/loads/unevenTargets.test.ts
@@ -10,7 +10,8 @@
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import { test } from 'node:test';
-import { FleetModel, type FleetModelSettings } from './fleetModel.js';
+import { FleetModel } from './fleetModel.js';
+import type { FleetModelSettings } from './fleetModelTypes.js';
 import { createUnevenFleet, selectWithFullKnowledge, selectWithTwoCopies, UNEVEN_FLEET } from './unevenTargetsModel.js';
 
 const DURATION_MS = 24000;
--- a/test/loads/unevenTargetsModel.ts
+++ b/test/loads/unevenTargetsModel.ts
@@ -5,7 +5,8 @@
 /** A fleet whose targets change their speed several times a second, and a decider that knows the true state of all targets. */
 
 import type { Millis } from '../../src/base/clock.js';
-import { FleetModel, type FleetModelSettings, REMOTE_ROUND_TRIP_MS, ROUND_TRIP_MS } from './fleetModel.js';
+import { FleetModel, REMOTE_ROUND_TRIP_MS, ROUND_TRIP_MS } from './fleetModel.js';
+import type { FleetModelSettings } from './fleetModelTypes.js';
 import type { TargetModel } from './targetModel.js';
 
 const SLOW_FACTOR = 2.5;
--- a/test/platform/testTarget.ts
+++ b/test/platform/testTarget.ts
@@ -56,7 +56,7 @@
 	readonly slots: number;
 	/** Time that each request takes to run. */
 	readonly workMs: number;
-	/** Maximum number of requests that wait for a slot; more are rejected as not executed. By default all run at once. */
+	/** Maximum number of requests that wait for a slot, more are rejected as not executed; all run at once if omitted. */
 	readonly queueLength?: number;
 	/** Length of the response body after the request id and a colon. */
 	readonly paddingBytes: number;
@@ -84,9 +84,8 @@
 	peakConnections = 0;
 	private _openConnections = 0;
 	private _hasCrashed = false;
-	/** Running and waiting requests. */
 	private _runningRequests = 0;
-	private readonly _slotsFreeAt: number[];
+	private readonly _waitingRequests: (() => void)[] = [];
 	private readonly _server: Server;
 
 	/** @param injectedFaults one is taken for each request that is not rejected by `rejectionHeaders`; targets may share the array */
@@ -94,7 +93,6 @@
 		readonly options: TestTargetOptions,
 		readonly injectedFaults: InjectedFault[] = []
 	) {
-		this._slotsFreeAt = new Array<number>(options.slots).fill(0);
 		this._server = createServer((request, response) => void this._handleRequest(request, response));
 		this._server.on('connection', socket => {
 			this.peakConnections = Math.max(this.peakConnections, ++this._openConnections);
@@ -147,7 +145,9 @@
 			response.writeHead(503, { 'Not-Executed': '1', ...this.rejectionHeaders, ...this.extraHeaders }).end();
 			return;
 		}
-		if (this._runningRequests >= this.options.slots + (this.options.queueLength ?? Number.POSITIVE_INFINITY)) {
+		const { slots, queueLength } = this.options;
+		const mustWait = queueLength !== undefined && this._runningRequests >= slots;
+		if (mustWait && this._waitingRequests.length >= queueLength) {
 			response.writeHead(503, { 'Not-Executed': '1', 'Server-Load': this._load }).end();
 			return;
 		}
@@ -157,37 +157,33 @@
 			return;
 		}
 		this.executedRequests.push(received);
-		this._runningRequests++;
 		response.on('close', () => (received.closedEarly = !response.writableFinished));
+		const run = (): void => this._run(response, received, fault);
+		if (mustWait) {
+			this._waitingRequests.push(run);
+		} else {
+			run();
+		}
+	}
+
+	private _run(response: ServerResponse, received: ReceivedRequest, fault: InjectedFault | undefined): void {
+		this._runningRequests++;
 		setTimeout(
 			() => {
 				this._runningRequests--;
+				this._waitingRequests.shift()?.();
 				if (this.options.crashesOn?.(received)) {
 					this._crashOnce();
 					return;
 				}
 				this._respond(response, received, fault);
 			},
-			this._reserveSlot(this.options.workMsOf?.(received) ?? this.options.workMs)
+			this.options.workMsOf?.(received) ?? this.options.workMs
 		);
 	}
 
-	/** Time until a request that arrives now has run, on the slot that is free first. */
-	private _reserveSlot(workMs: number): number {
-		if (this.options.queueLength === undefined) {
-			return workMs;
-		}
-		const now = performance.now();
-		const freeAt = Math.min(...this._slotsFreeAt);
-		const endsAt = Math.max(now, freeAt) + workMs;
-		this._slotsFreeAt[this._slotsFreeAt.indexOf(freeAt)] = endsAt;
-		return endsAt - now;
-	}
-
 	private get _load(): string {
-		const { slots, queueLength } = this.options;
-		const queued = queueLength === undefined ? 0 : Math.max(0, this._runningRequests - slots);
-		return `${this._runningRequests - queued},${queued},${slots}`;
+		return `${this._runningRequests},${this._waitingRequests.length},${this.options.slots}`;
 	}
 
 	private _crashOnce(): void {
