A target that refuses a request which another one takes is no sign of a shortage

Change: an attempt counts as without room only where no other target is tried; the replay counts refusals for other causes as the forwarder does. First touches after a loss are measured and not paced; see docs/design/shortage.md.

--- a/src/plugins/admission/common/shortageAdmission.ts
+++ b/src/plugins/admission/common/shortageAdmission.ts
@@ -44,7 +44,7 @@
 	Completed = 'completed',
 	/** No target below its utilization limit was found. */
 	NoTarget = 'no-target',
-	/** The target refused the request as full. */
+	/** The target refused the request as full, and no other target is tried. */
 	TargetFull = 'target-full',
 	/** Anything else, which says nothing of the room at targets. */
 	Other = 'other'
--- a/src/plugins/forwarding/node/requestForwarder.ts
+++ b/src/plugins/forwarding/node/requestForwarder.ts
@@ -77,9 +77,9 @@
 				continue;
 			}
 			const outcome = await attemptSender.send(context, candidate, permit);
-			this._recordOutcome(context, outcome);
 			quarantineGuard.recordOutcome(context, outcome);
 			const decision = retryPolicy.decide(context, outcome);
+			this._recordOutcome(context, outcome, decision === 'again');
 			if (decision === 'again') {
 				continue;
 			}
@@ -127,10 +127,10 @@
 		return retryPolicy.noTargetResponse(context);
 	}
 
-	private _recordOutcome(context: RequestContext, outcome: AttemptOutcome): void {
+	private _recordOutcome(context: RequestContext, outcome: AttemptOutcome, isRetried: boolean): void {
 		const { admission, returnTimes } = this._dependencies;
 		const now = systemClock.now();
-		admission.recordOutcome(context, shortageOutcomeOf(outcome), now);
+		admission.recordOutcome(context, isRetried ? ShortageOutcome.Other : shortageOutcomeOf(outcome), now);
 		if (outcome.type === 'answer') {
 			returnTimes.recordCompletion(context, now);
 		}
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -25,6 +25,7 @@
 import type { AttemptTrace } from '../../src/plugins/forwarding/common/requestTrace.js';
 import { ServiceRetryBudget } from '../../src/plugins/forwarding/common/serviceRetryBudget.js';
 import { mayRetrySameTarget, refusalCause } from '../../src/plugins/placement/common/targets/targetRefusal.js';
+import { NotRunCause } from '../../src/plugins/forwarding/common/attempt.js';
 import { parseLoadReport } from '../../src/plugins/placement/common/targets/targetReport.js';
 import type { ChosenTarget } from '../../src/plugins/placement/common/targetChoice.js';
 import type { CallerExchange } from '../../src/plugins/forwarding/node/callerExchange.js';
@@ -623,7 +624,6 @@
 	): void {
 		const cause = refusalCause(parseLoadReport(loadReport));
 		const outcome = { type: 'not-run', hasArrived: true, cause } as const;
-		instance.admission.recordOutcome(context, ShortageOutcome.TargetFull, this.now);
 		instance.outcomes.recordLoad(state, parseLoadReport(loadReport), this.now);
 		instance.outcomes.recordOutcome(context, state, outcome, 0, this.now);
 		state.backoff.apply({ backoffMs, isLeaving: false }, this.now);
@@ -635,6 +635,9 @@
 		if (context.refusals < MAX_REFUSALS && instance.retryBudget.tryTake(this._instances.length, this.now)) {
 			this._tryTarget(instance, context, request);
 		} else {
+			const isFull = cause === NotRunCause.Full;
+			const shortage = isFull ? ShortageOutcome.TargetFull : ShortageOutcome.Other;
+			instance.admission.recordOutcome(context, shortage, this.now);
 			this._refuse(instance, request);
 		}
 	}
--- a/test/loads/shortage.test.ts
+++ b/test/loads/shortage.test.ts
@@ -12,12 +12,14 @@
 import { RankedAdmission } from '../../src/plugins/admission/common/rankedAdmission.js';
 import { type IShortageAdmission, UnrankedAdmission } from '../../src/plugins/admission/common/shortageAdmission.js';
 import { type CallerGroup, FleetModel, type SimulationReport } from './fleetModel.js';
+import type { TargetModel } from './targetModel.js';
 
 const URGENT = { team: 0, route: 0 };
 const LESS_URGENT = { team: 0, route: 2 };
 /** Requests per second that the targets of three instances can serve: two targets of 4 slots, 100 ms a request. */
 const CAPACITY = 80;
 const END_MS = 20000;
+const LOST_AT_MS = 15000;
 
 const RANKS: readonly CallerGroup[] = [
 	{ name: 'urgent', rank: URGENT, requestsPerSecond: 40 },
@@ -121,3 +123,46 @@
 	const load = { callers: RANKS_AND_TEAMS, instances: 9, factor: (0.7 * CAPACITY) / 185 };
 	assert.deepEqual(simulate(load), simulate({ ...load, createAdmission: () => new UnrankedAdmission() }));
 });
+
+/** Half of the targets are lost for five seconds and return without their objects, at 0.8 of the slots. */
+function simulateLoss(createAdmission: () => IShortageAdmission): SimulationReport {
+	const requestsPerSecond = 0.8 * 20 * (4 / 0.24);
+	const model = new FleetModel({
+		seed: 1,
+		targets: { south: 20 },
+		instances: 12,
+		objectsPerRegion: 400,
+		requestsPerSecond,
+		loadFactor: sinceMs => Math.min(1, 0.4 + sinceMs / 13000),
+		callerRetryMs: 100,
+		objectiveMs: 625,
+		target: { slots: 4, queueLength: 12, cacheSize: 1e6, missMs: 800, hitMs: 240 },
+		groups: [
+			{ name: 'urgent', rank: URGENT, requestsPerSecond: requestsPerSecond / 4 },
+			{ name: 'less urgent', rank: LESS_URGENT, requestsPerSecond: (requestsPerSecond * 3) / 4 }
+		],
+		createAdmission
+	});
+	const lost = (): readonly TargetModel[] => model.targetsIn('south').filter((_, i) => i % 2 === 0);
+	model.afterStart(LOST_AT_MS, () => lost().forEach(target => (target.shedRatio = 1)));
+	model.afterStart(LOST_AT_MS + 5000, () =>
+		lost().forEach(target => {
+			target.shedRatio = 0;
+			target.forgetObjects();
+		})
+	);
+	return model.simulate(30000);
+}
+
+test('half of the targets are lost for a time: no fewer requests are served in time than without ranks, and more of the urgent ones', () => {
+	const alike = simulateLoss(() => new UnrankedAdmission());
+	const ranked = simulateLoss(() => new RankedAdmission(() => 0.5));
+	const inTime = ({ inTimeBySecond }: SimulationReport, fromMs: number, toMs: number): number =>
+		inTimeBySecond.slice(fromMs / 1000, toMs / 1000).reduce((sum, count) => sum + count, 0);
+	for (const from of [LOST_AT_MS + 1000, LOST_AT_MS + 5000]) {
+		const counts = [ranked, alike].map(report => inTime(report, from, from + 4000));
+		assert.ok(counts[0]! >= 0.85 * counts[1]!, `${counts.join(', without ranks ')}`);
+	}
+	assert.ok(ranked.inTime >= 0.98 * alike.inTime, `${ranked.inTime}, without ranks ${alike.inTime}`);
+	assert.ok(inTimeRatio(ranked, 'urgent') > inTimeRatio(alike, 'urgent') + 0.02);
+});
--- a/test/loads/targetModel.ts
+++ b/test/loads/targetModel.ts
@@ -68,6 +68,11 @@
 		return true;
 	}
 
+	/** Empties the cache, as after a restart. */
+	forgetObjects(): void {
+		this._cache.clear();
+	}
+
 	/** Frees the slot of a completed request. */
 	release(now: Millis): void {
 		this._running--;
