Regions near a shortage give less away

Cause: at 0.65 of the slots regions at the top of their swing were above 1.15 of the mean and handed objects to each other. Change: 1.35 of the mean.

--- a/src/plugins/placement/common/steadyShares.ts
+++ b/src/plugins/placement/common/steadyShares.ts
@@ -26,8 +26,11 @@
  * have more objects than others. With a lower one regions at the top of their swing would hand objects to each other by turns.
  */
 const BEARABLE_UTILIZATION = 0.75;
-/** In a service that is short of slots no region is relieved below this factor of the mean utilization. */
-const MIN_RELATIVE_LIMIT = 1.15;
+/**
+ * No region is relieved below this factor of the mean utilization: near a shortage all regions are above what callers bear, and
+ * what one of them gives away makes first touches in the others.
+ */
+const MIN_RELATIVE_LIMIT = 1.35;
 /** Smaller differences from the plan are not worth their first touches. */
 const MIN_MOVED = 0.1;
 /**
