Large responses stay at home under shares that hold still, and averages don't jump after a cut

Cause: relief by need used one limit for all responses, so that large ones would leave a region that may have 2.5 times the mean (they cost more between regions than to wait for); and the first news of demand after a cut counted for all the time of the cut. Change: the limit of large responses, and at most two seconds of a gap count.

--- a/src/plugins/placement/common/steadyShares.ts
+++ b/src/plugins/placement/common/steadyShares.ts
@@ -31,6 +31,10 @@
  * what one of them gives away makes first touches in the others.
  */
 const MIN_RELATIVE_LIMIT = 1.35;
+/** The same for large responses, which cost more to transfer between regions than to wait for. */
+const MIN_RELATIVE_LIMIT_LARGE_RESPONSES = 2.5;
+/** Longer times without news of demand don't count, so that an average does not jump after them. */
+const MAX_REPORT_GAP_MS = 2000;
 /** Smaller differences from the plan are not worth their first touches. */
 const MIN_MOVED = 0.1;
 /**
@@ -95,7 +99,9 @@
 				.filter(region => region !== this._own)
 				.map(region => [region, planShares(region, average, this._isLarge)])
 		);
-		const loads = (own: RegionShares): ExpectedLoads => new ExpectedLoads(this._own, own, others, capacities);
+		const relativeLimit = this._isLarge ? MIN_RELATIVE_LIMIT_LARGE_RESPONSES : MIN_RELATIVE_LIMIT;
+		const loads = (own: RegionShares): ExpectedLoads =>
+			new ExpectedLoads(this._own, own, others, capacities, relativeLimit);
 		if (loads(plan).isOverloaded) {
 			this._returnAt = now + RETURN_AFTER_MS;
 		}
@@ -127,7 +133,8 @@
 		this._demandSince ??= now;
 		// A young average is the plain mean of equal demand and what was reported so far.
 		const spanMs = Math.min(DEMAND_TIME_CONSTANT_MS, EQUAL_DEMAND_MS + now - this._demandSince);
-		const weight = Math.min(1, Math.max(0, now - this._demandAt) / spanMs);
+		const elapsedMs = Math.min(MAX_REPORT_GAP_MS, Math.max(0, now - this._demandAt));
+		const weight = elapsedMs / spanMs;
 		this._demandAt = now;
 		for (const [region, demand] of this._demand) {
 			const average = this._averageDemand.get(region) ?? mean;
@@ -156,12 +163,14 @@
 	/**
 	 * @param _shares shares of the own region
 	 * @param others planned shares of the other regions
+	 * @param relativeLimit least limit of the utilization, relative to the mean of all regions
 	 */
 	constructor(
 		private readonly _own: string,
 		private readonly _shares: RegionShares,
 		others: ReadonlyMap<string, RegionShares>,
-		private readonly _capacities: Capacities
+		private readonly _capacities: Capacities,
+		relativeLimit: number
 	) {
 		const sharesOf = (region: string): RegionShares => (region === _own ? _shares : (others.get(region) ?? []));
 		const loadOf = (region: string): number =>
@@ -169,7 +178,7 @@
 		this._loads = new Map([..._capacities.keys()].map(region => [region, loadOf(region)]));
 		const slots = [..._capacities.values()].reduce((sum, capacity) => sum + capacity.slots, 0);
 		const load = [...this._loads.values()].reduce((sum, value) => sum + value, 0);
-		this._limit = Math.max(BEARABLE_UTILIZATION, (MIN_RELATIVE_LIMIT * load) / Math.max(slots, Number.EPSILON));
+		this._limit = Math.max(BEARABLE_UTILIZATION, (relativeLimit * load) / Math.max(slots, Number.EPSILON));
 	}
 
 	/** Whether a region that the own shares use is expected to have more than it can bear. */
--- a/src/plugins/placement/test/steadyShares.test.ts
+++ b/src/plugins/placement/test/steadyShares.test.ts
@@ -91,6 +91,21 @@
 	assert.ok(moved <= 0.11, `${moved.toFixed(3)}`);
 });
 
+test('an average of demand does not jump when control is heard again', () => {
+	const shares = new SteadyShares('east', false);
+	const before = run(shares, 0, 2 * PERIOD_MS, now => capacities(swing(now))).last;
+	const after = run(shares, 2 * PERIOD_MS + 60000, 1000, () => capacities([140, 91, 42])).last;
+	assert.ok(movedFraction(before, after) <= 0.1);
+});
+
+test('large responses stay at home where others would be moved', () => {
+	const homeShare = (isLarge: boolean): number => {
+		const shares = new SteadyShares('east', isLarge);
+		return shareOf(run(shares, 0, 20000, () => capacities([91, 91, 91])).last, 'east');
+	};
+	assert.ok(homeShare(true) > 0.7 && homeShare(false) < 0.5, `${homeShare(true)} ${homeShare(false)}`);
+});
+
 test('a region whose targets are lost in the midst of a move gets nothing, and its share returns', () => {
 	const shares = new SteadyShares('east', false);
 	run(shares, 0, 20000, () => capacities([91, 91, 91]));
