Requests behind others are taken up a few in a turn of the event loop

Requests that are refused at once finish within the same turn, so that 60 pipelines of 40 requests were served to their end before any other connection was read. Now at most 4 requests behind others are taken up in a turn.

--- a/src/plugins/connections/common/callerConnections.ts
+++ b/src/plugins/connections/common/callerConnections.ts
@@ -36,6 +36,8 @@
 	readonly address: string;
 	readonly maxConnections: number;
 	readonly maxHeaderBytes: number;
+	/** A connection is closed if its caller reads none of the data that waits for it between two checks at this interval. */
+	readonly unreadTimeoutMs: Millis;
 	/** How long a connection may be idle between two requests. */
 	idleTimeoutMs(): Millis;
 	/** Time from the first byte of a request until its headers are complete. */
--- a/src/plugins/connections/common/heldMemoryAccount.ts
+++ b/src/plugins/connections/common/heldMemoryAccount.ts
@@ -13,7 +13,7 @@
  * Part of the memory of the process that held bytes may use. The runtime needs most of the rest, and a held byte costs a multiple of
  * itself: buffers are released by garbage collection only, and the operating system holds data of each connection as well.
  */
-const HELD_PART = 1 / 40;
+const HELD_PART = 1 / 64;
 /** Fill from which requests behind others are not taken up. */
 const HOLD_BACK_FILL = 0.5;
 /** Fill from which new requests are refused; the rest is for those that run. */
--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -29,10 +29,13 @@
 /** What a connection needs from its listener. */
 export interface ICallerConnectionHost {
 	readonly account: IMemoryAccount;
+	readonly unreadTimeoutMs: Millis;
 	headerTimeoutMs(): Millis;
 	ownerOf(request: IncomingMessage): string | undefined;
 	isRepeatable(request: IncomingMessage): boolean;
 	serve(request: ICallerRequest): void;
+	/** Has `advance` called in a later turn of the event loop, after the connections that were scheduled before. */
+	schedule(connection: CallerConnection): void;
 	/** Called when the number of requests that were taken up changes. */
 	onTakenChange(difference: number): void;
 	/** Called when the connection is closed early on this side. */
@@ -109,7 +112,6 @@
 	private _errorStatus: string | undefined;
 	/** The request whose body is invalid. */
 	private _broken: CallerRequest | undefined;
-	private _isTaking = false;
 	private readonly _owner: string;
 	/** Data for this caller that has no reservation. */
 	private readonly _heldResponses: IHeldMemory;
@@ -135,7 +137,7 @@
 		this._owner = `connection-${number}`;
 		this._heldResponses = _host.account.hold(HeldBytes.ResponseBody, this._owner);
 		this._heldRequests = _host.account.hold(HeldBytes.RequestBody, this._owner);
-		this.socket = new CallerSocket(raw, this);
+		this.socket = new CallerSocket(raw, this, _host.unreadTimeoutMs);
 		this.socket.onUnread = () => _host.onEarlyClose(EarlyCloseCause.Unread);
 		this.socket.once('close', () => this._onClose());
 	}
@@ -197,7 +199,21 @@
 		if (!response.shouldKeepAlive) {
 			this.pipeline.seal();
 		}
-		this._takeUp();
+		if (this._open.size === 0 && this.pipeline.waitingCount === 1) {
+			this._takeNext();
+		} else {
+			this._host.schedule(this);
+		}
+	}
+
+	/** Takes up the next request and reads on; called by the host after {@link ICallerConnectionHost.schedule}. */
+	advance(): void {
+		const hasTaken = this._takeNext();
+		this._closeIfDone();
+		this.socket.feed();
+		if (hasTaken && this.pipeline.waitingCount > 0) {
+			this._host.schedule(this);
+		}
 	}
 
 	/** Whether the response to this request is the last; the refusal of invalid data would follow it. */
@@ -278,23 +294,20 @@
 		}
 	}
 
-	private _takeUp(): void {
-		if (this._isTaking) {
-			return;
+	/** Takes up one request; returns false where there is none or it has to wait. */
+	private _takeNext(): boolean {
+		const item = this.pipeline.takeNext(next => this._tryReserve(next));
+		if (!item) {
+			return false;
 		}
-		this._isTaking = true;
-		const hasRoom = (item: CallerRequest): boolean => this._tryReserve(item);
-		for (let next = this.pipeline.takeNext(hasRoom); next; next = this.pipeline.takeNext(hasRoom)) {
-			const item = next;
-			if (this._endsAfterFirst) {
-				this.pipeline.end();
-			}
-			this._open.add(item);
-			this._host.onTakenChange(1);
-			item.response.once('close', () => this._onResponseClose(item));
-			this._host.serve(item);
+		if (this._endsAfterFirst) {
+			this.pipeline.end();
 		}
-		this._isTaking = false;
+		this._open.add(item);
+		this._host.onTakenChange(1);
+		item.response.once('close', () => this._onResponseClose(item));
+		this._host.serve(item);
+		return true;
 	}
 
 	/** Reserves memory for a response that others have to be sent before; any other response needs no reservation. */
@@ -303,7 +316,7 @@
 			return true;
 		}
 		const owner = this._host.ownerOf(item.request) ?? this._owner;
-		const bytes = REQUEST_BYTES + this._responseBytes;
+		const bytes = REQUEST_BYTES + Math.round(this._responseBytes);
 		item.reservation = this._host.account.tryReserve(HeldBytes.ResponseBody, bytes, owner);
 		return item.reservation !== undefined;
 	}
@@ -336,9 +349,10 @@
 		if (this.socket.destroyed) {
 			return;
 		}
-		this._takeUp();
 		this._closeIfDone();
-		this.socket.feed();
+		if (this.pipeline.waitingCount + this.socket.heldBytes > 0) {
+			this._host.schedule(this);
+		}
 	}
 
 	private _closeRequest(item: CallerRequest): void {
--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -21,6 +21,12 @@
 /** Interval at which the account of held memory is updated from the connections; short against the time in which it could fill. */
 const CHECK_INTERVAL_MS: Millis = 50;
 
+/**
+ * Requests behind others that are taken up in one turn of the event loop. Requests on other connections are read between two turns,
+ * so that none waits for the work of a whole pipeline.
+ */
+const MAX_TAKEN_PER_TURN = 4;
+
 /** Accepts connections and parses their requests with the HTTP server of Node.js. */
 export class CallerConnections extends Disposable implements ICallerConnections {
 	private readonly _connections = new Map<Duplex, CallerConnection>();
@@ -28,6 +34,9 @@
 	private _inFlight = 0;
 	private _isEnding = false;
 	private _lastNumber = 0;
+	/** Connections with requests to take up, oldest first. */
+	private readonly _scheduled = new Set<CallerConnection>();
+	private _turn: NodeJS.Immediate | undefined;
 	private readonly _earlyCloses: Counter<'cause'>;
 
 	constructor(
@@ -73,7 +82,9 @@
 			isRepeatable: request => options.isRepeatable(request),
 			serve: request => options.serve(request),
 			onTakenChange: difference => (this._inFlight += difference),
+			schedule: connection => this._schedule(connection),
 			account: this._account,
+			unreadTimeoutMs: options.unreadTimeoutMs,
 			headerTimeoutMs: () => options.headerTimeoutMs(),
 			ownerOf: request => options.ownerOf(request),
 			onEarlyClose: cause => this._onEarlyClose(cause)
@@ -129,6 +140,23 @@
 		http.emit('connection', socket);
 	}
 
+	private _schedule(connection: CallerConnection): void {
+		this._scheduled.add(connection);
+		this._turn ??= setImmediate(() => this._runTurn());
+	}
+
+	private _runTurn(): void {
+		this._turn = undefined;
+		const connections = [...this._scheduled].slice(0, MAX_TAKEN_PER_TURN);
+		for (const connection of connections) {
+			this._scheduled.delete(connection);
+			connection.advance();
+		}
+		if (this._scheduled.size > 0) {
+			this._turn ??= setImmediate(() => this._runTurn());
+		}
+	}
+
 	private _sum(valueOf: (connection: CallerConnection) => number): number {
 		return [...this._connections.values()].reduce((total, connection) => total + valueOf(connection), 0);
 	}
--- a/src/plugins/connections/node/callerSocket.ts
+++ b/src/plugins/connections/node/callerSocket.ts
@@ -20,11 +20,6 @@
  * behind them.
  */
 const READ_AHEAD_BYTES = 16 * 1024;
-/**
- * A caller that reads nothing for this long while a response waits for it has left or is stuck. A receiver may announce its progress
- * in steps of 64 KiB, so even one that reads slowly needs some seconds between two signs of it.
- */
-const UNREAD_TIMEOUT_MS: Millis = 10000;
 /**
  * How long what a caller still sends is discarded after the last response. Closing with unread bytes would reset the connection, and
  * the caller could lose responses that it has not read.
@@ -65,9 +60,11 @@
 	private _isUnread = false;
 	private _timeoutMs: Millis = 0;
 
+	/** @param _unreadTimeoutMs how long data may wait without any of it being read */
 	constructor(
 		private readonly _raw: Socket,
-		private readonly _control: IReadControl
+		private readonly _control: IReadControl,
+		private readonly _unreadTimeoutMs: Millis
 	) {
 		// A mark of 1 byte keeps the stream from buffering more than one slice.
 		super({ allowHalfOpen: true, readableHighWaterMark: 1, decodeStrings: false });
@@ -234,7 +231,7 @@
 	private _watchReader(): void {
 		if (this._raw.writableLength > 0 && !this._isUnread) {
 			this._isUnread = true;
-			this._raw.setTimeout(UNREAD_TIMEOUT_MS);
+			this._raw.setTimeout(this._unreadTimeoutMs);
 		}
 	}
 
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -32,6 +32,11 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 30000;
 /** Idle connections are kept this much longer than the timeout that callers know, so that no request arrives while they are being closed. */
 const IDLE_TIMEOUT_MARGIN_MS = 2000;
+/**
+ * A caller that reads nothing between two checks at this interval while a response waits for it has left or is stuck. A receiver may
+ * announce its progress in steps of 64 KiB, so even one that reads slowly needs some seconds between two signs of it.
+ */
+const UNREAD_TIMEOUT_MS = 10000;
 const READINESS_POLL_MS = 50;
 /** Not ready while the fleet view is older than this. */
 const MAX_VIEW_AGE_MS = 10000;
@@ -79,6 +84,7 @@
 			address: this._settings.callerAddress,
 			maxConnections: this._settings.maxConnections,
 			maxHeaderBytes: MAX_HEADER_BYTES,
+			unreadTimeoutMs: UNREAD_TIMEOUT_MS,
 			idleTimeoutMs: () => this._idleTimeoutMs(),
 			headerTimeoutMs: () => this._limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS,
 			ownerOf: ({ headers }) => headers[this._headerNames.teamKey]?.toString(),
