A response that a target breaks off is logged with whether its caller read it

The streamed rest of a response was cut without a log line. The outcome of the attempt is recorded when the response begins, so it never counted against the target.

--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -154,7 +154,8 @@
 
 	/** Whether it has no request and no response in progress. */
 	get isIdle(): boolean {
-		return this._open.size === 0 && this.pipeline.waitingCount === 0 && this.socket.writableLength === 0;
+		const { heldBytes, writableLength } = this.socket;
+		return this._open.size === 0 && this.pipeline.waitingCount === 0 && heldBytes === 0 && writableLength === 0;
 	}
 
 	/** Data that waits for this caller to read it; 0 where nothing was written that it does not read. */
--- a/src/plugins/connections/test/callerConnections.test.ts
+++ b/src/plugins/connections/test/callerConnections.test.ts
@@ -288,3 +288,15 @@
 	assert.ok(answeredBefore! < 100, `${answeredBefore} requests were served before`);
 	other.socket.destroy();
 });
+
+test('a connection that is idle after a response is closed after the idle timeout, and one in use is not', async () => {
+	listener.idleTimeoutMs = 100;
+	listener.onTaken = request => {
+		setTimeout(() => listener.answer(request), 3 * listener.idleTimeoutMs);
+	};
+	const startedAt = performance.now();
+	caller.send('/1');
+	await until('the connection is closed', () => caller.isClosed);
+	assert.deepEqual(caller.bodies, ['/1']);
+	assert.ok(performance.now() - startedAt > 3.9 * listener.idleTimeoutMs);
+});
--- a/src/plugins/connections/test/testListener.ts
+++ b/src/plugins/connections/test/testListener.ts
@@ -33,6 +33,8 @@
 	readonly taken: ICallerRequest[] = [];
 	/** Paths of requests whose caller left before the whole response was sent. */
 	readonly cancelled: string[] = [];
+	/** How long a connection may be idle after a response. */
+	idleTimeoutMs = 5000;
 	/** Called with each request that is taken up. */
 	onTaken: (request: ICallerRequest) => void = () => undefined;
 	/** Called with the path of each request whose exchange has ended. */
@@ -51,7 +53,7 @@
 			maxConnections: 1000,
 			maxHeaderBytes: 4096,
 			unreadTimeoutMs: UNREAD_TIMEOUT_MS,
-			idleTimeoutMs: () => 5000,
+			idleTimeoutMs: () => this.idleTimeoutMs,
 			headerTimeoutMs: () => HEADER_TIMEOUT_MS,
 			ownerOf: () => undefined,
 			isRepeatable: ({ url }) => !url!.startsWith('/once'),
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -36,6 +36,14 @@
 	reason: RefusalReason.TargetFailed
 };
 
+/** Why a target broke off a response. */
+export enum TruncationCause {
+	/** The caller did not read, so that the target had to wait. */
+	Unread = 'unread',
+	/** Any other reason of the target or its connection. */
+	Target = 'target'
+}
+
 /** One request of a caller and its response. */
 export class CallerExchange {
 	readonly request: IncomingMessage;
@@ -50,6 +58,7 @@
 	private _disconnectHandler: (() => void) | undefined;
 	private _isDisconnected = false;
 	private _closeHandler: (() => void) | undefined;
+	private _truncationHandler: ((cause: TruncationCause) => void) | undefined;
 	private readonly _response: ServerResponse;
 
 	constructor(
@@ -98,6 +107,11 @@
 		this._closeHandler = callback;
 	}
 
+	/** Sets the callback for a response that a target broke off after its beginning was forwarded. */
+	setTruncationHandler(callback: (cause: TruncationCause) => void): void {
+		this._truncationHandler = callback;
+	}
+
 	/** Sends a response made by this instance; does nothing once the caller has disconnected. */
 	sendLocalResponse(response: LocalResponse): void {
 		if (this._isDisconnected) {
@@ -159,6 +173,11 @@
 	private _streamBody({ body, endsWithConnection }: TargetResponse, remainingBody: Readable): void {
 		const paced = new PacedBody(this._linkScheduler);
 		const abort = (): void => {
+			if (paced.destroyed) {
+				return;
+			}
+			const isUnread = paced.readableLength > 0 && this._response.writableNeedDrain;
+			this._truncationHandler?.(isUnread ? TruncationCause.Unread : TruncationCause.Target);
 			paced.destroy();
 			this._callerRequest.abort(endsWithConnection);
 		};
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -144,6 +144,13 @@
 
 	private _serve(request: ICallerRequest): void {
 		const exchange = new CallerExchange(request, this._headerNames, this._linkScheduler);
+		exchange.setTruncationHandler(cause =>
+			this._log.warn('response broke off after its beginning was forwarded', {
+				task: 'front',
+				requestId: exchange.requestId,
+				cause
+			})
+		);
 		const refusal = request.hasRoom
 			? refuseByLimits(request.request, this._limits)
 			: unavailableResponse(RefusalReason.NoCapacity, SHORT_RETRY_AFTER_MS);
