--- a/src/plugins/connections/test/testListener.ts
+++ b/src/plugins/connections/test/testListener.ts
@@ -13,6 +13,8 @@
 
 /** Time that a caller has for the headers of a request. */
 export const HEADER_TIMEOUT_MS = 150;
+/** Interval at which a caller has to read something. */
+export const UNREAD_TIMEOUT_MS = 600;
 const LOG = { debug: () => undefined, warn: () => undefined } as unknown as ILogService;
 
 /** A response as a caller received it. */
@@ -31,6 +33,8 @@
 	readonly taken: ICallerRequest[] = [];
 	/** Paths of requests whose caller left before the whole response was sent. */
 	readonly cancelled: string[] = [];
+	/** How long a connection may be idle after a response. */
+	idleTimeoutMs = 5000;
 	/** Called with each request that is taken up. */
 	onTaken: (request: ICallerRequest) => void = () => undefined;
 	/** Called with the path of each request whose exchange has ended. */
@@ -48,7 +52,8 @@
 			address: '127.0.0.1:0',
 			maxConnections: 1000,
 			maxHeaderBytes: 4096,
-			idleTimeoutMs: () => 5000,
+			unreadTimeoutMs: UNREAD_TIMEOUT_MS,
+			idleTimeoutMs: () => this.idleTimeoutMs,
 			headerTimeoutMs: () => HEADER_TIMEOUT_MS,
 			ownerOf: () => undefined,
 			isRepeatable: ({ url }) => !url!.startsWith('/once'),
@@ -134,11 +139,11 @@
 	}
 }
 
-/** Waits until a condition holds; throws after 5 s. */
-export async function until(description: string, condition: () => boolean): Promise<void> {
+/** Waits until a condition holds; throws after the timeout. */
+export async function until(description: string, condition: () => boolean, timeoutMs = 5000): Promise<void> {
 	const startedAt = performance.now();
 	while (!condition()) {
-		if (performance.now() - startedAt > 5000) {
+		if (performance.now() - startedAt > timeoutMs) {
 			throw new Error(`timed out: ${description}`);
 		}
 		await delay(2);
