Full regions that were not heard of lately are not taken for idle, and no work is sent in vain

Cause: an instance that sends little to a region heard nothing from it for half a second and took its targets for idle.

Change: where targets report work times, or ranks decide, the mean load of a region counts on after the latest report, less with time. A target whose estimate is beyond the request's deadline gets no request; not where the load is unknown, so that a wrong estimate can't refuse for ever. Off, the choices are those of the recorded fingerprint.

--- a/src/plugins/placement/common/answerTimes.ts
+++ b/src/plugins/placement/common/answerTimes.ts
@@ -47,6 +47,8 @@
 	readonly work: Pick<WorkTimes, 'atHandMs' | 'firstTouchMs'>;
 	/** Region of this instance. */
 	readonly region: string;
+	/** Time left until the deadline of the request; infinite for none. */
+	readonly deadlineLeftMs: Millis;
 	/** Time left until the objective of the route; may be negative. */
 	readonly objectiveLeftMs: Millis;
 	/** Whether this instance has recently sent a request for the object to a target. */
@@ -76,6 +78,16 @@
 		};
 	}
 
+	/**
+	 * Whether a target would likely answer only after the deadline, so that its work would be in vain. Not if too little is known
+	 * of the load there.
+	 * @param isFirst whether the target is the first one for the object
+	 */
+	isInVain(candidate: Candidate, isFirst: boolean): boolean {
+		const { deadlineLeftMs, now } = this._context;
+		return candidate.state.isLoadKnown(now) && this.estimate(candidate, isFirst).timeMs > deadlineLeftMs;
+	}
+
 	/** Moves targets that have been slow for long behind the others, as their objects would be late with each request. */
 	orderByLastingSpeed(targets: readonly Candidate[]): Candidate[] {
 		const { now } = this._context;
--- a/src/plugins/placement/common/placementRequest.ts
+++ b/src/plugins/placement/common/placementRequest.ts
@@ -27,6 +27,8 @@
 	readonly homeRegions: readonly string[];
 	/** Ids of targets that are not selected for this request again. */
 	readonly tried: ReadonlySet<string>;
+	/** On the monotonic clock; undefined for none. */
+	readonly deadline?: Millis;
 	/** Attempts so far, in order. */
 	readonly attempts: readonly unknown[];
 	/** Permits within rate limits of targets that were requested and denied. */
--- a/src/plugins/placement/common/targetChoice.ts
+++ b/src/plugins/placement/common/targetChoice.ts
@@ -51,8 +51,10 @@
 	readonly maySpill: boolean;
 	/** Factor on the utilization limits, more than 0. */
 	readonly utilizationFactor: number;
-	/** When targets would answer; undefined where the service's targets do not report how long work takes there. */
+	/** When targets would answer; a target that would do so after the deadline gets no request. Undefined where that is not checked. */
 	readonly answerTimes?: AnswerTimes;
+	/** Whether the target is chosen by when it would answer, which the service's targets have to report the work time for. */
+	readonly isChosenByTime?: boolean;
 	/** Returns whether a cold target may get a request now. */
 	mayUseCold(candidate: Candidate): boolean;
 }
@@ -198,19 +200,17 @@
 	// Cold targets without a token are excluded before ranking, so that their objects go to the next target of the region.
 	const usable = candidates.filter(candidate => isUsable(candidate, context));
 	const targets = rankTargets(usable, keyHash, MAX_RANKED_TARGETS, context);
-	const isBelowLimit = (candidate: Candidate, rank: number): boolean =>
-		utilization(candidate, now) < (limits[rank] ?? 0) * utilizationFactor;
 	const ordered = orderByRetention(targets, keyHash);
-	if (!answerTimes) {
-		return ordered.find(isBelowLimit);
+	const bySpeed = context.isChosenByTime ? answerTimes!.orderByLastingSpeed(ordered) : ordered;
+	const first = keyHash === undefined ? undefined : bySpeed[0];
+	const isEligible = (candidate: Candidate, rank: number): boolean =>
+		utilization(candidate, now) < (limits[rank] ?? 0) * utilizationFactor &&
+		!answerTimes?.isInVain(candidate, candidate === first);
+	if (!answerTimes || !context.isChosenByTime) {
+		return ordered.find(isEligible);
 	}
-	const bySpeed = answerTimes.orderByLastingSpeed(ordered);
-	return keyHash === undefined
-		? answerTimes.select(
-				bySpeed.filter(candidate => isBelowLimit(candidate, 0)),
-				undefined
-			)
-		: answerTimes.select(bySpeed.filter(isBelowLimit), bySpeed[0]);
+	const eligible = bySpeed.filter((candidate, rank) => isEligible(candidate, first ? rank : 0));
+	return answerTimes.select(eligible, first);
 }
 
 function leastUtilized(candidates: readonly Candidate[], context: ChoiceContext): Candidate | undefined {
--- a/src/plugins/placement/common/targetSelector.ts
+++ b/src/plugins/placement/common/targetSelector.ts
@@ -46,6 +46,14 @@
 	readonly name: string;
 }
 
+/** What selection by expected answer times depends on. */
+export interface SelectionOptions {
+	/** Work times of routes; those of a service's latest responses where it is omitted or knows none. */
+	readonly workProfile?: Pick<IWorkProfile, 'timesOf'>;
+	/** Whether ranks decide who gets scarce slots, so that no work may be in vain also where targets report no work time. */
+	readonly isRanked?: boolean;
+}
+
 /** When and why capacity becomes available again. */
 export interface NextCapacity {
 	/** Why no target takes the request now. */
@@ -72,7 +80,7 @@
 	 * @param regions all regions, with or without targets
 	 * @param _paceShare this instance's share of the rate limits of cold targets
 	 * @param _targetLimits rate limits of targets and their permits
-	 * @param _workProfile work times of routes; those of a service's latest responses if omitted
+	 * @param _options work times of routes, and whether ranks decide
 	 */
 	constructor(
 		private readonly _view: FleetView,
@@ -81,9 +89,9 @@
 		shiftBounds: ShiftBounds,
 		private readonly _paceShare: PaceShare,
 		private readonly _targetLimits: ITargetLimitStatus,
-		private readonly _workProfile?: Pick<IWorkProfile, 'timesOf'>
+		private readonly _options: SelectionOptions = {}
 	) {
-		this._states = new TargetStates(_view, _targetLimits);
+		this._states = new TargetStates(_view, _targetLimits, _options.isRanked);
 		this._plans = new PlacementPlans(_view, _instance, regions, shiftBounds);
 		this._spill = new SpillAllowance(shiftBounds.maxMovedFraction);
 		this.onDidShiftFromLostTargets = this._plans.onDidShiftFromLostTargets;
@@ -110,6 +118,7 @@
 			now,
 			utilizationFactor: request.utilizationFactor ?? 1,
 			answerTimes: this._answerTimes(request, objectKey, now),
+			isChosenByTime: this._states.speedOf(service).isReported(now),
 			mayUseCold: candidate => this._mayUseCold(candidate, now)
 		};
 		const chosen = this._unusedTarget(request, candidates, context) ?? chooseTarget(candidates, context);
@@ -132,18 +141,19 @@
 		return chosen && { ...chosen, passedOver: this._passedOver(primary, deferred, now) };
 	}
 
-	/** Estimates for a request; undefined unless the service's targets report how long work takes and its usual time is known. */
+	/** Estimates for a request; undefined where there are none for the service, or the usual work time is not known yet. */
 	private _answerTimes(
-		{ service, route, exchange }: PlacementRequest,
+		{ service, route, exchange, deadline }: PlacementRequest,
 		objectKey: string | undefined,
 		now: Millis
 	): AnswerTimes | undefined {
-		const work = this._states.speedOf(service).isReported(now) ? this._workTimes(service, route.name) : undefined;
+		const work = this._states.speedOf(service).isEstimated(now) ? this._workTimes(service, route.name) : undefined;
 		return (
 			work &&
 			new AnswerTimes({
 				work,
 				region: this._instance.region,
+				deadlineLeftMs: deadline === undefined ? Number.POSITIVE_INFINITY : deadline - now,
 				objectiveLeftMs: route.objectiveMs - (now - (exchange.arrivedAt ?? now)),
 				isRecent: id => objectKey !== undefined && this._recentObjects.has(objectKey, id, now),
 				now
@@ -152,7 +162,7 @@
 	}
 
 	private _workTimes(service: string, route: string): Pick<WorkTimes, 'atHandMs' | 'firstTouchMs'> | undefined {
-		const learned = this._workProfile?.timesOf(service, route);
+		const learned = this._options.workProfile?.timesOf(service, route);
 		const typicalMs = this._states.speedOf(service).typicalWorkMs;
 		return (
 			learned ??
--- a/src/plugins/placement/common/targets/serviceSpeed.ts
+++ b/src/plugins/placement/common/targets/serviceSpeed.ts
@@ -34,6 +34,14 @@
 	private _updatedAt: Millis = Number.NEGATIVE_INFINITY;
 	private _typicalWorkMs: Millis | undefined;
 
+	/** @param _isRanked whether ranks decide who gets scarce slots, also where targets report no work time */
+	constructor(private readonly _isRanked = false) {}
+
+	/** Whether answers are estimated for requests to the service: ranks decide, or its targets report work times. */
+	isEstimated(now: Millis): boolean {
+		return this._isRanked || this.isReported(now);
+	}
+
 	/** Whether targets of the service have reported a work time recently. */
 	isReported(now: Millis): boolean {
 		return now - this._updatedAt <= REPORT_RETENTION_MS;
--- a/src/plugins/placement/common/targets/targetSpeed.ts
+++ b/src/plugins/placement/common/targets/targetSpeed.ts
@@ -62,11 +62,8 @@
 	 */
 	recordResponse(durationMs: Millis): Millis {
 		const { typicalWorkMs } = this.service;
-		if (this._latest === undefined) {
-			return durationMs;
-		}
-		const usualMs = durationMs / Math.max(1, this._latest);
-		if (typicalWorkMs !== undefined && usualMs < typicalWorkMs / REFUTED_RATIO) {
+		const usualMs = durationMs / Math.max(1, this._latest ?? 1);
+		if (this._latest !== undefined && typicalWorkMs !== undefined && usualMs < typicalWorkMs / REFUTED_RATIO) {
 			this._latest = undefined;
 			this._windows = [];
 			return durationMs;
--- a/src/plugins/placement/common/targets/targetState.ts
+++ b/src/plugins/placement/common/targets/targetState.ts
@@ -79,7 +79,12 @@
 	}
 
 	private _estimatedLoad(now: Millis): number {
-		return this.regionLoad.meanUtilization(now) * this.slots;
+		const { regionLoad, speed } = this;
+		// An instance that sends little to a region would take its full targets for idle.
+		const utilization = speed.service.isEstimated(now)
+			? regionLoad.rememberedUtilization(now)
+			: regionLoad.meanUtilization(now);
+		return utilization * this.slots;
 	}
 
 	/** Applies the load report of a response. Must be called while the request still counts as in flight. */
@@ -92,9 +97,9 @@
 		}
 	}
 
-	/** Whether the target has reported its load recently enough to count. */
-	hasRecentLoad(now: Millis): boolean {
-		return now - this._loadReportedAt < LOAD_REPORT_MAX_AGE_MS;
+	/** Whether `load` follows from recent reports, those of the target or of others in its region. */
+	isLoadKnown(now: Millis): boolean {
+		return now - this._loadReportedAt < LOAD_REPORT_MAX_AGE_MS || this.regionLoad.isKnown(now);
 	}
 
 	/** Records that the target refused a request as full. Its slots count as taken, with the weight of a new load report. */
--- a/src/plugins/placement/common/targets/targetStates.ts
+++ b/src/plugins/placement/common/targets/targetStates.ts
@@ -30,9 +30,11 @@
 	private readonly _serviceSpeeds = new Map<string, ServiceSpeed>();
 	private _sweptAt: Millis = 0;
 
+	/** @param _isRanked whether ranks decide who gets scarce slots */
 	constructor(
 		private readonly _view: FleetView,
-		private readonly _limitStatus: ITargetLimitStatus
+		private readonly _limitStatus: ITargetLimitStatus,
+		private readonly _isRanked = false
 	) {
 		_view.setReachability(this);
 	}
@@ -115,7 +117,7 @@
 	speedOf(service: string): ServiceSpeed {
 		let speed = this._serviceSpeeds.get(service);
 		if (!speed) {
-			speed = new ServiceSpeed();
+			speed = new ServiceSpeed(this._isRanked);
 			this._serviceSpeeds.set(service, speed);
 		}
 		return speed;
--- a/src/plugins/placement/test/answerTimes.test.ts
+++ b/src/plugins/placement/test/answerTimes.test.ts
@@ -46,6 +46,7 @@
 		work: { atHandMs: 200, firstTouchMs: 660 },
 		region: 'near',
 		objectiveLeftMs: 500,
+		deadlineLeftMs: Number.POSITIVE_INFINITY,
 		isRecent: () => false,
 		now: NOW,
 		...changes
--- a/src/plugins/placement/test/unevenSelection.test.ts
+++ b/src/plugins/placement/test/unevenSelection.test.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Target selection where targets report how long work takes: restarts and renamed services. */
+/** Target selection where targets report how long work takes: restarts, renamed services, and work in vain. */
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -58,13 +58,14 @@
 	};
 }
 
-function createSelector(view: FleetView): TargetSelector {
+function createSelector(view: FleetView, isRanked = false): TargetSelector {
 	const share = new PaceShare('entry', () => 0);
 	const place = { region: 'r', hall: 'r', name: 'entry' };
 	const shifts = { maxMovedFraction: 0.15, windowMs: 2000 };
 	const workTimes = { atHandMs: 200, firstTouchMs: 660, slowAtHandMs: 500 };
 	return new TargetSelector(view, place, ['r'], shifts, share, new TargetLimitTable(view, share), {
-		timesOf: () => workTimes
+		workProfile: { timesOf: () => workTimes },
+		isRanked
 	});
 }
 
@@ -111,3 +112,48 @@
 	selector.choose(createRequest('b', 20000), 20000);
 	assert.deepEqual([...selector.factorsByService(20000).keys()], ['b']);
 });
+
+for (const { name, isRanked, workTimeFactor } of [
+	{ name: 'where targets report work times', isRanked: false, workTimeFactor: 1 },
+	{ name: 'where ranks decide', isRanked: true, workTimeFactor: undefined }
+]) {
+	test(`a request that the queue of its target would carry beyond its deadline is not sent there, ${name}`, () => {
+		const view = new FleetView(hall => hall);
+		const selector = createSelector(view, isRanked);
+		view.apply(createSyncResponse(1, [createRecord('t', 'a', 1, 1)]), 1000);
+		const { state } = selector.choose(createRequest('a', 1000), 1000)!;
+		state.applyLoadReport({ running: SLOTS, waiting: 6, slots: SLOTS, workTimeFactor }, 1000);
+		const choose = (deadline: number | undefined): string | undefined =>
+			selector.choose(createRequest('a', 1000, { deadline }), 1000)?.known.record.id;
+		assert.equal(choose(1400), undefined);
+		assert.equal(choose(1500), 't');
+		assert.equal(choose(undefined), 't');
+	});
+}
+
+test('a request is sent whatever its deadline if too little is known of the load, or work in vain is not looked for', () => {
+	const view = new FleetView(hall => hall);
+	view.apply(createSyncResponse(1, [createRecord('t', 'a', 1, 1)]), 1000);
+	const ranked = createSelector(view, true);
+	assert.equal(ranked.choose(createRequest('a', 1000, { deadline: 1001 }), 1000)?.known.record.id, 't');
+	const other = createSelector(view);
+	const { state } = other.choose(createRequest('a', 1000), 1000)!;
+	state.applyLoadReport({ running: SLOTS, waiting: 6, slots: SLOTS, workTimeFactor: undefined }, 1000);
+	assert.equal(other.choose(createRequest('a', 1000, { deadline: 1001 }), 1000)?.known.record.id, 't');
+});
+
+test('targets of a region that was full a while ago do not count as idle, unless their load is not estimated', () => {
+	for (const isRanked of [true, false]) {
+		const view = new FleetView(hall => hall);
+		const selector = createSelector(view, isRanked);
+		view.apply(createSyncResponse(1, [createRecord('t', 'a', 1, 1), createRecord('u', 'a', 1, 1)]), 1000);
+		const { state } = selector.choose(createRequest('a', 1000), 1000)!;
+		for (let i = 0; i < 5; i++) {
+			state.applyLoadReport({ running: SLOTS, waiting: 12, slots: SLOTS, workTimeFactor: undefined }, 1000);
+		}
+		const tried = new Set([state.id]);
+		const other = selector.choose(createRequest('a', 3000, { tried }), 3000);
+		assert.equal(other?.known.record.id, isRanked ? undefined : 'u');
+		assert.notEqual(selector.choose(createRequest('a', 12000, { tried }), 12000), undefined);
+	}
+});
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -266,7 +266,7 @@
 		limits.onDidChange(() => this._reportLimits(limits));
 		const share = new PaceShare(name, () => 0);
 		const selector = new TargetSelector(view, location, this._regions, shifts, share, limits, {
-			timesOf: () => this._settings.workTimes
+			workProfile: { timesOf: () => this._settings.workTimes }
 		});
 		const retryBudget = new ServiceRetryBudget(
 			{ ratio: 0.2, windowMs: 10000, slack: 2 * this._settings.instances },
--- a/test/loads/unevenTargets.test.ts
+++ b/test/loads/unevenTargets.test.ts
@@ -56,6 +56,30 @@
 	});
 }
 
+/** Rates above what the targets can serve, and the time for which the callers wait. */
+const OVERLOADS = [1800, 2600];
+const OVERLOAD_TIMEOUT_MS = 2500;
+
+for (const requestsPerSecond of OVERLOADS) {
+	test(`overload with ${requestsPerSecond} requests per second: hardly any work is in vain`, context => {
+		const settings = {
+			...UNEVEN_FLEET,
+			seed: 1,
+			requestsPerSecond,
+			timeoutMs: OVERLOAD_TIMEOUT_MS,
+			callerRetryMs: 100,
+			workTimes: WORK_TIMES
+		};
+		const report = createUnevenFleet(settings, 2 * DURATION_MS, QUICK_PHASE_MS).simulate(14000);
+		const vainRatio = report.inVain / (report.inTime + report.late);
+		const inTime = report.inTimeBySecond.slice(5, 14).reduce((sum, count) => sum + count, 0) / 9;
+		const measured = `${vainRatio.toFixed(4)} of the runs in vain, ${inTime.toFixed(0)} per second in time`;
+		context.diagnostic(measured);
+		assert.ok(vainRatio <= 0.01, measured);
+		assert.ok(inTime >= USUAL_RATE, measured);
+	});
+}
+
 /** Arrivals and cache misses by target, and the totals, of a replay with refusals, spills, backoff and overload. */
 function fingerprint(reportsWorkTime: boolean): string {
 	const model = new FleetModel({
