--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -84,8 +84,11 @@
 			this._serviceBounds.shifts,
 			share,
 			targetLimits,
-			this._outcomeTracker,
-			this._outcomeTracker.profile
+			{
+				workProfile: this._outcomeTracker.profile,
+				unevenLoad: this._outcomeTracker,
+				isRanked: shortageSettings.isRanked
+			}
 		);
 		registerRegionPlanMetrics(metrics, () => this._selector.regionPlans());
 		registerWorkTimeMetrics(metrics, now => this._selector.factorsByService(now));
--- a/src/plugins/placement/test/simulatedRegion.ts
+++ b/src/plugins/placement/test/simulatedRegion.ts
@@ -172,7 +172,7 @@
 		const share = new PaceShare(place.name, () => 0);
 		const outcomeTracker = new OutcomeTracker();
 		const limits = new TargetLimitTable(view, share);
-		const selector = new TargetSelector(view, place, REGIONS, shifts, share, limits, outcomeTracker);
+		const selector = new TargetSelector(view, place, REGIONS, shifts, share, limits, { unevenLoad: outcomeTracker });
 		return { view, selector, outcomeTracker, running: [] };
 	}
 
--- a/test/loads/fleetModel.ts
+++ b/test/loads/fleetModel.ts
@@ -232,7 +232,8 @@
 		const outcomes = new OutcomeTracker();
 		const { workTimes } = this._settings;
 		const workProfile = workTimes ? { timesOf: () => workTimes } : outcomes.profile;
-		const selector = new TargetSelector(view, location, this._regions, shifts, share, limits, outcomes, workProfile);
+		const options = { workProfile, unevenLoad: outcomes };
+		const selector = new TargetSelector(view, location, this._regions, shifts, share, limits, options);
 		const retryBudget = new ServiceRetryBudget(
 			{ ratio: 0.2, windowMs: 10000, slack: 2 * this._settings.instances },
 			Number.NEGATIVE_INFINITY
