Bounds of the tests on scarce slots and return times come from what is asked, not from what was measured

The tests were written with bounds that the measured figures kept (.93, .9, .85, .75, 2.1 arrivals, 3 ms). They are set to what is asked: .95 in time, .95 of the slots used, two arrivals a request, 1 ms. Requests for objects are two tests now.

--- a/test/loads/returnTimes.test.ts
+++ b/test/loads/returnTimes.test.ts
@@ -17,9 +17,9 @@
 const SURGE_FACTOR = 5;
 const SURGE_MS = 1000;
 /** Mean over the seeds. */
-const MIN_SERVED_FRACTION = 0.93;
+const MIN_SERVED_FRACTION = 0.95;
 /** Arrivals at targets for each request, including retries of instances at other targets. */
-const MAX_ARRIVALS = 2.1;
+const MAX_ARRIVALS = 2;
 
 /** Served requests, and rejections by targets, of a surge, both relative to its requests. */
 function simulateSurge(
--- a/test/loads/shortage.test.ts
+++ b/test/loads/shortage.test.ts
@@ -89,13 +89,15 @@
 
 	test(`${instances} instances: ranks decide first, then shares of teams within each rank`, () => {
 		const report = simulate({ callers: RANKS_AND_TEAMS, instances });
-		assertServed(report, ['small, urgent', 'large, urgent'], 0.95);
-		assertServed(report, ['small'], 0.9);
+		assertServed(report, ['small, urgent', 'large, urgent', 'small'], 0.95);
 	});
 
-	test(`${instances} instances, requests for objects: ranks and shares decide, although a busy target cannot be avoided`, () => {
-		assertServed(simulate({ callers: RANKS, instances, keylessRatio: 0 }), ['urgent'], 0.93);
-		assertServed(simulate({ callers: TEAMS, instances, keylessRatio: 0 }), ['small'], 0.93);
+	test(`${instances} instances, requests for objects: ranks decide, although a busy target cannot be avoided`, () => {
+		assertServed(simulate({ callers: RANKS, instances, keylessRatio: 0 }), ['urgent'], 0.95);
+	});
+
+	test(`${instances} instances, requests for objects: shares decide, although a busy target cannot be avoided`, () => {
+		assertServed(simulate({ callers: TEAMS, instances, keylessRatio: 0 }), ['small'], 0.95);
 	});
 }
 
--- a/test/platform/shortage.test.ts
+++ b/test/platform/shortage.test.ts
@@ -29,14 +29,10 @@
 /** Objective of the callers. */
 const OBJECTIVE_MS = 400;
 const LOAD_MS = 10000;
-/**
- * Both are above 0.95 where processes run without delay, which the replays of the same loads assert (`loads/shortage.test.ts`); on a busy machine
- * the work of the targets, and so the queues, get longer. Without ranks 0.46 and 0.42 are in time.
- */
-const MIN_IN_TIME_RATIO = 0.75;
-const MIN_SLOTS_USED = 0.85;
-/** Median time for which an instance may hold a request that it refuses, a busy machine allowed for. */
-const MAX_MEDIAN_REFUSAL_MS = 3;
+const MIN_IN_TIME_RATIO = 0.95;
+const MIN_SLOTS_USED = 0.95;
+/** Median time for which an instance may hold a request that it refuses. */
+const MAX_MEDIAN_REFUSAL_MS = 1;
 
 const system = new PlatformTestSystem(3, 3, '', ['[admission]', 'ranks = on']);
 const targets = [1, 2].map(
