After a restart of all instances teams within their limits are served at once

Cause: a ceiling bounds the credits that a ledger issues in its whole term. After a restart of all control instances nobody knows how long ago credits were finished, so for a window the whole ceiling of the ledger before counted. Once that exceeds what a window may hold, nothing was left to grant.

Change: with each ceiling the log also gets a bound on the usage of the team (spent in the last window, plus outstanding). No grant takes the usage above it, a higher one applies once committed, requests that lack only that wait for it. The next leader counts the lesser of the bound and the ceiling less what was finished a window ago. Commands and saved states without bounds count as before. A lower ceiling or bound whose proposal failed now applies until a later update is committed; before, a later proposal replaced it, while the log could end with it. A mend of a fault: it applies to all deployments with limits of teams.

The property tests do not see a bound that grants ignore, since ceilings then hold the usage within it; a test of its own does.

--- a/src/plugins/limits/common/creditLedger.ts
+++ b/src/plugins/limits/common/creditLedger.ts
@@ -10,7 +10,9 @@
  *
  * The credits that a ledger issues for a team in its whole term, without those that came back unspent, stay within a ceiling that
  * was committed to the replicated log beforehand. Together with the recorded number of credits that can no longer be spent, it gives
- * the next leader an upper bound on what this one granted, even if no instance of that time can be reached.
+ * the next leader an upper bound on what this one granted, even if no instance of that time can be reached. The usage, which is what
+ * was spent in the last window plus what is outstanding, stays within a committed bound too. It limits what counts after a restart of
+ * all instances at once, when nobody knows any more how long ago credits were spent.
  */
 
 import type { Millis } from '../../../base/clock.js';
@@ -43,6 +45,8 @@
 export interface ICeilings {
 	/** Ceiling on the credits that the current leader's ledger issues. */
 	currentCeiling(team: string, maxRequests: number): number;
+	/** Bound on the usage in the current leader's ledger; infinite if none was committed. */
+	currentUsageBound(team: string): number;
 	/** Upper bound on the requests of the last window, and later ones, admitted by credits of earlier leaders. */
 	previousCredits(team: string, maxRequests: number): number;
 }
@@ -55,6 +59,8 @@
 	readonly ceilings: Ceilings;
 	/** Credits of these teams that can no longer be spent. */
 	readonly finished: Ceilings;
+	/** Bounds on the usage of these teams. */
+	readonly usageBounds: Ceilings;
 }
 
 /** Limits on one grant. */
@@ -65,6 +71,8 @@
 	readonly allowedUsage: number;
 	/** Upper bound of the credits issued after the grant. */
 	readonly maxIssued: number;
+	/** Committed upper bound of the usage after the grant. */
+	readonly usageBound: number;
 }
 
 /** The credits of one team at all holders. */
@@ -128,9 +136,12 @@
 	 * @param ahead credits for expected requests
 	 */
 	grant(holder: string, needed: number, ahead: number, bounds: GrantBounds, now: Millis): CreditGrant {
-		const { maxUsage, allowedUsage, maxIssued } = bounds;
+		const { maxUsage, allowedUsage, maxIssued, usageBound } = bounds;
 		const usage = this.usage(now);
-		const available = Math.max(0, Math.floor(Math.min(maxUsage - usage, maxIssued - this.issued)));
+		const available = Math.max(
+			0,
+			Math.floor(Math.min(Math.min(maxUsage, usageBound) - usage, maxIssued - this.issued))
+		);
 		const urgent = Math.min(needed, available);
 		const prefetched = Math.max(
 			0,
@@ -160,10 +171,12 @@
 export class CreditLedger {
 	private readonly _accounts = new Map<string, TeamAccount>();
 	private readonly _sequences = new Map<string, number>();
-	/** Credits that only the ceiling refused, by team, since ceilings were last computed. */
+	/** Credits that only the ceiling or the usage bound refused, by team, since ceilings were last computed. */
 	private readonly _shortfalls = new Map<string, number>();
-	/** Ceilings that were proposed and may not be committed yet; lower ones apply at once. */
+	/** Lowest ceilings that were proposed and may not be committed yet; they apply at once. */
 	private readonly _proposed = new Map<string, number>();
+	/** The same for bounds on the usage. */
+	private readonly _proposedUsageBounds = new Map<string, number>();
 	/** Finished credits as last proposed. */
 	private readonly _recordedFinished = new Map<string, number>();
 
@@ -212,35 +225,50 @@
 		});
 	}
 
-	/** Returns the ceilings to be committed to the log, and clears the recorded shortfalls. */
+	/** Returns the ceilings to be committed to the log, and clears the recorded shortfalls. Updates must be proposed one at a time. */
 	takeNewCeilings(now: Millis): CeilingUpdate {
 		const ceilings: Record<string, number> = {};
 		const finished: Record<string, number> = {};
+		const usageBounds: Record<string, number> = {};
 		for (const [team, account] of this._accounts) {
 			const limit = this._limitOf(team);
 			const ceiling = limit && this._newCeiling(team, account, maxRequestsPerWindow(limit, this._policy), now);
 			if (ceiling !== undefined) {
 				ceilings[team] = ceiling;
 				finished[team] = account.finished(now);
-				this._proposed.set(team, ceiling);
+				usageBounds[team] = Math.ceil(account.usage(now) + ceiling - account.issued);
+				lower(this._proposed, team, ceiling);
+				lower(this._proposedUsageBounds, team, usageBounds[team]);
 				this._recordedFinished.set(team, finished[team]);
 			}
 		}
 		this._shortfalls.clear();
-		return { ceilings, finished };
+		return { ceilings, finished, usageBounds };
+	}
+
+	/**
+	 * Records that the last update was committed, and thus that none before it can be any more. Until then lower values of all updates
+	 * apply: one whose proposal failed may be the last one that the next leader finds in the log.
+	 */
+	recordCommitted(): void {
+		this._proposed.clear();
+		this._proposedUsageBounds.clear();
 	}
 
-	/** @returns undefined if neither the ceiling nor the number of finished credits in the log needs an update */
+	/** @returns undefined if the ceiling, the usage bound and the number of finished credits in the log need no update */
 	private _newCeiling(team: string, account: TeamAccount, maxRequests: number, now: Millis): number | undefined {
 		const { issued } = account;
 		const margin = Math.max(MIN_MARGIN, MARGIN_FRACTION * maxRequests);
-		const shortfall = Math.min(this._shortfalls.get(team) ?? 0, Math.max(0, maxRequests - account.usage(now)));
+		const usage = account.usage(now);
+		const shortfall = Math.min(this._shortfalls.get(team) ?? 0, Math.max(0, maxRequests - usage));
 		const left = this._ceiling(team, maxRequests) - issued;
+		const usageLeft = this._usageBound(team) - usage;
 		const unrecorded = account.finished(now) - (this._recordedFinished.get(team) ?? 0);
 		const isDue =
 			shortfall > 0 ||
-			left < UPDATE_THRESHOLD_FRACTION * margin ||
+			Math.min(left, usageLeft) < UPDATE_THRESHOLD_FRACTION * margin ||
 			left > LOWER_THRESHOLD_FACTOR * margin ||
+			(Number.isFinite(usageLeft) && usageLeft > LOWER_THRESHOLD_FACTOR * margin) ||
 			unrecorded > UPDATE_THRESHOLD_FRACTION * margin;
 		return isDue ? Math.ceil(issued + shortfall + margin) : undefined;
 	}
@@ -253,10 +281,12 @@
 		const allowedUsage = maxRequestsPerWindow(limit, this._policy);
 		const maxUsage = Math.max(0, allowedUsage - this._ceilings.previousCredits(team, allowedUsage));
 		const maxIssued = this._ceiling(team, allowedUsage);
+		const usageBound = this._usageBound(team);
 		const account = this._getOrCreateAccount(team);
-		const grant = account.grant(holder, needed, ahead, { maxUsage, allowedUsage, maxIssued }, now);
+		const grant = account.grant(holder, needed, ahead, { maxUsage, allowedUsage, maxIssued, usageBound }, now);
 		const missing = needed + ahead - grant.granted;
-		if (missing > 0 && maxIssued - account.issued < 1 && account.usage(now) + 1 <= maxUsage) {
+		const usage = account.usage(now);
+		if (missing > 0 && Math.min(maxIssued - account.issued, usageBound - usage) < 1 && usage + 1 <= maxUsage) {
 			this._shortfalls.set(team, (this._shortfalls.get(team) ?? 0) + missing);
 		}
 		return grant;
@@ -269,6 +299,13 @@
 		);
 	}
 
+	private _usageBound(team: string): number {
+		return Math.min(
+			this._ceilings.currentUsageBound(team),
+			this._proposedUsageBounds.get(team) ?? Number.POSITIVE_INFINITY
+		);
+	}
+
 	private _getOrCreateAccount(team: string): TeamAccount {
 		let account = this._accounts.get(team);
 		if (!account) {
@@ -278,3 +315,7 @@
 		return account;
 	}
 }
+
+function lower(values: Map<string, number>, team: string, value: number): void {
+	values.set(team, Math.min(value, values.get(team) ?? Number.POSITIVE_INFINITY));
+}
--- a/src/plugins/limits/common/ledgerCeilings.ts
+++ b/src/plugins/limits/common/ledgerCeilings.ts
@@ -5,7 +5,8 @@
 /**
  * The replicated record of the ceilings of ledgers: a new leader's upper bound on what credits of earlier leaders may still add to a
  * window. A ceiling bounds the credits that a ledger issues in its whole term. Each change of a ceiling also records how many of them
- * could no longer be spent by then; once that is a window ago, these no longer count.
+ * could no longer be spent by then; once that is a window ago, these no longer count. It records a bound on the usage as well, which
+ * limits what counts even if nothing is known to be a window ago.
  */
 
 import type { Millis } from '../../../base/clock.js';
@@ -30,6 +31,8 @@
 	readonly ceilings: Ceilings;
 	/** Credits that can no longer be spent, by team, when the command was proposed; absent counts as 0. */
 	readonly finished?: Ceilings;
+	/** Bounds on the usage, by team; absent counts as unbounded. */
+	readonly usageBounds?: Ceilings;
 }
 
 /** Records that credits granted by leaders before the given term no longer count. */
@@ -44,6 +47,8 @@
 /** The ceilings of one ledger. */
 interface LedgerRecord {
 	readonly ceilings: Record<string, number>;
+	/** Bounds on the usage: credits spent in the window before each grant, plus outstanding ones. */
+	readonly usageBounds: Record<string, number>;
 	readonly finished: FinishedCredits;
 	/** When this instance learned that the ledger had ended; its leader granted nothing later. */
 	readonly endedAt: Millis;
@@ -55,6 +60,8 @@
 	readonly before: readonly Ceilings[];
 	readonly finished?: Ceilings;
 	readonly finishedBefore?: readonly Ceilings[];
+	readonly usageBounds?: Ceilings;
+	readonly usageBoundsBefore?: readonly Ceilings[];
 }
 
 /** Applies ledger commands. What it replicates is deterministic; the times at which it learned of it are local. */
@@ -77,12 +84,21 @@
 		return ceilingOf(this._current, team, maxRequests);
 	}
 
+	currentUsageBound(team: string): number {
+		return usageBoundOf(this._current, team);
+	}
+
 	previousCredits(team: string, maxRequests: number): number {
 		const windowStart = this._now() - this._policy.windowMs;
 		const settledBefore = this._now() - settlementMs(this._policy);
 		return this._previous
 			.filter(({ endedAt }) => endedAt > settledBefore)
-			.map(record => ceilingOf(record, team, maxRequests) - record.finished.countBefore(team, windowStart))
+			.map(record =>
+				Math.min(
+					ceilingOf(record, team, maxRequests) - record.finished.countBefore(team, windowStart),
+					usageBoundOf(record, team)
+				)
+			)
 			.reduce((sum, count) => sum + Math.max(0, count), 0);
 	}
 
@@ -102,15 +118,19 @@
 			current: this._current.ceilings,
 			before: this._previous.map(({ ceilings }) => ceilings),
 			finished: this._current.finished.latest(),
-			finishedBefore: this._previous.map(({ finished }) => finished.latest())
+			finishedBefore: this._previous.map(({ finished }) => finished.latest()),
+			usageBounds: this._current.usageBounds,
+			usageBoundsBefore: this._previous.map(({ usageBounds }) => usageBounds)
 		};
 	}
 
 	restore(saved: unknown): void {
-		const { term, current, before, finished, finishedBefore } = saved as SavedCeilings;
+		const { term, current, before, finished, finishedBefore, usageBounds, usageBoundsBefore } = saved as SavedCeilings;
 		this._term = term;
-		this._current = this._createRecord(current, finished);
-		this._previous = before.map((ceilings, i) => this._createRecord(ceilings, finishedBefore?.[i]));
+		this._current = this._createRecord(current, finished, usageBounds);
+		this._previous = before.map((ceilings, i) =>
+			this._createRecord(ceilings, finishedBefore?.[i], usageBoundsBefore?.[i])
+		);
 	}
 
 	/**
@@ -128,15 +148,17 @@
 	private _applyToCurrent(command: SetCeilings | SettleLedger): void {
 		if (command.type === 'ceilings') {
 			Object.assign(this._current.ceilings, command.ceilings);
+			Object.assign(this._current.usageBounds, command.usageBounds);
 			this._current.finished.record(command.finished ?? {}, this._now());
 		} else {
 			this._previous = [];
 		}
 	}
 
-	private _createRecord(ceilings: Ceilings = {}, finished: Ceilings = {}): LedgerRecord {
+	private _createRecord(ceilings: Ceilings = {}, finished: Ceilings = {}, usageBounds: Ceilings = {}): LedgerRecord {
 		const record = {
 			ceilings: { ...ceilings },
+			usageBounds: { ...usageBounds },
 			finished: new FinishedCredits(this._policy.windowMs),
 			endedAt: this._now()
 		};
@@ -148,3 +170,7 @@
 function ceilingOf({ ceilings }: LedgerRecord, team: string, maxRequests: number): number {
 	return ceilings[team] ?? INITIAL_CEILING_FRACTION * maxRequests;
 }
+
+function usageBoundOf({ usageBounds }: LedgerRecord, team: string): number {
+	return usageBounds[team] ?? Number.POSITIVE_INFINITY;
+}
--- a/src/plugins/limits/node/leaderLedger.ts
+++ b/src/plugins/limits/node/leaderLedger.ts
@@ -91,9 +91,12 @@
 	}
 
 	private async _commitCeilings(): Promise<void> {
-		const { ceilings, finished } = this._activeLedger()?.takeNewCeilings(systemClock.now()) ?? {};
-		if (ceilings && Object.keys(ceilings).length > 0) {
-			await this._propose({ type: 'ceilings', term: this._term, ceilings, finished });
+		const ledger = this._activeLedger();
+		const update = ledger?.takeNewCeilings(systemClock.now());
+		if (update && Object.keys(update.ceilings).length > 0) {
+			if (await this._propose({ type: 'ceilings', term: this._term, ...update })) {
+				ledger?.recordCommitted();
+			}
 		}
 	}
 
--- a/src/plugins/limits/test/limitReplay.test.ts
+++ b/src/plugins/limits/test/limitReplay.test.ts
@@ -6,6 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { LimitVerdict } from '../common/teamLimits.js';
 import { LimitReplay } from './limitReplay.js';
 
 /** Time without a leader between two of them. */
@@ -96,3 +97,27 @@
 	assert.ok(result.refused <= 0.06 * result.sent, `${result.refused} of ${result.sent}`);
 	assert.ok(replay.maxUsedFraction() <= 1, `${replay.maxUsedFraction()}`);
 });
+
+test('after a restart of all instances teams get a good part of their usual rate at once, and all of it after a window', async t => {
+	const replay = new LimitReplay();
+	replay.setLeader(0);
+	await replay.run(20000, usual);
+	replay.restartAll();
+	await replay.run(ELECTION_MS, () => 0);
+	replay.setLeader(1);
+	const servedFractions: number[] = [];
+	for (let second = 0; second < 8; second++) {
+		const startedAt = replay.now;
+		await replay.run(1000, usual);
+		const sent = replay.requests.filter(({ at }) => at > startedAt);
+		const served = sent.filter(({ verdict }) => verdict === undefined || verdict === LimitVerdict.Admitted);
+		servedFractions.push(Math.round((1000 * served.length) / sent.length) / 1000);
+	}
+	replay.dispose();
+	t.diagnostic(servedFractions.join(', '));
+	assert.ok(servedFractions[0]! >= 0.8, `${servedFractions[0]} in the first second`);
+	const inWindow = servedFractions.slice(0, 5).reduce((sum, fraction) => sum + fraction, 0) / 5;
+	assert.ok(inWindow >= 0.4, `${inWindow} in the first window`);
+	assert.ok(Math.min(...servedFractions.slice(6)) >= 0.99, 'all after about a window');
+	assert.ok(replay.maxUsedFraction() <= 1, `${replay.maxUsedFraction()}`);
+});
--- a/src/plugins/limits/test/limitReplay.ts
+++ b/src/plugins/limits/test/limitReplay.ts
@@ -58,6 +58,8 @@
 	/** Fraction of the callers of the first region that go to the second one. */
 	shifted = 0;
 	private readonly _controls: Control[] = [];
+	private readonly _log: unknown[] = [];
+	private _starts = 0;
 	private readonly _queues = new Map<string, TeamAdmissionQueue>();
 	private _now = 1000000;
 	private _leader: number | undefined;
@@ -102,6 +104,22 @@
 		}
 	}
 
+	/** Restarts all control and entry instances: what is left is the log, whose commands they learn again, now. */
+	restartAll(): void {
+		this._leader = undefined;
+		this._term++;
+		this._controls.forEach(({ ledger, holder }) => {
+			ledger.dispose();
+			holder.dispose();
+		});
+		this._queues.clear();
+		this._controls.forEach((_, i) => {
+			const control = this._createControl(i);
+			this._controls[i] = control;
+			this._log.forEach((body, at) => control.part.forEach(part => part.apply(body, at + 1)));
+		});
+	}
+
 	/** Lets time pass with requests of all teams at `factorOf(team)` times their usual rate. */
 	async run(spanMs: Millis, factorOf: (team: number) => number): Promise<void> {
 		for (let i = 0; i < spanMs; i++) {
@@ -207,7 +225,7 @@
 			part: parts,
 			leadership,
 			ledger: new LeaderLedger(agreement, POLICY, limitOf, LOG),
-			holder: new CreditHolder(`c${index}`, request => this._renew(index, request), limitOf, LOG, {
+			holder: new CreditHolder(`c${index} ${++this._starts}`, request => this._renew(index, request), limitOf, LOG, {
 				detectSuspension: () => false
 			})
 		};
@@ -220,6 +238,7 @@
 			throw new Error('not the leader');
 		}
 		this.commits++;
+		this._log.push(body);
 		this._controls.forEach(({ part }) => part.forEach(each => each.apply(body, this.commits)));
 	}
 
--- a/src/plugins/limits/test/limitSimulation.ts
+++ b/src/plugins/limits/test/limitSimulation.ts
@@ -5,7 +5,7 @@
 /** Simulation of credit holders, the leader's ledger and the network between them, with load patterns for tests. */
 
 import { CreditLedger } from '../common/creditLedger.js';
-import { LedgerCeilings } from '../common/ledgerCeilings.js';
+import { LedgerCeilings, type LedgerCommand } from '../common/ledgerCeilings.js';
 import { type ILimitPolicy, settlementMs } from '../common/limitPolicy.js';
 import type { CreditGrant, RenewRequest } from '../common/limitWire.js';
 import { TeamCredits } from '../common/teamCredits.js';
@@ -38,6 +38,9 @@
 	refusedCount = 0;
 	/** Number of requests that found no credit at their holder, so that it called the leader. */
 	urgentRenewalCount = 0;
+	private readonly _commands: LedgerCommand[] = [];
+	/** Updates whose proposal failed; they may still be committed before the next leader begins. */
+	private _undecided: LedgerCommand[] = [];
 	private _ceilings = this._createCeilings();
 	private _term = 0;
 	private _termStartedAt = 0;
@@ -136,22 +139,35 @@
 
 	/** Starts a new leader; the previous one has committed `settle` if it was in office for long enough. */
 	changeLeader(): void {
-		if (this._term > 0 && this.now - this._termStartedAt >= settlementMs(POLICY)) {
-			this._ceilings.apply({ type: 'settle', term: this._term });
-		}
-		this._ceilings.apply({ type: 'begin', term: ++this._term });
+		this._settleIfDue();
+		this._commit({ type: 'begin', term: ++this._term });
 		this._termStartedAt = this.now;
 		this._ledger = new CreditLedger(POLICY, this._ceilings, () => this.limit);
 	}
 
-	/** Proposes new ceilings, whose commit may fail. */
-	updateCeilings(isCommitted = true): void {
+	/** Proposes new ceilings. One whose proposal failed is lost, or committed before what is committed next. */
+	updateCeilings(outcome: 'committed' | 'lost' | 'undecided' = 'committed'): void {
 		const update = this._ledger.takeNewCeilings(this.now);
-		if (isCommitted) {
-			this._ceilings.apply({ type: 'ceilings', term: this._term, ...update });
+		const command: LedgerCommand = { type: 'ceilings', term: this._term, ...update };
+		if (outcome === 'committed') {
+			this._commit(command);
+			this._ledger.recordCommitted();
+		} else if (outcome === 'undecided') {
+			this._undecided.push(command);
 		}
 	}
 
+	/** Restarts all instances: nothing is left but the log, whose commands are learned again, now. */
+	restartEverything(downMs: number): void {
+		this._settleIfDue();
+		this.now += downMs;
+		this._holders.forEach((_, i) => this.restart(i));
+		this._ceilings = this._createCeilings();
+		this._commands.forEach(command => this._ceilings.apply(command));
+		this._termStartedAt = this.now;
+		this.changeLeader();
+	}
+
 	/** Restarts the next leader, which then knows the replicated state, but not since when. */
 	restoreState(): void {
 		const saved = this._ceilings.save();
@@ -187,6 +203,20 @@
 		return (perWindow + this.limit.burst) * (1 + POLICY.excessFraction) + POLICY.slackRequests;
 	}
 
+	private _settleIfDue(): void {
+		if (this._term > 0 && this.now - this._termStartedAt >= settlementMs(POLICY)) {
+			this._commit({ type: 'settle', term: this._term });
+		}
+	}
+
+	private _commit(command: LedgerCommand): void {
+		for (const each of [...this._undecided, command]) {
+			this._commands.push(each);
+			this._ceilings.apply(each);
+		}
+		this._undecided = [];
+	}
+
 	private _createCeilings(): LedgerCeilings {
 		return new LedgerCeilings(POLICY, () => this.now);
 	}
--- a/src/plugins/limits/test/limitSimulationSteps.ts
+++ b/src/plugins/limits/test/limitSimulationSteps.ts
@@ -37,7 +37,13 @@
 		})
 	},
 	{ weight: 2, arbitrary: fc.record({ type: fc.constant('giveBack' as const), index: holderIndex }) },
-	{ weight: 2, arbitrary: fc.record({ type: fc.constant('writeCeilings' as const), isCommitted: fc.boolean() }) },
+	{
+		weight: 2,
+		arbitrary: fc.record({
+			type: fc.constant('writeCeilings' as const),
+			outcome: fc.constantFrom('committed', 'lost', 'undecided')
+		})
+	},
 	{ weight: 1, arbitrary: fc.record({ type: fc.constant('restart' as const), index: holderIndex }) },
 	{ weight: 2, arbitrary: fc.record({ type: fc.constant('renewAll' as const) }) }
 );
@@ -48,6 +54,10 @@
 	{ weight: 2, arbitrary: fc.record({ type: fc.constant('changeLeader' as const) }) },
 	{ weight: 1, arbitrary: fc.record({ type: fc.constant('restartAll' as const) }) },
 	{ weight: 1, arbitrary: fc.record({ type: fc.constant('restoreState' as const) }) },
+	{
+		weight: 1,
+		arbitrary: fc.record({ type: fc.constant('restartEverything' as const), ms: fc.integer({ min: 0, max: 3000 }) })
+	},
 	{
 		weight: 1,
 		arbitrary: fc.record({ type: fc.constant('waitLong' as const), ms: fc.integer({ min: 5000, max: 12000 }) })
@@ -74,6 +84,9 @@
 				simulation.now += 500;
 				simulation.changeLeader();
 				break;
+			case 'restartEverything':
+				simulation.restartEverything(item.ms);
+				break;
 			case 'waitLong':
 			case 'wait':
 				simulation.now += item.ms;
@@ -91,7 +104,7 @@
 				simulation.giveBack(item.index);
 				break;
 			case 'writeCeilings':
-				simulation.updateCeilings(item.isCommitted);
+				simulation.updateCeilings(item.outcome);
 				break;
 			case 'restart':
 				simulation.restart(item.index);
--- a/src/plugins/limits/test/limits.test.ts
+++ b/src/plugins/limits/test/limits.test.ts
@@ -68,6 +68,27 @@
 	);
 });
 
+test('no window exceeds the limit when all instances restart at once under load, whatever the log still gets', () => {
+	const steps = fc.array(singleLeaderStep, { minLength: 20, maxLength: 100 });
+	const phases = fc.array(fc.record({ steps, overloadMs: fc.integer({ min: 0, max: 4000 }), downMs: fc.nat(2000) }), {
+		minLength: 2,
+		maxLength: 5
+	});
+	fc.assert(
+		fc.property(limits, phases, (limit, items) => {
+			const simulation = new LimitSimulation(limit);
+			for (const phase of items) {
+				overload(simulation, phase.overloadMs, []);
+				runSteps(simulation, phase.steps);
+				simulation.restartEverything(phase.downMs);
+			}
+			overload(simulation, 2000, []);
+			assertWithinLimit(simulation);
+		}),
+		{ numRuns: 200 }
+	);
+});
+
 test('credits that disconnected holders may still spend are not granted to others', () => {
 	const simulation = new LimitSimulation({ perSecond: 60, burst: 0 });
 	overload(simulation, 10000, []);
@@ -122,15 +143,125 @@
 	assert.equal(ceilings.previousCredits('t', 200), 150);
 });
 
-test('a lower ceiling applies before it is committed', () => {
+test('a saved state or a command without bounds on the usage counts up to the ceiling', () => {
+	const ceilings = new LedgerCeilings(POLICY, () => 1000);
+	ceilings.restore({ term: 2, current: { t: 50 }, before: [{ t: 100 }], finished: { t: 5 }, finishedBefore: [{}] });
+	assert.equal(ceilings.currentUsageBound('t'), Number.POSITIVE_INFINITY);
+	assert.equal(ceilings.previousCredits('t', 200), 100);
+	ceilings.apply({ type: 'begin', term: 3 });
+	ceilings.apply({ type: 'ceilings', term: 3, ceilings: { t: 40 }, finished: { t: 10 } });
+	ceilings.apply({ type: 'begin', term: 4 });
+	assert.equal(ceilings.previousCredits('t', 200), 190);
+});
+
+test('after a restart earlier leaders count up to their bounds on the usage, from the log or from a saved state', () => {
+	const ceilings = new LedgerCeilings(POLICY, () => 1000);
+	ceilings.apply({ type: 'begin', term: 1 });
+	ceilings.apply({ type: 'ceilings', term: 1, ceilings: { t: 900 }, finished: { t: 800 }, usageBounds: { t: 150 } });
+	ceilings.apply({ type: 'begin', term: 2 });
+	assert.equal(ceilings.previousCredits('t', 200), 150);
+	ceilings.apply({ type: 'ceilings', term: 2, ceilings: { t: 500 }, finished: { t: 400 }, usageBounds: { t: 30 } });
+	const restored = new LedgerCeilings(POLICY, () => 1000);
+	restored.restore(JSON.parse(JSON.stringify(ceilings.save())));
+	assert.equal(restored.currentUsageBound('t'), 30);
+	restored.apply({ type: 'begin', term: 3 });
+	assert.equal(restored.previousCredits('t', 200), 180);
+});
+
+const INHERITED = 30;
+
+/** A ledger with one holder, which has `INHERITED` credits of an earlier leader and spends none but these. */
+function createLedger(): {
+	ceilings: LedgerCeilings;
+	ledger: CreditLedger;
+	renew: (sequence: number, needed: number, now?: number, spent?: number) => number;
+} {
 	const limit = { perSecond: 60, burst: 0 };
 	const ceilings = new LedgerCeilings(POLICY, () => 1000);
 	ceilings.apply({ type: 'begin', term: 1 });
 	const ledger = new CreditLedger(POLICY, ceilings, () => limit);
-	const renew = (sequence: number, needed: number): number => {
-		const report = { team: 't', received: 0, spent: 0, returned: 0, givenBack: 0, needed, ahead: 0 };
-		return ledger.renew({ holder: 'h', sequence, reports: [report] }, 1000)[0]!.granted;
+	const renew = (sequence: number, needed: number, now = 1000, spent = 0): number => {
+		const report = { team: 't', received: INHERITED, spent, returned: 0, givenBack: 0, needed, ahead: 0 };
+		return ledger.renew({ holder: 'h', sequence, reports: [report] }, now)[0]!.granted;
 	};
+	return { ceilings, ledger, renew };
+}
+
+test('a grant takes the usage no higher than its committed bound', () => {
+	const { ceilings, renew } = createLedger();
+	ceilings.apply({ type: 'ceilings', term: 1, ceilings: { t: 300 }, usageBounds: { t: 25 } });
+	assert.equal(renew(1, 20) + renew(2, 20), 25);
+});
+
+test('a higher bound on the usage applies once it is committed, and requests that lack only that wait for it', () => {
+	const { ceilings, ledger, renew } = createLedger();
+	ceilings.apply({ type: 'ceilings', term: 1, ceilings: { t: 300 }, usageBounds: { t: 25 } });
+	assert.equal(renew(1, 40), 25);
+	const request = {
+		holder: 'h',
+		sequence: 2,
+		reports: [{ team: 't', received: INHERITED + 25, spent: 0, returned: 0, givenBack: 0, needed: 10, ahead: 0 }]
+	};
+	const grants = ledger.renew(request, 1000);
+	assert.equal(grants[0]!.granted, 0);
+	assert.ok(ledger.needsCeiling(request, grants));
+	const update = ledger.takeNewCeilings(1000);
+	assert.equal(ledger.grantRemaining(request, grants, 1000)[0]!.granted, 0);
+	ceilings.apply({ type: 'ceilings', term: 1, ...update });
+	ledger.recordCommitted();
+	assert.equal(ledger.grantRemaining(request, grants, 1000)[0]!.granted, 10);
+});
+
+test('a lower bound on the usage whose proposal failed applies until a later update is committed', () => {
+	const { ceilings, ledger, renew } = createLedger();
+	ceilings.apply({ type: 'ceilings', term: 1, ceilings: { t: 300 }, usageBounds: { t: 250 } });
+	renew(1, 1);
+	const undecided = ledger.takeNewCeilings(1000);
+	const lowerBound = undecided.usageBounds['t']!;
+	assert.ok(lowerBound < 250);
+	const spent = 10;
+	const usage = 1 + spent + renew(2, 200, 1000, spent);
+	assert.equal(usage, lowerBound);
+	const next = ledger.takeNewCeilings(1000);
+	assert.ok(next.usageBounds['t']! > lowerBound);
+	assert.equal(renew(3, 200, 1000, spent), 0);
+	ceilings.apply({ type: 'ceilings', term: 1, ...undecided });
+	ceilings.apply({ type: 'ceilings', term: 1, ...next });
+	ledger.recordCommitted();
+	assert.ok(renew(4, 200, 1000, spent) > 0);
+});
+
+test('a lower ceiling whose proposal failed applies until a later update is committed', () => {
+	const { ceilings, ledger, renew } = createLedger();
+	ceilings.apply({ type: 'ceilings', term: 1, ceilings: { t: 300 }, usageBounds: { t: 250 } });
+	const before = renew(1, 20);
+	const lowerCeiling = ledger.takeNewCeilings(1000).ceilings['t']!;
+	assert.ok(lowerCeiling < 300);
+	const later = 1000 + 3 * POLICY.windowMs;
+	const issued = before + renew(2, 200, later);
+	assert.equal(issued, lowerCeiling);
+	const next = ledger.takeNewCeilings(later);
+	assert.ok(next.ceilings['t']! > lowerCeiling);
+	assert.equal(renew(3, 200, later), 0);
+	ceilings.apply({ type: 'ceilings', term: 1, ...next });
+	ledger.recordCommitted();
+	assert.ok(renew(4, 200, later) > 0);
+});
+
+test('the bound on the usage of a team that became idle is lowered', () => {
+	const { ceilings, ledger, renew } = createLedger();
+	renew(1, 35);
+	ceilings.apply({ type: 'ceilings', term: 1, ...ledger.takeNewCeilings(1000) });
+	ledger.recordCommitted();
+	const expiredAt = 1000 + CREDIT_LIFETIME_MS + POLICY.windowMs / 2;
+	ceilings.apply({ type: 'ceilings', term: 1, ...ledger.takeNewCeilings(expiredAt) });
+	ledger.recordCommitted();
+	const { usageBounds } = ledger.takeNewCeilings(expiredAt + 2 * POLICY.windowMs);
+	assert.ok(usageBounds['t']! < 35, `${usageBounds['t']}`);
+});
+
+test('a lower ceiling applies before it is committed', () => {
+	const { ceilings, ledger, renew } = createLedger();
 	const issued = renew(1, 200);
 	assert.ok(issued < 50, `${issued} before the first commit`);
 	ceilings.apply({ type: 'ceilings', term: 1, ...ledger.takeNewCeilings(1000) });
--- a/test/platform/teamLimits.test.ts
+++ b/test/platform/teamLimits.test.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Teams within their limits are served by a system of real processes from the first request on, also after the loss of the leader. */
+/** Teams within their limits are served by a system of real processes from the first request on, also after the loss of the leader or of all instances. */
 
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
@@ -26,6 +26,8 @@
 }));
 /** Limits of teams as multiples of the rate at which they send. */
 const LIMIT_PER_RATE = 1.6;
+/** Rate of a single team as a fraction of its limit. */
+const ONE_TEAM_FRACTION = 0.6;
 const STEP_MS = 20;
 const system = new PlatformTestSystem(3, 2);
 const target = new TestTarget({
@@ -50,6 +52,25 @@
 	return { status, tookMs: performance.now() - startedAt };
 }
 
+/** Sends requests of one team below its limit at both instances in turn, 0 counts as the status of those without a response. */
+async function sendOne(team: ConfigTeam, spanMs: number): Promise<number[]> {
+	const statuses: Promise<number>[] = [];
+	const startedAt = performance.now();
+	for (let elapsedMs = 0; elapsedMs < spanMs; elapsedMs = performance.now() - startedAt) {
+		while (statuses.length < (ONE_TEAM_FRACTION * team.perSecond! * elapsedMs) / 1000) {
+			const instance = system.entries[statuses.length % system.entries.length]!;
+			statuses.push(
+				send(team, instance).then(
+					({ status }) => status,
+					() => 0
+				)
+			);
+		}
+		await new Promise(resolve => setTimeout(resolve, STEP_MS));
+	}
+	return Promise.all(statuses);
+}
+
 /** Sends requests of all limited teams at both instances in turn. */
 async function sendAll(spanMs: number): Promise<Outcome[]> {
 	const due = LIMITED.map(({ perSecond }) => ({ perSecond: perSecond! / LIMIT_PER_RATE, count: 0 }));
@@ -76,6 +97,19 @@
 	return outcomes.filter(({ status }) => status !== 200).length;
 }
 
+/** Waits until a ledger has started and requests of a team without a limit are served. */
+async function waitUntilServed(): Promise<void> {
+	await system.sendHeartbeat(target, 'reads');
+	await waitFor('a credit ledger has started', () =>
+		Promise.resolve(system.controls.some(({ output }) => output.includes('credit ledger started')) || undefined)
+	);
+	for (const instance of system.entries) {
+		await waitFor('the route is served', async () =>
+			(await send(FREE, instance).catch(() => undefined))?.status === 200 ? true : undefined
+		);
+	}
+}
+
 before(async () => {
 	await target.listen();
 	system.startAll();
@@ -105,3 +139,32 @@
 	t.diagnostic(summary(await outcomes));
 	assert.ok(refusedCount(await outcomes) <= 0.001 * (await outcomes).length, summary(await outcomes));
 });
+
+test('a team within its limit is served at once after all control and entry instances were killed and started again', async t => {
+	const all = [...system.controls, ...system.entries];
+	const team = LIMITED.at(-1)!;
+	await Promise.all(all.map(instance => system.stop(instance, 'SIGKILL')));
+	all.forEach(instance => system.start(instance, false));
+	await waitUntilServed();
+	await sendOne(team, 12000);
+	const loadUntilKilled = sendOne(team, 2000);
+	await new Promise(resolve => setTimeout(resolve, 1500));
+	await Promise.all(all.map(instance => system.stop(instance, 'SIGKILL')));
+	await loadUntilKilled;
+	all.forEach(instance => {
+		instance.output = '';
+		system.start(instance, false);
+	});
+	const restartedAt = performance.now();
+	await waitUntilServed();
+	const recoveryMs = Math.round(performance.now() - restartedAt);
+	const perSecond: number[] = [];
+	for (let second = 0; second < 7; second++) {
+		const statuses = await sendOne(team, 1000);
+		perSecond.push(statuses.filter(status => status === 200).length / statuses.length);
+	}
+	const served = perSecond.map(fraction => fraction.toFixed(2)).join(', ');
+	t.diagnostic(`recovered after ${recoveryMs} ms, then served by second: ${served}`);
+	assert.ok(perSecond[0]! >= 0.8, served);
+	assert.ok(perSecond.at(-1)! >= 0.99, served);
+});
