Test systems of processes at the same time have addresses of their own

Three files failed once each in runs beside other test runs (platform/quarantine, platform/largeBodies: 'a configuration is accepted: timed out after 20000 ms'), and passed alone. Two runs whose process ids agreed modulo 200 had the same addresses, so that one's targets or instances could not listen; that this is the cause is likely, not shown. Now ids have to agree modulo 12,000.

--- a/test/platform/platformTestSystem.ts
+++ b/test/platform/platformTestSystem.ts
@@ -94,6 +94,15 @@
 	}
 }
 
+/**
+ * The first three octets of the addresses of a test system. Test runs at the same time must not share addresses: processes whose ids
+ * differ by less than 12,000 get different ones.
+ * @param system number of the system in its process, 1 to 5
+ */
+export function subnetOf(processId: number, system: number): string {
+	return `127.${10 + (processId % 240)}.${(Math.floor(processId / 240) % 50) * 5 + system}`;
+}
+
 /** The processes of one test system; their settings and data are in a temporary folder. */
 export class PlatformTestSystem {
 	readonly controls: Instance[] = [];
@@ -113,7 +122,7 @@
 		private readonly _entrySettings: readonly string[] = []
 	) {
 		systemCount++;
-		this._subnet = `127.${10 + (process.pid % 200)}.${systemCount}`;
+		this._subnet = subnetOf(process.pid, systemCount);
 		for (let i = 1; i <= controls; i++) {
 			this.controls.push({ kind: 'control', ip: `${this._subnet}.${i}`, hall: `hall-${i}`, output: '' });
 		}
