--- a/test/bench/choice.ts
+++ b/test/bench/choice.ts
@@ -4,7 +4,7 @@
 
 /**
  * `npm run bench:choice`: measures target selection in microseconds per selection, as the median of several rounds on one
- * core, for three fleet sizes, without limits and with a limit on each target.
+ * core, for four fleet sizes: without limits, with a limit on each target, and with targets that report how long work takes.
  */
 
 import type { Millis } from '../../src/base/clock.js';
@@ -17,7 +17,7 @@
 import { TargetLimitTable } from '../../src/plugins/limits/common/targetLimitTable.js';
 import { RepeatRule, type Route } from '../../src/plugins/routes/common/routeTable.js';
 
-const TARGET_COUNTS: readonly number[] = [36, 163, 552];
+const TARGET_COUNTS: readonly number[] = [36, 163, 300, 552];
 const REGIONS: readonly string[] = ['north', 'central', 'south'];
 const CHOICES_PER_ROUND = 4000;
 const ROUND_COUNT = 9;
@@ -101,25 +101,42 @@
 	} as unknown as RequestContext;
 }
 
-/** Returns the mean time of one selection, in microseconds. */
-function measureRound(selector: TargetSelector, now: Millis): number {
+/**
+ * Returns the mean time of one selection, in microseconds.
+ * @param workTimeFactor reported by each selected target; undefined for none
+ */
+function measureRound(selector: TargetSelector, now: Millis, workTimeFactor: number | undefined): number {
 	const startedAt = performance.now();
 	for (let i = 0; i < CHOICES_PER_ROUND; i++) {
-		selector.choose(createRequestContext(i), now + i / 100);
+		const chosen = selector.choose(createRequestContext(i), now + i / 100);
+		if (workTimeFactor !== undefined) {
+			chosen?.state.applyLoadReport({ running: 1, waiting: 0, slots: 9, workTimeFactor }, now + i / 100);
+			chosen?.state.recordResponse(100, 100, now + i / 100);
+		}
 	}
 	return ((performance.now() - startedAt) * 1000) / CHOICES_PER_ROUND;
 }
 
+interface Variant {
+	readonly name: string;
+	readonly limitPerSecond?: number;
+	readonly workTimeFactor?: number;
+}
+
+const VARIANTS: readonly Variant[] = [
+	{ name: 'no limits' },
+	{ name: 'a limit on each target', limitPerSecond: 1000 },
+	{ name: 'work times reported', workTimeFactor: 1 }
+];
+
 for (const targetCount of TARGET_COUNTS) {
-	for (const limitPerSecond of [undefined, 1000]) {
+	for (const { name, limitPerSecond, workTimeFactor } of VARIANTS) {
 		const selector = createSelector(targetCount, limitPerSecond);
-		const rounds = Array.from({ length: ROUND_COUNT }, (_, i) => measureRound(selector, 1000 + i * 50)).sort(
-			(a, b) => a - b
-		);
+		const rounds = Array.from({ length: ROUND_COUNT }, (_, i) => measureRound(selector, 1000 + i * 50, workTimeFactor));
+		rounds.sort((a, b) => a - b);
 		const [min, median, max] = [rounds[0]!, rounds[ROUND_COUNT >> 1]!, rounds[ROUND_COUNT - 1]!].map(us =>
 			us.toFixed(1)
 		);
-		const limitText = limitPerSecond === undefined ? 'no limits' : 'a limit on each target';
-		process.stdout.write(`${targetCount} targets, ${limitText}: ${median} µs a choice (${min} to ${max})\n`);
+		process.stdout.write(`${targetCount} targets, ${name}: ${median} µs a choice (${min} to ${max})\n`);
 	}
 }
