--- a/src/plugins/fleet/common/requestedWork.ts
+++ b/src/plugins/fleet/common/requestedWork.ts
@@ -22,7 +22,7 @@
 	readonly keptPart: number;
 }
 
-/** Time constant of the exponential average of requested work. */
+/** Time constant of the exponential average of requested work: long enough to count the requests of an object, short against a surge. */
 const AVERAGING_TIME_MS = 4000;
 /** Minimum observation time assumed when averaging the work of a new target. */
 const MIN_AVERAGING_TIME_MS = 1000;
--- a/src/plugins/fleet/node/entryListFile.ts
+++ b/src/plugins/fleet/node/entryListFile.ts
@@ -16,6 +16,7 @@
 import type { EntryDescription } from '../common/fleetTypes.js';
 
 const FILE_NAME = 'entries.json';
+/** Minimum time between writes: the list changes with each start and stop of an entry instance. */
 const MIN_WRITE_INTERVAL_MS = 1000;
 
 const entryListSchema = z.array(
--- a/src/plugins/placement/common/spillAllowance.ts
+++ b/src/plugins/placement/common/spillAllowance.ts
@@ -7,7 +7,10 @@
  * fraction of this instance's requests may do so.
  */
 
-/** Fraction of the shift bound that spilled requests may use, in addition to what `SharePacer` uses. */
+/**
+ * Fraction of the shift bound that spilled requests may use, in addition to what `SharePacer` uses. Where spilled requests begin and
+ * cease all at once, the whole of it moves from one window to the next.
+ */
 const SHIFT_BUDGET_FRACTION = 0.2;
 const MAX_TOKENS = 1;
 
--- a/src/plugins/placement/common/targetChoice.ts
+++ b/src/plugins/placement/common/targetChoice.ts
@@ -5,7 +5,7 @@
 /**
  * Chooses the target of a request by rendezvous hashing with bounded loads: in each region, an object goes to the first target
  * of its rank order that is below its utilization limit. Only the first few targets are considered, since targets answer
- * requests for recently used objects several times faster.
+ * requests for recently used objects several times faster, and an object that is spread over all targets is cached by none.
  */
 
 import type { Millis } from '../../../base/clock.js';
--- a/src/plugins/placement/common/targets/targetRefusal.ts
+++ b/src/plugins/placement/common/targets/targetRefusal.ts
@@ -12,7 +12,10 @@
 import { NotRunCause } from '../../../forwarding/common/attempt.js';
 import type { LoadReport } from './targetReport.js';
 
-/** Maximum number of attempts of one request at the same target. Further retries are better spent at other targets. */
+/**
+ * Maximum number of attempts of one request at the same target. The second one shows whether the target refused the first by chance;
+ * further retries are better spent at other targets.
+ */
 const MAX_ATTEMPTS_PER_TARGET = 2;
 
 /**
