--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -8,8 +8,10 @@
 import type { Socket } from 'node:net';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import type { ICallerRequest } from '../common/callerConnections.js';
+import { HeaderDeadline } from '../common/headerDeadline.js';
 import { HeldBytes, type IHeldMemory, type IMemoryAccount, MemoryPressure } from '../common/memoryAccount.js';
 import { RequestPipeline } from '../common/requestPipeline.js';
+import { CallerRequest, type IRequestConnection } from './callerRequest.js';
 import { CallerSocket, type IReadControl } from './callerSocket.js';
 
 /** Status lines of responses to bytes that are no valid request. */
@@ -18,8 +20,6 @@
 const HEADERS_TOO_LATE = '408 Request Timeout';
 const HEADER_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
 
-/** How long a new connection may stay without a byte of a request. */
-const FIRST_REQUEST_TIMEOUT_MS: Millis = 60000;
 /** Held for each request that runs, beside its response: the objects of the request and of its connection to a target. */
 const REQUEST_BYTES = 8 * 1024;
 /** Response size that is assumed before the first one. */
@@ -52,57 +52,8 @@
 	HeaderTimeout = 'header-timeout'
 }
 
-class CallerRequest implements ICallerRequest {
-	private _closeHandler: ((isComplete: boolean) => void) | undefined;
-	/** Undefined until the exchange has ended. */
-	private _isComplete: boolean | undefined;
-	/** Bytes reserved for a response that has to wait behind others. */
-	reservation: IHeldMemory | undefined;
-
-	constructor(
-		private readonly _connection: CallerConnection,
-		readonly request: IncomingMessage,
-		readonly response: ServerResponse,
-		readonly arrivedAt: Millis
-	) {}
-
-	get hasRoom(): boolean {
-		return this.reservation !== undefined || this._connection.hasRoom;
-	}
-
-	get closesConnection(): boolean {
-		return this._connection.closesWith(this);
-	}
-
-	tryCloseConnection(): boolean {
-		return this._connection.pipeline.tryEndWith(this);
-	}
-
-	abort(withReset: boolean): void {
-		this._connection.abort(this, withReset);
-	}
-
-	setCloseHandler(callback: (isComplete: boolean) => void): void {
-		this._closeHandler = callback;
-		if (this._isComplete !== undefined) {
-			callback(this._isComplete);
-		}
-	}
-
-	/** Ends the exchange; returns false where it has ended before. */
-	close(isComplete: boolean): boolean {
-		if (this._isComplete !== undefined) {
-			return false;
-		}
-		this._isComplete = isComplete;
-		this.reservation?.release();
-		this._closeHandler?.(isComplete);
-		return true;
-	}
-}
-
 /** A connection and its requests. */
-export class CallerConnection implements IReadControl {
+export class CallerConnection implements IReadControl, IRequestConnection {
 	readonly socket: CallerSocket;
 	/** Its requests that were not answered yet. */
 	readonly pipeline = new RequestPipeline<CallerRequest>();
@@ -119,10 +70,7 @@
 	private readonly _heldRequests: IHeldMemory;
 	private _responseBytes = INITIAL_RESPONSE_BYTES;
 	private _sentBytes = 0;
-	/** Since when the headers of a request are awaited; undefined between two requests. */
-	private _headersSince: Millis | undefined = systemClock.now();
-	private _isHeaderLate = false;
-	private _hasFirstByte = false;
+	private readonly _headerDeadline = new HeaderDeadline(systemClock.now());
 
 	/**
 	 * @param number distinguishes it from other connections
@@ -175,11 +123,7 @@
 	}
 
 	onFeed(): void {
-		this._hasFirstByte = true;
-		if (!this.isInBody()) {
-			this._headersSince ??= systemClock.now();
-			this._isHeaderLate = false;
-		}
+		this._headerDeadline.recordBytes(this.isInBody(), systemClock.now());
 	}
 
 	isInBody(): boolean {
@@ -191,8 +135,7 @@
 	add(request: IncomingMessage, response: ServerResponse): void {
 		const item = new CallerRequest(this, request, response, this.socket.fedArrivedAt);
 		this._latest = item;
-		this._headersSince = undefined;
-		this._isHeaderLate = false;
+		this._headerDeadline.clear();
 		if (this._open.size > 0) {
 			this.socket.lingers = true;
 		}
@@ -222,6 +165,10 @@
 		return this._errorStatus === undefined && this.pipeline.closesWith(item);
 	}
 
+	tryEndWith(item: CallerRequest): boolean {
+		return this.pipeline.tryEndWith(item);
+	}
+
 	/** Ends the taking up; a connection without requests that were taken up serves one more. */
 	endTakingUp(): void {
 		this._endsAfterFirst = true;
@@ -252,23 +199,11 @@
 		this._heldResponses.resize(
 			this._waitingBytes((total, { reservation, response }) => total + (reservation ? 0 : response.writableLength))
 		);
-		if (this._headersSince === undefined) {
-			return;
-		}
-		if (!this.mayFeed() || this.socket.heldBytes + this.socket.readableLength > 0) {
-			// The parser has not got all that the caller sent.
-			this._headersSince = now;
-			return;
-		}
-		const timeoutMs = this._hasFirstByte ? this._host.headerTimeoutMs() : FIRST_REQUEST_TIMEOUT_MS;
-		if (now - this._headersSince < timeoutMs) {
-			return;
-		}
-		// After a pause of this process, the bytes may be there and not be read yet.
-		if (this._isHeaderLate) {
+		// Otherwise the parser has not got all that the caller sent.
+		const isCallerAwaited = this.mayFeed() && this.socket.heldBytes + this.socket.readableLength === 0;
+		if (this._headerDeadline.check(isCallerAwaited, this._host.headerTimeoutMs(), now)) {
 			this._onHeaderTimeout();
 		}
-		this._isHeaderLate = true;
 	}
 
 	/** Closes the connection to release the memory that is held for it. */
@@ -333,11 +268,11 @@
 
 	private _onHeaderTimeout(): void {
 		this._host.onEarlyClose(EarlyCloseCause.HeaderTimeout);
-		if (this._hasFirstByte) {
+		if (this._headerDeadline.hasFirstByte) {
 			this._errorStatus ??= HEADERS_TOO_LATE;
 		}
 		this.socket.lingers = true;
-		this._headersSince = undefined;
+		this._headerDeadline.clear();
 		this.pipeline.seal();
 		this._closeIfDone();
 	}
