--- a/src/plugins/placement/common/answerTimes.ts
+++ b/src/plugins/placement/common/answerTimes.ts
@@ -4,16 +4,16 @@
 
 /**
  * Estimates when targets would answer a request, and selects among an object's first targets by that. Answers the load of targets
- * that differ in speed and objectives that are shorter than a first touch: an object stays at its first target, where it is at
- * hand, unless that would answer after the objective and another one costs all requests less.
+ * that differ in speed and objectives that are shorter than a cache miss: an object stays at its first target, where it is
+ * cached, unless that would answer after the objective and another one costs all requests less.
  */
 
 import type { Millis } from '../../../base/clock.js';
 import type { Candidate } from './targetChoice.js';
 import type { WorkTimes } from './workProfile.js';
 
-/** Assumed ratio of the work times without and with the object at hand, until both are known. */
-export const FIRST_TOUCH_RATIO = 3.3;
+/** Assumed ratio of the work times without and with the object cached, until both are known. */
+export const MISS_RATIO = 3.3;
 /** Time to another region and back. */
 const REMOTE_ROUND_TRIP_MS: Millis = 70;
 /** A target is left to the requests that tell its speed if it has been slower than the service's others by this factor for long. */
@@ -31,8 +31,8 @@
 	readonly timeMs: Millis;
 	/** Expected duration of work at the target, relative to its usual duration. */
 	readonly workTimeFactor: number;
-	readonly isAtHand: boolean;
-	/** Time for which slots of the target are taken beyond the work of a request whose object is at hand. */
+	readonly isCached: boolean;
+	/** Time for which slots of the target are taken beyond the work of a cache hit. */
 	readonly extraWorkMs: Millis;
 }
 
@@ -44,7 +44,7 @@
 /** What the estimates for one request depend on. */
 export interface AnswerTimesContext {
 	/** Work times of the route at a target of usual speed. */
-	readonly work: Pick<WorkTimes, 'atHandMs' | 'firstTouchMs'>;
+	readonly work: Pick<WorkTimes, 'hitMs' | 'missMs'>;
 	/** Region of this instance. */
 	readonly region: string;
 	/** Time left until the deadline of the request; infinite for none. */
@@ -65,16 +65,16 @@
 		const { work, region, now } = this._context;
 		const slots = Math.max(1, known.record.slots);
 		const workTimeFactor = state.speed.factor(now);
-		const isAtHand = isFirst || this._context.isRecent(known.record.id);
+		const isCached = isFirst || this._context.isRecent(known.record.id);
 		const queued = Math.max(0, state.load(now) - slots + 1);
-		const waitMs = (queued / slots) * work.atHandMs * workTimeFactor;
-		const workMs = (isAtHand ? work.atHandMs : work.firstTouchMs) * workTimeFactor;
+		const waitMs = (queued / slots) * work.hitMs * workTimeFactor;
+		const workMs = (isCached ? work.hitMs : work.missMs) * workTimeFactor;
 		const wayMs = known.region === region ? 0 : REMOTE_ROUND_TRIP_MS;
 		return {
 			timeMs: wayMs + waitMs + workMs,
 			workTimeFactor,
-			isAtHand,
-			extraWorkMs: isAtHand ? 0 : workMs - work.atHandMs * workTimeFactor
+			isCached,
+			extraWorkMs: isCached ? 0 : workMs - work.hitMs * workTimeFactor
 		};
 	}
 
@@ -98,7 +98,7 @@
 	}
 
 	/**
-	 * Selects one of an object's targets: the first one if it answers within the objective and the object is at hand at no other,
+	 * Selects one of an object's targets: the first one if it answers within the objective and the object is cached at no other,
 	 * else the one that costs all requests least.
 	 * @param targets targets below their utilization limits, in the order of the object
 	 * @param first the first target of the object, whether or not it is below its limit; undefined for a request without an object
@@ -109,18 +109,18 @@
 		if (!head || others.length === 0) {
 			return head;
 		}
-		const { isAtHand, timeMs } = head.estimate;
-		const isTimely = isAtHand && timeMs <= this._context.objectiveLeftMs;
-		if (isTimely && others.every(other => !other.estimate.isAtHand)) {
+		const { isCached, timeMs } = head.estimate;
+		const isTimely = isCached && timeMs <= this._context.objectiveLeftMs;
+		if (isTimely && others.every(other => !other.estimate.isCached)) {
 			return head;
 		}
 		const best = others.reduce((least, other) => (costMs(other.estimate) < costMs(least.estimate) ? other : least));
 		const savedMs = costMs(head.estimate) - costMs(best.estimate);
-		return savedMs >= MIN_SAVED_WORK * this._context.work.atHandMs ? best : head;
+		return savedMs >= MIN_SAVED_WORK * this._context.work.hitMs ? best : head;
 	}
 }
 
-/** Time until the answer, and the time for which others wait as a first touch takes a slot longer. */
+/** Time until the answer, and the time for which others wait as a cache miss takes a slot longer. */
 function costMs({ timeMs, extraWorkMs }: AnswerEstimate): Millis {
 	return timeMs + extraWorkMs;
 }
--- a/src/plugins/placement/common/targetSpeeds.ts
+++ b/src/plugins/placement/common/averageSpeeds.ts
@@ -3,7 +3,7 @@
  *--------------------------------------------------------------------------------------------*/
 
 /**
- * Speeds of targets by the work times that they report to this instance. Load: targets slow down and recover several times a
+ * Average speeds of targets, for planning shares, by the work times that they report to this instance. Load: targets slow down and recover several times a
  * second, so that the slots of a region do less or more work than their number says.
  */
 
@@ -22,7 +22,7 @@
 }
 
 /** Speeds of the targets that this instance has heard from; 1 is usual. */
-export class TargetSpeeds {
+export class AverageSpeeds {
 	private readonly _speeds = new Map<string, Speed>();
 
 	/** @param workTimeFactor how long work takes at the target, relative to its usual duration */
--- a/src/plugins/placement/common/learnedWorkProfile.ts
+++ b/src/plugins/placement/common/learnedWorkProfile.ts
@@ -3,8 +3,8 @@
  *--------------------------------------------------------------------------------------------*/
 
 /**
- * Learns how long the requests of a route occupy a slot, from the times of its responses. Load: requests whose object is at
- * hand take a fraction of the time of a first touch, a few in a hundred take many times as long, and an instance of a large
+ * Learns how long the requests of a route occupy a slot, from the times of its responses. Load: requests whose object is
+ * cached take a fraction of the time of a cache miss, a few in a hundred take many times as long, and an instance of a large
  * fleet gets only a few responses a second. A mean or a single quantile follows the mix of both kinds, and so the present
  * number of moved objects; here the two kinds are told apart by the gap between them.
  */
@@ -18,15 +18,15 @@
 const MIN_SAMPLES = 12;
 /** Routes beyond this number replace the one that has had no response for longest. */
 const MAX_ROUTES = 256;
-/** Usual ratio of a first touch to a request at hand, for routes of which only one kind is known. */
-const USUAL_FIRST_TOUCH_RATIO = 3.3;
+/** Usual ratio of a cache miss to a cache hit, for routes of which only one kind is known. */
+const USUAL_MISS_RATIO = 3.3;
 /** Two groups whose medians are closer than this are one kind of request with some variation. */
-const MIN_FIRST_TOUCH_RATIO = 2;
+const MIN_MISS_RATIO = 2;
 /** Beyond this ratio the slower group consists of unusually long requests. */
-const MAX_FIRST_TOUCH_RATIO = 5;
+const MAX_MISS_RATIO = 5;
 /** A smaller group consists of outliers. */
 const MIN_GROUP_FRACTION = 0.08;
-/** Quantile of the times at hand above which a response is slow. */
+/** Quantile of the times of cache hits above which a response is slow. */
 const SLOW_QUANTILE = 0.97;
 
 interface Samples {
@@ -74,14 +74,14 @@
 function computeTimes(times: readonly Millis[]): WorkTimes {
 	const sorted = [...times].sort((a, b) => a - b);
 	const split = findSplit(sorted);
-	const atHand = sorted.slice(0, split ?? sorted.length);
-	const atHandMs = quantile(atHand, 0.5);
-	const firstTouchMs = split === undefined ? USUAL_FIRST_TOUCH_RATIO * atHandMs : quantile(sorted.slice(split), 0.5);
-	return { atHandMs, firstTouchMs, slowAtHandMs: quantile(atHand, SLOW_QUANTILE) };
+	const hits = sorted.slice(0, split ?? sorted.length);
+	const hitMs = quantile(hits, 0.5);
+	const missMs = split === undefined ? USUAL_MISS_RATIO * hitMs : quantile(sorted.slice(split), 0.5);
+	return { hitMs, missMs, slowHitMs: quantile(hits, SLOW_QUANTILE) };
 }
 
 /**
- * Returns the index of the first first touch in sorted times; undefined if they are of one kind. Of all splits into two groups
+ * Returns the index of the first cache miss in sorted times; undefined if they are of one kind. Of all splits into two groups
  * of sufficient size it is the one with the largest variance between the groups' logarithms.
  */
 function findSplit(sorted: readonly Millis[]): number | undefined {
@@ -104,7 +104,7 @@
 		return undefined;
 	}
 	const ratio = quantile(sorted.slice(best), 0.5) / quantile(sorted.slice(0, best), 0.5);
-	return ratio >= MIN_FIRST_TOUCH_RATIO && ratio <= MAX_FIRST_TOUCH_RATIO ? best : undefined;
+	return ratio >= MIN_MISS_RATIO && ratio <= MAX_MISS_RATIO ? best : undefined;
 }
 
 function quantile(sorted: readonly Millis[], fraction: number): Millis {
--- a/src/plugins/placement/common/outcomeTracker.ts
+++ b/src/plugins/placement/common/outcomeTracker.ts
@@ -14,7 +14,7 @@
 import { DemandMeter } from './demandMeter.js';
 import { LearnedWorkProfile } from './learnedWorkProfile.js';
 import { RouteMix } from './routeMix.js';
-import { TargetSpeeds } from './targetSpeeds.js';
+import { AverageSpeeds } from './averageSpeeds.js';
 import type { TargetState } from './targets/targetState.js';
 import type { LoadReport } from './targets/targetReport.js';
 import type { PlacementRequest } from './placementRequest.js';
@@ -26,7 +26,7 @@
 	private readonly _demand = new Map<string, DemandMeter>();
 	private readonly _mixes = new Map<string, RouteMix>();
 	private readonly _profile = new LearnedWorkProfile();
-	private readonly _speeds = new TargetSpeeds();
+	private readonly _speeds = new AverageSpeeds();
 	/** Services whose targets reported a work time. */
 	private readonly _workTimeServices = new Set<string>();
 	/** The latest load report of each target. */
@@ -65,9 +65,9 @@
 		return mix;
 	}
 
-	/** Work of a service's requests with their objects at hand; undefined where it is not known, or load is not uneven. */
-	private _workAtHandMs(service: string): Millis | undefined {
-		return this.isUneven(service) ? this._mixes.get(service)?.workAtHandMs(this._profile) : undefined;
+	/** Work of a service's requests with their objects cached; undefined where it is not known, or load is not uneven. */
+	private _hitWorkMs(service: string): Millis | undefined {
+		return this.isUneven(service) ? this._mixes.get(service)?.hitWorkMs(this._profile) : undefined;
 	}
 
 	private _demandOf(service: string, now: Millis): DemandMeter {
@@ -82,14 +82,14 @@
 	/** Number of slots needed to serve the callers of this instance, by service. */
 	slotsNeeded(now: Millis): Readonly<Record<string, number>> {
 		const slots = [...this._demand].map(
-			([service, meter]) => [service, meter.slots(now, this._workAtHandMs(service))] as const
+			([service, meter]) => [service, meter.slots(now, this._hitWorkMs(service))] as const
 		);
 		return Object.fromEntries(slots);
 	}
 
 	/** Typical processing time of a request of a service, without queueing. */
 	serviceTimeMs(service: string, now: Millis): Millis {
-		return this._workAtHandMs(service) ?? this._demandOf(service, now).serviceTimeMs;
+		return this._hitWorkMs(service) ?? this._demandOf(service, now).serviceTimeMs;
 	}
 
 	/** Applies the load report of a response, if there is one. */
--- a/src/plugins/placement/common/routeMix.ts
+++ b/src/plugins/placement/common/routeMix.ts
@@ -3,8 +3,8 @@
  *--------------------------------------------------------------------------------------------*/
 
 /**
- * Estimates how many slots the callers of an instance need while the objects are at hand: rates by route times work at hand.
- * Load: first touches and queues lengthen responses exactly when a service is short of slots, and a demand that counts them
+ * Estimates how many slots the callers of an instance need while the objects are cached: rates by route times the work of cache hits.
+ * Load: cache misses and queues lengthen responses exactly when a service is short of slots, and a demand that counts them
  * moves further objects.
  */
 
@@ -16,7 +16,7 @@
 /** Time constant of the parts of the routes, which change less than their rates. */
 const PARTS_TIME_CONSTANT_MS = 10000;
 
-/** Work at hand of the requests of one service, as the mean over its routes. */
+/** Work of cache hits of the requests of one service, as the mean over its routes. */
 export class RouteMix {
 	/** Number of requests by route, each decayed exponentially by its age. */
 	private readonly _requests = new Map<string, number>();
@@ -41,14 +41,14 @@
 		this._requests.set(counted, (this._requests.get(counted) ?? 0) + 1);
 	}
 
-	/** Mean work of a request whose object is at hand; undefined while the work of no route is known. */
-	workAtHandMs(profile: IWorkProfile): Millis | undefined {
+	/** Mean work of a cache hit; undefined while the work of no route is known. */
+	hitWorkMs(profile: IWorkProfile): Millis | undefined {
 		let work = 0;
 		let known = 0;
 		for (const [route, count] of this._requests) {
 			const times = profile.timesOf(this._service, route);
 			if (times) {
-				work += count * times.atHandMs;
+				work += count * times.hitMs;
 				known += count;
 			}
 		}
--- a/src/plugins/placement/common/steadyShares.ts
+++ b/src/plugins/placement/common/steadyShares.ts
@@ -5,10 +5,10 @@
 /**
  * Shares of one region that hold still while every region can bear what they send it. Load: the demand of the regions swings,
  * each at another time, while their sum is steady. Shares that follow the present demand move objects all the time, and each
- * move is a first touch, which takes several times the work of a request at hand.
+ * move is a cache miss, which takes several times the work of a cache hit.
  *
  * The plan is made from the demand averaged over a minute. Objects move only when a region's expected utilization is above
- * what callers bear, and return only after the need has been gone for longer than two first touches are worth.
+ * what callers bear, and return only after the need has been gone for longer than two cache misses are worth.
  */
 
 import type { Millis } from '../../../base/clock.js';
@@ -22,29 +22,29 @@
  */
 const EQUAL_DEMAND_MS = 10000;
 /**
- * Utilization by requests at hand that a region can bear: the rest of its slots remains for first touches and for targets that
+ * Utilization by cache hits that a region can bear: the rest of its slots remains for cache misses and for targets that
  * have more objects than others. With a lower one regions at the top of their swing would hand objects to each other by turns.
  */
 const BEARABLE_UTILIZATION = 0.75;
 /**
  * No region is relieved below this factor of the mean utilization: near a shortage all regions are above what callers bear, and
- * what one of them gives away makes first touches in the others.
+ * what one of them gives away makes cache misses in the others.
  */
 const MIN_RELATIVE_LIMIT = 1.35;
 /** The same for large responses, which cost more to transfer between regions than to wait for. */
 const MIN_RELATIVE_LIMIT_LARGE_RESPONSES = 2.5;
 /** Longer times without news of demand don't count, so that an average does not jump after them. */
 const MAX_REPORT_GAP_MS = 2000;
-/** Smaller differences from the plan are not worth their first touches. */
+/** Smaller differences from the plan are not worth their cache misses. */
 const MIN_MOVED = 0.1;
 /**
- * Time without need after which objects return: as long as the way to another region takes to add up to the two first touches
+ * Time without need after which objects return: as long as the way to another region takes to add up to the two cache misses
  * of a move there and back, for an object that is requested every other second.
  */
 const RETURN_AFTER_MS = 45000;
 /**
- * Nothing is moved for need in the first seconds: the first requests of a service are all first touches, so that its work at
- * hand is not known yet.
+ * Nothing is moved for need in the first seconds: the first requests of a service are all cache misses, so that the work
+ * of cache hits is not known yet.
  */
 const WARM_UP_MS = 6000;
 /** A region that loses more than this fraction of its slots makes a new plan; smaller losses are left to relief by need. */
@@ -155,7 +155,7 @@
 	return [...before].some(([region, slots]) => slotsOf(region) < (1 - MIN_LOST_SLOTS) * slots);
 }
 
-/** Expected work at hand of the regions under given shares. */
+/** Expected work of cache hits of the regions under given shares. */
 class ExpectedLoads {
 	private readonly _loads: ReadonlyMap<string, number>;
 	private readonly _limit: number;
--- a/src/plugins/placement/common/targetSelector.ts
+++ b/src/plugins/placement/common/targetSelector.ts
@@ -5,7 +5,7 @@
 /** Selects the target for a request among the known ones and enforces the rate limits of cold targets. */
 
 import type { Millis } from '../../../base/clock.js';
-import { AnswerTimes, FIRST_TOUCH_RATIO } from './answerTimes.js';
+import { AnswerTimes, MISS_RATIO } from './answerTimes.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import type { PaceShare } from '../../fleet/common/paceShare.js';
 import type { WorkByTarget } from '../../fleet/common/requestedWork.js';
@@ -164,13 +164,10 @@
 		);
 	}
 
-	private _workTimes(service: string, route: string): Pick<WorkTimes, 'atHandMs' | 'firstTouchMs'> | undefined {
+	private _workTimes(service: string, route: string): Pick<WorkTimes, 'hitMs' | 'missMs'> | undefined {
 		const learned = this._options.workProfile?.timesOf(service, route);
 		const typicalMs = this._states.speedOf(service).typicalWorkMs;
-		return (
-			learned ??
-			(typicalMs === undefined ? undefined : { atHandMs: typicalMs, firstTouchMs: FIRST_TOUCH_RATIO * typicalMs })
-		);
+		return learned ?? (typicalMs === undefined ? undefined : { hitMs: typicalMs, missMs: MISS_RATIO * typicalMs });
 	}
 
 	/**
--- a/src/plugins/placement/common/workProfile.ts
+++ b/src/plugins/placement/common/workProfile.ts
@@ -9,11 +9,11 @@
 /** Work of one request of a route at a target of usual speed, without queueing. */
 export interface WorkTimes {
 	/** Where the target has served the object recently. */
-	readonly atHandMs: Millis;
+	readonly hitMs: Millis;
 	/** Where it has not. */
-	readonly firstTouchMs: Millis;
-	/** All but a few in a hundred requests whose object is at hand take at most this long. */
-	readonly slowAtHandMs: Millis;
+	readonly missMs: Millis;
+	/** All but a few in a hundred cache hits take at most this long. */
+	readonly slowHitMs: Millis;
 }
 
 /** Learned work times of routes at this instance. */
--- a/src/plugins/placement/test/answerTimes.test.ts
+++ b/src/plugins/placement/test/answerTimes.test.ts
@@ -43,7 +43,7 @@
 
 function createTimes(changes: Partial<AnswerTimesContext> = {}): AnswerTimes {
 	return new AnswerTimes({
-		work: { atHandMs: 200, firstTouchMs: 660 },
+		work: { hitMs: 200, missMs: 660 },
 		region: 'near',
 		objectiveLeftMs: 500,
 		deadlineLeftMs: Number.POSITIVE_INFINITY,
@@ -62,12 +62,12 @@
 	const near = createTimes().estimate(target!, true);
 	assert.deepEqual(
 		{ ...near, timeMs: Math.round(near.timeMs) },
-		{ timeMs: 800, workTimeFactor: 2, isAtHand: true, extraWorkMs: 0 }
+		{ timeMs: 800, workTimeFactor: 2, isCached: true, extraWorkMs: 0 }
 	);
 	assert.equal(Math.round(createTimes({ region: 'far' }).estimate(target!, true).timeMs), 870);
-	const firstTouch = createTimes().estimate(target!, false);
-	assert.equal(Math.round(firstTouch.timeMs), 1720);
-	assert.equal(firstTouch.extraWorkMs, 920);
+	const miss = createTimes().estimate(target!, false);
+	assert.equal(Math.round(miss.timeMs), 1720);
+	assert.equal(miss.extraWorkMs, 920);
 });
 
 test('an object stays at its first target while that answers within the objective', () => {
@@ -75,7 +75,7 @@
 	assert.equal(select(createTargets({ load: 0, factor: 2.4 }, { load: 0, factor: 1 })), 't0');
 });
 
-test('an object stays at its first target beyond the objective if a first touch elsewhere costs more', () => {
+test('an object stays at its first target beyond the objective if a cache miss elsewhere costs more', () => {
 	assert.equal(select(createTargets({ load: 0, factor: 3 }, { load: 0, factor: 1 })), 't0');
 	assert.equal(select(createTargets({ load: 0, factor: 7 }, { load: 0, factor: 1 })), 't1');
 	assert.equal(select(createTargets({ load: 24, factor: 2 }, { load: 0, factor: 1 })), 't1');
@@ -87,7 +87,7 @@
 	assert.equal(select(targets, { objectiveLeftMs: 1000 }), 't1');
 });
 
-test('of two targets that have the object at hand the one that answers first is selected', () => {
+test('of two targets that have the object cached the one that answers first is selected', () => {
 	assert.equal(select(createTargets({ load: 0, factor: 2.4 }, { load: 0, factor: 1 }), { isRecent: () => true }), 't1');
 	assert.equal(select(createTargets({ load: 0, factor: 1 }, { load: 0, factor: 1 }), { isRecent: () => true }), 't0');
 });
--- a/src/plugins/placement/test/unevenSelection.test.ts
+++ b/src/plugins/placement/test/unevenSelection.test.ts
@@ -62,7 +62,7 @@
 	const share = new PaceShare('entry', () => 0);
 	const place = { region: 'r', hall: 'r', name: 'entry' };
 	const shifts = { maxMovedFraction: 0.15, windowMs: 2000 };
-	const workTimes = { atHandMs: 200, firstTouchMs: 660, slowAtHandMs: 500 };
+	const workTimes = { hitMs: 200, missMs: 660, slowHitMs: 500 };
 	return new TargetSelector(view, place, ['r'], shifts, share, new TargetLimitTable(view, share), {
 		workProfile: { timesOf: () => workTimes },
 		isRanked
--- a/src/plugins/placement/test/workProfile.test.ts
+++ b/src/plugins/placement/test/workProfile.test.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Work times at hand, of first touches and of slow requests are told apart in few, scattered samples. */
+/** Work times of cache hits, of cache misses and of slow requests are told apart in few, scattered samples. */
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -12,8 +12,8 @@
 import { RegionLoad } from '../common/regionLoad.js';
 import { TargetState } from '../common/targets/targetState.js';
 
-const AT_HAND_MS = 180;
-const FIRST_TOUCH_MS = 600;
+const HIT_MS = 180;
+const MISS_MS = 600;
 
 /** Numbers in [0, 1) from a linear congruential generator with modulus 2^32. */
 function createRandom(seed: number): () => number {
@@ -30,11 +30,11 @@
 	return workMs * (0.75 + 0.5 * random()) * (isSlow ? 7 : 1);
 }
 
-function learn(firstTouches: number, responses: number, seed: number): LearnedWorkProfile {
+function learn(cacheMisses: number, responses: number, seed: number): LearnedWorkProfile {
 	const random = createRandom(seed);
 	const profile = new LearnedWorkProfile();
 	for (let i = 0; i < responses; i++) {
-		profile.record('s', 'r', scattered(random() < firstTouches ? FIRST_TOUCH_MS : AT_HAND_MS, random));
+		profile.record('s', 'r', scattered(random() < cacheMisses ? MISS_MS : HIT_MS, random));
 	}
 	return profile;
 }
@@ -43,19 +43,19 @@
 	assert.ok(Math.abs(actual / expected - 1) <= tolerance, `${actual} instead of ${expected}`);
 }
 
-test('work at hand does not depend on the part of first touches', () => {
-	for (const firstTouches of [0, 0.15, 0.3, 0.5, 0.7]) {
+test('the work of cache hits does not depend on the part of cache misses', () => {
+	for (const cacheMisses of [0, 0.15, 0.3, 0.5, 0.7]) {
 		for (const seed of [1, 2, 3]) {
-			const times = learn(firstTouches, 96, seed).timesOf('s', 'r')!;
-			assertNear(times.atHandMs, AT_HAND_MS, 0.15);
-			assertNear(times.firstTouchMs, FIRST_TOUCH_MS, 0.25);
+			const times = learn(cacheMisses, 96, seed).timesOf('s', 'r')!;
+			assertNear(times.hitMs, HIT_MS, 0.15);
+			assertNear(times.missMs, MISS_MS, 0.25);
 		}
 	}
 });
 
-test('a slow response at hand is above the quantile and a usual one below it', () => {
-	const { slowAtHandMs } = learn(0.2, 96, 4).timesOf('s', 'r')!;
-	assert.ok(slowAtHandMs > AT_HAND_MS * 1.1 && slowAtHandMs < AT_HAND_MS * 7, `${slowAtHandMs}`);
+test('a slow cache hit is above the quantile and a usual one below it', () => {
+	const { slowHitMs } = learn(0.2, 96, 4).timesOf('s', 'r')!;
+	assert.ok(slowHitMs > HIT_MS * 1.1 && slowHitMs < HIT_MS * 7, `${slowHitMs}`);
 });
 
 test('nothing is known after few responses, nor of another route; absurd times are left out', () => {
@@ -63,7 +63,7 @@
 	assert.equal(profile.timesOf('s', 'r'), undefined);
 	[Number.NaN, 0, -5, Number.POSITIVE_INFINITY].forEach(time => profile.record('s', 'r', time));
 	assert.equal(profile.timesOf('s', 'r'), undefined);
-	profile.record('s', 'r', AT_HAND_MS);
+	profile.record('s', 'r', HIT_MS);
 	assert.notEqual(profile.timesOf('s', 'r'), undefined);
 	assert.equal(profile.timesOf('s', 'other'), undefined);
 });
@@ -71,8 +71,8 @@
 test('the number of routes in memory is bounded, and routes in use stay', () => {
 	const profile = new LearnedWorkProfile();
 	for (let i = 0; i < 1000; i++) {
-		profile.record('s', 'used', AT_HAND_MS);
-		profile.record('s', `route-${i}`, AT_HAND_MS);
+		profile.record('s', 'used', HIT_MS);
+		profile.record('s', `route-${i}`, HIT_MS);
 	}
 	assert.notEqual(profile.timesOf('s', 'used'), undefined);
 });
@@ -102,33 +102,33 @@
 	return now;
 }
 
-test('first touches and queues do not raise the demand in work, whatever the speed of the target', () => {
+test('cache misses and queues do not raise the demand in work, whatever the speed of the target', () => {
 	const tracker = new OutcomeTracker();
-	let now = respond(tracker, { service: 's', count: 40, durationMs: 2 * AT_HAND_MS, workTimeFactor: 2 }, 0);
+	let now = respond(tracker, { service: 's', count: 40, durationMs: 2 * HIT_MS, workTimeFactor: 2 }, 0);
 	const before = tracker.slotsNeeded(now)['s']!;
-	assertNear(before, (10 * AT_HAND_MS) / 1000, 0.15);
-	now = respond(tracker, { service: 's', count: 30, durationMs: FIRST_TOUCH_MS, workTimeFactor: 1 }, now);
+	assertNear(before, (10 * HIT_MS) / 1000, 0.15);
+	now = respond(tracker, { service: 's', count: 30, durationMs: MISS_MS, workTimeFactor: 1 }, now);
 	now = respond(tracker, { service: 's', count: 100, durationMs: 3000, waiting: 9, workTimeFactor: 1 }, now);
-	assertNear(tracker.slotsNeeded(now)['s']!, (10 * AT_HAND_MS) / 1000, 0.15);
-	assert.equal(tracker.serviceTimeMs('s', now), AT_HAND_MS);
+	assertNear(tracker.slotsNeeded(now)['s']!, (10 * HIT_MS) / 1000, 0.15);
+	assert.equal(tracker.serviceTimeMs('s', now), HIT_MS);
 });
 
 test('without reported work times demand is estimated as before, unless the deployment ranks requests', () => {
 	const slots = (tracker: OutcomeTracker): number => {
-		const now = respond(tracker, { service: 's', count: 30, durationMs: AT_HAND_MS }, 0);
-		return tracker.slotsNeeded(respond(tracker, { service: 's', count: 40, durationMs: FIRST_TOUCH_MS }, now))['s']!;
+		const now = respond(tracker, { service: 's', count: 30, durationMs: HIT_MS }, 0);
+		return tracker.slotsNeeded(respond(tracker, { service: 's', count: 40, durationMs: MISS_MS }, now))['s']!;
 	};
-	assertNear(slots(new OutcomeTracker()), (10 * FIRST_TOUCH_MS) / 1000, 0.1);
-	assertNear(slots(new OutcomeTracker(true)), (10 * AT_HAND_MS) / 1000, 0.1);
+	assertNear(slots(new OutcomeTracker()), (10 * MISS_MS) / 1000, 0.1);
+	assertNear(slots(new OutcomeTracker(true)), (10 * HIT_MS) / 1000, 0.1);
 	assert.equal(new OutcomeTracker().isUneven('s'), false);
 });
 
 test('a service that a new table renames is met with the usual estimate until its work is known', () => {
 	const tracker = new OutcomeTracker();
-	const now = respond(tracker, { service: 'old', count: 40, durationMs: AT_HAND_MS, workTimeFactor: 1 }, 0);
+	const now = respond(tracker, { service: 'old', count: 40, durationMs: HIT_MS, workTimeFactor: 1 }, 0);
 	tracker.recordRequest('new', now, 'r');
 	const slots = tracker.slotsNeeded(now)['new']!;
 	assert.ok(slots > 0 && slots < 1, `${slots}`);
-	const later = respond(tracker, { service: 'new', count: 40, durationMs: AT_HAND_MS, workTimeFactor: 1 }, now);
-	assertNear(tracker.slotsNeeded(later)['new']!, (10 * AT_HAND_MS) / 1000, 0.15);
+	const later = respond(tracker, { service: 'new', count: 40, durationMs: HIT_MS, workTimeFactor: 1 }, now);
+	assertNear(tracker.slotsNeeded(later)['new']!, (10 * HIT_MS) / 1000, 0.15);
 });
--- a/test/loads/swing.test.ts
+++ b/test/loads/swing.test.ts
@@ -4,7 +4,7 @@
 
 /**
  * Demand that swings in three regions, a third of a period apart, so that its sum is steady. One region has a third of the
- * callers and a tenth of the targets. Requests whose object is at hand fit by far; first touches of moved objects do not.
+ * callers and a tenth of the targets. Cache hits fit by far; cache misses of moved objects do not.
  */
 
 import assert from 'node:assert/strict';
@@ -18,7 +18,7 @@
 const SLOTS = 9;
 const TARGETS = { east: 8, north: 36, south: 36 };
 const HIT_MS = 300;
-/** Part of all slots that the requests need while their objects are at hand. */
+/** Part of all slots that the requests need while their objects are cached. */
 const UTILIZATION = 0.38;
 
 const SEEDS = [1, 2];
@@ -63,16 +63,16 @@
 	assert.ok(maxMovedFraction <= 0.15, `${maxMovedFraction.toFixed(3)} changed their region between windows`);
 }
 
-function firstTouches(reports: readonly SimulationReport[]): number {
+function cacheMisses(reports: readonly SimulationReport[]): number {
 	return reports.reduce((sum, report) => sum + report.laterCacheMisses, 0);
 }
 
-test('a swing of demand causes hardly more first touches than a steady demand', () => {
+test('a swing of demand causes hardly more cache misses than a steady demand', () => {
 	const swinging = SEEDS.map(seed => simulate(seed, {}));
 	swinging.forEach(assertServed);
 	const steady = SEEDS.map(seed => simulate(seed, { regionFactor: () => 1 }));
-	const ratio = firstTouches(swinging) / firstTouches(steady);
-	assert.ok(ratio <= 1.2, `${ratio.toFixed(2)} times the first touches of a steady demand`);
+	const ratio = cacheMisses(swinging) / cacheMisses(steady);
+	assert.ok(ratio <= 1.2, `${ratio.toFixed(2)} times the cache misses of a steady demand`);
 });
 
 test('callers of a hall that arrive in another region for some seconds are served there', () => {
--- a/test/loads/unevenTargets.test.ts
+++ b/test/loads/unevenTargets.test.ts
@@ -3,7 +3,7 @@
  *--------------------------------------------------------------------------------------------*/
 
 /**
- * Targets that change their speed several times a second, with objectives shorter than a first touch. Guards against a choice
+ * Targets that change their speed several times a second, with objectives shorter than a cache miss. Guards against a choice
  * that follows the speed and moves objects, and against any change where targets do not report how long work takes.
  */
 
@@ -21,9 +21,9 @@
 const QUICK_PHASE_MS = 600;
 /** What instances know of the route's work. */
 const WORK_TIMES = {
-	atHandMs: UNEVEN_FLEET.target.hitMs,
-	firstTouchMs: UNEVEN_FLEET.target.missMs,
-	slowAtHandMs: 2.5 * UNEVEN_FLEET.target.hitMs
+	hitMs: UNEVEN_FLEET.target.hitMs,
+	missMs: UNEVEN_FLEET.target.missMs,
+	slowHitMs: 2.5 * UNEVEN_FLEET.target.hitMs
 };
 const USUAL_RATE = UNEVEN_FLEET.requestsPerSecond;
 const PEAK_RATE = 1100;
--- a/test/platform/unevenTargets.test.ts
+++ b/test/platform/unevenTargets.test.ts
@@ -20,9 +20,9 @@
 
 const ROUTES = [{ prefix: '/read/', kind: 'safe', service: 'reads' }] as const;
 const SLOTS = 6;
-/** Time that a request takes at usual speed, with the object at hand and at first touch. */
-const AT_HAND_MS = 120;
-const FIRST_TOUCH_MS = 400;
+/** Time that a request takes at usual speed, with the object cached and without. */
+const HIT_MS = 120;
+const MISS_MS = 400;
 const SLOW_FACTOR = 3;
 const SEND_INTERVAL_MS = 50;
 const OBJECT_COUNT = 12;
@@ -42,7 +42,7 @@
 			host: system.targetHost(index),
 			port: 8080,
 			slots: SLOTS,
-			workMs: AT_HAND_MS,
+			workMs: HIT_MS,
 			paddingBytes: 20,
 			workMsOf: ({ headers }) => this._workMs(String(headers.cookie))
 		});
@@ -59,9 +59,9 @@
 	}
 
 	private _workMs(object: string): number {
-		const isAtHand = this._seenObjects.has(object);
+		const isCached = this._seenObjects.has(object);
 		this._seenObjects.add(object);
-		return this.factor * (isAtHand ? AT_HAND_MS : FIRST_TOUCH_MS);
+		return this.factor * (isCached ? HIT_MS : MISS_MS);
 	}
 }
 
@@ -131,7 +131,7 @@
 	];
 	const answers = await sendLoad(MEASURE_MS);
 	const ratio = (changed.target.arrivalTimes.length - changedBefore) / (usual.target.arrivalTimes.length - usualBefore);
-	const quick = answers.filter(({ status, tookMs }) => status === 200 && tookMs <= 1.5 * AT_HAND_MS).length;
+	const quick = answers.filter(({ status, tookMs }) => status === 200 && tookMs <= 1.5 * HIT_MS).length;
 	const measured = `${ratio.toFixed(3)} of the other's requests, ${(quick / answers.length).toFixed(3)} of the answers quick`;
 	context.diagnostic(measured);
 	assert.ok(ratio <= 0.2, measured);
