Region lines: answers by region, evidence against reports of silent targets; own metrics first

Cause: the lines of the incident could not tell who had answered where a region's report of silent targets was not believed, how many slots a move off lost targets was based on, or where later attempts ran; and the collector that keeps the first 4,000 bytes of a page had none of our metrics. Change: 'requests by region' counts answers, the line about wrongly reported silent targets names targets that answered, moves off lost targets name the available slots, and the metrics page begins with the metrics of this program. No decision depends on any of it.

--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -131,9 +131,9 @@
 			sendJson(response, ready ? 200 : 503, { ready });
 		});
 		this.on('GET', '/metrics', async (_request, response) => {
-			const { registry } = this._options.metrics;
-			response.setHeader('Content-Type', registry.contentType);
-			response.end(await registry.metrics());
+			const { metrics } = this._options;
+			response.setHeader('Content-Type', metrics.contentType);
+			response.end(await metrics.render());
 		});
 	}
 
--- a/src/kernel/node/metricsService.ts
+++ b/src/kernel/node/metricsService.ts
@@ -7,19 +7,34 @@
 import { Registry, collectDefaultMetrics } from 'prom-client';
 import { createServiceIdentifier } from '../common/serviceIdentifier.js';
 
-/** Holds the registry that is served at `/metrics`. */
+/** Holds the metrics that are served at `/metrics`. */
 export interface IMetricsService {
+	/** The metrics that this program defines. */
 	readonly registry: Registry;
+	/** Content type of {@link render}. */
+	readonly contentType: string;
+	/** All metrics as text, those of Node.js last: collectors may store only the beginning of a page. */
+	render(): Promise<string>;
 }
 
 /** Identifier of the metrics service. */
 export const IMetricsService = createServiceIdentifier<IMetricsService>('metricsService');
 
-/** Metrics registry of this process; includes the default metrics of Node.js. */
+/** Metrics of this process. */
 export class MetricsService implements IMetricsService {
 	readonly registry = new Registry();
+	private readonly _runtimeRegistry = new Registry();
 
 	constructor() {
-		collectDefaultMetrics({ register: this.registry });
+		collectDefaultMetrics({ register: this._runtimeRegistry });
+	}
+
+	get contentType(): string {
+		return this.registry.contentType;
+	}
+
+	async render(): Promise<string> {
+		const pages = [await this.registry.metrics(), await this._runtimeRegistry.metrics()];
+		return pages.join('\n');
 	}
 }
--- a/src/plugins/admission/test/shortageAdmissionService.test.ts
+++ b/src/plugins/admission/test/shortageAdmissionService.test.ts
@@ -6,7 +6,8 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Registry } from 'prom-client';
+import type { Registry } from 'prom-client';
+import { MetricsService } from '../../../kernel/node/metricsService.js';
 import { ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import type { ISettingsService } from '../../../kernel/node/settingsService.js';
@@ -23,11 +24,12 @@
 }
 
 function createInstance(ranks: AdmissionSettings['ranks'], isRanked: boolean): TestInstance {
-	const registry = new Registry();
+	const metrics = new MetricsService();
+	const { registry } = metrics;
 	const logged: string[] = [];
 	const settings = { section: () => ({ ranks }) } as unknown as ISettingsService;
 	const log = { info: (message: string) => logged.push(message) } as unknown as ILogService;
-	return { admission: new ShortageAdmissionService(settings, { isRanked }, { registry }, log), registry, logged };
+	return { admission: new ShortageAdmissionService(settings, { isRanked }, metrics, log), registry, logged };
 }
 
 /** Sends requests of many teams, none of which finds room; returns whether all were admitted as without a shortage. */
--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -33,6 +33,16 @@
 	unreachableAt(id: string): Millis | undefined;
 }
 
+/** Evidence of this instance against a control instance's report that targets of a region are silent. */
+export interface SilenceContradiction {
+	/** Number of the region's targets that were reported silent. */
+	readonly silent: number;
+	/** Ids of those that answered this instance recently. */
+	readonly answered: readonly string[];
+	/** Number of those that recently accepted no connection. */
+	readonly unreachable: number;
+}
+
 /**
  * How long an answer or a failed connection counts as evidence for or against overdue heartbeats. Must be below 3 s, the
  * minimum time from a target's last answer to its being reported silent: heartbeats are sent every 1.5 s and overdue after 4.5 s.
@@ -57,7 +67,7 @@
 	private _senderAddresses: ReadonlyMap<string, string> = new Map();
 	private _demand: RegionDemand = {};
 	private _isComplete = false;
-	private _contradictedRegions: ReadonlySet<string> = new Set();
+	private _contradictions: ReadonlyMap<string, SilenceContradiction> = new Map();
 	private _reachability?: ITargetReachability;
 
 	/** @param _regionOf region of a data hall; undefined for an unknown hall */
@@ -102,9 +112,9 @@
 		return this._senderAddresses.get(name);
 	}
 
-	/** Regions whose targets were last reported silent although they answer this instance; the report is ignored there. */
-	get contradictedRegions(): ReadonlySet<string> {
-		return this._contradictedRegions;
+	/** By region, why the last report of silent targets is ignored there: they answer this instance. */
+	get contradictions(): ReadonlyMap<string, SilenceContradiction> {
+		return this._contradictions;
 	}
 
 	/** Slots of a service needed by the callers of a region; undefined if not reported. */
@@ -166,10 +176,10 @@
 		this._senderAddresses = new Map(response.limitSenders?.map(({ name, address }) => [name, address]));
 		this._demand = response.demand;
 		const silent = response.hasHeardAll ? new Set(response.silentTargets) : new Set<string>();
-		this._contradictedRegions = this._findContradictedRegions(silent, now);
+		this._contradictions = this._findContradictions(silent, now);
 		const keptParts = new Map(response.crowdedTargets.map(({ id, keptPart }) => [id, keptPart]));
 		for (const [id, target] of this._targets) {
-			target.isSilent = silent.has(id) && !this._contradictedRegions.has(target.region);
+			target.isSilent = silent.has(id) && !this._contradictions.has(target.region);
 			target.keptPart = keptParts.get(id) ?? 1;
 		}
 	}
@@ -178,17 +188,21 @@
 	 * Regions in which more of the targets reported silent have recently answered than have failed to connect. The control
 	 * instance is then assumed to receive no heartbeats from the region, so that its report is wrong for all targets there.
 	 */
-	private _findContradictedRegions(silent: ReadonlySet<string>, now: Millis): ReadonlySet<string> {
-		const excessAnswers = new Map<string, number>();
+	private _findContradictions(silent: ReadonlySet<string>, now: Millis): ReadonlyMap<string, SilenceContradiction> {
+		const evidence = new Map<string, { silent: number; answered: string[]; unreachable: number }>();
 		for (const id of silent) {
-			const target = this._targets.get(id);
-			if (target) {
-				const answered = isRecent(this._reachability?.answeredAt(id), now) ? 1 : 0;
-				const unreachable = isRecent(this._reachability?.unreachableAt(id), now) ? 1 : 0;
-				excessAnswers.set(target.region, (excessAnswers.get(target.region) ?? 0) + answered - unreachable);
+			const region = this._targets.get(id)?.region;
+			if (region !== undefined) {
+				const ofRegion = evidence.get(region) ?? { silent: 0, answered: [], unreachable: 0 };
+				evidence.set(region, ofRegion);
+				ofRegion.silent++;
+				ofRegion.unreachable += isRecent(this._reachability?.unreachableAt(id), now) ? 1 : 0;
+				if (isRecent(this._reachability?.answeredAt(id), now)) {
+					ofRegion.answered.push(id);
+				}
 			}
 		}
-		return new Set([...excessAnswers].filter(([, count]) => count > 0).map(([region]) => region));
+		return new Map([...evidence].filter(([, { answered, unreachable }]) => answered.length > unreachable));
 	}
 
 	private _applyChanges(changes: FleetChanges, now: Millis): void {
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -45,6 +45,8 @@
 const BATCH_WINDOW_MS = 50;
 /** Maximum number of limits in one call; the others follow in later calls. */
 const MAX_LIMITS_PER_CALL = 64;
+/** Maximum number of targets listed in a log line. */
+const MAX_LOGGED_TARGETS = 4;
 /** Responses from a control instance without leader contact for this long are not considered current. */
 const MAX_CONTACT_AGE_MS = 1200;
 
@@ -240,7 +242,7 @@
 	private _applyResponse(address: string, response: SyncResponse): void {
 		const now = systemClock.now();
 		const revisionBefore = this.view.revision;
-		const contradictedBefore = [...this.view.contradictedRegions].join(',');
+		const contradictedBefore = [...this.view.contradictions.keys()].join(',');
 		this.view.apply(response, now);
 		this._logContradiction(address, response, contradictedBefore);
 		if (response.controls.length > 0) {
@@ -265,13 +267,20 @@
 
 	/** Logs when the regions change in which targets reported as silent still respond to this instance. */
 	private _logContradiction(control: string, response: SyncResponse, before: string): void {
-		const regions = [...this.view.contradictedRegions];
+		const regions = [...this.view.contradictions.keys()];
 		if (regions.join(',') !== before) {
 			this._log.warn('regions with wrongly reported silent targets changed', {
 				task: 'fleet',
 				control,
 				regions,
 				silent: response.silentTargets.length,
+				contradictions: [...this.view.contradictions].map(([region, { silent, answered, unreachable }]) => ({
+					region,
+					silent,
+					unreachable,
+					answered: answered.length,
+					first: answered.slice(0, MAX_LOGGED_TARGETS)
+				})),
 				contactAgeMs: Math.round(response.contactAgeMs)
 			});
 		}
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -118,6 +118,7 @@
 		limitMonitor.recordSent(known.record, request, context.attempts[0] === trace);
 		outcomeTracker.recordOutcome(context, state, outcome, endedAt - now, endedAt);
 		if (outcome.type === 'answer') {
+			this._dependencies.regionTrafficMonitor.recordAnswer(known.region);
 			this._recordResponseSize(context.route, targetExchange.responseHeaders?.['content-length']);
 		}
 		state.inFlight--;
--- a/src/plugins/forwarding/node/regionTrafficMonitor.ts
+++ b/src/plugins/forwarding/node/regionTrafficMonitor.ts
@@ -40,6 +40,11 @@
 		this._traffic.record(planned, sent);
 	}
 
+	/** Counts an attempt that a target answered. */
+	recordAnswer(region: string): void {
+		this._traffic.recordAnswer(region);
+	}
+
 	private _logWindow(): void {
 		const window = this._traffic.take();
 		if (window) {
--- a/src/plugins/placement/common/sharePacer.ts
+++ b/src/plugins/placement/common/sharePacer.ts
@@ -38,6 +38,8 @@
 	readonly moved: number;
 	/** Fraction of its slots that each region lost. */
 	readonly lost: Readonly<Record<string, number>>;
+	/** Slots of available targets, by region. */
+	readonly slots: Readonly<Record<string, number>>;
 }
 
 /**
@@ -103,7 +105,8 @@
 			from,
 			to: this._shares,
 			moved: movedFraction(from, this._shares),
-			lost: Object.fromEntries(desired.lostFractions)
+			lost: Object.fromEntries(desired.lostFractions),
+			slots: Object.fromEntries(desired.slots)
 		};
 	}
 
