Failing test: targets that end and are replaced at their addresses move too many requests

The simulation of a region now has targets that end without notice and whose addresses others take over under new ids, and may have the sizes of a small system.

--- a/src/plugins/placement/test/regionShifts.test.ts
+++ b/src/plugins/placement/test/regionShifts.test.ts
@@ -9,7 +9,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { MAX_MOVED_FRACTION, SimulatedRegion, WINDOW_MS } from './simulatedRegion.js';
+import { MAX_MOVED_FRACTION, REGIONS, SimulatedRegion, SMALL_SYSTEM, WINDOW_MS } from './simulatedRegion.js';
 
 const WARMUP_MS = 10000;
 /** Digest of the choices of a simulation whose shares follow the present demand. */
@@ -21,6 +21,11 @@
 	return simulation;
 }
 
+/** Every other id, starting with the first or the second one. */
+function halfOf(ids: readonly string[], offset: number): string[] {
+	return ids.filter((_, i) => i % 2 === offset % 2);
+}
+
 function assertBound(simulation: SimulatedRegion, since: number): void {
 	const moved = simulation.maxMovedFraction(since);
 	assert.ok(moved <= MAX_MOVED_FRACTION, `${moved.toFixed(3)} changed their region from one window to the next`);
@@ -103,6 +108,18 @@
 		assertBound(simulation, since);
 	});
 
+	test(`targets that end and are replaced at their addresses move no more requests than the bound${label}`, () => {
+		const simulation = new SimulatedRegion(workTimeFactor, SMALL_SYSTEM);
+		simulation.loadFactor = 2;
+		simulation.run(WARMUP_MS);
+		const since = simulation.now;
+		for (let round = 0; round < 3; round++) {
+			simulation.replace(REGIONS.flatMap(region => halfOf(simulation.targetsOf(region, 'reads'), round)));
+			simulation.run(8000);
+		}
+		assertBound(simulation, since);
+	});
+
 	test(`an instance that restarts moves no more requests than the bound${label}`, () => {
 		const simulation = warmedUpSimulation(workTimeFactor);
 		simulation.slotDemand = {
--- a/src/plugins/placement/test/simulatedRegion.ts
+++ b/src/plugins/placement/test/simulatedRegion.ts
@@ -15,20 +15,20 @@
 import { type FleetRevision, type TargetRecord, TargetPhase } from '../../fleet/common/fleetTypes.js';
 import type { RegionDemand, SyncResponse } from '../../fleet/common/fleetWire.js';
 import { RepeatRule, type Route, type RouteTable } from '../../routes/common/routeTable.js';
-import { NotRunCause } from '../../forwarding/common/attempt.js';
+import { type NotRun, NotRunCause } from '../../forwarding/common/attempt.js';
 import type { TargetState } from '../common/targets/targetState.js';
 import type { PlacementCaller, PlacementRequest } from '../common/placementRequest.js';
 import { OutcomeTracker } from '../common/outcomeTracker.js';
 import { TargetSelector } from '../common/targetSelector.js';
 
-const REGIONS = ['north', 'central', 'south'] as const;
-/** The region of the callers; it has few targets, so most of its requests run elsewhere. */
-const OWN = 'central';
-const INSTANCES = 12;
-/** Requests per second of each instance, by route. */
-const RATES: Readonly<Record<string, number>> = { '/reads/': 30, '/commands/': 10 };
+/** All regions; callers and instances are in one of them. */
+export const REGIONS = ['north', 'central', 'south'] as const;
 const STEP_MS = 50;
 const SYNC_MS = 500;
+/** Time from a target's end until control reports it silent. */
+const SILENCE_MS = 4500;
+/** How long a target is cold after its start. */
+const COLD_MS = 3000;
 /** Duration of a request at a target with a free slot. */
 const WORK_MS = 400;
 const REFUSAL_MS = 100;
@@ -40,12 +40,43 @@
 /** Counted in place of a region for requests that were refused. */
 const REFUSED = 'refused';
 const SLOTS = 9;
-const OBJECTS = 2000;
 
-/** Number of targets by service and region; the two services differ in their proportions. */
-const TARGETS: Readonly<Record<string, Readonly<Record<string, number>>>> = {
-	reads: { north: 40, central: 8, south: 32 },
-	commands: { north: 2, central: 2, south: 30 }
+/** Sizes of a simulated system. */
+export interface SimulatedSizes {
+	/** The region of the callers. */
+	readonly ownRegion: (typeof REGIONS)[number];
+	/** Entry instances of that region. */
+	readonly instances: number;
+	/** Requests per second of each instance, by route. */
+	readonly rates: Readonly<Record<string, number>>;
+	/** Number of objects that requests are about. */
+	readonly objects: number;
+	/** Number of targets by service and region. */
+	readonly targets: Readonly<Record<string, Readonly<Record<string, number>>>>;
+}
+
+/** Most requests run elsewhere, as the own region has few targets; the two services differ in their proportions. */
+const LARGE_SYSTEM: SimulatedSizes = {
+	ownRegion: 'central',
+	instances: 12,
+	rates: { '/reads/': 30, '/commands/': 10 },
+	objects: 2000,
+	targets: {
+		reads: { north: 40, central: 8, south: 32 },
+		commands: { north: 2, central: 2, south: 30 }
+	}
+};
+
+/** Most requests run in the own region, and targets elsewhere get a request now and then. */
+export const SMALL_SYSTEM: SimulatedSizes = {
+	ownRegion: 'north',
+	instances: 3,
+	rates: { '/reads/': 60, '/commands/': 10 },
+	objects: 120,
+	targets: {
+		reads: { north: 12, central: 2, south: 10 },
+		commands: { north: 6, central: 2, south: 4 }
+	}
 };
 
 interface RunningRequest {
@@ -72,6 +103,10 @@
 	readonly silent = new Set<string>();
 	/** Ids of targets that accept no connection. */
 	readonly unreachable = new Set<string>();
+	/** When targets ended whose addresses belong to others now, by id. */
+	private readonly _replacedAt = new Map<string, Millis>();
+	/** Until when targets that replace others are cold, by id. */
+	private readonly _coldUntil = new Map<string, Millis>();
 	/** Factor applied to the callers' normal request rates. */
 	loadFactor = 1;
 	/** Halls that are drained. */
@@ -97,21 +132,37 @@
 	private readonly _choices = createHash('sha256');
 
 	/** @param _workTimeFactor work time that targets report with their load; undefined for none */
-	constructor(private readonly _workTimeFactor?: number) {
-		this._records = Object.entries(TARGETS).flatMap(([service, byRegion]) =>
+	constructor(
+		private readonly _workTimeFactor?: number,
+		private readonly _sizes = LARGE_SYSTEM
+	) {
+		this._records = Object.entries(_sizes.targets).flatMap(([service, byRegion]) =>
 			Object.entries(byRegion).flatMap(([region, count]) =>
 				Array.from({ length: count }, (_, i) => describeTarget(service, region, i))
 			)
 		);
-		this._instances = Array.from({ length: INSTANCES }, (_, i) => this._newInstance(i));
+		this._instances = Array.from({ length: _sizes.instances }, (_, i) => this._newInstance(i));
 		this._syncAll();
 	}
 
-	/** Returns the ids of the targets of a region, of one service or of all. */
+	/** Returns the ids of the targets of a region, of one service or of all; without those that were replaced. */
 	targetsOf(region: string, service?: string): string[] {
 		return this._records
 			.filter(record => regionOf(record.hall) === region && (service === undefined || record.service === service))
-			.map(record => record.id);
+			.map(record => record.id)
+			.filter(id => !this._replacedAt.has(id));
+	}
+
+	/** Ends targets without notice. Others with new ids take over their addresses; the old ids stay registered. */
+	replace(ids: readonly string[]): void {
+		for (const id of ids) {
+			const record = this._records.find(known => known.id === id)!;
+			const replacement = { ...record, id: `${id}+` };
+			this._replacedAt.set(id, this.now);
+			this._coldUntil.set(replacement.id, this.now + COLD_MS);
+			this._records.push(replacement);
+		}
+		this.change();
 	}
 
 	/** Publishes a new route table and the drained halls to all instances. */
@@ -167,7 +218,8 @@
 
 	private _newInstance(index: number): Instance {
 		const view = new FleetView(regionOf);
-		const place = { region: OWN, hall: `${OWN}-a`, name: `entry-${index}` };
+		const { ownRegion } = this._sizes;
+		const place = { region: ownRegion, hall: `${ownRegion}-a`, name: `entry-${index}` };
 		const shifts = { maxMovedFraction: MAX_MOVED_FRACTION, windowMs: WINDOW_MS };
 		const share = new PaceShare(place.name, () => 0);
 		const outcomeTracker = new OutcomeTracker();
@@ -199,19 +251,25 @@
 			controls: [],
 			contactAgeMs: 0,
 			hasHeardAll: true,
-			entryCount: INSTANCES,
+			entryCount: this._sizes.instances,
 			regionEntries: this._instances?.map((_, i) => `entry-${i}`) ?? [],
 			hallPeers: [],
 			limitSenders: [],
-			silentTargets: [...this.silent],
-			coldTargets: [],
+			silentTargets: [...this.silent, ...this._silentReplacedTargets()],
+			coldTargets: [...this._coldUntil]
+				.filter(([, until]) => until > this.now)
+				.map(([id, until]) => ({ id, leftMs: until - this.now })),
 			crowdedTargets: [],
 			demand: this.slotDemand
 		};
 	}
 
+	private _silentReplacedTargets(): string[] {
+		return [...this._replacedAt].filter(([, endedAt]) => this.now - endedAt > SILENCE_MS).map(([id]) => id);
+	}
+
 	private _table(): RouteTable {
-		const services = Object.keys(TARGETS).map(name => ({
+		const services = Object.keys(this._sizes.targets).map(name => ({
 			name,
 			healthPath: '/health',
 			maxConnections: 100,
@@ -243,7 +301,7 @@
 		const routes = this._routes();
 		for (const instance of this._instances) {
 			for (const route of routes) {
-				const count = (this.loadFactor * RATES[route.pathPrefix]! * STEP_MS) / 1000;
+				const count = (this.loadFactor * this._sizes.rates[route.pathPrefix]! * STEP_MS) / 1000;
 				for (let left = count; left > 0; left--) {
 					if (left >= 1 || pseudoRandom(this._requestCount++) < left) {
 						this._sendRequest(instance, route);
@@ -257,7 +315,7 @@
 		const number = this._requestCount++;
 		const position = pseudoRandom(number) * route.parts.reduce((sum, part) => sum + part.weight, 0);
 		const service = position < route.parts[0]!.weight ? route.parts[0]!.service : route.parts.at(-1)!.service;
-		const objectKey = String(Math.floor(pseudoRandom(number + 0.5) * OBJECTS));
+		const objectKey = String(Math.floor(pseudoRandom(number + 0.5) * this._sizes.objects));
 		const exchange = { objectKey, requestId: `request-${number}`, isDisconnected: false } as unknown as PlacementCaller;
 		const request = {
 			exchange,
@@ -282,7 +340,14 @@
 		request.tried.add(id);
 		state.inFlight++;
 		if (this.unreachable.has(id)) {
-			const fail = (now: Millis): void => this._fail(instance, request, state, now);
+			const outcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.NoConnection } as const;
+			const fail = (now: Millis): void => this._fail(instance, request, state, outcome, now);
+			instance.running.push({ endsAt: this.now + REFUSAL_MS, complete: fail });
+			return;
+		}
+		if (this._replacedAt.has(id)) {
+			const outcome = { type: 'not-run', hasArrived: true, cause: NotRunCause.OtherTarget } as const;
+			const fail = (now: Millis): void => this._fail(instance, request, state, outcome, now);
 			instance.running.push({ endsAt: this.now + REFUSAL_MS, complete: fail });
 			return;
 		}
@@ -307,10 +372,9 @@
 		instance.running.push({ endsAt: this.now + durationMs, complete });
 	}
 
-	/** Handles a failed connection: retries with another target, up to the maximum number of attempts. */
-	private _fail(instance: Instance, request: SimulatedRequest, state: TargetState, now: Millis): void {
+	/** Handles an attempt that did not run: retries with another target, up to the maximum number of attempts. */
+	private _fail(instance: Instance, request: SimulatedRequest, state: TargetState, outcome: NotRun, now: Millis): void {
 		state.inFlight--;
-		const outcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.NoConnection } as const;
 		instance.outcomeTracker.recordOutcome(request, state, outcome, REFUSAL_MS, now);
 		if (request.tried.size < MAX_ATTEMPTS) {
 			this._attempt(instance, request);
