A refusal by another target at the address is no answer of the target before it

Callers saw much of their region's traffic change its region while nothing failed. Cause, first part: targets end without a word and others start at their addresses. Fix: only the target itself answers.

--- a/src/plugins/placement/common/outcomeTracker.ts
+++ b/src/plugins/placement/common/outcomeTracker.ts
@@ -163,6 +163,9 @@
 
 /** Records whether the target is reachable, regardless of the kind of its response. */
 function recordContact(state: TargetState, outcome: AttemptOutcome, now: Millis): void {
+	if (outcome.type === 'not-run' && outcome.cause === NotRunCause.OtherTarget) {
+		return; // The response came from the target that has the address now.
+	}
 	if (outcome.type === 'answer' || (outcome.type === 'not-run' && outcome.hasArrived)) {
 		state.answeredAt = now;
 	} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.NoConnection) {
