Targets that ended long ago stay silent when others of their region answer

Callers saw much of their region's traffic change its region while nothing failed. Cause, second part: where some of a region's targets answer although control reports them silent, the report was ignored for all targets there, also for those that had ended a minute before. Fix: such evidence keeps targets from becoming silent; one that was silent before stays so unless it answers itself, also when its record changes. Result: the new test fails before (false where true is expected) and passes; the tests of fleet pass.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -112,7 +112,7 @@
 		return this._senderAddresses.get(name);
 	}
 
-	/** By region, why the last report of silent targets is ignored there: they answer this instance. */
+	/** By region, why the last report of silent targets has no effect on others there: some of them answer this instance. */
 	get contradictions(): ReadonlyMap<string, SilenceContradiction> {
 		return this._contradictions;
 	}
@@ -179,11 +179,20 @@
 		this._contradictions = this._findContradictions(silent, now);
 		const keptParts = new Map(response.crowdedTargets.map(({ id, keptPart }) => [id, keptPart]));
 		for (const [id, target] of this._targets) {
-			target.isSilent = silent.has(id) && !this._contradictions.has(target.region);
+			target.isSilent = silent.has(id) && this._isReportBelieved(target);
 			target.keptPart = keptParts.get(id) ?? 1;
 		}
 	}
 
+	/**
+	 * Whether a report that a target is silent is believed. In a region with a contradiction, targets that were silent before stay
+	 * so unless they have answered themselves: that others answer says nothing of targets that ended long ago.
+	 */
+	private _isReportBelieved({ record, region, isSilent }: KnownTarget): boolean {
+		const contradiction = this._contradictions.get(region);
+		return contradiction === undefined || (isSilent && !contradiction.answered.includes(record.id));
+	}
+
 	/**
 	 * Regions in which more of the targets reported silent have recently answered than have failed to connect. The control
 	 * instance is then assumed to receive no heartbeats from the region, so that its report is wrong for all targets there.
@@ -242,7 +251,8 @@
 		const coldUntil = sameIncarnation?.coldUntil ?? (firstSeenAt > 0 ? firstSeenAt + coldMs : 0);
 		const knownSince = sameIncarnation?.knownSince ?? firstSeenAt;
 		const keptPart = sameIncarnation?.keptPart ?? 1;
-		this._targets.set(record.id, { record, region, isSilent: false, coldUntil, keptPart, knownSince });
+		const isSilent = sameIncarnation?.isSilent ?? false;
+		this._targets.set(record.id, { record, region, isSilent, coldUntil, keptPart, knownSince });
 	}
 
 	/** Treats the targets of a hall that returns to service as cold: they may have become so while it was drained. */
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -152,6 +152,24 @@
 	assert.equal(view.target('a')?.isSilent, true, 'an old answer does not contradict the report');
 });
 
+test('targets that were silent before stay so when others of the region answer although they are reported silent', () => {
+	const view = new FleetView(() => 'r');
+	const answered = new Map<string, number>();
+	view.setReachability({ answeredAt: id => answered.get(id), unreachableAt: () => undefined });
+	const targets = [target('ended'), target('answering'), target('quiet')];
+	view.apply({ ...response(1, { targets }), silentTargets: ['ended'] }, 1000);
+	answered.set('answering', 9000);
+	const silent = { ...response(2, { targets }), silentTargets: ['ended', 'answering', 'quiet'] };
+	view.apply(silent, 10000);
+	assert.deepEqual(
+		view.targetsOf('s').map(known => known.isSilent),
+		[true, false, false]
+	);
+	answered.set('ended', 10200);
+	view.apply(silent, 10500);
+	assert.equal(view.target('ended')?.isSilent, false, 'it has answered itself');
+});
+
 test('incomplete observations do not change known silent targets, demand and entry count', () => {
 	const view = new FleetView(() => 'r');
 	view.apply({ ...response(1), hasHeardAll: false, entryCount: 2 }, 500);
