Cold targets are no capacity yet, and not lost either

Callers saw requests leave their region at once for targets that had only just started, and return at the pace over a quarter of a minute. Cause: a cold target was left out of a region's available slots, so that a replacement of targets looked like their loss once the old ones were known to be gone, and moved shares beside the bound. Fix: cold targets still add nothing to the capacity that shares are planned from, but a loss is counted over all targets that are not silent, gone or drained.

--- a/src/plugins/placement/common/regionCapacities.ts
+++ b/src/plugins/placement/common/regionCapacities.ts
@@ -14,10 +14,7 @@
 
 /** The capacities of one service in the regions where a route may be served. */
 export class RegionCapacities {
-	/** Slots by region, whatever the speed of their targets: slow targets are not lost. */
 	private _availableSlots: ReadonlyMap<string, number> = new Map();
-	/** Speeds of the regions' targets; undefined where load is even. */
-	private _speeds: RegionSpeeds | undefined;
 	private _capacities: ReadonlyMap<string, RegionCapacity> = new Map();
 
 	/**
@@ -33,45 +30,53 @@
 		private readonly _load: IUnevenLoad = evenLoad
 	) {}
 
-	/** Current capacity by region. */
+	/** Current capacity by region; targets add to it once they are no longer cold. */
 	get capacities(): ReadonlyMap<string, RegionCapacity> {
 		return this._capacities;
 	}
 
-	/** Slots of available targets by region, whatever their speed; 0 for a region without any. */
+	/** Slots by region of targets that are not lost, also of slow and of cold ones; 0 for a region without any. */
 	get availableSlots(): ReadonlyMap<string, number> {
 		return this._availableSlots;
 	}
 
 	/** Recomputes capacities from the current view of the fleet. */
 	update(now: Millis): void {
-		const slots = this._countSlots(now);
-		const regions = [...new Set([...this._regions, ...slots.keys()])];
+		const available = this._availableTargets();
+		const warm = available.filter(({ coldUntil }) => coldUntil <= now);
+		const availableSlots = sumSlots(available);
+		const warmSlots = sumSlots(warm);
+		const speeds = this._load.isUneven(this._service) ? this._speedsOf(warm, now) : undefined;
+		const regions = [...new Set([...this._regions, ...availableSlots.keys()])];
 		const capacityOf = (region: string): RegionCapacity => ({
-			slots: (slots.get(region) ?? 0) * (this._speeds?.meanOf(region) ?? 1),
+			slots: (warmSlots.get(region) ?? 0) * (speeds?.meanOf(region) ?? 1),
 			demand: this._view.demandOf(this._service, region)
 		});
 		this._capacities = new Map(regions.map(region => [region, capacityOf(region)]));
-		this._availableSlots = new Map(regions.map(region => [region, slots.get(region) ?? 0]));
+		this._availableSlots = new Map(regions.map(region => [region, availableSlots.get(region) ?? 0]));
 	}
 
-	private _countSlots(now: Millis): Map<string, number> {
-		const slots = new Map<string, number>();
+	private _availableTargets(): KnownTarget[] {
+		const isAtHome = (region: string): boolean => this._homeRegions.length === 0 || this._homeRegions.includes(region);
+		return this._view
+			.targetsOf(this._service)
+			.filter(({ record, region, isSilent }) => isAtHome(region) && !isSilent && !this._view.isDrained(record.hall));
+	}
+
+	private _speedsOf(targets: readonly KnownTarget[], now: Millis): RegionSpeeds {
 		const speeds = new RegionSpeeds();
-		for (const target of this._view.targetsOf(this._service)) {
-			const isAtHome = this._homeRegions.length === 0 || this._homeRegions.includes(target.region);
-			if (isAtHome && this._isAvailable(target, now)) {
-				slots.set(target.region, (slots.get(target.region) ?? 0) + target.record.slots);
-				speeds.add(target.region, this._load.speedOf(target.record.id, now));
-			}
-		}
-		this._speeds = this._load.isUneven(this._service) ? speeds : undefined;
-		return slots;
+		targets.forEach(({ record, region }) => speeds.add(region, this._load.speedOf(record.id, now)));
+		return speeds;
 	}
+}
 
-	private _isAvailable({ record, isSilent, coldUntil }: KnownTarget, now: Millis): boolean {
-		return !isSilent && coldUntil <= now && !this._view.isDrained(record.hall);
+/** Sums the slots of targets by region. */
+function sumSlots(targets: readonly KnownTarget[]): Map<string, number> {
+	const slots = new Map<string, number>();
+	for (const { record, region } of targets) {
+		slots.set(region, (slots.get(region) ?? 0) + record.slots);
 	}
+	return slots;
 }
 
 /** Mean speeds of the regions' targets that are known. */
--- a/src/plugins/placement/common/sharePacer.ts
+++ b/src/plugins/placement/common/sharePacer.ts
@@ -23,9 +23,9 @@
 	readonly shares: RegionShares;
 	/** Fraction of its requests that each overloaded region rejects, 0 to 1. */
 	readonly rejectionRates: ReadonlyMap<string, number>;
-	/** Slots of available targets by region; 0 for a region without any. A region that has fewer than before has lost targets. */
+	/** Slots of targets that are not lost, by region; 0 for a region without any. */
 	readonly availableSlots: SlotsByRegion;
-	/** The same, by the speed of the targets where it is known. */
+	/** Slots of targets that are not cold, by their speed where it is known, by region. */
 	readonly slots: SlotsByRegion;
 	/** Share that the own region would keep if all regions had equal demand; above it, its share rises more slowly. */
 	readonly evenDemandOwnShare: number;
--- a/src/plugins/placement/test/regionShifts.test.ts
+++ b/src/plugins/placement/test/regionShifts.test.ts
@@ -94,6 +94,20 @@
 		assert.ok(simulation.shares(WINDOW_MS)['north']! > 0.6 * before['north']!, 'most requests have returned');
 	});
 
+	test(`targets that turn cold move no more requests than the bound${label}`, () => {
+		const simulation = new SimulatedRegion(workTimeFactor, SMALL_SYSTEM);
+		simulation.loadFactor = 1.5;
+		simulation.slotDemand = {
+			reads: { north: 108, central: 40, south: 40 },
+			commands: { north: 12, central: 12, south: 12 }
+		};
+		simulation.run(WARMUP_MS);
+		const since = simulation.now;
+		simulation.turnCold(simulation.targetsOf('north', 'reads').slice(0, 8));
+		simulation.run(10000);
+		assertBound(simulation, since);
+	});
+
 	test(`drained halls get no requests once the instances know that they are drained${label}`, () => {
 		const simulation = warmedUpSimulation(workTimeFactor);
 		simulation.drained.add('north-a').add('north-b');
--- a/src/plugins/placement/test/simulatedRegion.ts
+++ b/src/plugins/placement/test/simulatedRegion.ts
@@ -105,7 +105,7 @@
 	readonly unreachable = new Set<string>();
 	/** When targets ended whose addresses belong to others now, by id. */
 	private readonly _replacedAt = new Map<string, Millis>();
-	/** Until when targets that replace others are cold, by id. */
+	/** Until when targets are cold, by id. */
 	private readonly _coldUntil = new Map<string, Millis>();
 	/** Factor applied to the callers' normal request rates. */
 	loadFactor = 1;
@@ -165,6 +165,16 @@
 		this.change();
 	}
 
+	/** Lets control report targets as cold from now on. */
+	turnCold(ids: readonly string[]): void {
+		ids.forEach(id => this._coldUntil.set(id, this.now + COLD_MS));
+	}
+
+	/** The view that an instance has of the fleet. */
+	viewOf(instance: number): FleetView {
+		return this._instances[instance]!.view;
+	}
+
 	/** Publishes a new route table and the drained halls to all instances. */
 	change(): void {
 		this._revision++;
