Shares rest while rejections have moved what runs

Callers' requests that run changed their region by more than the bound although shares kept to their pace. Cause: the bound was kept where the plan is made. A region that begins or ceases to reject moves what runs by itself, and the shares moved on in the same direction. Fix: the pacer tracks shares less rejections over the window (runningMix.ts) and moves shares only as far as three quarters of the bound leave; rates of fewer than 8 requests don't count, since in large systems an instance has few. Without rejections nothing changes.

--- a/src/plugins/placement/common/placementPlans.ts
+++ b/src/plugins/placement/common/placementPlans.ts
@@ -185,6 +185,7 @@
 			const desired = {
 				shares: [],
 				rejectionRates: new Map(),
+				reliableRejectionRates: new Map(),
 				availableSlots: new Map(),
 				slots: new Map(),
 				evenDemandOwnShare: 1
@@ -209,6 +210,7 @@
 					? plan.steadyShares.update(capacities, now)
 					: planShares(this._location.region, capacities, isLarge),
 				rejectionRates: plan.rejections.rates(now),
+				reliableRejectionRates: plan.rejections.reliableRates(now),
 				availableSlots,
 				slots: new Map([...capacities].map(([region, capacity]) => [region, capacity.slots])),
 				evenDemandOwnShare: evenDemandShare(this._location.region, capacities, isLarge)
--- a/src/plugins/placement/common/regionRejections.ts
+++ b/src/plugins/placement/common/regionRejections.ts
@@ -12,6 +12,8 @@
 const MIN_REJECTION_RATE = 0.05;
 /** Regions with fewer requests are not reported. */
 const MIN_REQUESTS = 2;
+/** The same where a rate must not be due to chance. */
+const MIN_RELIABLE_REQUESTS = 8;
 
 interface RegionCount {
 	requests: number;
@@ -37,10 +39,19 @@
 
 	/** Returns the fraction of requests that each overloaded region rejects; other regions are left out. */
 	rates(now: Millis): ReadonlyMap<string, number> {
+		return this._ratesOf(MIN_REQUESTS, now);
+	}
+
+	/** Returns the same without regions that have too few requests for a rate that is not due to chance. */
+	reliableRates(now: Millis): ReadonlyMap<string, number> {
+		return this._ratesOf(MIN_RELIABLE_REQUESTS, now);
+	}
+
+	private _ratesOf(minRequests: number, now: Millis): ReadonlyMap<string, number> {
 		const rates = new Map<string, number>();
 		for (const region of this._counts.keys()) {
 			const { requests, rejected } = this._decayedCount(region, now);
-			if (requests >= MIN_REQUESTS && rejected / requests >= MIN_REJECTION_RATE) {
+			if (requests >= minRequests && rejected / requests >= MIN_REJECTION_RATE) {
 				rates.set(region, rejected / requests);
 			}
 		}
--- a/src/plugins/placement/common/sharePacer.ts
+++ b/src/plugins/placement/common/sharePacer.ts
@@ -10,6 +10,7 @@
 import type { Millis } from '../../../base/clock.js';
 import { BackingSlots, type SlotsByRegion } from './backingSlots.js';
 import { movedFraction, type RegionShare, type RegionShares, shareOf, totalShare } from './regionShares.js';
+import { RunningMix } from './runningMix.js';
 
 /** Limits how fast requests may move to other regions. */
 export interface ShiftBounds {
@@ -23,6 +24,8 @@
 	readonly shares: RegionShares;
 	/** Fraction of its requests that each overloaded region rejects, 0 to 1. */
 	readonly rejectionRates: ReadonlyMap<string, number>;
+	/** The same without regions that have too few requests for a rate that is not due to chance. */
+	readonly reliableRejectionRates: ReadonlyMap<string, number>;
 	/** Slots of targets that are not lost, by region; 0 for a region without any. */
 	readonly availableSlots: SlotsByRegion;
 	/** Slots of targets that are not cold, by their speed where it is known, by region. */
@@ -64,6 +67,7 @@
 	private _shares: RegionShares;
 	private _updatedAt: Millis | undefined;
 	private readonly _backingSlots = new BackingSlots();
+	private readonly _runningMix: RunningMix;
 
 	/** @param initialShares shares that the requests have had so far; empty for a new route */
 	constructor(
@@ -71,6 +75,7 @@
 		initialShares: RegionShares = []
 	) {
 		this._maxMovedPerMs = (SHIFT_BUDGET_FRACTION * _bounds.maxMovedFraction) / _bounds.windowMs;
+		this._runningMix = new RunningMix(_bounds.maxMovedFraction, _bounds.windowMs);
 		this._shares = initialShares;
 	}
 
@@ -80,7 +85,7 @@
 
 	/**
 	 * Moves the shares towards the desired ones. Shares of lost targets move at once; all other changes, including the return
-	 * to recovered targets, keep to the shift bounds.
+	 * to recovered targets, keep to the shift bounds, together with what rejections move.
 	 * @returns the change, if it includes shares of lost targets; undefined otherwise
 	 */
 	update(desired: DesiredShares, now: Millis): ShareJump | undefined {
@@ -92,7 +97,11 @@
 		const sinceUpdateMs = now - (this._updatedAt ?? now);
 		this._updatedAt = now;
 		// After a pause, no more than the moves of one window may be made at once.
-		const maxMoved = this._maxMovedPerMs * Math.min(sinceUpdateMs, this._bounds.windowMs);
+		const pacedFraction = this._maxMovedPerMs * Math.min(sinceUpdateMs, this._bounds.windowMs);
+		const maxMoved = Math.min(
+			pacedFraction,
+			this._runningMix.movableFraction(from, desired.reliableRejectionRates, now)
+		);
 		const lost = isNew ? NO_LOSSES : this._backingSlots.lostFractions(desired.availableSlots);
 		const base = isNew
 			? limitOwnIncrease([], desired.shares, desired, 0)
@@ -102,6 +111,7 @@
 			limitOwnIncrease(base, reduceRejectingRegions(base, desired), desired, maxMoved),
 			maxMoved
 		);
+		this._runningMix.record(this._shares, desired.reliableRejectionRates, now);
 		this._backingSlots.update(base, this._shares, desired.availableSlots, maxMoved, sinceUpdateMs);
 		if (isNew || base === from) {
 			return undefined;
