Moves off lost targets don't hold back the pace afterwards

Callers' requests would have stayed for a window where they were after a loss: a move off lost targets is exempt from the bound, but counted in what had moved. Cause: the division of running requests kept samples from before the move. Fix: they are dropped with it.

--- a/src/plugins/placement/common/runningMix.ts
+++ b/src/plugins/placement/common/runningMix.ts
@@ -43,6 +43,11 @@
 		}
 	}
 
+	/** Forgets what has moved, after a move that is exempt from the shift bounds. */
+	clear(): void {
+		this._samples.length = 0;
+	}
+
 	/** Returns the fraction of the requests that shares may move now, given what has moved within the last window. */
 	movableFraction(shares: RegionShares, rejectionRates: RejectionRates, now: Millis): number {
 		while (this._samples.length > 1 && this._samples[1]!.at <= now - this._windowMs) {
--- a/src/plugins/placement/common/sharePacer.ts
+++ b/src/plugins/placement/common/sharePacer.ts
@@ -94,26 +94,25 @@
 		}
 		const from = this._shares;
 		const isNew = from.length === 0;
-		const sinceUpdateMs = now - (this._updatedAt ?? now);
+		const elapsedMs = now - (this._updatedAt ?? now);
 		this._updatedAt = now;
-		// After a pause, no more than the moves of one window may be made at once.
-		const pacedFraction = this._maxMovedPerMs * Math.min(sinceUpdateMs, this._bounds.windowMs);
-		const maxMoved = Math.min(
-			pacedFraction,
-			this._runningMix.movableFraction(from, desired.reliableRejectionRates, now)
-		);
 		const lost = isNew ? NO_LOSSES : this._backingSlots.lostFractions(desired.availableSlots);
 		const base = isNew
 			? limitOwnIncrease([], desired.shares, desired, 0)
 			: this._withdrawFromLostTargets(desired, lost);
+		const isJump = !isNew && base !== from;
+		if (isJump) {
+			this._runningMix.clear();
+		}
+		const maxMoved = this._maxMoved(base, desired, elapsedMs, now);
 		this._shares = moveTowards(
 			base,
 			limitOwnIncrease(base, reduceRejectingRegions(base, desired), desired, maxMoved),
 			maxMoved
 		);
 		this._runningMix.record(this._shares, desired.reliableRejectionRates, now);
-		this._backingSlots.update(base, this._shares, desired.availableSlots, maxMoved, sinceUpdateMs);
-		if (isNew || base === from) {
+		this._backingSlots.update(base, this._shares, desired.availableSlots, maxMoved, elapsedMs);
+		if (!isJump) {
 			return undefined;
 		}
 		return {
@@ -125,6 +124,13 @@
 		};
 	}
 
+	/** Fraction of the objects that may change their region now, by the pace and by what rejections have moved already. */
+	private _maxMoved(shares: RegionShares, desired: DesiredShares, elapsedMs: Millis, now: Millis): number {
+		// After a pause, no more than the moves of one window may be made at once.
+		const pacedFraction = this._maxMovedPerMs * Math.min(elapsedMs, this._bounds.windowMs);
+		return Math.min(pacedFraction, this._runningMix.movableFraction(shares, desired.reliableRejectionRates, now));
+	}
+
 	/** Returns the shares after redistributing those that relied on targets lost since the last update. */
 	private _withdrawFromLostTargets(desired: DesiredShares, lost: ReadonlyMap<string, number>): RegionShares {
 		const remaining = this._shares.map(({ region, share }) => ({
