Until when a target is cold survives a restart of all control instances

Cause: that a target is cold stood in heartbeats only, kept in memory, so nobody knew until the next one, and an entry instance takes a target for warm that it is told nothing of. Weighed: 'unknown is not warm' (a total restart of a warm fleet, the common case, would run at the cold rate for a heartbeat interval: 24 targets of 14 a second serve 200 of 600 requests a second); asking the targets (first contacts of all instances are a sum nobody holds); recording it, which costs nothing for warm targets. Control instances without a heartbeat since their start go by it, including commands not yet known to be committed: the first view after a restart was served 0.3 s before a leader was elected. Cold targets registered before any entry instance was ready are assigned senders as limited ones are; before, they got nothing while cold. Left: a target that turns cold while no control instance runs, and a control instance asked first that lacks the log's last entries. Control instances of older versions ignore the new field: all are to be upgraded before it is relied on.

--- a/src/plugins/agreement/common/agreement.ts
+++ b/src/plugins/agreement/common/agreement.ts
@@ -60,6 +60,11 @@
 	 * @returns milliseconds; infinite if that is not known
 	 */
 	contactAgeMs(): number;
+	/**
+	 * Commands of a part in this replica's log that are not known to be committed, oldest first. After a restart of all replicas they
+	 * may have been committed and acknowledged before; until a leader has been elected nothing else tells.
+	 */
+	uncommittedCommands(part: string): readonly unknown[];
 	/** Removes a member; resolves with false if this replica cannot do so now. */
 	removeMember(id: MemberId): Promise<boolean>;
 	status(): ReplicaStatus;
--- a/src/plugins/agreement/common/agreementCore.ts
+++ b/src/plugins/agreement/common/agreementCore.ts
@@ -79,6 +79,12 @@
 		return this._state.log.lastIndex;
 	}
 
+	/** Entries of the log that are not known to be committed. */
+	uncommittedEntries(): readonly LogEntry[] {
+		const { commitIndex, log } = this._state;
+		return log.slice(commitIndex + 1, log.lastIndex - commitIndex);
+	}
+
 	/** Last index that the latest snapshot covers; 0 without a snapshot. */
 	get snapshotIndex(): LogIndex {
 		return this._state.log.baseIndex;
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -144,6 +144,14 @@
 		return this._core?.hasLease(now, this._contactValidFrom) ?? false;
 	}
 
+	uncommittedCommands(part: string): readonly unknown[] {
+		return (this._core?.uncommittedEntries() ?? [])
+			.filter(({ kind }) => kind === EntryKind.Command)
+			.map(({ command }) => command as PartCommand)
+			.filter(command => command.part === part)
+			.map(({ body }) => body);
+	}
+
 	contactAgeMs(): number {
 		return this._core?.contactAge(systemClock.now()) ?? Number.POSITIVE_INFINITY;
 	}
--- a/src/plugins/fleet/common/fleetState.ts
+++ b/src/plugins/fleet/common/fleetState.ts
@@ -212,7 +212,15 @@
 			this._targetIdsByAddress.set(description.address, id);
 		}
 		const pacedSenders = known?.pacedSenders ?? change.pacedSenders ?? [];
-		this._targets.set(id, { ...description, bornAt, pacedSenders, phase, changedAt: this._revision });
+		const coldUntil = known?.coldUntil ?? change.coldUntil;
+		this._targets.set(id, {
+			...description,
+			bornAt,
+			pacedSenders,
+			...(coldUntil === undefined ? {} : { coldUntil }),
+			phase,
+			changedAt: this._revision
+		});
 	}
 
 	private _paceTargets({ changes }: PaceTargetsCommand): FleetResult {
@@ -225,21 +233,24 @@
 		return this._notifyChanged();
 	}
 
-	private _isPaceChange({ id, bornAt, limitPerSecond, pacedSenders }: PaceChange): boolean {
+	private _isPaceChange({ id, bornAt, limitPerSecond, pacedSenders, coldUntil }: PaceChange): boolean {
 		const known = this._findIncarnation(id, bornAt);
 		if (!known || known.phase === TargetPhase.Gone) {
 			return false;
 		}
 		const isLimitChanged = limitPerSecond !== undefined && limitPerSecond !== (known.limitPerSecond ?? null);
-		return isLimitChanged || (pacedSenders !== undefined && pacedSenders.join() !== known.pacedSenders.join());
+		const isColdForLonger = coldUntil !== undefined && coldUntil > (known.coldUntil ?? 0);
+		const areSendersChanged = pacedSenders !== undefined && pacedSenders.join() !== known.pacedSenders.join();
+		return isLimitChanged || isColdForLonger || areSendersChanged;
 	}
 
-	private _paceTarget({ id, limitPerSecond, pacedSenders }: PaceChange): void {
+	private _paceTarget({ id, limitPerSecond, pacedSenders, coldUntil }: PaceChange): void {
 		const { limitPerSecond: previousLimit, ...known } = this._targets.get(id)!;
 		const nextLimit = limitPerSecond === undefined ? previousLimit : (limitPerSecond ?? undefined);
 		this._targets.set(id, {
 			...known,
 			...(nextLimit === undefined ? {} : { limitPerSecond: nextLimit }),
+			...(coldUntil === undefined ? {} : { coldUntil: Math.max(coldUntil, known.coldUntil ?? 0) }),
 			pacedSenders: pacedSenders ?? known.pacedSenders,
 			changedAt: this._revision
 		});
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -51,6 +51,11 @@
 	readonly pacedSenders: readonly string[];
 	/** Requests per second that the target accepts from all instances together; absent if it declares no limit. */
 	readonly limitPerSecond?: number;
+	/**
+	 * Until when the target is cold, in Unix milliseconds by the clock of the control instance that received its heartbeat; absent
+	 * if it was never cold. Control instances that restart use it until they receive a heartbeat.
+	 */
+	readonly coldUntil?: number;
 }
 
 /** Whether a data hall is drained: its targets get no new requests. */
@@ -102,9 +107,11 @@
 	readonly description?: TargetDescription;
 	/** Present together with the description. */
 	readonly pacedSenders?: readonly string[];
+	/** Until when a registered target is cold, as in its record; absent if it is not. */
+	readonly coldUntil?: number;
 }
 
-/** Changes rate limits of targets or the entry instances that may send to them. */
+/** Changes rate limits of targets, the entry instances that may send to them, or until when targets are cold. */
 export interface PaceTargetsCommand {
 	readonly type: 'paceTargets';
 	readonly changes: readonly PaceChange[];
@@ -117,6 +124,8 @@
 	/** Requests per second; `null` removes the limit. */
 	readonly limitPerSecond?: number | null;
 	readonly pacedSenders?: readonly string[];
+	/** Unix milliseconds; an earlier time than the recorded one has no effect. */
+	readonly coldUntil?: number;
 }
 
 /** Any command on the fleet's part of the replicated state. */
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -19,12 +19,15 @@
 import { FleetState } from '../common/fleetState.js';
 import {
 	type EntryDescription,
+	FLEET_PART,
 	type FleetCommand,
 	type FleetResult,
 	type PublishedTable,
-	TargetPhase
+	TargetPhase,
+	type TargetRecord
 } from '../common/fleetTypes.js';
 import {
+	type ColdTarget,
 	exchangeMethod,
 	type SenderAddress,
 	syncMethod,
@@ -33,6 +36,7 @@
 } from '../common/fleetWire.js';
 import { ObservationCompleteness } from '../common/observationCompleteness.js';
 import type { PlaceSettings } from '../common/placeSettings.js';
+import { recordedColdTargets } from '../common/recordedColdTargets.js';
 import { QuarantineState } from '../common/quarantineState.js';
 import type { QuarantineRecord } from '../common/quarantineTypes.js';
 import { LivenessTracker } from '../common/livenessTracker.js';
@@ -256,7 +260,7 @@
 			hallPeers: regionalEntries.filter(entry => isHallPeer(entry, request.entry)).map(entry => entry.peerAddress),
 			limitSenders: this._limitSenders(entries),
 			silentTargets: this._silentTargets(now),
-			coldTargets: this._liveness.coldTargets(now),
+			coldTargets: this._coldTargets(now),
 			crowdedTargets: this._crowdedTargets,
 			demand: sumDemandByRegion(entries)
 		};
@@ -288,6 +292,14 @@
 		return silent;
 	}
 
+	/** Cold targets by their heartbeats; by the replicated log where this instance has received none since its start. */
+	private _coldTargets(now: Millis): ColdTarget[] {
+		const isUnheard = ({ id }: TargetRecord): boolean => this._liveness.lastHeartbeatAt(id) === undefined;
+		const unheard = [...this._state.targets].filter(isUnheard);
+		const uncommitted = this._agreement.uncommittedCommands(FLEET_PART) as readonly FleetCommand[];
+		return [...this._liveness.coldTargets(now), ...recordedColdTargets(unheard, uncommitted, Date.now())];
+	}
+
 	private _updateCrowdedTargets(crowded: readonly CrowdedTarget[], now: Millis): void {
 		const isTransition = crowded.length > 0 !== this._crowdedTargets.length > 0;
 		this._crowdedTargets = crowded;
--- a/src/plugins/fleet/node/targetLimitManager.ts
+++ b/src/plugins/fleet/node/targetLimitManager.ts
@@ -53,7 +53,8 @@
 	}
 
 	/**
-	 * Assigns senders to limited targets that have none, and replaces senders without recent contact; called several times a second.
+	 * Assigns senders to limited or cold targets that have none, and replaces senders without recent contact; called several times a
+	 * second.
 	 * @param completeSince since when this instance has received the liveness of all entry instances; undefined if it does not
 	 */
 	updateSenders(completeSince: Millis | undefined, now: Millis): void {
@@ -62,7 +63,7 @@
 		}
 		const changes: PaceChange[] = [];
 		for (const target of this._state.targets) {
-			if (target.phase === TargetPhase.Serving && target.limitPerSecond !== undefined) {
+			if (target.phase === TargetPhase.Serving && isRateLimited(target)) {
 				const pacedSenders = this._selectSenders(target, completeSince, now);
 				if (pacedSenders.join() !== target.pacedSenders.join()) {
 					changes.push({ id: target.id, bornAt: target.bornAt, pacedSenders });
@@ -131,3 +132,7 @@
 		return now - Math.max(lastSeenAt, completeSince) > SENDER_REPLACEMENT_DELAY_MS;
 	}
 }
+
+function isRateLimited({ limitPerSecond, coldUntil }: TargetRecord): boolean {
+	return limitPerSecond !== undefined || (coldUntil !== undefined && coldUntil > Date.now());
+}
--- a/src/plugins/fleet/node/targetRegistrar.ts
+++ b/src/plugins/fleet/node/targetRegistrar.ts
@@ -22,6 +22,9 @@
 	New
 }
 
+/** Smaller differences from the recorded end are not recorded: heartbeats are delayed by different times. */
+const COLD_RECORD_TOLERANCE_MS: Millis = 1000;
+
 /** Registers the targets that send heartbeats to this control instance. */
 export class TargetRegistrar {
 	private readonly _staleHeartbeatFilter = new StaleHeartbeatFilter();
@@ -55,11 +58,23 @@
 				id,
 				bornAt,
 				phase,
-				...(incarnation === Incarnation.New ? this._registrationOf(description) : {})
+				...(incarnation === Incarnation.New ? this._registrationOf(description, coldLeftMs) : {})
 			});
 		} else if (known?.phase === TargetPhase.Leaving) {
 			await this._commands.waitUntilTargetChangeApplied(known.changedAt);
+		} else if (known && isNewest) {
+			await this._recordCold(known, coldLeftMs);
+		}
+	}
+
+	/** Records that a target has turned cold, so that control instances that restart know of it. */
+	private async _recordCold({ id, bornAt, coldUntil }: TargetRecord, coldLeftMs: Millis): Promise<void> {
+		const reportedUntil = Date.now() + coldLeftMs;
+		if (coldLeftMs === 0 || reportedUntil <= (coldUntil ?? 0) + COLD_RECORD_TOLERANCE_MS) {
+			return;
 		}
+		await this._commands.submitToLeader({ type: 'paceTargets', changes: [{ id, bornAt, coldUntil: reportedUntil }] });
+		this._log.info('target is cold', { task: 'fleet', target: id, leftMs: Math.round(coldLeftMs) });
 	}
 
 	/** Removes a target at its own request; resolves when that is in the replicated log. */
@@ -97,10 +112,17 @@
 		return isKnown ? Incarnation.Current : Incarnation.New;
 	}
 
-	private _registrationOf(description: TargetDescription): Pick<TargetChange, 'description' | 'pacedSenders'> {
+	private _registrationOf(
+		description: TargetDescription,
+		coldLeftMs: Millis
+	): Pick<TargetChange, 'description' | 'pacedSenders' | 'coldUntil'> {
 		const region = this._regionByHall.get(description.hall) ?? '';
 		const entries = this._liveness.liveEntries(systemClock.now());
-		return { description, pacedSenders: selectPacedSenders(description.id, region, entries) };
+		return {
+			description,
+			pacedSenders: selectPacedSenders(description.id, region, entries),
+			...(coldLeftMs > 0 ? { coldUntil: Date.now() + coldLeftMs } : {})
+		};
 	}
 
 	private async _submitChange(change: TargetChange): Promise<void> {
