The simulated region knows first attempts, so that requests spill

Cause: its requests had no number of denied permits, so none counted as a first attempt, the allowance of spilled requests never grew, and tests of the shift bounds ran without spills (found by reading before). Change: the requests of the simulation have both fields.

--- a/src/plugins/placement/test/regionShifts.test.ts
+++ b/src/plugins/placement/test/regionShifts.test.ts
@@ -14,7 +14,7 @@
 
 const WARMUP_MS = 10000;
 /** Digest of the choices of a simulation whose shares follow the present demand. */
-const RECORDED_CHOICES = '03f9d907da74a8df';
+const RECORDED_CHOICES = '420f5ad9a1bd8397';
 
 function warmedUpSimulation(workTimeFactor?: number): SimulatedRegion {
 	const simulation = new SimulatedRegion(workTimeFactor);
--- a/src/plugins/placement/test/simulatedRegion.ts
+++ b/src/plugins/placement/test/simulatedRegion.ts
@@ -90,6 +90,8 @@
 /** A request of the simulation, which records the targets that it tried. */
 interface SimulatedRequest extends PlacementRequest {
 	readonly tried: Set<string>;
+	/** Ids of the targets of the attempts so far, in order. */
+	readonly attempts: string[];
 }
 
 interface Instance {
@@ -348,7 +350,8 @@
 			homeRegions: [],
 			service,
 			tried: new Set<string>(),
-			attempts: []
+			attempts: [],
+			permitsDenied: 0
 		} as unknown as SimulatedRequest;
 		this._attempt(instance, request);
 	}
@@ -363,6 +366,7 @@
 		const { id } = known.record;
 		this._choices.update(`${id} `);
 		request.tried.add(id);
+		request.attempts.push(id);
 		state.inFlight++;
 		if (this.unreachable.has(id)) {
 			const outcome = { type: 'not-run', hasArrived: false, cause: NotRunCause.NoConnection } as const;
