Only a target that ended while others were heard stays silent

Fix: what tells a target that ended from a report that is wrong is whether control hears others of its region. Only a target that has been silent for 3 s while others were heard is taken to have ended; where the whole region is silent, evidence against the report counts for all its targets as before.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -17,6 +17,11 @@
 	readonly region: string;
 	/** Whether its heartbeats are overdue. */
 	isSilent: boolean;
+	/**
+	 * Since when it has been silent while control received heartbeats of other targets in its region, on the monotonic clock;
+	 * undefined if that is not so now.
+	 */
+	silentSince?: Millis;
 	/** Until when the target is cold, which limits its request rate; on the monotonic clock. */
 	coldUntil: Millis;
 	/** Fraction of its objects that it keeps, 0 to 1; less than 1 if it has too few slots for all of them. */
@@ -49,6 +54,9 @@
  */
 const REACHABILITY_WINDOW_MS = 2500;
 
+/** A target that has been silent for this long while control hears others of its region is taken to have ended. */
+const ENDED_AFTER_MS: Millis = 3000;
+
 /** The fleet as seen by one entry instance. */
 export class FleetView {
 	/** Suspected and quarantined requests. */
@@ -178,19 +186,26 @@
 		const silent = response.hasHeardAll ? new Set(response.silentTargets) : new Set<string>();
 		this._contradictions = this._findContradictions(silent, now);
 		const keptParts = new Map(response.crowdedTargets.map(({ id, keptPart }) => [id, keptPart]));
+		const heardRegions = new Set([...this._targets].filter(([id]) => !silent.has(id)).map(([, { region }]) => region));
 		for (const [id, target] of this._targets) {
-			target.isSilent = silent.has(id) && this._isReportBelieved(target);
+			target.isSilent = silent.has(id) && this._isReportBelieved(target, now);
+			const isAlone = target.isSilent && heardRegions.has(target.region);
+			target.silentSince = isAlone ? (target.silentSince ?? now) : undefined;
 			target.keptPart = keptParts.get(id) ?? 1;
 		}
 	}
 
 	/**
-	 * Whether a report that a target is silent is believed. In a region with a contradiction, targets that were silent before stay
-	 * so unless they have answered themselves: that others answer says nothing of targets that ended long ago.
+	 * Whether a report that a target is silent is believed. A contradiction in its region does not apply to a target that has long
+	 * been silent while others of the region were heard, unless it has answered itself: it has ended.
 	 */
-	private _isReportBelieved({ record, region, isSilent }: KnownTarget): boolean {
+	private _isReportBelieved({ record, region, silentSince }: KnownTarget, now: Millis): boolean {
 		const contradiction = this._contradictions.get(region);
-		return contradiction === undefined || (isSilent && !contradiction.answered.includes(record.id));
+		if (contradiction === undefined) {
+			return true;
+		}
+		const hasEnded = silentSince !== undefined && now - silentSince >= ENDED_AFTER_MS;
+		return hasEnded && !contradiction.answered.includes(record.id);
 	}
 
 	/**
@@ -252,7 +267,8 @@
 		const knownSince = sameIncarnation?.knownSince ?? firstSeenAt;
 		const keptPart = sameIncarnation?.keptPart ?? 1;
 		const isSilent = sameIncarnation?.isSilent ?? false;
-		this._targets.set(record.id, { record, region, isSilent, coldUntil, keptPart, knownSince });
+		const silentSince = sameIncarnation?.silentSince;
+		this._targets.set(record.id, { record, region, isSilent, silentSince, coldUntil, keptPart, knownSince });
 	}
 
 	/** Treats the targets of a hall that returns to service as cold: they may have become so while it was drained. */
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -152,22 +152,35 @@
 	assert.equal(view.target('a')?.isSilent, true, 'an old answer does not contradict the report');
 });
 
-test('targets that were silent before stay so when others of the region answer although they are reported silent', () => {
+test('a target that ended while others of its region were heard stays silent when those answer although they are reported silent', () => {
 	const view = new FleetView(() => 'r');
 	const answered = new Map<string, number>();
 	view.setReachability({ answeredAt: id => answered.get(id), unreachableAt: () => undefined });
 	const targets = [target('ended'), target('answering'), target('quiet')];
+	const isSilent = (): boolean[] => view.targetsOf('s').map(known => known.isSilent);
 	view.apply({ ...response(1, { targets }), silentTargets: ['ended'] }, 1000);
+	view.apply({ ...response(2, { targets }), silentTargets: ['ended'] }, 4000);
 	answered.set('answering', 9000);
-	const silent = { ...response(2, { targets }), silentTargets: ['ended', 'answering', 'quiet'] };
+	const silent = { ...response(3, { targets }), silentTargets: ['ended', 'answering', 'quiet'] };
 	view.apply(silent, 10000);
-	assert.deepEqual(
-		view.targetsOf('s').map(known => known.isSilent),
-		[true, false, false]
-	);
+	assert.deepEqual(isSilent(), [true, false, false]);
 	answered.set('ended', 10200);
 	view.apply(silent, 10500);
-	assert.equal(view.target('ended')?.isSilent, false, 'it has answered itself');
+	assert.deepEqual(isSilent(), [false, false, false], 'it has answered itself');
+});
+
+test('all targets of a region that control does not hear are used again once some of them answer', () => {
+	const view = new FleetView(() => 'r');
+	const answered = new Map<string, number>();
+	view.setReachability({ answeredAt: id => answered.get(id), unreachableAt: () => undefined });
+	const targets = [target('a'), target('b')];
+	const silent = { ...response(1, { targets }), silentTargets: ['a', 'b'] };
+	view.apply(silent, 1000);
+	view.apply(silent, 9000);
+	assert.equal(view.target('b')?.isSilent, true, 'nothing contradicts the report while there are no requests');
+	answered.set('a', 9900);
+	view.apply(silent, 10000);
+	assert.equal(view.target('b')?.isSilent, false);
 });
 
 test('incomplete observations do not change known silent targets, demand and entry count', () => {
