Simulated region: sizes and counts by region have files of their own

Change: RegionCounts counts requests by region and compares windows, simulatedSizes.ts has the regions and the two sizes of systems; nothing else changes.

--- a/src/plugins/placement/test/regionCapacities.test.ts
+++ b/src/plugins/placement/test/regionCapacities.test.ts
@@ -7,7 +7,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { RegionCapacities } from '../common/regionCapacities.js';
-import { SimulatedRegion, SMALL_SYSTEM } from './simulatedRegion.js';
+import { SimulatedRegion } from './simulatedRegion.js';
+import { SMALL_SYSTEM } from './simulatedSizes.js';
 
 test('cold targets are no capacity yet, and not lost', () => {
 	const simulation = new SimulatedRegion(undefined, SMALL_SYSTEM);
--- a/src/plugins/placement/test/regionShifts.test.ts
+++ b/src/plugins/placement/test/regionShifts.test.ts
@@ -10,7 +10,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Millis } from '../../../base/clock.js';
-import { MAX_MOVED_FRACTION, REGIONS, SimulatedRegion, SMALL_SYSTEM, WINDOW_MS } from './simulatedRegion.js';
+import { WINDOW_MS } from './regionCounts.js';
+import { MAX_MOVED_FRACTION, SimulatedRegion } from './simulatedRegion.js';
+import { REGIONS, SMALL_SYSTEM } from './simulatedSizes.js';
 
 const WARMUP_MS = 10000;
 /** Digest of the choices of a simulation whose shares follow the present demand. */
@@ -23,7 +25,7 @@
 }
 
 function assertBoundOfAll(simulation: SimulatedRegion, since: Millis): void {
-	const moved = simulation.maxMovedFractionOfAll(since);
+	const moved = simulation.counts.maxMovedFractionOfAll(since);
 	assert.ok(moved <= MAX_MOVED_FRACTION, `${moved.toFixed(3)} changed their region from one window to the next`);
 }
 
@@ -33,7 +35,7 @@
 }
 
 function assertBound(simulation: SimulatedRegion, since: Millis): void {
-	const moved = simulation.maxMovedFraction(since);
+	const moved = simulation.counts.maxMovedFraction(since);
 	assert.ok(moved <= MAX_MOVED_FRACTION, `${moved.toFixed(3)} changed their region from one window to the next`);
 }
 
@@ -91,21 +93,21 @@
 
 	test(`when the targets of a region are lost its requests move at once, and return within the bound${label}`, () => {
 		const simulation = warmedUpSimulation(workTimeFactor);
-		const before = simulation.shares(WINDOW_MS);
+		const before = simulation.counts.shares(WINDOW_MS);
 		assert.ok(before['north']! > 0.15, `${before['north']}`);
 		const lost = simulation.targetsOf('north');
 		lost.forEach(id => simulation.unreachable.add(id));
 		simulation.run(4500);
 		lost.forEach(id => simulation.silent.add(id));
 		simulation.run(4000);
-		assert.ok((simulation.shares(WINDOW_MS)['north'] ?? 0) < 0.02);
+		assert.ok((simulation.counts.shares(WINDOW_MS)['north'] ?? 0) < 0.02);
 		lost.forEach(id => simulation.unreachable.delete(id));
 		simulation.run(500);
 		simulation.silent.clear();
 		const since = simulation.now;
 		simulation.run(15000);
 		assertBound(simulation, since);
-		assert.ok(simulation.shares(WINDOW_MS)['north']! > 0.6 * before['north']!, 'most requests have returned');
+		assert.ok(simulation.counts.shares(WINDOW_MS)['north']! > 0.6 * before['north']!, 'most requests have returned');
 	});
 
 	test(`targets that turn cold move no more requests than the bound${label}`, () => {
@@ -128,7 +130,7 @@
 		simulation.change();
 		simulation.run(200);
 		simulation.run(1000);
-		assert.equal(simulation.shares(1000)['north'] ?? 0, 0);
+		assert.equal(simulation.counts.shares(1000)['north'] ?? 0, 0);
 		simulation.drained.clear();
 		simulation.change();
 		const since = simulation.now;
--- a/src/plugins/placement/test/simulatedRegion.ts
+++ b/src/plugins/placement/test/simulatedRegion.ts
@@ -4,7 +4,7 @@
 
 /**
  * Simulates the entry instances of one region with their views and target selectors on a virtual clock, together with callers,
- * targets and control. Counts in which region requests run, by window.
+ * targets and control.
  */
 
 import { createHash } from 'node:crypto';
@@ -20,9 +20,9 @@
 import type { PlacementCaller, PlacementRequest } from '../common/placementRequest.js';
 import { OutcomeTracker } from '../common/outcomeTracker.js';
 import { TargetSelector } from '../common/targetSelector.js';
+import { REFUSED, RegionCounts, WINDOW_MS } from './regionCounts.js';
+import { LARGE_SYSTEM, REGIONS } from './simulatedSizes.js';
 
-/** All regions; callers and instances are in one of them. */
-export const REGIONS = ['north', 'central', 'south'] as const;
 const STEP_MS = 50;
 const SYNC_MS = 500;
 /** Time from a target's end until control reports it silent. */
@@ -32,56 +32,11 @@
 /** Duration of a request at a target with a free slot. */
 const WORK_MS = 400;
 const REFUSAL_MS = 100;
-/** Window over which moves between regions are counted. */
-export const WINDOW_MS: Millis = 2000;
 /** Maximum fraction of the requests that change their region between two windows. */
 export const MAX_MOVED_FRACTION = 0.15;
 const MAX_ATTEMPTS = 3;
-/** Counted in place of a region for requests that were refused. */
-const REFUSED = 'refused';
 const SLOTS = 9;
 
-/** Sizes of a simulated system. */
-export interface SimulatedSizes {
-	/** The region of the callers. */
-	readonly ownRegion: (typeof REGIONS)[number];
-	/** Entry instances of that region. */
-	readonly instances: number;
-	/** Requests per second of each instance, by route. */
-	readonly rates: Readonly<Record<string, number>>;
-	/** Number of objects that requests are about. */
-	readonly objects: number;
-	/** Number of targets by service and region. */
-	readonly targets: Readonly<Record<string, Readonly<Record<string, number>>>>;
-}
-
-/** Most requests run elsewhere, as the own region has few targets; the two services differ in their proportions. */
-const LARGE_SYSTEM: SimulatedSizes = {
-	ownRegion: 'central',
-	instances: 12,
-	rates: { '/reads/': 30, '/commands/': 10 },
-	objects: 2000,
-	targets: {
-		reads: { north: 40, central: 8, south: 32 },
-		commands: { north: 2, central: 2, south: 30 }
-	}
-};
-
-/** Most requests run in the own region, and targets elsewhere get a request now and then. */
-export const SMALL_SYSTEM: SimulatedSizes = {
-	ownRegion: 'north',
-	instances: 3,
-	rates: { '/reads/': 60, '/commands/': 10 },
-	objects: 120,
-	targets: {
-		reads: { north: 12, central: 2, south: 10 },
-		commands: { north: 6, central: 2, south: 4 }
-	}
-};
-
-/** Number of requests by the region in which they ran. */
-type Counts = ReadonlyMap<string, number>;
-
 interface RunningRequest {
 	readonly endsAt: Millis;
 	readonly complete: (now: Millis) => void;
@@ -126,10 +81,10 @@
 		'/reads/': [{ service: 'reads', weight: 1 }],
 		'/commands/': [{ service: 'commands', weight: 1 }]
 	};
+	/** Requests by the region in which they ran. */
+	readonly counts = new RegionCounts(() => this.now);
 	private readonly _instances: Instance[];
 	private _revision = 1;
-	/** Number of requests by bucket of 200 ms and by the region in which they ran. */
-	private readonly _countsByBucket: Map<string, number>[] = [];
 	private readonly _records: TargetRecord[];
 	/** Number of requests in progress, by target id. */
 	private readonly _loads = new Map<string, number>();
@@ -207,42 +162,11 @@
 		}
 	}
 
-	/** Returns the fraction of the requests that ran in each region, or were refused, over the last span. */
-	shares(spanMs: Millis): Readonly<Record<string, number>> {
-		const counts = this._count(this._bucketNow() - Math.ceil(spanMs / 200), this._bucketNow());
-		const total = [...counts.values()].reduce((sum, count) => sum + count, 0);
-		return Object.fromEntries([...counts].map(([region, count]) => [region, count / total]));
-	}
-
 	/** Digest of the chosen targets, in order; ends the simulation. */
 	choicesDigest(): string {
 		return this._choices.digest('hex').slice(0, 16);
 	}
 
-	/**
-	 * Returns the largest fraction of the requests that ran which changed their region between adjacent windows, the later from
-	 * `since` on.
-	 */
-	maxMovedFraction(since: Millis): number {
-		return this._maxOfWindows(since, movedFractionOfRun);
-	}
-
-	/** The same relative to all requests; ones that were refused do not count as moved. */
-	maxMovedFractionOfAll(since: Millis): number {
-		return this._maxOfWindows(since, movedFractionOfAll);
-	}
-
-	private _maxOfWindows(since: Millis, movedFraction: (before: Counts, after: Counts) => number): number {
-		const length = WINDOW_MS / 200;
-		let max = 0;
-		for (let end = Math.ceil(since / 200) + length; end <= this._bucketNow(); end++) {
-			const before = this._count(end - 2 * length, end - length);
-			const after = this._count(end - length, end);
-			max = Math.max(max, movedFraction(before, after));
-		}
-		return max;
-	}
-
 	private _newInstance(index: number): Instance {
 		const view = new FleetView(regionOf);
 		const { ownRegion } = this._sizes;
@@ -359,7 +283,7 @@
 	private _attempt(instance: Instance, request: SimulatedRequest): void {
 		const chosen = instance.selector.choose(request, this.now);
 		if (!chosen) {
-			this._countRequest(REFUSED);
+			this.counts.record(REFUSED);
 			return;
 		}
 		const { known, state } = chosen;
@@ -380,7 +304,7 @@
 			instance.running.push({ endsAt: this.now + REFUSAL_MS, complete: fail });
 			return;
 		}
-		this._countRequest(known.region);
+		this.counts.record(known.region);
 		const load = (this._loads.get(id) ?? 0) + 1;
 		this._loads.set(id, load);
 		const durationMs = WORK_MS * Math.max(1, load / SLOTS);
@@ -408,7 +332,7 @@
 		if (request.tried.size < MAX_ATTEMPTS) {
 			this._attempt(instance, request);
 		} else {
-			this._countRequest(REFUSED);
+			this.counts.record(REFUSED);
 		}
 	}
 
@@ -417,23 +341,6 @@
 		instance.running = instance.running.filter(request => request.endsAt > this.now);
 		ended.forEach(request => request.complete(this.now));
 	}
-
-	private _bucketNow(): number {
-		return Math.floor(this.now / 200);
-	}
-
-	private _countRequest(region: string): void {
-		const counts = (this._countsByBucket[this._bucketNow()] ??= new Map<string, number>());
-		counts.set(region, (counts.get(region) ?? 0) + 1);
-	}
-
-	private _count(from: number, to: number): Map<string, number> {
-		const sums = new Map<string, number>();
-		for (let bucket = from; bucket < to; bucket++) {
-			this._countsByBucket[bucket]?.forEach((count, region) => sums.set(region, (sums.get(region) ?? 0) + count));
-		}
-		return sums;
-	}
 }
 
 function regionOf(hall: string): string {
@@ -455,33 +362,6 @@
 	};
 }
 
-/** Returns the fraction of the requests that ran which moved from one region to another; refused requests did not run. */
-function movedFractionOfRun(before: Counts, after: Counts): number {
-	const totalOf = (counts: Counts): number =>
-		[...counts].reduce((sum, [region, count]) => sum + (region === REFUSED ? 0 : count), 0);
-	const [was, is] = [totalOf(before), totalOf(after)];
-	if (was === 0 || is === 0) {
-		return 0;
-	}
-	const gain = (region: string): number => Math.max(0, (after.get(region) ?? 0) / is - (before.get(region) ?? 0) / was);
-	return REGIONS.reduce((sum, region) => sum + gain(region), 0);
-}
-
-/** Returns the fraction of requests that moved from one region to another; refused requests do not count as moved. */
-function movedFractionOfAll(before: Counts, after: Counts): number {
-	const totalOf = (counts: Counts): number => [...counts.values()].reduce((sum, count) => sum + count, 0);
-	const [was, is] = [totalOf(before), totalOf(after)];
-	if (was === 0 || is === 0) {
-		return 0;
-	}
-	const regions = new Set([...before.keys(), ...after.keys()]);
-	regions.delete(REFUSED);
-	const changes = [...regions].map(region => (after.get(region) ?? 0) / is - (before.get(region) ?? 0) / was);
-	const gained = changes.reduce((sum, change) => sum + Math.max(0, change), 0);
-	const lost = changes.reduce((sum, change) => sum + Math.max(0, -change), 0);
-	return Math.min(gained, lost);
-}
-
 /** Returns a deterministic pseudo-random number in [0, 1). */
 function pseudoRandom(seed: number): number {
 	const value = Math.sin(seed * 12.9898) * 43758.5453;
