What a leader sends to replicas that reject it is counted and logged

Nothing told whether the memory of a control process is spent on what is sent again to a replica that rejects.

No decision changed. Tests of the agreement task: passed.

--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -17,6 +17,7 @@
 	seedPeerAddresses
 } from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
+import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IAgreement, NotLeaderError, type ReplicaStatus } from '../common/agreement.js';
 import { AgreementCore, type ReplicaIdentity } from '../common/agreementCore.js';
@@ -36,6 +37,7 @@
 import { LogStore, StoreCondition } from './logStore.js';
 import { type ConfiguredPeer, MemberDiscovery } from './memberDiscovery.js';
 import { PeerSenders } from './peerSenders.js';
+import { ReplicationMonitor } from './replicationMonitor.js';
 
 const TICK_MS = 20;
 
@@ -58,6 +60,7 @@
 	private readonly _instance: InstanceSettings;
 	private readonly _controls: ReadonlyMap<string, ControlPeerSettings>;
 	private readonly _senders: PeerSenders;
+	private readonly _replicationMonitor: ReplicationMonitor;
 	private readonly _appendedProposals = new AppendedProposals();
 	private readonly _mailbox = this._register(
 		new Mailbox<TaskMessage>(
@@ -77,9 +80,11 @@
 	constructor(
 		@ISettingsService private readonly _allSettings: ISettingsService,
 		@IPeerCalls private readonly _peerCalls: IPeerCalls,
-		@ILogService private readonly _log: ILogService
+		@ILogService private readonly _log: ILogService,
+		@IMetricsService metrics: IMetricsService
 	) {
 		super();
+		this._replicationMonitor = new ReplicationMonitor(metrics, this._log);
 		this._senders = new PeerSenders(this._peerCalls, id => this._addressOf(id));
 		this._settings = _allSettings.section<AgreementSettings>('agreement');
 		this._instance = _allSettings.section<InstanceSettings>('instance');
@@ -250,6 +255,7 @@
 			case 'tick':
 				return this._core.tick(now);
 			case 'received':
+				this._replicationMonitor.recordReceived(message.message);
 				return this._core.receive(message.message, now);
 			case 'join':
 				return this._core.join(message.identity, now);
@@ -279,13 +285,13 @@
 
 	/** Sends early messages, writes and syncs all records at once, sends the other messages, then applies committed entries. */
 	private async _performEffects(allEffects: readonly Effects[]): Promise<void> {
-		allEffects.forEach(effects => effects.earlyMessages.forEach(message => this._senders.send(message)));
+		allEffects.forEach(effects => effects.earlyMessages.forEach(message => this._send(message)));
 		const records = allEffects.flatMap(effects => effects.records);
 		const lastAppended = { index: this._core.lastIndex, term: this._core.term };
 		if (records.length > 0) {
 			await this._store.append([...records, { commit: this._core.commitIndex }]);
 		}
-		allEffects.forEach(effects => effects.messages.forEach(message => this._senders.send(message)));
+		allEffects.forEach(effects => effects.messages.forEach(message => this._send(message)));
 		allEffects.forEach(effects => this._apply(effects));
 		if (records.length > 0) {
 			const after = this._core.onPersisted(lastAppended.index, lastAppended.term, systemClock.now());
@@ -293,6 +299,11 @@
 		}
 	}
 
+	private _send(message: AgreementMessage): void {
+		this._replicationMonitor.recordSent(message);
+		this._senders.send(message);
+	}
+
 	private _apply(effects: Effects): void {
 		if (effects.restore) {
 			this._state.restore(effects.restore.data);
--- a/src/plugins/agreement/test/agreementTask.test.ts
+++ b/src/plugins/agreement/test/agreementTask.test.ts
@@ -8,6 +8,7 @@
 import { test } from 'node:test';
 import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
+import { MetricsService } from '../../../kernel/node/metricsService.js';
 import type { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { AgreementTask } from '../node/agreementTask.js';
 
@@ -19,7 +20,7 @@
 
 test('before its log is open a replica has no lease and no contact with a leader', () => {
 	const calls = { handleUnary: () => undefined } as unknown as IPeerCalls;
-	const task = new AgreementTask(SETTINGS, calls, {} as ILogService);
+	const task = new AgreementTask(SETTINGS, calls, {} as ILogService, new MetricsService());
 	assert.equal(task.hasLease(), false);
 	assert.equal(task.contactAgeMs(), Number.POSITIVE_INFINITY);
 	task.dispose();
@@ -28,7 +29,7 @@
 /** Guards against an error that stops the process when another part queries the status before the log is open. */
 test('before its log is open a replica reports the role follower without a leader and without members', () => {
 	const calls = { handleUnary: () => undefined } as unknown as IPeerCalls;
-	const task = new AgreementTask(SETTINGS, calls, {} as ILogService);
+	const task = new AgreementTask(SETTINGS, calls, {} as ILogService, new MetricsService());
 	const { id, role, term, leader, members } = task.status();
 	assert.deepEqual(
 		{ id, role, term, leader, members },
