Failing tests: a replica whose disk takes no writes ends itself, acknowledges what is not on disk or damages its log

On the current code: after ENOSPC the process sends itself SIGTERM and ends with code 0 (three control processes, a disk that takes nothing for 3 s); after a failed write and a later one that succeeds, entries are acknowledged that are not on the disk; a write that takes only part of its bytes leaves a log that counts as damaged at the next start; a compaction whose folder sync failed appends to the replaced file; an empty identity file ends the process at each start.

--- a/test/platform/platformTestSystem.ts
+++ b/test/platform/platformTestSystem.ts
@@ -114,12 +114,14 @@
 	/**
 	 * @param _contracts names of the parts of the platform's rules that hold, separated by commas
 	 * @param _entrySettings further lines of the settings of entry instances
+	 * @param _preload module that all processes load first, relative to the output folder of the compiler
 	 */
 	constructor(
 		controls: number,
 		entries: number,
 		private readonly _contracts = '',
-		private readonly _entrySettings: readonly string[] = []
+		private readonly _entrySettings: readonly string[] = [],
+		private readonly _preload?: string
 	) {
 		systemCount++;
 		this._subnet = subnetOf(process.pid, systemCount);
@@ -143,10 +145,12 @@
 
 	/** @param isFirstStart value of the setting `firstStart` */
 	start(instance: Instance, isFirstStart: boolean): void {
-		const settingsFile = join(this._folder, `${instance.ip}.ini`);
+		const settingsFile = this._settingsFile(instance);
 		writeFileSync(settingsFile, this._createSettings(instance, isFirstStart));
+		const preload = this._preload === undefined ? [] : ['--import', join(OUT_FOLDER, this._preload)];
 		const program = join(OUT_FOLDER, 'platform', `${instance.kind}.js`);
-		const child = spawn(process.execPath, [program, '--settings', settingsFile], { stdio: ['ignore', 'pipe', 'pipe'] });
+		const args = [...preload, program, '--settings', settingsFile];
+		const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
 		child.stdout.on('data', (chunk: Buffer) => (instance.output += chunk.toString('utf8')));
 		child.stderr.on('data', (chunk: Buffer) => (instance.output += chunk.toString('utf8')));
 		instance.child = child;
@@ -292,6 +296,20 @@
 		});
 	}
 
+	/** Whether the disk of an instance takes no writes; the processes must have `fullDiskPreload.js` preloaded. */
+	setDiskFull(instance: Instance, isFull: boolean): void {
+		const flagFile = `${this._settingsFile(instance)}.full`;
+		if (isFull) {
+			writeFileSync(flagFile, '');
+		} else {
+			rmSync(flagFile, { force: true });
+		}
+	}
+
+	private _settingsFile(instance: Instance): string {
+		return join(this._folder, `${instance.ip}.ini`);
+	}
+
 	private _dataFolder(instance: Instance): string {
 		return join(this._folder, `data-${instance.ip}`);
 	}
