A write that fails or takes only part of its bytes does not damage the log

Callers saw nothing at once; the replica started empty after its next start, and with it went one copy of what was acknowledged. Cause: the store took the number of bytes that it asked for as written, kept the rest of a longer failed record behind a shorter one, and went on with the handle of the replaced file when the folder could not be synced after a compaction. An empty identity file threw at each start.

--- a/src/plugins/agreement/node/logStore.ts
+++ b/src/plugins/agreement/node/logStore.ts
@@ -17,7 +17,7 @@
 import { crc32 } from 'node:zlib';
 import { decode, encode } from '@msgpack/msgpack';
 import VError from 'verror';
-import { replaceFile, syncFolder } from '../../../kernel/node/durableFile.js';
+import { replaceFile, syncFolder, writeTemporaryFile } from '../../../kernel/node/durableFile.js';
 import type { HardState, LogEntry, LogIndex, PersistRecord, Snapshot } from '../common/agreementTypes.js';
 import type { StoredLog } from '../common/memoryLog.js';
 
@@ -134,15 +134,38 @@
 	}
 }
 
+/** Incarnation saved in an identity file; undefined if the file is empty or damaged. */
+function readIncarnation(identity: Buffer): string | undefined {
+	try {
+		return (JSON.parse(identity.toString('utf8')) as { incarnation?: string } | null)?.incarnation;
+	} catch {
+		return undefined;
+	}
+}
+
+/** Writes all bytes at a position; a single write may take only part of them. */
+async function writeAll(handle: FileHandle, bytes: Buffer, position: number): Promise<void> {
+	let written = 0;
+	while (written < bytes.length) {
+		const { bytesWritten } = await handle.write(bytes, written, bytes.length - written, position + written);
+		written += bytesWritten;
+	}
+}
+
 /** Reads and writes the files of a replica. */
 export class LogStore {
 	private _handle!: FileHandle;
+	/** Length of the synced part of the log file; a failed write may have left bytes behind it. */
 	private _size = 0;
+	private _hasUnsyncedBytes = false;
+	/** Whether the log file was replaced, but the handle is still that of the file before. */
+	private _isHandleOutdated = false;
+	private _isFolderUnsynced = false;
 
 	/** @param _folder data folder; created if missing */
 	constructor(private readonly _folder: string) {}
 
-	/** Size of the log file in bytes. */
+	/** Size of the log in bytes. */
 	get size(): number {
 		return this._size;
 	}
@@ -156,35 +179,65 @@
 		const bytes = await readIfPresent(join(this._folder, LOG_FILE));
 		const identity = await readIfPresent(join(this._folder, IDENTITY_FILE));
 		const parsed = parseRecords(bytes ?? Buffer.alloc(0));
-		const isDamaged = parsed.isDamaged || (bytes !== undefined && identity === undefined);
+		const savedIncarnation = identity && readIncarnation(identity);
+		const isDamaged = parsed.isDamaged || (bytes !== undefined && savedIncarnation === undefined);
 		if (isDamaged) {
 			await rename(join(this._folder, LOG_FILE), join(this._folder, `log.damaged-${randomUUID()}`));
 		}
 		const startsBlank = isDamaged || bytes === undefined;
 		const incarnation = startsBlank
 			? await this._writeIncarnation(isDamaged ? randomUUID() : blankIncarnation)
-			: this._readIncarnation(identity!);
+			: savedIncarnation!;
 		await this._openLog(startsBlank ? 0 : parsed.validBytes);
 		const condition = this._condition(bytes, parsed, isDamaged);
 		const state = replay(startsBlank ? [] : parsed.records);
 		return { condition, incarnation, ...state };
 	}
 
-	/** Appends records and resolves when they are synced. */
+	/**
+	 * Appends records and resolves when they are synced. After a rejection any part of them may be on the disk; the next call
+	 * overwrites it.
+	 */
 	async append(records: readonly PersistRecord[]): Promise<void> {
 		const bytes = Buffer.concat(records.map(encodeRecord));
-		await this._handle.write(bytes, 0, bytes.length, this._size);
+		await this._repair();
+		this._hasUnsyncedBytes = true;
+		await writeAll(this._handle, bytes, this._size);
 		await this._handle.datasync();
+		this._hasUnsyncedBytes = false;
 		this._size += bytes.length;
 	}
 
-	/** Atomically replaces the log file with a snapshot and the entries that follow it. */
+	/**
+	 * Atomically replaces the log file with a snapshot and the entries that follow it. After a rejection the log has the content of
+	 * before or the new one, which are equivalent, and can be appended to.
+	 */
 	async compact(snapshot: Snapshot, entries: readonly LogEntry[], hardState: HardState): Promise<void> {
 		const bytes = encodeRecord({ snapshot, entries, hardState });
-		await replaceFile(this._folder, LOG_FILE, bytes);
-		await this._handle.close();
-		this._handle = await open(join(this._folder, LOG_FILE), 'r+');
+		const temporaryPath = await writeTemporaryFile(this._folder, LOG_FILE, bytes);
+		await rename(temporaryPath, join(this._folder, LOG_FILE));
+		this._isHandleOutdated = true;
+		this._isFolderUnsynced = true;
+		this._hasUnsyncedBytes = false;
 		this._size = bytes.length;
+		await this._repair();
+	}
+
+	/** Completes what an earlier write or replacement of the log file left unfinished. */
+	private async _repair(): Promise<void> {
+		if (this._isHandleOutdated) {
+			const replaced = this._handle;
+			this._handle = await open(join(this._folder, LOG_FILE), 'r+');
+			this._isHandleOutdated = false;
+			await replaced.close();
+		}
+		if (this._isFolderUnsynced) {
+			await syncFolder(this._folder);
+			this._isFolderUnsynced = false;
+		}
+		if (this._hasUnsyncedBytes) {
+			await this._handle.truncate(this._size);
+		}
 	}
 
 	async close(): Promise<void> {
@@ -201,10 +254,6 @@
 		return parsed.validBytes < bytes.length ? StoreCondition.TornTail : StoreCondition.Intact;
 	}
 
-	private _readIncarnation(identity: Buffer): string {
-		return (JSON.parse(identity.toString('utf8')) as { incarnation: string }).incarnation;
-	}
-
 	private async _writeIncarnation(incarnation: string): Promise<string> {
 		await replaceFile(this._folder, IDENTITY_FILE, Buffer.from(JSON.stringify({ incarnation })));
 		return incarnation;
@@ -215,9 +264,14 @@
 		const handle = await open(path, 'a');
 		await handle.close();
 		this._handle = await open(path, 'r+');
-		await this._handle.truncate(validBytes);
-		await this._handle.sync();
-		await syncFolder(this._folder);
+		try {
+			await this._handle.truncate(validBytes);
+			await this._handle.sync();
+			await syncFolder(this._folder);
+		} catch (error) {
+			await this._handle.close();
+			throw error;
+		}
 		this._size = validBytes;
 	}
 }
