Failing tests: entries that are only in memory are acknowledged, and the replica that lost them is sent them without end

Entries of the failed write are in the memory of the process that drains; when the leader sends them again there is nothing to write, so they are acknowledged. After the next start the log is shorter than what the leader takes as acknowledged, and it never sends less.

--- a/src/plugins/agreement/test/replicaStorage.test.ts
+++ b/src/plugins/agreement/test/replicaStorage.test.ts
@@ -219,6 +219,22 @@
 	);
 });
 
+/** Guards against the acknowledgement of entries that are only in memory when the leader sends them again. */
+test('entries of a failed write are not acknowledged when they are sent again', async () => {
+	await startTask('c2', ['c1', 'c3']);
+	await sendEntries([{ index: 1, term: 1, kind: EntryKind.Members, members: MEMBERS }], 0, 1);
+	await waitUntil('the first entry is acknowledged', () => acceptedIndices().includes(1));
+	disk.isFull = () => true;
+	for (let sentAt = 2; sentAt < 5; sentAt++) {
+		await sendEntries([commandAt(2)], 1, sentAt);
+		await delay(AT_ONCE_MS);
+	}
+	assert.deepEqual(
+		acceptedIndices().filter(index => index > 1),
+		[]
+	);
+});
+
 test('a replica whose disk is full does not vote', async () => {
 	await startTask('c2', ['c1', 'c3']);
 	await sendEntries([{ index: 1, term: 1, kind: EntryKind.Members, members: MEMBERS }], 0, 1);
--- a/src/plugins/agreement/test/replicationFlow.test.ts
+++ b/src/plugins/agreement/test/replicationFlow.test.ts
@@ -179,3 +179,23 @@
 	}
 	assert.equal(held, leader.lastIndex);
 });
+
+/** Guards against an endless exchange of entries and rejections with a replica whose log is shorter than it said. */
+test('a replica that has lost entries that it acknowledged gets them again', () => {
+	propose(20);
+	acceptAll('n2');
+	acceptAll('n3');
+	let held = leader.lastIndex - 10;
+	propose(1);
+	for (let i = 0; i < 10 && held < leader.lastIndex; i++) {
+		for (const request of takeSentTo('n3')) {
+			const isMatching = request.type === 'append' && request.prevIndex <= held;
+			held = isMatching ? Math.max(held, lastIndexOf(request)) : held;
+			reply(request, isMatching, isMatching ? lastIndexOf(request) : held);
+		}
+		now += ROUND_TRIP_MS;
+		collect(leader.tick(now));
+		acceptAll('n2');
+	}
+	assert.equal(held, leader.lastIndex);
+});
