A replica whose disk takes no writes suspends itself until it does, and its process goes on

Callers of a control instance with a full disk were refused for as long as the disk was full: the process ended at each write that failed and started again into the same, 17 times in 24 s. Worse, entries of the failed write were in the memory of the ending process and were acknowledged when the leader sent them again, though they were on no disk. Cause: a write error ended the process, by a signal, and the task went on meanwhile as if the write had been done. Until then nothing follows from it: no vote, no acknowledgement, no lead; proposals are rejected at once, messages of other replicas are dropped, which they tolerate; look-ups and what else needs no quorum are answered from memory. A compaction that the disk doesn't take is left out. Why it is safe: a failed disk is a slow one to the others.

--- a/src/base/mailbox.ts
+++ b/src/base/mailbox.ts
@@ -36,6 +36,13 @@
 		}
 	}
 
+	/** Removes and returns the messages that have not been passed to the handler yet. */
+	takePending(): T[] {
+		const pending = this._pending;
+		this._pending = [];
+		return pending;
+	}
+
 	dispose(): void {
 		this._isDisposed = true;
 		this._pending = [];
--- a/src/plugins/agreement/common/agreementCore.ts
+++ b/src/plugins/agreement/common/agreementCore.ts
@@ -209,6 +209,11 @@
 		return { done, effects: this._state.takeEffects() };
 	}
 
+	/** Gives up leadership and forgets the leader: this replica cannot write, and handles no messages until it can. */
+	suspend(now: Millis): void {
+		this._state.becomeFollower(this._state.term, undefined, now);
+	}
+
 	/**
 	 * Reports that the log is synced up to an index.
 	 * @param term term of this replica at the write; ignored unless the entry at that index is of this term
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -35,6 +35,7 @@
 import { AppendedProposals, type Proposal } from './appendedProposals.js';
 import { deliverMethod, helloMethod } from './agreementWire.js';
 import { LogStore, StoreCondition } from './logStore.js';
+import { isSystemError, LogWriter } from './logWriter.js';
 import { type ConfiguredPeer, MemberDiscovery } from './memberDiscovery.js';
 import { PeerSenders } from './peerSenders.js';
 import { ReplicationMonitor } from './replicationMonitor.js';
@@ -68,7 +69,8 @@
 			error => this._stopProcess(error)
 		)
 	);
-	private _store!: LogStore;
+	private readonly _store: LogStore;
+	private readonly _writer: LogWriter;
 	/** Undefined until the log is open; other parts may query this task before. */
 	private _core!: AgreementCore;
 	private _identity!: ReplicaIdentity;
@@ -87,17 +89,20 @@
 		this._replicationMonitor = new ReplicationMonitor(metrics, this._log);
 		this._senders = new PeerSenders(this._peerCalls, id => this._addressOf(id));
 		this._settings = _allSettings.section<AgreementSettings>('agreement');
+		this._store = new LogStore(this._settings.dataFolder);
+		this._writer = this._register(new LogWriter(this._store, this._log, metrics));
+		this._register(this._writer.onDidChangeAvailability(isAvailable => !isAvailable && this._suspend()));
 		this._instance = _allSettings.section<InstanceSettings>('instance');
 		this._controls = _allSettings.namedSections<ControlPeerSettings>('control');
 		this._peerCalls.handleUnary(deliverMethod, async request => {
 			for (const message of request.messages) {
-				this._mailbox.post({ type: 'received', message });
+				this._post({ type: 'received', message });
 			}
 			return { received: true as const };
 		});
 		this._peerCalls.handleUnary(helloMethod, async request => {
 			if (request.asksToJoin) {
-				this._mailbox.post({ type: 'join', identity: request.identity });
+				this._post({ type: 'join', identity: request.identity });
 			}
 			const memberAddresses = this._core.members.map(member => member.address);
 			return { identity: this._identity, isBlank: this._core.isBlank, memberAddresses };
@@ -120,20 +125,20 @@
 	async start(): Promise<void> {
 		await this._openLog();
 		await this._peerCalls.listen();
-		const timer = setInterval(() => this._mailbox.post({ type: 'tick' }), TICK_MS);
+		const timer = setInterval(() => this._post({ type: 'tick' }), TICK_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
 		const discovery = new MemberDiscovery(this._peerCalls, this._core, this._identity);
 		if (this._seeds.length > 0) {
 			void discovery.maintainMembership(() => this._seeds);
 		} else if (this._core.isBlank) {
-			void discovery.joinOrBootstrap(this._otherPeers(), () => this._mailbox.post({ type: 'bootstrap' }));
+			void discovery.joinOrBootstrap(this._otherPeers(), () => this._post({ type: 'bootstrap' }));
 		}
 	}
 
 	propose<T>(command: PartCommand): Promise<T> {
 		return new Promise<T>((resolve, reject) => {
 			const proposal: Proposal = { command, resolve: result => resolve(result as T), reject };
-			this._mailbox.post({ type: 'propose', proposal });
+			this._post({ type: 'propose', proposal });
 		});
 	}
 
@@ -162,7 +167,7 @@
 	}
 
 	removeMember(id: MemberId): Promise<boolean> {
-		return new Promise(resolve => this._mailbox.post({ type: 'remove', id, resolve }));
+		return new Promise(resolve => this._post({ type: 'remove', id, resolve }));
 	}
 
 	status(): ReplicaStatus {
@@ -195,12 +200,11 @@
 	}
 
 	private async _openLog(): Promise<void> {
-		this._store = new LogStore(this._settings.dataFolder);
 		const isSeedAtFirstStart = this._discovery.firstStart && this._seeds.includes(this._instance.peerAddress);
-		let opened = await this._store.open(isSeedAtFirstStart ? INITIAL_INCARNATION : undefined);
+		let opened = await this._writer.open(isSeedAtFirstStart ? INITIAL_INCARNATION : undefined);
 		if (isSeedAtFirstStart && opened.condition === StoreCondition.Blank) {
 			const bootstrapState = createBootstrapState(this._seeds);
-			await this._store.append([bootstrapState]);
+			await this._writer.append([bootstrapState]);
 			opened = { ...opened, hardState: bootstrapState.hardState, log: { entries: bootstrapState.entries } };
 		}
 		this._identity = this._createIdentity(opened.incarnation);
@@ -231,6 +235,34 @@
 		return { id: this._id, incarnation, address, hall };
 	}
 
+	/** Passes a message on for handling; while the disk takes no writes, it is dropped or rejected at once. */
+	private _post(message: TaskMessage): void {
+		if (this._writer.isAvailable) {
+			this._mailbox.post(message);
+		} else {
+			this._reject(message);
+		}
+	}
+
+	/** Other replicas send their messages again, so only callers of this task need a response. */
+	private _reject(message: TaskMessage): void {
+		if (message.type === 'propose') {
+			message.proposal.reject(new NotLeaderError(undefined));
+		} else if (message.type === 'remove') {
+			message.resolve(false);
+		}
+	}
+
+	/** Stops voting, leading and acknowledging; what was written before the disk failed stays in force. */
+	private _suspend(): void {
+		this._mailbox.takePending().forEach(message => this._reject(message));
+		if (this._core) {
+			this._core.suspend(systemClock.now());
+			this._appendedProposals.rejectAll();
+			this._updateLeadership();
+		}
+	}
+
 	private async _handleBatch(batch: TaskMessage[]): Promise<void> {
 		const proposals: Proposal[] = [];
 		const allEffects: Effects[] = [];
@@ -289,7 +321,7 @@
 		const records = allEffects.flatMap(effects => effects.records);
 		const lastAppended = { index: this._core.lastIndex, term: this._core.term };
 		if (records.length > 0) {
-			await this._store.append([...records, { commit: this._core.commitIndex }]);
+			await this._writer.append([...records, { commit: this._core.commitIndex }]);
 		}
 		allEffects.forEach(effects => effects.messages.forEach(message => this._send(message)));
 		allEffects.forEach(effects => this._apply(effects));
@@ -348,11 +380,19 @@
 			return;
 		}
 		const snapshot = this._core.compact(applied, this._state.save());
-		await this._store.compact(snapshot, this._core.entriesAfterSnapshot(), this._core.hardState);
+		try {
+			await this._store.compact(snapshot, this._core.entriesAfterSnapshot(), this._core.hardState);
+		} catch (error) {
+			if (!isSystemError(error)) {
+				throw error;
+			}
+			this._log.warn('snapshot not written', { task: 'agreement', index: applied, error: error.message });
+			return;
+		}
 		this._log.info('snapshot written', { task: 'agreement', index: applied, bytes: snapshot.data.byteLength });
 	}
 
-	/** Stops the process after a write error or a violated invariant, as the replica must not answer any more. */
+	/** Stops the process after a violated invariant, as the replica must not answer any more. */
 	private _stopProcess(error: Error): void {
 		this._log.error('replica failed; stopping the process', { task: 'agreement', error: error.stack });
 		process.exitCode = 1;
--- a/src/plugins/agreement/test/agreementCore.test.ts
+++ b/src/plugins/agreement/test/agreementCore.test.ts
@@ -28,6 +28,8 @@
 const restart = fc.record({ type: fc.constant('restart' as const), node: arbitraryIndex });
 const loseDisk = fc.record({ type: fc.constant('loseDisk' as const), node: arbitraryIndex });
 const freeze = fc.record({ type: fc.constant('freeze' as const), node: arbitraryIndex });
+const breakDisk = fc.record({ type: fc.constant('breakDisk' as const), node: arbitraryIndex });
+const repairDisk = fc.record({ type: fc.constant('repairDisk' as const), node: arbitraryIndex });
 const compact = fc.record({ type: fc.constant('compact' as const), node: arbitraryIndex });
 const isolate = fc.record({ type: fc.constant('isolate' as const), node: arbitraryIndex, oneWay: fc.boolean() });
 const reconnect = fc.record({ type: fc.constant('reconnect' as const) });
@@ -52,6 +54,10 @@
 	minLength: 50,
 	maxLength: STEPS
 });
+const stepsWithBrokenDisks = fc.array<ModelStep>(
+	fc.oneof(...commonSteps, { weight: 3, arbitrary: breakDisk }, { weight: 3, arbitrary: repairDisk }),
+	{ minLength: 50, maxLength: STEPS }
+);
 const stepsWithDiskLoss = fc.array<ModelStep>(fc.oneof(...commonSteps, { weight: 1, arbitrary: loseDisk }), {
 	minLength: 50,
 	maxLength: STEPS
@@ -69,6 +75,17 @@
 		);
 	});
 
+	test(`${size} replicas whose disks take no writes for a while: no committed entry is lost or changed, and commits resume`, () => {
+		fc.assert(
+			fc.property(stepsWithBrokenDisks, schedule => {
+				const model = new AgreementModel(size);
+				schedule.forEach(step => model.step(step));
+				assert.ok(model.heal(), 'a new command must be committed once the faults are over');
+			}),
+			{ seed: SEED, numRuns: Math.ceil(RUNS / size), endOnFailure: true }
+		);
+	});
+
 	test(`${size} replicas that lose disks: no committed entry is lost or changed, though commits may stop`, () => {
 		fc.assert(
 			fc.property(stepsWithDiskLoss, schedule => {
--- a/src/plugins/agreement/test/agreementModel.ts
+++ b/src/plugins/agreement/test/agreementModel.ts
@@ -32,6 +32,9 @@
 	| { readonly type: 'restart'; readonly node: number }
 	| { readonly type: 'loseDisk'; readonly node: number }
 	| { readonly type: 'freeze'; readonly node: number }
+	/** The disk takes no writes until `repairDisk`. */
+	| { readonly type: 'breakDisk'; readonly node: number }
+	| { readonly type: 'repairDisk'; readonly node: number }
 	| { readonly type: 'compact'; readonly node: number }
 	| { readonly type: 'join'; readonly node: number }
 	/** Messages to and from the replica are lost until `reconnect`; with `oneWay` only those to it. */
@@ -59,6 +62,9 @@
 	frozenUntil: number;
 	/** The process crashes at its next write, which is lost. */
 	crashesBeforeSync: boolean;
+	isDiskBroken: boolean;
+	/** Effects whose records the disk has not taken yet; the replica handles nothing meanwhile. */
+	unwritten?: Effects;
 	/** Index of the last applied entry. */
 	applied: number;
 	dropsInbound: boolean;
@@ -87,6 +93,7 @@
 			disk: blankDisk(`i${++this._incarnations}`),
 			frozenUntil: 0,
 			crashesBeforeSync: false,
+			isDiskBroken: false,
 			applied: 0,
 			dropsInbound: false,
 			dropsOutbound: false
@@ -137,6 +144,7 @@
 			if (!node.core) {
 				this._start(node);
 			}
+			this._repairDisk(node);
 		}
 		const committedBefore = this._maxCommittedIndex;
 		for (let round = 0; round < HEAL_ROUNDS; round++) {
@@ -205,6 +213,12 @@
 			case 'freeze':
 				node.frozenUntil = this._now + FREEZE_MS;
 				return;
+			case 'breakDisk':
+				node.isDiskBroken = true;
+				return;
+			case 'repairDisk':
+				this._repairDisk(node);
+				return;
 			case 'isolate':
 				Object.assign(node, { dropsInbound: true, dropsOutbound: !step.oneWay });
 				return;
@@ -220,11 +234,13 @@
 	private _crash(node: ModelNode): void {
 		node.crashedAt ??= this._now;
 		node.core = undefined;
+		node.unwritten = undefined;
 	}
 
 	private _start(node: ModelNode): void {
 		const { disk } = node;
 		node.crashesBeforeSync = false;
+		node.unwritten = undefined;
 		node.applied = disk.snapshot?.index ?? 0;
 		const startedAt = node.crashedAt ?? this._now;
 		node.crashedAt = undefined;
@@ -272,7 +288,7 @@
 
 	private _compact(node: ModelNode): void {
 		const { core } = node;
-		if (!core || this._isFrozen(node) || core.commitIndex <= core.snapshotIndex) {
+		if (!core || this._isFrozen(node) || node.isDiskBroken || core.commitIndex <= core.snapshotIndex) {
 			return;
 		}
 		const index = core.commitIndex;
@@ -285,7 +301,7 @@
 	}
 
 	private _perform(node: ModelNode, act: (core: AgreementCore) => Effects | undefined): void {
-		if (!node.core || this._isFrozen(node)) {
+		if (!node.core || this._isFrozen(node) || node.unwritten) {
 			return;
 		}
 		const { core } = node;
@@ -296,8 +312,25 @@
 		this._send(effects.earlyMessages);
 		if (effects.records.length > 0 && node.crashesBeforeSync) {
 			this._crash(node);
-			return;
+		} else if (effects.records.length > 0 && node.isDiskBroken) {
+			node.unwritten = effects;
+			core.suspend(this._now);
+		} else {
+			this._complete(node, core, effects);
 		}
+	}
+
+	private _repairDisk(node: ModelNode): void {
+		const { core, unwritten } = node;
+		node.isDiskBroken = false;
+		node.unwritten = undefined;
+		if (core && unwritten) {
+			this._complete(node, core, unwritten);
+		}
+	}
+
+	/** Writes the records of effects, then sends and applies the rest. */
+	private _complete(node: ModelNode, core: AgreementCore, effects: Effects): void {
 		if (effects.records.length > 0) {
 			effects.records.forEach(record => this._write(node.disk, record));
 			node.disk.commit = core.commitIndex;
