--- a/src/plugins/agreement/common/memberProgress.ts
+++ b/src/plugins/agreement/common/memberProgress.ts
@@ -18,8 +18,12 @@
 	nextIndex: LogIndex;
 	/** Sending time of the latest message that the member has acknowledged. */
 	acknowledgedAt: Millis;
-	/** When a snapshot was last sent; undefined if none is in transit. */
-	snapshotSentAt?: Millis;
+	/** Whether the member's log is known to match up to `nextIndex`, so that entries may be sent before earlier ones are acknowledged. */
+	isMatching: boolean;
+	/** Sending time of the entries or the snapshot that the member has to answer first; undefined if there are none. */
+	awaitedSince?: Millis;
+	/** Rejections of messages sent before this time are outdated. */
+	matchingSince: Millis;
 }
 
 /** Replication progress of the members in one term. */
@@ -42,7 +46,13 @@
 	getOrCreate(member: Member, initialNextIndex: LogIndex): Progress {
 		let progress = this._byMember.get(member.id);
 		if (!progress) {
-			progress = { matchIndex: 0, nextIndex: initialNextIndex, acknowledgedAt: Number.NEGATIVE_INFINITY };
+			progress = {
+				matchIndex: 0,
+				nextIndex: initialNextIndex,
+				acknowledgedAt: Number.NEGATIVE_INFINITY,
+				isMatching: false,
+				matchingSince: Number.NEGATIVE_INFINITY
+			};
 			this._byMember.set(member.id, progress);
 		}
 		return progress;
