Listeners open once their address is free, and errors of open ones are logged

An instance that started while its address was still taken ended with 'start failed', and so did each next life until the address was free; an open listener that could not accept a connection twice (as with no descriptors left) ended the process, since nothing handled the second error.

--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -11,6 +11,7 @@
 import { Disposable, toDisposable } from '../../base/disposable.js';
 import { ConnectionTracker } from './connectionTracker.js';
 import type { IMetricsService } from './metricsService.js';
+import { listenWhenFree } from './listenWhenFree.js';
 import { BodyTooLargeError } from './bodyTooLargeError.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -43,7 +44,7 @@
 	readonly metrics: IMetricsService;
 	/** Whether the process accepts work; determines the response of `/readyz`. */
 	isReady(): boolean;
-	/** Called with the errors of handlers that result in status 500. */
+	/** Called with the errors of handlers that result in status 500, and with those of the open listener. */
 	onError(error: Error): void;
 	readonly tls?: TlsFiles;
 }
@@ -97,15 +98,10 @@
 		this._app.all(pattern, this._catchErrors(handler));
 	}
 
-	/** Starts listening; resolves to the address with the actual port. */
-	async listen(): Promise<string> {
-		const [host, port] = this._options.address.split(':');
-		await new Promise<void>((resolve, reject) => {
-			this._server.once('error', reject);
-			this._app.listen(Number(port), host, () => resolve());
-		});
-		const bound = this._server.address() as { port: number };
-		return `${host}:${bound.port}`;
+	/** Starts listening once the address is free; resolves to the address with the actual port. */
+	listen(): Promise<string> {
+		this._server.on('request', this._app.handler);
+		return listenWhenFree(this._server, this._options.address, error => this._options.onError(error));
 	}
 
 	/** Number of requests whose responses are not closed yet. */
--- a/src/kernel/node/httpPeerCalls.ts
+++ b/src/kernel/node/httpPeerCalls.ts
@@ -12,6 +12,8 @@
 import type { IPeerCalls } from '../common/peerCalls.js';
 import type { UnaryMethod } from '../common/peerMethods.js';
 import type { InstanceSettings } from './instanceSettings.js';
+import { listenWhenFree } from './listenWhenFree.js';
+import { ILogService } from './logService.js';
 import { decodeMessage, type EncodedMessage, encodeMessage, MAX_MESSAGE_BYTES } from './messageCodec.js';
 import { ISettingsService } from './settingsService.js';
 
@@ -70,7 +72,10 @@
 	private readonly _server = createServer({ keepAliveTimeout: SERVER_KEEP_ALIVE_TIMEOUT_MS });
 	private readonly _listenAddress: string;
 
-	constructor(@ISettingsService settings: ISettingsService) {
+	constructor(
+		@ISettingsService settings: ISettingsService,
+		@ILogService private readonly _log: ILogService
+	) {
 		super();
 		this._listenAddress = settings.section<InstanceSettings>('instance').peerAddress;
 		this._server.requestTimeout = 0;
@@ -84,14 +89,10 @@
 		this._handlers.set(method.path, handler as CallHandler);
 	}
 
-	async listen(): Promise<string> {
-		const [host, port] = this._listenAddress.split(':');
-		await new Promise<void>((resolve, reject) => {
-			this._server.once('error', reject);
-			this._server.listen(Number(port), host, () => resolve());
-		});
-		const bound = this._server.address() as { port: number };
-		return `${host}:${bound.port}`;
+	listen(): Promise<string> {
+		return listenWhenFree(this._server, this._listenAddress, error =>
+			this._log.error('peer listener failed', { task: 'peers', error: error.message })
+		);
 	}
 
 	call<Q, S>(address: string, method: UnaryMethod<Q, S>, request: Q, timeoutMs: number): Promise<S> {
--- a/src/kernel/test/httpPeerCalls.test.ts
+++ b/src/kernel/test/httpPeerCalls.test.ts
@@ -11,6 +11,7 @@
 import { test } from 'node:test';
 import { defineUnary } from '../common/peerMethods.js';
 import { HttpPeerCalls } from '../node/httpPeerCalls.js';
+import type { ILogService } from '../node/logService.js';
 import type { ISettingsService } from '../node/settingsService.js';
 
 const echoMethod = defineUnary<{ text: string }, { text: string }>('test', 'Echo');
@@ -22,7 +23,7 @@
 		namedSections: <T>(): ReadonlyMap<string, T> => new Map(),
 		reload: () => []
 	};
-	return new HttpPeerCalls(settings);
+	return new HttpPeerCalls(settings, {} as ILogService);
 }
 
 test('a call resolves to the response, or rejects with the error of the handler', async () => {
--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -10,6 +10,7 @@
 import { Counter, Gauge } from 'prom-client';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
+import { listenWhenFree } from '../../../kernel/node/listenWhenFree.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import type { CallerConnectionOptions, ICallerConnections } from '../common/callerConnections.js';
@@ -92,11 +93,9 @@
 		const acceptor = createServer({ allowHalfOpen: true, noDelay: true }, socket => this._accept(socket, http, host));
 		acceptor.maxConnections = options.maxConnections;
 		this._acceptor = acceptor;
-		const [address, port] = options.address.split(':');
-		await new Promise<void>((resolve, reject) => {
-			acceptor.once('error', reject);
-			acceptor.listen(Number(port), address, () => resolve());
-		});
+		await listenWhenFree(acceptor, options.address, error =>
+			this._log.error('caller listener failed', { task: 'connections', error: error.message })
+		);
 	}
 
 	endTakingUp(): void {
