A failed replica answers nothing more, and its process ends with an exit code, later each time

Whoever starts the processes saw ends with code 0, as of planned stops, in quick succession: draining ended in exit(0) whatever had set the exit code, and a fault that the log brings about (a violated invariant, a log that cannot be replayed) comes back at each start at once. Meanwhile the task went on handling messages with the state that had just been found wrong. Now a failed replica drops and rejects everything; the process keeps answering what needs no replica and ends after 0, 4, 16, then 60 s, counted in the data folder over restarts and forgotten after ten minutes; the exit code is 1. Test: 'a replica that fails again and again ...' in replicaStorage.test.ts; before, the second life sent the signal at once as well.

--- a/src/kernel/node/processHost.ts
+++ b/src/kernel/node/processHost.ts
@@ -16,6 +16,7 @@
 import { IAdminEndpoints, AdminEndpoints } from './adminEndpoints.js';
 import { ISettingsService, formatDefaultSettings, readSettings, SettingsError } from './settingsService.js';
 
+const EXIT_STOPPED = 0;
 const EXIT_INVALID_SETTINGS = 2;
 const EXIT_FAILED = 1;
 const SETTINGS_POLL_MS = 2000;
@@ -59,7 +60,7 @@
 		log.info('stopping', { task: 'host', signal });
 		void drainAll(contributions, log).then(() => {
 			services.dispose();
-			process.exit(0);
+			process.exit(process.exitCode ?? EXIT_STOPPED);
 		});
 	};
 	process.on('SIGTERM', () => stop('SIGTERM'));
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -33,6 +33,7 @@
 import { type IReplicatedPart, type PartCommand, ReplicatedState } from '../common/replicatedState.js';
 import type { AgreementSettings } from './agreementSettings.js';
 import { AppendedProposals, type Proposal } from './appendedProposals.js';
+import { FailureBackoff } from './failureBackoff.js';
 import { deliverMethod, helloMethod } from './agreementWire.js';
 import { LogStore, StoreCondition } from './logStore.js';
 import { isSystemError, LogWriter } from './logWriter.js';
@@ -41,6 +42,7 @@
 import { ReplicationMonitor } from './replicationMonitor.js';
 
 const TICK_MS = 20;
+const EXIT_FAILED = 1;
 
 /** A message in the mailbox of the task. */
 type TaskMessage =
@@ -66,7 +68,7 @@
 	private readonly _mailbox = this._register(
 		new Mailbox<TaskMessage>(
 			batch => this._handleBatch(batch),
-			error => this._stopProcess(error)
+			error => this._failReplica(error)
 		)
 	);
 	private readonly _store: LogStore;
@@ -75,6 +77,9 @@
 	private _core!: AgreementCore;
 	private _identity!: ReplicaIdentity;
 	private _wasLeader = false;
+	/** Whether an invariant was violated, after which this replica must not handle or answer anything. */
+	private _hasFailed = false;
+	private readonly _failureBackoff: FailureBackoff;
 	private readonly _suspensionDetector = new SuspensionDetector();
 	/** Quorum contact before this time does not count for the lease. */
 	private _contactValidFrom: Millis = Number.NEGATIVE_INFINITY;
@@ -91,6 +96,7 @@
 		this._settings = _allSettings.section<AgreementSettings>('agreement');
 		this._store = new LogStore(this._settings.dataFolder);
 		this._writer = this._register(new LogWriter(this._store, this._log, metrics));
+		this._failureBackoff = new FailureBackoff(this._settings.dataFolder, this._log);
 		this._register(this._writer.onDidChangeAvailability(isAvailable => !isAvailable && this._suspend()));
 		this._instance = _allSettings.section<InstanceSettings>('instance');
 		this._controls = _allSettings.namedSections<ControlPeerSettings>('control');
@@ -123,7 +129,7 @@
 	}
 
 	async start(): Promise<void> {
-		await this._openLog();
+		await this._openLogOrDelayEnd();
 		await this._peerCalls.listen();
 		const timer = setInterval(() => this._post({ type: 'tick' }), TICK_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
@@ -199,6 +205,17 @@
 		return listed.filter(({ name }) => name !== this._identity.id);
 	}
 
+	/** Opens the log; a log that cannot be applied ends the start, later each time. */
+	private async _openLogOrDelayEnd(): Promise<void> {
+		try {
+			await this._openLog();
+		} catch (error) {
+			this._log.error('log cannot be opened', { task: 'agreement', error: (error as Error).stack });
+			await this._waitBeforeEnd();
+			throw error;
+		}
+	}
+
 	private async _openLog(): Promise<void> {
 		const isSeedAtFirstStart = this._discovery.firstStart && this._seeds.includes(this._instance.peerAddress);
 		let opened = await this._writer.open(isSeedAtFirstStart ? INITIAL_INCARNATION : undefined);
@@ -235,9 +252,9 @@
 		return { id: this._id, incarnation, address, hall };
 	}
 
-	/** Passes a message on for handling; while the disk takes no writes, it is dropped or rejected at once. */
+	/** Passes a message on for handling; while the disk takes no writes or after a failure, it is dropped or rejected at once. */
 	private _post(message: TaskMessage): void {
-		if (this._writer.isAvailable) {
+		if (this._writer.isAvailable && !this._hasFailed) {
 			this._mailbox.post(message);
 		} else {
 			this._reject(message);
@@ -392,10 +409,21 @@
 		this._log.info('snapshot written', { task: 'agreement', index: applied, bytes: snapshot.data.byteLength });
 	}
 
-	/** Stops the process after a violated invariant, as the replica must not answer any more. */
-	private _stopProcess(error: Error): void {
-		this._log.error('replica failed; stopping the process', { task: 'agreement', error: error.stack });
-		process.exitCode = 1;
-		process.kill(process.pid, 'SIGTERM');
+	/** Ends the process after a violated invariant, at once for the first time; until then this replica answers nothing. */
+	private _failReplica(error: Error): void {
+		if (this._hasFailed) {
+			return;
+		}
+		this._hasFailed = true;
+		this._log.error('replica failed', { task: 'agreement', error: error.stack });
+		this._suspend();
+		process.exitCode = EXIT_FAILED;
+		void this._waitBeforeEnd().then(() => process.kill(process.pid, 'SIGTERM'));
+	}
+
+	private async _waitBeforeEnd(): Promise<void> {
+		const delayMs = await this._failureBackoff.countFailure();
+		this._log.error('process ends after a failure of its replica', { task: 'agreement', delayMs });
+		await new Promise(resolve => setTimeout(resolve, delayMs));
 	}
 }
--- a/src/plugins/agreement/test/replicaStorage.test.ts
+++ b/src/plugins/agreement/test/replicaStorage.test.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** A replica whose disk takes no writes: what it answers meanwhile, and how it goes on afterwards. */
+/** A replica whose disk takes no writes, or that has failed: what it answers meanwhile, and how it goes on afterwards. */
 
 import assert from 'node:assert/strict';
 import { mkdtemp, rm } from 'node:fs/promises';
@@ -134,11 +134,15 @@
 	return { index, term: 1, kind: EntryKind.Command, command };
 }
 
+/** Header of a request of the leader c1 to the replica c2. */
+function appendHeader() {
+	return { type: 'append' as const, from: 'c1', fromIncarnation: 'c1', to: 'c2', toIncarnation: '', term: 1 };
+}
+
 /** Sends entries of the leader c1 to the replica c2. */
 async function sendEntries(entries: readonly LogEntry[], prevIndex: number, sentAt: number): Promise<void> {
-	const header = { from: 'c1', fromIncarnation: 'c1', to: 'c2', toIncarnation: '', term: 1 };
 	const prevTerm = prevIndex > 0 ? 1 : 0;
-	const request: AppendRequest = { ...header, type: 'append', prevIndex, prevTerm, entries, commit: 0, sentAt };
+	const request: AppendRequest = { ...appendHeader(), prevIndex, prevTerm, entries, commit: 0, sentAt };
 	await deliver({ messages: [request] });
 }
 
@@ -247,3 +251,34 @@
 	const votes = sent.filter(message => message.type === 'voteReply' && message.granted);
 	assert.deepEqual(votes, []);
 });
+
+/** Makes the replica c2 overwrite what is committed, which no correct leader asks for. */
+async function violateInvariant(): Promise<void> {
+	const header = { from: 'c3', fromIncarnation: 'c3', to: 'c2', toIncarnation: '', term: 9 };
+	const entries = [{ ...commandAt(1), term: 9 }];
+	await deliver({
+		messages: [{ ...header, type: 'append', prevIndex: 0, prevTerm: 0, entries, commit: 1, sentAt: 1 }]
+	});
+}
+
+/** Guards against ends in quick succession, each with the exit code of a planned one, where the log itself brings the failure about. */
+test('a replica that fails again and again ends its process later each time, and answers nothing meanwhile', async t => {
+	t.after(() => (process.exitCode = undefined));
+	await startTask('c2', ['c1', 'c3']);
+	await sendEntries([{ index: 1, term: 1, kind: EntryKind.Members, members: MEMBERS }, commandAt(2)], 0, 1);
+	await waitUntil('the entries are acknowledged', () => acceptedIndices().includes(2));
+	await deliver({ messages: [{ ...appendHeader(), prevIndex: 2, prevTerm: 1, entries: [], commit: 2, sentAt: 2 }] });
+	await waitUntil('the entry is applied', () => applied.length > 0);
+	await violateInvariant();
+	await waitUntil('the process ends', () => stopSignals === 1);
+	assert.equal(process.exitCode, 1);
+	sent = [];
+	await sendEntries([commandAt(3)], 2, 3);
+	await delay(AT_ONCE_MS);
+	assert.deepEqual(sent, []);
+	task.dispose();
+	await startTask('c2', ['c1', 'c3']);
+	await violateInvariant();
+	await delay(OUTAGE_MS);
+	assert.equal(stopSignals, 1);
+});
