A command that its part cannot apply is rejected, and the replicas go on

An entry that a part cannot apply would have ended every replica at the same index, again at each start: the whole system down until someone edits the logs. Found by reading, for the class of the incident; no such entry was seen. The error is the same on all replicas, so passing the entry over keeps them equal; its proposer gets the error, and it is logged with its stack. A command for a part that the program doesn't have still ends the process, since passing it over would lose state. The test failed before ('leadership was lost', and a signal) and passes.

--- a/src/plugins/agreement/common/replicatedState.ts
+++ b/src/plugins/agreement/common/replicatedState.ts
@@ -25,6 +25,14 @@
 	restore(saved: unknown): void;
 }
 
+/** A command is for a part that this program does not have; to pass over it would lose state. */
+export class UnknownPartError extends Error {
+	constructor(part: string, index: LogIndex) {
+		super(`entry ${index} has a command for the unknown part '${part}'`);
+		this.name = 'UnknownPartError';
+	}
+}
+
 /** All parts of the replicated state. */
 export class ReplicatedState {
 	private readonly _parts = new Map<string, IReplicatedPart>();
@@ -37,11 +45,15 @@
 		this._parts.set(part.id, part);
 	}
 
-	/** Applies a committed command to its part and returns the result. */
+	/**
+	 * Applies a committed command to its part and returns the result.
+	 * @throws UnknownPartError
+	 * @throws an error of the part
+	 */
 	apply(command: PartCommand, index: LogIndex): unknown {
 		const part = this._parts.get(command.part);
 		if (!part) {
-			throw new Error(`entry ${index} has a command for the unknown part '${command.part}'`);
+			throw new UnknownPartError(command.part, index);
 		}
 		return part.apply(command.body, index);
 	}
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -30,7 +30,12 @@
 	ReplicaRole
 } from '../common/agreementTypes.js';
 import { createBootstrapState, INITIAL_INCARNATION } from '../common/bootstrapState.js';
-import { type IReplicatedPart, type PartCommand, ReplicatedState } from '../common/replicatedState.js';
+import {
+	type IReplicatedPart,
+	type PartCommand,
+	ReplicatedState,
+	UnknownPartError
+} from '../common/replicatedState.js';
 import type { AgreementSettings } from './agreementSettings.js';
 import { AppendedProposals, type Proposal } from './appendedProposals.js';
 import { FailureBackoff } from './failureBackoff.js';
@@ -361,10 +366,22 @@
 		effects.committed.forEach(entry => this._applyEntry(entry));
 	}
 
+	/** Applies an entry; one that its part cannot apply is passed over, as all replicas have the same error at the same index. */
 	private _applyEntry(entry: LogEntry): void {
-		const isCommand = entry.kind === EntryKind.Command;
-		const result = isCommand ? this._state.apply(entry.command as PartCommand, entry.index) : undefined;
-		this._appendedProposals.settle(entry, result);
+		if (entry.kind !== EntryKind.Command) {
+			this._appendedProposals.settle(entry, undefined);
+			return;
+		}
+		try {
+			this._appendedProposals.settle(entry, this._state.apply(entry.command as PartCommand, entry.index));
+		} catch (error) {
+			if (error instanceof UnknownPartError) {
+				throw error;
+			}
+			const { stack } = error as Error;
+			this._log.error('entry cannot be applied', { task: 'agreement', index: entry.index, error: stack });
+			this._appendedProposals.reject(entry, error as Error);
+		}
 	}
 
 	/**
--- a/src/plugins/agreement/node/appendedProposals.ts
+++ b/src/plugins/agreement/node/appendedProposals.ts
@@ -46,6 +46,12 @@
 		}
 	}
 
+	/** Rejects the proposal at the index of an entry that cannot be applied. */
+	reject(entry: LogEntry, error: Error): void {
+		this._proposals.get(entry.index)?.reject(error);
+		this._proposals.delete(entry.index);
+	}
+
 	/** Rejects all proposals: whether their entries will be committed is unknown. */
 	rejectAll(): void {
 		for (const proposal of this._proposals.values()) {
--- a/src/plugins/agreement/test/replicaStorage.test.ts
+++ b/src/plugins/agreement/test/replicaStorage.test.ts
@@ -34,6 +34,7 @@
 const AT_ONCE_MS = 150;
 const POLL_MS = 10;
 const PART = 'numbers';
+const INAPPLICABLE = 13;
 const MEMBERS = ['c1', 'c2', 'c3'].map(id => ({
 	id,
 	incarnation: id === 'c2' ? '' : id,
@@ -95,6 +96,7 @@
 	task.addPart({
 		id: PART,
 		apply: body => {
+			assert.notEqual(body, INAPPLICABLE);
 			applied.push(body);
 			return body;
 		},
@@ -282,3 +284,12 @@
 	await delay(OUTAGE_MS);
 	assert.equal(stopSignals, 1);
 });
+
+/** Guards against the end of all replicas, at each start, because of one entry. */
+test('a command that cannot be applied is rejected, and the replica goes on', async () => {
+	await startTask('c1', []);
+	await waitUntil('a leader is elected', () => task.hasLease());
+	await assert.rejects(propose(INAPPLICABLE), { name: 'AssertionError' });
+	assert.equal(await propose(1), 1);
+	assert.equal(stopSignals, 0);
+});
