An instance that reaches no target logs it and has a metric

Nothing told whether an instance was partitioned from all targets or its targets had failed. Attempts without a response at three targets, failed or overdue, with no response of any target since, make the links suspect; connections to four other targets, in different data halls, confirm it, and show every 500 ms whether it has ended.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -135,6 +135,11 @@
 		return this._servingByService.get(service) ?? [];
 	}
 
+	/** All targets in phase `Serving`. */
+	get servingTargets(): Iterable<KnownTarget> {
+		return [...this._servingByService.values()].flat();
+	}
+
 	/** Whether a data hall is drained: its targets get no new requests. */
 	isDrained(hall: string): boolean {
 		return this._drainedHalls.has(hall);
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -22,6 +22,7 @@
 import type { LostRunDetector } from './lostRunDetector.js';
 import type { LimitMonitor } from './targets/limitMonitor.js';
 import type { OutcomeTracker } from '../../placement/common/outcomeTracker.js';
+import type { PartitionMonitor } from './partitionMonitor.js';
 import type { RegionTrafficMonitor } from './regionTrafficMonitor.js';
 import type { BackoffMonitor } from './targets/backoffMonitor.js';
 import { TargetAgent } from './targets/targetAgent.js';
@@ -50,6 +51,7 @@
 	readonly backoffMonitor: BackoffMonitor;
 	readonly limits: ITargetLimits;
 	readonly limitMonitor: LimitMonitor;
+	readonly partitionMonitor: PartitionMonitor;
 }
 
 /** Runs the attempts of this instance and owns the connections to targets. */
@@ -90,7 +92,11 @@
 			return notSent(blockingCause);
 		}
 		this._dependencies.backoffMonitor.recordSendStart(known.record, state, now);
-		const targetExchange = this._startExchange(context, candidate, now);
+		const { partitionMonitor } = this._dependencies;
+		const contactHandle = partitionMonitor.recordStart(known.record.id);
+		const targetExchange = this._startExchange(context, candidate, now, () =>
+			partitionMonitor.recordResponse(contactHandle)
+		);
 		state.inFlight++;
 		state.isUsed = true;
 		const timer = setTimeout(() => targetExchange.abandon(), Math.max(0, context.deadline - now));
@@ -103,6 +109,7 @@
 		this._inFlight.set(targetExchange, known.record);
 		const outcome = await targetExchange.outcome;
 		this._inFlight.delete(targetExchange);
+		partitionMonitor.recordOutcome(contactHandle, outcome, exchange.isDisconnected);
 		if (targetExchange.writtenAt === undefined) {
 			permit?.giveBack();
 		}
@@ -202,7 +209,13 @@
 		}
 	}
 
-	private _startExchange(context: RequestContext, candidate: ChosenTarget, now: Millis): TargetExchange {
+	/** @param onResponse called when the headers of a response arrive */
+	private _startExchange(
+		context: RequestContext,
+		candidate: ChosenTarget,
+		now: Millis,
+		onResponse: () => void
+	): TargetExchange {
 		const { exchange, body } = context;
 		const { known } = candidate;
 		const [host, port] = splitAddress(known.record.address);
@@ -218,7 +231,10 @@
 			connectTimeoutMs:
 				known.region === this._dependencies.region ? this._sameRegionConnectMs : this._crossRegionConnectMs,
 			maxBufferedBytes: this._maxBufferedBytes,
-			onTargetReport: (report, writtenAt) => this._applyTargetReport(candidate, report, writtenAt)
+			onTargetReport: (report, writtenAt) => {
+				onResponse();
+				this._applyTargetReport(candidate, report, writtenAt);
+			}
 		});
 	}
 
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -30,6 +30,7 @@
 import type { CallerExchange } from './callerExchange.js';
 import type { IForwarding } from './forwarding.js';
 import { LostRunDetector } from './lostRunDetector.js';
+import { PartitionMonitor } from './partitionMonitor.js';
 import { QuarantineGuard } from './quarantineGuard.js';
 import { registerRegionPlanMetrics } from './regionPlanMetrics.js';
 import { RegionTrafficMonitor } from './regionTrafficMonitor.js';
@@ -99,6 +100,7 @@
 		const lostRunDetector = this._register(new LostRunDetector(metrics, log));
 		const quarantineGuard = this._register(new QuarantineGuard(_session, lostRunDetector));
 		this._retryPolicy = new RetryPolicy(_session.view, this._selector, quarantineGuard, returnTimes, _serviceBounds);
+		const partitionMonitor = this._register(new PartitionMonitor(_session.view, log, metrics));
 		const attemptSender = this._register(
 			new AttemptSender({
 				region: instance.region,
@@ -111,7 +113,8 @@
 				lostRunDetector,
 				backoffMonitor: new BackoffMonitor(metrics, log, now => this._selector.backedOffByService(now)),
 				limits: targetLimits,
-				limitMonitor: this._register(new LimitMonitor(metrics, log, targetLimits))
+				limitMonitor: this._register(new LimitMonitor(metrics, log, targetLimits)),
+				partitionMonitor
 			})
 		);
 		this._forwarder = new RequestForwarder({
--- /dev/null
+++ b/src/plugins/forwarding/node/partitionMonitor.ts
@@ -0,0 +1,169 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * Detects that this instance is partitioned from all targets, although callers, control and other instances reach it. Attempts of
+ * requests make the links suspect, connections to other targets confirm it, and such connections show when it ends.
+ */
+
+import { Gauge } from 'prom-client';
+import { type Millis, systemClock } from '../../../base/clock.js';
+import { Disposable, toDisposable } from '../../../base/disposable.js';
+import { Emitter } from '../../../base/event.js';
+import type { ILogService } from '../../../kernel/node/logService.js';
+import type { IMetricsService } from '../../../kernel/node/metricsService.js';
+import type { FleetView, KnownTarget } from '../../fleet/common/fleetView.js';
+import { type AttemptOutcome, NotRunCause } from '../common/attempt.js';
+import { type AttemptHandle, TargetContact } from '../common/targetContact.js';
+import { acceptsConnections } from './targets/targetProbe.js';
+
+const POLL_INTERVAL_MS: Millis = 50;
+/** Interval between checks while partitioned. */
+const CHECK_INTERVAL_MS: Millis = 500;
+/** Targets that are connected to in one check; in as many data halls as possible. */
+const TARGETS_PER_CHECK = 4;
+/** With fewer targets than this, their failure tells nothing about the links. */
+const MIN_KNOWN_TARGETS = 2;
+/** A target that accepts no connection within this time does not count as reached. */
+const CHECK_TIMEOUT_MS: Millis = 500;
+
+/** Detects a partition of this instance from all targets. */
+export class PartitionMonitor extends Disposable {
+	private readonly _onDidChange = this._register(new Emitter<boolean>());
+	/** Fires with true when this instance is found to be partitioned from all targets, with false when it reaches one again. */
+	readonly onDidChange = this._onDidChange.event;
+	private readonly _contact = new TargetContact(systemClock.now());
+	private _partitionedSince: Millis | undefined;
+	private _isChecking = false;
+	private _checkedAt: Millis = Number.NEGATIVE_INFINITY;
+
+	constructor(
+		private readonly _view: FleetView,
+		private readonly _log: ILogService,
+		{ registry }: IMetricsService
+	) {
+		super();
+		const isPartitioned = (): boolean => this.isPartitioned;
+		new Gauge({
+			name: 'shelffield_partitioned_from_targets',
+			help: 'Whether this instance reaches no target: 1 or 0.',
+			registers: [registry],
+			collect() {
+				this.set(isPartitioned() ? 1 : 0);
+			}
+		});
+		const timer = setInterval(() => this._poll(), POLL_INTERVAL_MS);
+		this._register(toDisposable(() => clearInterval(timer)));
+	}
+
+	/** Whether this instance reaches no target. */
+	get isPartitioned(): boolean {
+		return this._partitionedSince !== undefined;
+	}
+
+	/** Records an attempt at a target that is about to be made. */
+	recordStart(targetId: string): AttemptHandle {
+		return this._contact.begin(targetId, systemClock.now());
+	}
+
+	/** Records that a target has responded to an attempt, before the whole response is there. */
+	recordResponse(handle: AttemptHandle): void {
+		this._contact.recordResponse(handle, systemClock.now());
+	}
+
+	/**
+	 * Records how an attempt ended.
+	 * @param hasCallerLeft whether it was given up because its caller disconnected
+	 */
+	recordOutcome(handle: AttemptHandle, outcome: AttemptOutcome, hasCallerLeft: boolean): void {
+		const now = systemClock.now();
+		if (outcome.type === 'answer' || (outcome.type === 'not-run' && outcome.hasArrived)) {
+			this._contact.recordResponse(handle, now);
+		} else if (hasCallerLeft || (outcome.type === 'not-run' && outcome.cause !== NotRunCause.NoConnection)) {
+			this._contact.discard(handle);
+		} else {
+			this._contact.recordFailure(handle, now);
+		}
+	}
+
+	private _poll(): void {
+		const now = systemClock.now();
+		const isDue = this.isPartitioned
+			? now - this._checkedAt >= CHECK_INTERVAL_MS
+			: this._contact.isSuspect(now) && now - this._checkedAt >= POLL_INTERVAL_MS;
+		if (isDue && !this._isChecking) {
+			void this._check(now);
+		}
+	}
+
+	/** Connects to some targets; none that accepts means that this instance is partitioned. */
+	private async _check(now: Millis): Promise<void> {
+		const targets = this._selectTargets();
+		if (targets.length < MIN_KNOWN_TARGETS) {
+			this._setPartitioned(false);
+			return;
+		}
+		this._isChecking = true;
+		this._checkedAt = now;
+		const isReached = await anyAccepts(targets);
+		this._isChecking = false;
+		if (isReached) {
+			this._contact.recordContact(systemClock.now());
+		}
+		const hasContact = this._contact.contactAt >= now;
+		this._setPartitioned(!hasContact);
+	}
+
+	/** Random targets that control hears, of different data halls as long as there are any. */
+	private _selectTargets(): KnownTarget[] {
+		const heard = [...this._view.servingTargets].filter(({ isSilent }) => !isSilent);
+		const remaining = shuffle(heard);
+		const selected: KnownTarget[] = [];
+		const halls = new Set<string>();
+		for (const target of remaining) {
+			if (!halls.has(target.record.hall)) {
+				halls.add(target.record.hall);
+				selected.push(target);
+			}
+		}
+		const others = remaining.filter(target => !selected.includes(target));
+		return [...selected, ...others].slice(0, TARGETS_PER_CHECK);
+	}
+
+	private _setPartitioned(isPartitioned: boolean): void {
+		if (isPartitioned === this.isPartitioned) {
+			return;
+		}
+		const now = systemClock.now();
+		if (isPartitioned) {
+			this._partitionedSince = now;
+			const quietMs = Math.round(now - this._contact.contactAt);
+			this._log.warn('partitioned from all targets', { task: 'forwarding', quietMs });
+		} else {
+			const lastedMs = Math.round(now - this._partitionedSince!);
+			this._partitionedSince = undefined;
+			this._log.info('targets reached again', { task: 'forwarding', lastedMs });
+		}
+		this._onDidChange.fire(isPartitioned);
+	}
+}
+
+async function anyAccepts(targets: readonly KnownTarget[]): Promise<boolean> {
+	const checks = targets.map(async ({ record }) => {
+		if (!(await acceptsConnections(record.address, CHECK_TIMEOUT_MS))) {
+			throw new Error(`${record.id} accepts no connection`);
+		}
+	});
+	return Promise.any(checks).then(
+		() => true,
+		() => false
+	);
+}
+
+function shuffle<T>(items: readonly T[]): T[] {
+	return items
+		.map(item => ({ item, order: Math.random() }))
+		.sort((a, b) => a.order - b.order)
+		.map(({ item }) => item);
+}
--- a/src/plugins/forwarding/node/targets/targetProbe.ts
+++ b/src/plugins/forwarding/node/targets/targetProbe.ts
@@ -31,17 +31,28 @@
 	}
 }
 
-function isRefused(address: string): Promise<boolean> {
+/** Whether a connection to an address is refused or reset; one that is not established within the timeout is not. */
+async function isRefused(address: string): Promise<boolean> {
+	return (await tryConnect(address, CONNECT_TIMEOUT_MS)) === 'failed';
+}
+
+/** Whether a connection to an address is established within a time. */
+export async function acceptsConnections(address: string, timeoutMs: Millis): Promise<boolean> {
+	return (await tryConnect(address, timeoutMs)) === 'connected';
+}
+
+/** Opens a connection and closes it again. */
+function tryConnect(address: string, timeoutMs: Millis): Promise<'connected' | 'failed' | 'timed-out'> {
 	const [host, port] = address.split(':') as [string, string];
 	return new Promise(resolve => {
 		const socket = connect({ host, port: Number(port) });
-		const finish = (isConnectionRefused: boolean): void => {
+		const finish = (result: 'connected' | 'failed' | 'timed-out'): void => {
 			clearTimeout(timer);
 			socket.destroy();
-			resolve(isConnectionRefused);
+			resolve(result);
 		};
-		const timer = setTimeout(() => finish(false), CONNECT_TIMEOUT_MS);
-		socket.once('connect', () => finish(false));
-		socket.on('error', () => finish(true));
+		const timer = setTimeout(() => finish('timed-out'), timeoutMs);
+		socket.once('connect', () => finish('connected'));
+		socket.on('error', () => finish('failed'));
 	});
 }
