Failing tests: callers of entry instances that reach no target are not served

Four control, entry and target processes each; the links of one, two or three entry instances to all targets are reset or silent, while callers, control and the other instances are as before. On the current code none of the requests there is served, from 2.5 s after the start; with silence each is held for its whole 2 s, also where no instance could serve it. Two more tests pass already with these loads: nothing is quarantined, no order runs twice or runs after it was rejected.

--- a/test/platform/platformTestSystem.ts
+++ b/test/platform/platformTestSystem.ts
@@ -5,7 +5,7 @@
 /** A test system of control and entry processes, each with its own loopback address and the same ports, discovered from seeds. */
 
 import { type ChildProcess, spawn } from 'node:child_process';
-import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdirSync, mkdtempSync, renameSync, rmSync, writeFileSync } from 'node:fs';
 import { request as httpRequest } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -298,11 +298,22 @@
 
 	/** Whether the disk of an instance takes no writes; the processes must have `fullDiskPreload.js` preloaded. */
 	setDiskFull(instance: Instance, isFull: boolean): void {
-		const flagFile = `${this._settingsFile(instance)}.full`;
-		if (isFull) {
-			writeFileSync(flagFile, '');
+		this._setFlag(instance, 'full', isFull ? 'full' : undefined);
+	}
+
+	/** How the links of an instance to all targets fail; the processes must have `partitionPreload.js` preloaded. */
+	setPartition(instance: Instance, fault: 'reset' | 'silent' | undefined): void {
+		this._setFlag(instance, 'partition', fault);
+	}
+
+	/** Writes the file by which a preloaded module learns of a fault, or removes it. */
+	private _setFlag(instance: Instance, name: string, content: string | undefined): void {
+		const file = `${this._settingsFile(instance)}.${name}`;
+		if (content === undefined) {
+			rmSync(file, { force: true });
 		} else {
-			rmSync(flagFile, { force: true });
+			writeFileSync(`${file}.new`, content);
+			renameSync(`${file}.new`, file);
 		}
 	}
 
