An entry instance that reaches no target has its requests served by another one

Cause: a request could only go over the own links. Each one paid for four attempts at targets again; nobody told control, which went on naming the instance to callers. Now a partitioned instance relays requests at the first attempt to another instance that control lists: of its own region first, with the fewest relayed requests, within the home regions of the request. The peer decides as for its own callers (routes, keys, quarantine, limits, retries, placement) and never relays again; it declines, surely not run, when it drains, is partitioned itself, is full or has an older revision of the fleet, so that no caller sees an earlier configuration after a later one. What was written to a peer may have run and goes to no other. A caller who leaves ends the attempt there. A request is counted as a first attempt by one of the two. If no peer takes it, it is refused at once. Before the partition is detected, and while old connections live on but new ones fail, a request that found no connection anywhere is relayed in place of its refusal. Control is told at once: look-ups leave the instance out while there are others in the region. Connections to four targets every 500 ms show the end.

--- a/src/base/verdict.ts
+++ b/src/base/verdict.ts
@@ -49,6 +49,8 @@
 	OrderOutcomeUnknown = 'order-outcome-unknown',
 	ResponseNotStored = 'answer-not-kept',
 	TargetFailed = 'target-failed',
+	/** This instance is partitioned from all targets, and no other instance took the request. */
+	TargetsUnreachable = 'targets-unreachable',
 	Cancelled = 'cancelled',
 	Draining = 'draining'
 }
--- a/src/kernel/node/httpPeerCalls.ts
+++ b/src/kernel/node/httpPeerCalls.ts
@@ -15,9 +15,12 @@
 import { listenWhenFree } from './listenWhenFree.js';
 import { ILogService } from './logService.js';
 import { decodeMessage, type EncodedMessage, encodeMessage, MAX_MESSAGE_BYTES } from './messageCodec.js';
+import type { IPeerRequests, PeerRequestHandler } from './peerRequests.js';
 import { ISettingsService } from './settingsService.js';
 
 const MAX_IDLE_SOCKETS = 8;
+/** Requests of callers come with their headers, and with some of this system. */
+const MAX_HEADER_BYTES = 128 * 1024;
 /** Less than {@link SERVER_KEEP_ALIVE_TIMEOUT_MS}, so that no call is sent on a connection that the server is closing. */
 const CLIENT_IDLE_TIMEOUT_MS = 20000;
 const SERVER_KEEP_ALIVE_TIMEOUT_MS = 60000;
@@ -61,15 +64,19 @@
 	}
 }
 
-/** Serves and makes peer calls with `node:http`. */
-export class HttpPeerCalls extends Disposable implements IPeerCalls {
+/** Serves and makes peer calls, and serves streamed requests, with `node:http`. */
+export class HttpPeerCalls extends Disposable implements IPeerCalls, IPeerRequests {
 	private readonly _handlers = new Map<string, CallHandler>();
+	private readonly _requestHandlers = new Map<string, PeerRequestHandler>();
 	private readonly _agent = new Agent({
 		keepAlive: true,
 		maxFreeSockets: MAX_IDLE_SOCKETS,
 		timeout: CLIENT_IDLE_TIMEOUT_MS
 	});
-	private readonly _server = createServer({ keepAliveTimeout: SERVER_KEEP_ALIVE_TIMEOUT_MS });
+	private readonly _server = createServer({
+		keepAliveTimeout: SERVER_KEEP_ALIVE_TIMEOUT_MS,
+		maxHeaderSize: MAX_HEADER_BYTES
+	});
 	private readonly _listenAddress: string;
 
 	constructor(
@@ -89,6 +96,10 @@
 		this._handlers.set(method.path, handler as CallHandler);
 	}
 
+	handleRequests(pathPrefix: string, handler: PeerRequestHandler): void {
+		this._requestHandlers.set(pathPrefix, handler);
+	}
+
 	listen(): Promise<string> {
 		return listenWhenFree(this._server, this._listenAddress, error =>
 			this._log.error('peer listener failed', { task: 'peers', error: error.message })
@@ -132,6 +143,12 @@
 
 	private _onRequest(request: IncomingMessage, response: ServerResponse): void {
 		request.on('error', () => response.destroy());
+		for (const [pathPrefix, handler] of this._requestHandlers) {
+			if (request.url?.startsWith(`${pathPrefix}/`)) {
+				handler(request, response);
+				return;
+			}
+		}
 		readMessageBody(request, body => void this._handleCall(request, body, response));
 	}
 
--- a/src/kernel/node/httpTransport.ts
+++ b/src/kernel/node/httpTransport.ts
@@ -7,8 +7,11 @@
 import type { InstantiationService } from '../common/instantiationService.js';
 import { IPeerCalls } from '../common/peerCalls.js';
 import { HttpPeerCalls } from './httpPeerCalls.js';
+import { IPeerRequests } from './peerRequests.js';
 
 /** Registers HTTP/1.1 as the transport of a process. */
 export function provideHttp(services: InstantiationService): void {
-	services.set(IPeerCalls, services.createInstance(HttpPeerCalls));
+	const peerCalls = services.createInstance(HttpPeerCalls);
+	services.set(IPeerCalls, peerCalls);
+	services.set(IPeerRequests, peerCalls);
 }
--- a/src/plugins/fleet/common/entryLookUp.ts
+++ b/src/plugins/fleet/common/entryLookUp.ts
@@ -12,7 +12,8 @@
 const MIN_FRACTION_OF_MEAN = 0.25;
 
 /**
- * The ready entry instances of the caller's region, or those of all regions if the region has too few.
+ * The ready entry instances of the caller's region, or those of all regions if the region has too few. Instances that are
+ * partitioned from all targets are left out as long as there are others.
  * @param entries live entry instances
  */
 export function selectEntries(entries: readonly EntryDescription[], region: string): EntryDescription[] {
@@ -20,7 +21,13 @@
 	const inRegion = ready.filter(entry => entry.region === region);
 	const regionCount = new Set(ready.map(entry => entry.region)).size;
 	const isEnough = inRegion.length > 0 && inRegion.length * regionCount >= MIN_FRACTION_OF_MEAN * ready.length;
-	return isEnough ? inRegion : ready;
+	return preferConnected(isEnough ? inRegion : ready);
+}
+
+/** Those that reach targets; all of them where none does, since they may still relay requests. */
+function preferConnected(entries: EntryDescription[]): EntryDescription[] {
+	const connected = entries.filter(entry => entry.isPartitioned !== true);
+	return connected.length > 0 ? connected : entries;
 }
 
 /**
--- a/src/plugins/fleet/common/fleetSession.ts
+++ b/src/plugins/fleet/common/fleetSession.ts
@@ -32,6 +32,8 @@
 	reportLimits(limits: readonly ReportedLimit[], hasChanged: boolean): void;
 	/** Sets whether this instance accepts callers; sent at once. */
 	setReady(isReady: boolean): void;
+	/** Sets whether this instance is partitioned from all targets; sent at once. */
+	setPartitioned(isPartitioned: boolean): void;
 }
 
 /** Identifier of the session of an entry instance with the control instances. */
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -173,6 +173,8 @@
 	readonly revision: FleetRevision;
 	/** Slots needed by its callers, by service. */
 	readonly demand: Readonly<Record<string, number>>;
+	/** Whether it reaches no target, so that it depends on other instances to serve its callers; absent from older instances. */
+	readonly isPartitioned?: boolean;
 }
 
 /** A report of an entry instance and its age. */
--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -9,7 +9,7 @@
 import { RouteIndex } from '../../routes/common/routeIndex.js';
 import { type FleetChanges, type FleetRevision, TargetPhase, type TargetRecord } from './fleetTypes.js';
 import { QuarantineView } from './quarantineView.js';
-import type { RegionDemand, SyncResponse } from './fleetWire.js';
+import type { EntryPeerList, RegionDemand, SyncResponse } from './fleetWire.js';
 
 /** A target as seen by the placement of requests. */
 export interface KnownTarget {
@@ -72,6 +72,7 @@
 	private _peakEntryCount = 1;
 	private _regionEntries: readonly string[] = [];
 	private _hallPeers: readonly string[] = [];
+	private _peers: EntryPeerList | undefined;
 	private _senderAddresses: ReadonlyMap<string, string> = new Map();
 	private _demand: RegionDemand = {};
 	private _isComplete = false;
@@ -115,6 +116,11 @@
 		return this._hallPeers;
 	}
 
+	/** Other entry instances that requests can be relayed to; undefined before the first response. */
+	get peers(): EntryPeerList | undefined {
+		return this._peers;
+	}
+
 	/** Peer address of an entry instance that may send to targets with limits; undefined if it is not live. */
 	senderAddress(name: string): string | undefined {
 		return this._senderAddresses.get(name);
@@ -186,6 +192,7 @@
 		this._peakEntryCount = Math.max(this._peakEntryCount, response.entryCount);
 		this._regionEntries = response.regionEntries;
 		this._hallPeers = response.hallPeers;
+		this._peers = response.peers ?? this._peers;
 		this._senderAddresses = new Map(response.limitSenders?.map(({ name, address }) => [name, address]));
 		this._demand = response.demand;
 		const silent = response.hasHeardAll ? new Set(response.silentTargets) : new Set<string>();
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -27,10 +27,26 @@
 	readonly limits: readonly ReportedLimit[];
 	/** Revision of the quarantine that the entry instance holds; 0 for none. */
 	readonly quarantineRevision: number;
+	/** Digest of the list of other entry instances that the entry instance holds; absent for none. */
+	readonly peersDigest?: number;
 	/** How long the control instance may wait for a change before it responds. */
 	readonly waitMs: Millis;
 }
 
+/** Address and location of another entry instance that accepts callers and reaches targets. */
+export interface EntryPeer {
+	readonly name: string;
+	/** Peer address. */
+	readonly address: string;
+	readonly region: string;
+}
+
+/** Other entry instances that requests can be relayed to. */
+export interface EntryPeerList {
+	readonly digest: number;
+	readonly peers: readonly EntryPeer[];
+}
+
 /** A limit that one incarnation of a target declared for all instances together. */
 export interface ReportedLimit {
 	readonly id: string;
@@ -79,6 +95,8 @@
 	readonly regionEntries: readonly string[];
 	/** Peer addresses of the other entry instances in the caller's data hall. */
 	readonly hallPeers: readonly string[];
+	/** Other entry instances; present if the list differs from the one that the caller holds. */
+	readonly peers?: EntryPeerList;
 	/** Live entry instances that may send to targets with a limit. */
 	readonly limitSenders: readonly SenderAddress[];
 	/** Targets whose heartbeats are overdue. */
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -14,6 +14,7 @@
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import type { Team } from '../../routes/common/routeTable.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
+import { listPeers } from '../common/entryPeers.js';
 import { selectEntries, canAnswerLookUps, sumDemandByRegion, mergeRemembered } from '../common/entryLookUp.js';
 import { FleetUnavailableError, type IFleetControl, type TargetHeartbeat } from '../common/fleetControl.js';
 import { FleetState } from '../common/fleetState.js';
@@ -248,6 +249,7 @@
 		const hasHeardAll = this._completeness.completeSince !== undefined;
 		const entries = this._liveness.liveEntries(now).filter(entry => entry.isReady);
 		const { snapshot } = this._quarantine;
+		const peers = listPeers(entries, request.entry);
 		const regionalEntries = entries.filter(entry => entry.region === request.entry.region);
 		return {
 			changes: this._state.changesAfter(request.entry.revision),
@@ -258,6 +260,7 @@
 			entryCount: entries.length,
 			regionEntries: regionalEntries.map(entry => entry.name),
 			hallPeers: regionalEntries.filter(entry => isHallPeer(entry, request.entry)).map(entry => entry.peerAddress),
+			peers: peers.digest === request.peersDigest ? undefined : peers,
 			limitSenders: this._limitSenders(entries),
 			silentTargets: this._silentTargets(now),
 			coldTargets: this._coldTargets(now),
--- a/src/plugins/fleet/node/fleetSessionTask.ts
+++ b/src/plugins/fleet/node/fleetSessionTask.ts
@@ -62,6 +62,7 @@
 	private _controls: readonly ControlAddress[] = [];
 	private _sequence = 0;
 	private _isReady = false;
+	private _isPartitioned = false;
 	private _demand: Readonly<Record<string, number>> = {};
 	private _requestedWork = new Map<string, number>();
 	private _limits: readonly ReportedLimit[] = [];
@@ -104,6 +105,16 @@
 			return;
 		}
 		this._isReady = isReady;
+		this._syncAtOnce();
+	}
+
+	setPartitioned(isPartitioned: boolean): void {
+		this._isPartitioned = isPartitioned;
+		this._syncAtOnce();
+	}
+
+	/** Sends the state of this instance, which control has to know before the next regular call. */
+	private _syncAtOnce(): void {
 		if (this._controlSelector.activeAddress !== undefined) {
 			this._sync(this._controlSelector.activeAddress, 0).catch(() => undefined);
 		}
@@ -221,11 +232,13 @@
 				peerAddress: this._instance.peerAddress,
 				isReady: this._isReady,
 				revision: this.view.revision,
-				demand: this._demand
+				demand: this._demand,
+				isPartitioned: this._isPartitioned || undefined
 			},
 			needs: this._takeRequestedWork(),
 			limits: this._limits,
 			quarantineRevision: this.view.quarantine.revision,
+			peersDigest: this.view.peers?.digest,
 			waitMs
 		};
 		const requestTimestamp = this._viewAge.timestampRequest();
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -13,6 +13,7 @@
 import type { TargetResponse } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { cookieValue, endToEndHeaders } from '../common/hopByHopHeaders.js';
+import { RELAY_REVISION_HEADER } from '../common/relayHeaders.js';
 import type { LinkScheduler } from './linkScheduler.js';
 import { PacedBody } from './pacedBody.js';
 
@@ -20,6 +21,7 @@
 const VERDICT_HEADER = 'Shelffield-Verdict';
 const NO_HEADERS: ReadonlySet<string> = new Set();
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(['content-length']);
+const RELAY_HEADERS: ReadonlySet<string> = new Set([RELAY_REVISION_HEADER]);
 
 /** A response made by this instance rather than by a target. */
 export interface LocalResponse {
@@ -134,6 +136,19 @@
 
 	/** Forwards a target's response. When it is truncated on the way, the caller's connection is closed. */
 	forwardResponse(response: TargetResponse): void {
+		this._forward(response, NO_HEADERS, [VERDICT_HEADER, 'ran']);
+	}
+
+	/** Forwards the response of the entry instance that the request was relayed to, which states its verdict itself. */
+	forwardRelayedResponse(response: TargetResponse): void {
+		this._forward(response, RELAY_HEADERS, []);
+	}
+
+	/**
+	 * @param dropped names in lower case of headers that the caller does not get
+	 * @param added headers of this instance
+	 */
+	private _forward(response: TargetResponse, dropped: ReadonlySet<string>, added: readonly string[]): void {
 		if (this._isDisconnected) {
 			response.remainingBody?.destroy();
 			return;
@@ -144,7 +159,7 @@
 			this.sendLocalResponse(FAILED_RESPONSE);
 			return;
 		}
-		this._writeHead(response);
+		this._writeHead(response, dropped, added);
 		if (!response.remainingBody) {
 			this._response.end(response.body);
 			return;
@@ -195,10 +210,13 @@
 		remainingBody.pipe(paced).pipe(this._response);
 	}
 
-	private _writeHead(response: TargetResponse): void {
+	private _writeHead(response: TargetResponse, dropped: ReadonlySet<string>, added: readonly string[]): void {
 		const isHeadRequest = this.request.method === 'HEAD';
 		const isBuffered = response.remainingBody === undefined && !response.endsWithConnection && !isHeadRequest;
-		const headers = endToEndHeaders(response.rawHeaders, isBuffered ? CONTENT_LENGTH : NO_HEADERS);
+		const headers = endToEndHeaders(
+			response.rawHeaders,
+			isBuffered ? new Set([...CONTENT_LENGTH, ...dropped]) : dropped
+		);
 		if (isBuffered) {
 			headers.push('Content-Length', String(response.body.length));
 		}
@@ -208,7 +226,7 @@
 		if (response.endsWithConnection || this._callerRequest.closesConnection) {
 			headers.push('Connection', 'close');
 		}
-		headers.push(VERDICT_HEADER, 'ran');
+		headers.push(...added);
 		this._response.writeHead(response.status, headers);
 	}
 
--- a/src/plugins/forwarding/node/forwarding.ts
+++ b/src/plugins/forwarding/node/forwarding.ts
@@ -7,10 +7,21 @@
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
 import type { CallerExchange } from './callerExchange.js';
 
+/** How a request reached this instance that another entry instance relayed. */
+export interface RelayOrigin {
+	/** Whether the other instance has counted it as a first attempt. */
+	readonly isCounted: boolean;
+}
+
 /** Forwards requests to targets. */
 export interface IForwarding {
-	/** Serves one request and completes the exchange with a final response; never rejects. */
-	serve(exchange: CallerExchange): Promise<void>;
+	/** Whether this instance reaches no target. */
+	readonly isPartitioned: boolean;
+	/**
+	 * Serves one request and completes the exchange with a final response; never rejects.
+	 * @param origin for a request that another entry instance relayed
+	 */
+	serve(exchange: CallerExchange, origin?: RelayOrigin): Promise<void>;
 }
 
 /** Service identifier of {@link IForwarding}. */
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -28,12 +28,13 @@
 import { IServiceBounds } from '../common/serviceBounds.js';
 import { AttemptSender } from './attemptSender.js';
 import type { CallerExchange } from './callerExchange.js';
-import type { IForwarding } from './forwarding.js';
+import type { IForwarding, RelayOrigin } from './forwarding.js';
 import { LostRunDetector } from './lostRunDetector.js';
 import { PartitionMonitor } from './partitionMonitor.js';
 import { QuarantineGuard } from './quarantineGuard.js';
 import { registerRegionPlanMetrics } from './regionPlanMetrics.js';
 import { RegionTrafficMonitor } from './regionTrafficMonitor.js';
+import { RelayClient } from './relay/relayClient.js';
 import { RequestCompletion } from './requestCompletion.js';
 import { type RequestContext, unavailableResponse } from './requestContext.js';
 import { RequestForwarder } from './requestForwarder.js';
@@ -55,6 +56,8 @@
 	private readonly _completion: RequestCompletion;
 	private readonly _forwarder: RequestForwarder;
 	private readonly _retryPolicy: RetryPolicy;
+	private readonly _partitionMonitor: PartitionMonitor;
+	private readonly _relayClient: RelayClient;
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
@@ -97,10 +100,21 @@
 		const regionTrafficMonitor = this._register(
 			new RegionTrafficMonitor(_session, log, this._serviceBounds.shifts.windowMs, onDidShiftFromLostTargets)
 		);
+		this._partitionMonitor = this._register(new PartitionMonitor(_session.view, log, metrics));
+		this._register(this._partitionMonitor.onDidChange(isPartitioned => this._onPartitionChange(isPartitioned)));
+		this._relayClient = this._register(
+			new RelayClient({
+				region: instance.region,
+				linkMbit,
+				view: _session.view,
+				headerNames,
+				completion: this._completion,
+				metrics
+			})
+		);
 		const lostRunDetector = this._register(new LostRunDetector(metrics, log));
 		const quarantineGuard = this._register(new QuarantineGuard(_session, lostRunDetector));
 		this._retryPolicy = new RetryPolicy(_session.view, this._selector, quarantineGuard, returnTimes, _serviceBounds);
-		const partitionMonitor = this._register(new PartitionMonitor(_session.view, log, metrics));
 		const attemptSender = this._register(
 			new AttemptSender({
 				region: instance.region,
@@ -114,7 +128,7 @@
 				backoffMonitor: new BackoffMonitor(metrics, log, now => this._selector.backedOffByService(now)),
 				limits: targetLimits,
 				limitMonitor: this._register(new LimitMonitor(metrics, log, targetLimits)),
-				partitionMonitor
+				partitionMonitor: this._partitionMonitor
 			})
 		);
 		this._forwarder = new RequestForwarder({
@@ -127,7 +141,8 @@
 			selector: this._selector,
 			attemptSender,
 			retryPolicy: this._retryPolicy,
-			completion: this._completion
+			completion: this._completion,
+			relayClient: this._relayClient
 		});
 		const timer = setInterval(() => this._reportDemand(), DEMAND_REPORT_INTERVAL_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
@@ -141,8 +156,12 @@
 		);
 	}
 
-	async serve(exchange: CallerExchange): Promise<void> {
-		const accepted = await this._intake.accept(exchange);
+	get isPartitioned(): boolean {
+		return this._partitionMonitor.isPartitioned;
+	}
+
+	async serve(exchange: CallerExchange, origin?: RelayOrigin): Promise<void> {
+		const accepted = await this._intake.accept(exchange, origin);
 		if (!accepted) {
 			return;
 		}
@@ -150,23 +169,51 @@
 			exchange.sendLocalResponse(accepted);
 			return;
 		}
-		const { route, service, team, body } = accepted;
-		this._outcomeTracker.recordRequest(service, exchange.arrivedAt, route.name);
-		this._retryPolicy.retryBudgetOf(service).recordFirstAttempt(exchange.arrivedAt);
-		if (this._admitLargeResponse(exchange, route)) {
-			await this._forwarder.forward(accepted);
+		if (!this._admitLargeResponse(exchange, accepted.route)) {
+			this._refuse(accepted, RefusalReason.LinkFull);
+		} else if (!accepted.isRelayed && (this.isPartitioned || this._relayClient.isAhead)) {
+			await this._relay(accepted);
+		} else {
+			await this._forward(accepted);
+		}
+		accepted.body.discardRest();
+	}
+
+	/** Has the request served by another entry instance, since this one cannot. */
+	private async _relay(context: RequestContext): Promise<void> {
+		if (await this._relayClient.relay(context)) {
+			return;
+		}
+		if (this.isPartitioned) {
+			this._refuse(context, RefusalReason.TargetsUnreachable);
 		} else {
-			this._refuseForFullLink(accepted);
+			await this._forward(context);
 		}
-		if (team?.limit && accepted.hasTeamPermit) {
+	}
+
+	private async _forward(context: RequestContext): Promise<void> {
+		const { exchange, route, service, team } = context;
+		this._outcomeTracker.recordRequest(service, exchange.arrivedAt, route.name);
+		if (!context.isCounted) {
+			context.isCounted = true;
+			this._retryPolicy.retryBudgetOf(service).recordFirstAttempt(exchange.arrivedAt);
+		}
+		await this._forwarder.forward(context);
+		if (team?.limit && context.hasTeamPermit) {
 			this._teamLimits.giveBack(team, exchange.arrivedAt);
 		}
-		body.discardRest();
 	}
 
-	private _refuseForFullLink(context: RequestContext): void {
-		const response = unavailableResponse(RefusalReason.LinkFull, SHORT_RETRY_AFTER_MS);
-		this._completion.finishWithLocalResponse(context, response);
+	private _refuse(context: RequestContext, reason: RefusalReason): void {
+		this._completion.finishWithLocalResponse(context, unavailableResponse(reason, SHORT_RETRY_AFTER_MS));
+	}
+
+	/** Tells control, and afterwards forgets what failed links made of the targets. */
+	private _onPartitionChange(isPartitioned: boolean): void {
+		this._session.setPartitioned(isPartitioned);
+		if (!isPartitioned) {
+			this._selector.forgetFailures();
+		}
 	}
 
 	/**
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -11,6 +11,7 @@
 import { HttpListener } from '../../../kernel/node/httpListener.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
+import { IPeerRequests } from '../../../kernel/node/peerRequests.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { SHORT_RETRY_AFTER_MS } from '../../admission/common/returnTimes.js';
 import { ICallerConnections, type ICallerRequest } from '../../connections/common/callerConnections.js';
@@ -25,6 +26,7 @@
 import { refuseByLimits } from './callerLimits.js';
 import { IForwarding } from './forwarding.js';
 import { LinkScheduler } from './linkScheduler.js';
+import { RelayServer } from './relay/relayServer.js';
 import { unavailableResponse } from './requestContext.js';
 
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -51,6 +53,7 @@
 	private readonly _settings: FrontSettings;
 	private readonly _readinessListener: HttpListener;
 	private readonly _linkScheduler: LinkScheduler;
+	private readonly _relayServer: RelayServer;
 	private _isDraining = false;
 	private _isListening = false;
 
@@ -61,12 +64,21 @@
 		@IForwarding private readonly _forwarding: IForwarding,
 		@IHeaderNames private readonly _headerNames: IHeaderNames,
 		@IServiceBounds private readonly _serviceBounds: IServiceBounds,
+		@IPeerRequests peerRequests: IPeerRequests,
 		@IMetricsService metrics: IMetricsService,
 		@ILogService private readonly _log: ILogService
 	) {
 		super();
 		this._settings = settings.section<FrontSettings>('front');
 		this._linkScheduler = new LinkScheduler(new LinkPacer(this._settings.linkMbit));
+		this._relayServer = new RelayServer(peerRequests, {
+			forwarding: this._forwarding,
+			headerNames: this._headerNames,
+			linkScheduler: this._linkScheduler,
+			view: this._session.view,
+			metrics,
+			log: this._log
+		});
 		this._readinessListener = this._register(
 			new HttpListener({
 				address: this._settings.readyAddress,
@@ -106,6 +118,7 @@
 		this._isDraining = true;
 		this._session.setReady(false);
 		this._connections.endTakingUp();
+		this._relayServer.stopTaking();
 		const drainDeadline = startedAt + this._serviceBounds.stopGraceMs - EXIT_MARGIN_MS;
 		for (;;) {
 			const elapsedMs = systemClock.now() - startedAt;
@@ -115,7 +128,10 @@
 				this._connections.stopAccepting();
 			}
 			const { inFlight, closing } = this._connections;
-			if ((!isAccepting && inFlight + closing === 0) || systemClock.now() > drainDeadline) {
+			if (
+				(!isAccepting && inFlight + closing + this._relayServer.inFlight === 0) ||
+				systemClock.now() > drainDeadline
+			) {
 				break;
 			}
 			await delay(DRAIN_POLL_MS);
--- a/src/plugins/forwarding/node/partitionMonitor.ts
+++ b/src/plugins/forwarding/node/partitionMonitor.ts
@@ -28,6 +28,13 @@
 /** A target that accepts no connection within this time does not count as reached. */
 const CHECK_TIMEOUT_MS: Millis = 500;
 
+/** Within which links that fail together do so, as seen here. */
+const LOSS_SETTLE_MS: Millis = 50;
+/** A response that arrives this long after a link has failed was sent afterwards. */
+const MAX_UNDER_WAY_MS: Millis = 200;
+/** How long a run that may have been lost by the links waits for a response of another target. */
+const MAX_LOSS_WAIT_MS: Millis = 1500;
+
 /** Detects a partition of this instance from all targets. */
 export class PartitionMonitor extends Disposable {
 	private readonly _onDidChange = this._register(new Emitter<boolean>());
@@ -87,6 +94,24 @@
 		}
 	}
 
+	/**
+	 * Whether a run that broke off was lost by its target, which stopped, and not by the links of this instance. Decided late enough
+	 * that failures of other links, and responses that were under way before, have arrived.
+	 * @param lostAt when the run was lost
+	 */
+	async confirmsLoss(lostAt: Millis): Promise<boolean> {
+		await delay(LOSS_SETTLE_MS);
+		const giveUpAt = systemClock.now() + MAX_LOSS_WAIT_MS;
+		while (!this.isPartitioned && systemClock.now() < giveUpAt) {
+			const isSingle = this._contact.failedTargetsSince(lostAt - LOSS_SETTLE_MS) < MIN_KNOWN_TARGETS;
+			if (isSingle || this._contact.contactAt >= lostAt + MAX_UNDER_WAY_MS) {
+				return true;
+			}
+			await delay(POLL_INTERVAL_MS);
+		}
+		return false;
+	}
+
 	private _poll(): void {
 		const now = systemClock.now();
 		const isDue = this.isPartitioned
@@ -161,6 +186,10 @@
 	);
 }
 
+function delay(ms: Millis): Promise<void> {
+	return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 function shuffle<T>(items: readonly T[]): T[] {
 	return items
 		.map(item => ({ item, order: Math.random() }))
--- a/src/plugins/forwarding/node/requestCompletion.ts
+++ b/src/plugins/forwarding/node/requestCompletion.ts
@@ -26,6 +26,12 @@
 		this._record(context, RequestEnd.Answered, response.status);
 	}
 
+	/** Ends the request with the response of the entry instance that it was relayed to. */
+	finishWithRelayedResponse(context: RequestContext, response: TargetResponse): void {
+		context.exchange.forwardRelayedResponse(response);
+		this._record(context, RequestEnd.Relayed, response.status);
+	}
+
 	/** Ends the request without a further attempt; a server error that a target returned earlier goes before the local response. */
 	finishWithLocalResponse(context: RequestContext, response: LocalResponse): void {
 		const { exchange, errorResponse } = context;
@@ -55,6 +61,7 @@
 			status,
 			reason,
 			attempts,
+			relayedTo: context.relayedTo,
 			viewAgeMs: this._session.ageMs(),
 			tableVersion: this._session.view.routes?.table.version
 		});
--- a/src/plugins/forwarding/node/requestContext.ts
+++ b/src/plugins/forwarding/node/requestContext.ts
@@ -38,6 +38,12 @@
 	readonly body: RequestBody;
 	/** On the monotonic clock. */
 	readonly deadline: Millis;
+	/** Whether another entry instance relayed it, so that it must not be relayed again. */
+	readonly isRelayed: boolean;
+	/** Whether it has been counted as a first attempt, which allows for retries. */
+	isCounted: boolean;
+	/** The entry instance that it was last relayed to. */
+	relayedTo?: string;
 	/** Ids of targets that are not selected for this request again. */
 	readonly tried: Set<string>;
 	/** Whether an unused permit of the team's rate limit covers the next attempt; stays true for a team without a limit. */
--- a/src/plugins/forwarding/node/requestForwarder.ts
+++ b/src/plugins/forwarding/node/requestForwarder.ts
@@ -17,6 +17,7 @@
 import type { AttemptSender } from './attemptSender.js';
 import type { LocalResponse } from './callerExchange.js';
 import type { QuarantineGuard } from './quarantineGuard.js';
+import type { RelayClient } from './relay/relayClient.js';
 import type { RequestCompletion } from './requestCompletion.js';
 import { quarantinedResponse, type RequestContext, teamLimitResponse, unavailableResponse } from './requestContext.js';
 import type { RequestIntake } from './requestIntake.js';
@@ -32,6 +33,12 @@
 	deadline: RefusalReason.DeadlineUnreachable
 } as const;
 
+/** Refusals after which another entry instance may serve a request that found no connection here. */
+const RELAYED_REASONS: ReadonlySet<LocalResponse['reason']> = new Set([
+	RefusalReason.TargetFailed,
+	RefusalReason.NoCapacity
+]);
+
 /** Services that forwarding a request uses. */
 export interface RequestForwarderDependencies {
 	readonly intake: RequestIntake;
@@ -44,6 +51,7 @@
 	readonly attemptSender: AttemptSender;
 	readonly retryPolicy: RetryPolicy;
 	readonly completion: RequestCompletion;
+	readonly relayClient: RelayClient;
 }
 
 /** Forwards requests to targets. */
@@ -69,7 +77,7 @@
 			}
 			const candidate = this._chooseTarget(context);
 			if (!('known' in candidate)) {
-				completion.finishWithLocalResponse(context, candidate);
+				await this._relayOrRefuse(context, candidate);
 				return;
 			}
 			const permit = await this._acquireTargetPermit(context, candidate);
@@ -84,7 +92,7 @@
 				continue;
 			}
 			if (decision !== 'pass') {
-				completion.finishWithLocalResponse(context, decision);
+				await this._relayOrRefuse(context, decision);
 			} else if (outcome.type === 'answer') {
 				completion.finishWithTargetResponse(context, outcome);
 			}
@@ -92,6 +100,17 @@
 		}
 	}
 
+	/** Refuses the request, unless no connection to a target could be established and another entry instance can serve it. */
+	private async _relayOrRefuse(context: RequestContext, refusal: LocalResponse): Promise<void> {
+		const { relayClient, completion } = this._dependencies;
+		const isCertainlyNotRun = refusal.verdict === 'not-run' && context.possibleRuns === 0;
+		const mayRelay =
+			isCertainlyNotRun && !context.isRelayed && context.connectFailures > 0 && RELAYED_REASONS.has(refusal.reason);
+		if (!mayRelay || !(await relayClient.relay(context))) {
+			completion.finishWithLocalResponse(context, refusal);
+		}
+	}
+
 	/** The response that refuses the request by what this instance knows; undefined where it may go on. */
 	private _refuseBeforeWaiting(context: RequestContext): LocalResponse | undefined {
 		const { intake, admission, returnTimes } = this._dependencies;
--- a/src/plugins/forwarding/node/requestIntake.ts
+++ b/src/plugins/forwarding/node/requestIntake.ts
@@ -12,6 +12,7 @@
 import type { Route } from '../../routes/common/routeTable.js';
 import { checkAccess, type GrantedAccess } from '../../routes/common/teamAccess.js';
 import type { CallerExchange, LocalResponse } from './callerExchange.js';
+import type { RelayOrigin } from './forwarding.js';
 import { accessDeniedResponse, type RequestContext, unavailableResponse } from './requestContext.js';
 import { RequestBody } from './requestBody.js';
 
@@ -23,8 +24,9 @@
 
 	/**
 	 * Returns the request, or the response that refuses it; undefined where the caller disconnected before the end of the body.
+	 * @param origin for a request that another entry instance relayed
 	 */
-	async accept(exchange: CallerExchange): Promise<RequestContext | LocalResponse | undefined> {
+	async accept(exchange: CallerExchange, origin?: RelayOrigin): Promise<RequestContext | LocalResponse | undefined> {
 		const { routes } = this._view;
 		if (!routes) {
 			return unavailableResponse(RefusalReason.NoConfiguration, NO_CONFIGURATION_RETRY_AFTER_MS);
@@ -43,7 +45,7 @@
 		} catch {
 			return undefined;
 		}
-		return createContext(exchange, route, access, body);
+		return createContext(exchange, origin, route, access, body);
 	}
 
 	/** Checks access again before each attempt, since a key can be revoked between attempts; undefined where access is still granted. */
@@ -56,6 +58,7 @@
 
 function createContext(
 	exchange: CallerExchange,
+	origin: RelayOrigin | undefined,
 	route: Route,
 	{ homeRegions, team }: GrantedAccess,
 	body: RequestBody
@@ -70,6 +73,8 @@
 		service: chooseService(route, exchange.requestId),
 		body,
 		deadline: exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs),
+		isRelayed: origin !== undefined,
+		isCounted: origin?.isCounted ?? false,
 		tried: new Set(),
 		hasTeamPermit: team?.limit === undefined,
 		utilizationFactor: 1,
--- a/src/plugins/forwarding/node/requestRecorder.ts
+++ b/src/plugins/forwarding/node/requestRecorder.ts
@@ -18,6 +18,8 @@
 export enum RequestEnd {
 	/** A target's response was forwarded. */
 	Answered = 'answered',
+	/** The response of another entry instance was forwarded. */
+	Relayed = 'relayed',
 	Refused = 'refused',
 	TimedOut = 'time-over',
 	Broken = 'broken',
@@ -35,6 +37,8 @@
 	readonly status?: number;
 	readonly reason?: string;
 	readonly attempts: readonly AttemptTrace[];
+	/** The entry instance that the request was relayed to. */
+	readonly relayedTo?: string;
 	/** Age of the fleet view. */
 	readonly viewAgeMs: number;
 	readonly tableVersion?: number;
@@ -106,6 +110,7 @@
 			heldMs: Math.round(durationMs),
 			remainingMs: exchange.remainingMs,
 			attempts,
+			relayedTo: request.relayedTo,
 			viewAgeMs: Math.round(request.viewAgeMs),
 			tableVersion: request.tableVersion
 		});
--- a/src/plugins/placement/common/targetSelector.ts
+++ b/src/plugins/placement/common/targetSelector.ts
@@ -242,6 +242,11 @@
 		return this._plans.regionPlans();
 	}
 
+	/** Forgets failures of all targets, after it turned out that the links of this instance had failed. */
+	forgetFailures(): void {
+		this._states.forgetFailures();
+	}
+
 	/** Number of targets that back off, by service. */
 	backedOffByService(now: Millis): ReadonlyMap<string, number> {
 		return this._states.backedOffByService(now);
--- a/src/plugins/placement/common/targets/targetState.ts
+++ b/src/plugins/placement/common/targets/targetState.ts
@@ -21,7 +21,7 @@
 /** State of one target at this instance. */
 export class TargetState {
 	/** Failure rate and response time. */
-	readonly health = new TargetHealth();
+	health = new TargetHealth();
 	/** Backoff that the target asked for. */
 	readonly backoff = new TargetBackoff();
 	/** Name of the service that `speed` compares the target with. */
@@ -58,6 +58,12 @@
 		this.speed = new TargetSpeed(serviceSpeed);
 	}
 
+	/** Forgets failures that were not the target's. */
+	forgetFailures(): void {
+		this.health = new TargetHealth();
+		this.unreachableAt = undefined;
+	}
+
 	/** Whether a connection attempt failed recently and the target has not responded since. */
 	isUnreachable(now: Millis): boolean {
 		const { unreachableAt, answeredAt } = this;
--- a/src/plugins/placement/common/targets/targetStates.ts
+++ b/src/plugins/placement/common/targets/targetStates.ts
@@ -47,6 +47,13 @@
 		return this._states.get(id)?.unreachableAt;
 	}
 
+	/** Forgets failures of all targets, after it turned out that the links of this instance had failed. */
+	forgetFailures(): void {
+		for (const state of this._states.values()) {
+			state.forgetFailures();
+		}
+	}
+
 	/** The state of a target; a new one if the target has restarted. */
 	stateOf(target: KnownTarget): TargetState {
 		const { id, bornAt, slots, service } = target.record;
