Runs that break off because the links of an instance failed accuse no request

At the moment of a partition all runs of an instance break off and new connections are reset, which looks as if each target had stopped while it ran its request.

--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -112,7 +112,9 @@
 				metrics
 			})
 		);
-		const lostRunDetector = this._register(new LostRunDetector(metrics, log));
+		const lostRunDetector = this._register(
+			new LostRunDetector(metrics, log, lostAt => this._partitionMonitor.confirmsLoss(lostAt))
+		);
 		const quarantineGuard = this._register(new QuarantineGuard(_session, lostRunDetector));
 		this._retryPolicy = new RetryPolicy(_session.view, this._selector, quarantineGuard, returnTimes, _serviceBounds);
 		const attemptSender = this._register(
--- a/src/plugins/forwarding/node/lostRunDetector.ts
+++ b/src/plugins/forwarding/node/lostRunDetector.ts
@@ -33,9 +33,13 @@
 	private readonly _sampler = new LogSampler();
 	private readonly _lostRuns: Counter;
 
+	/**
+	 * @param _confirmsLoss whether a run that broke off at a time was lost by its target, and not by the links of this instance
+	 */
 	constructor(
 		metrics: IMetricsService,
-		private readonly _log: ILogService
+		private readonly _log: ILogService,
+		private readonly _confirmsLoss: (lostAt: Millis) => Promise<boolean> = () => Promise.resolve(true)
 	) {
 		super();
 		this._lostRuns = new Counter({
@@ -44,7 +48,7 @@
 			labelNames: ['attempt'],
 			registers: [metrics.registry]
 		});
-		this._register(this._abandonedRuns.onDidLose(run => this._reportLostRun(run, 'abandoned')));
+		this._register(this._abandonedRuns.onDidLose(run => void this._reportIfConfirmed(run, 'abandoned')));
 	}
 
 	/**
@@ -84,7 +88,13 @@
 	private async _reportIfTargetStopped(context: RequestContext, run: ObservedLostRun, address: string): Promise<void> {
 		if (await this._probe.refusesConnections(run.targetId, address)) {
 			context.wasLostWithTarget = true;
-			this._reportLostRun(run, 'connection-lost');
+			await this._reportIfConfirmed(run, 'connection-lost');
+		}
+	}
+
+	private async _reportIfConfirmed(run: ObservedLostRun, attempt: 'connection-lost' | 'abandoned'): Promise<void> {
+		if (await this._confirmsLoss(run.endedAt)) {
+			this._reportLostRun(run, attempt);
 		}
 	}
 
