--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -10,12 +10,6 @@
 import { type Millis, PROCESS_STARTED_AT, systemClock } from '../../../base/clock.js';
 import { SuspensionDetector } from '../../../base/suspensionDetector.js';
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
-import {
-	type ControlPeerSettings,
-	type DiscoverySettings,
-	type InstanceSettings,
-	seedPeerAddresses
-} from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
@@ -41,9 +35,12 @@
 import { FailureBackoff } from './failureBackoff.js';
 import { deliverMethod, helloMethod } from './agreementWire.js';
 import { LogStore, StoreCondition } from './logStore.js';
-import { isSystemError, LogWriter } from './logWriter.js';
-import { type ConfiguredPeer, MemberDiscovery } from './memberDiscovery.js';
+import { LogCompactor } from './logCompactor.js';
+import { LogWriter } from './logWriter.js';
+import { MemberDiscovery } from './memberDiscovery.js';
 import { PeerSenders } from './peerSenders.js';
+import { ReplicaPlace } from './replicaPlace.js';
+import { statusBeforeOpen, statusOf } from './replicaStatus.js';
 import { ReplicationMonitor } from './replicationMonitor.js';
 
 const TICK_MS = 20;
@@ -65,8 +62,7 @@
 
 	private readonly _state = new ReplicatedState();
 	private readonly _settings: AgreementSettings;
-	private readonly _instance: InstanceSettings;
-	private readonly _controls: ReadonlyMap<string, ControlPeerSettings>;
+	private readonly _place: ReplicaPlace;
 	private readonly _senders: PeerSenders;
 	private readonly _replicationMonitor: ReplicationMonitor;
 	private readonly _appendedProposals = new AppendedProposals();
@@ -76,8 +72,8 @@
 			error => this._failReplica(error)
 		)
 	);
-	private readonly _store: LogStore;
 	private readonly _writer: LogWriter;
+	private readonly _compactor: LogCompactor;
 	/** Undefined until the log is open; other parts may query this task before. */
 	private _core!: AgreementCore;
 	private _identity!: ReplicaIdentity;
@@ -90,21 +86,21 @@
 	private _contactValidFrom: Millis = Number.NEGATIVE_INFINITY;
 
 	constructor(
-		@ISettingsService private readonly _allSettings: ISettingsService,
+		@ISettingsService settings: ISettingsService,
 		@IPeerCalls private readonly _peerCalls: IPeerCalls,
 		@ILogService private readonly _log: ILogService,
 		@IMetricsService metrics: IMetricsService
 	) {
 		super();
 		this._replicationMonitor = new ReplicationMonitor(metrics, this._log);
-		this._senders = new PeerSenders(this._peerCalls, id => this._addressOf(id));
-		this._settings = _allSettings.section<AgreementSettings>('agreement');
-		this._store = new LogStore(this._settings.dataFolder);
-		this._writer = this._register(new LogWriter(this._store, this._log, metrics));
+		this._senders = new PeerSenders(this._peerCalls, id => this._place.addressOf(id, this._core.members));
+		this._place = new ReplicaPlace(settings);
+		this._settings = settings.section<AgreementSettings>('agreement');
+		const store = new LogStore(this._settings.dataFolder);
+		this._writer = this._register(new LogWriter(store, this._log, metrics));
+		this._compactor = new LogCompactor(this._state, store, this._settings.snapshotEveryEntries, this._log);
 		this._failureBackoff = new FailureBackoff(this._settings.dataFolder, this._log);
 		this._register(this._writer.onDidChangeAvailability(isAvailable => !isAvailable && this._suspend()));
-		this._instance = _allSettings.section<InstanceSettings>('instance');
-		this._controls = _allSettings.namedSections<ControlPeerSettings>('control');
 		this._peerCalls.handleUnary(deliverMethod, async request => {
 			for (const message of request.messages) {
 				this._post({ type: 'received', message });
@@ -120,15 +116,6 @@
 		});
 	}
 
-	private get _discovery(): DiscoverySettings {
-		return this._allSettings.section<DiscoverySettings>('discovery');
-	}
-
-	/** Peer addresses of the seeds in the current settings; empty if the settings list the members instead. */
-	private get _seeds(): readonly string[] {
-		return seedPeerAddresses(this._discovery, this._instance.peerAddress);
-	}
-
 	addPart(part: IReplicatedPart): void {
 		this._state.addPart(part);
 	}
@@ -139,10 +126,10 @@
 		const timer = setInterval(() => this._post({ type: 'tick' }), TICK_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
 		const discovery = new MemberDiscovery(this._peerCalls, this._core, this._identity);
-		if (this._seeds.length > 0) {
-			void discovery.maintainMembership(() => this._seeds);
+		if (this._place.hasDiscoveredMembers) {
+			void discovery.maintainMembership(() => this._place.seeds);
 		} else if (this._core.isBlank) {
-			void discovery.joinOrBootstrap(this._otherPeers(), () => this._post({ type: 'bootstrap' }));
+			void discovery.joinOrBootstrap(this._place.otherPeers, () => this._post({ type: 'bootstrap' }));
 		}
 	}
 
@@ -182,32 +169,7 @@
 	}
 
 	status(): ReplicaStatus {
-		return this._core ? this._currentStatus() : this._statusBeforeOpen();
-	}
-
-	/** Status while the log is being opened, which other parts may query already. */
-	private _statusBeforeOpen(): ReplicaStatus {
-		const emptyLog = { commitIndex: 0, lastIndex: 0, snapshotIndex: 0, members: [] };
-		return { id: this._id, incarnation: '', role: ReplicaRole.Follower, term: 0, ...emptyLog };
-	}
-
-	private _currentStatus(): ReplicaStatus {
-		return {
-			id: this._identity.id,
-			incarnation: this._identity.incarnation,
-			role: this._core.role,
-			term: this._core.term,
-			leader: this._core.leader,
-			commitIndex: this._core.commitIndex,
-			lastIndex: this._core.lastIndex,
-			snapshotIndex: this._core.snapshotIndex,
-			members: this._core.members
-		};
-	}
-
-	private _otherPeers(): ConfiguredPeer[] {
-		const listed = [...this._controls].map(([name, { address }]) => ({ name, address }));
-		return listed.filter(({ name }) => name !== this._identity.id);
+		return this._core ? statusOf(this._identity, this._core) : statusBeforeOpen(this._place.id);
 	}
 
 	/** Opens the log; a log that cannot be applied ends the start, later each time. */
@@ -216,20 +178,20 @@
 			await this._openLog();
 		} catch (error) {
 			this._log.error('log cannot be opened', { task: 'agreement', error: (error as Error).stack });
-			await this._waitBeforeEnd();
+			await this._failureBackoff.waitBeforeEnd();
 			throw error;
 		}
 	}
 
 	private async _openLog(): Promise<void> {
-		const isSeedAtFirstStart = this._discovery.firstStart && this._seeds.includes(this._instance.peerAddress);
+		const { isSeedAtFirstStart, seeds, hasDiscoveredMembers } = this._place;
 		let opened = await this._writer.open(isSeedAtFirstStart ? INITIAL_INCARNATION : undefined);
 		if (isSeedAtFirstStart && opened.condition === StoreCondition.Blank) {
-			const bootstrapState = createBootstrapState(this._seeds);
+			const bootstrapState = createBootstrapState(seeds);
 			await this._writer.append([bootstrapState]);
 			opened = { ...opened, hardState: bootstrapState.hardState, log: { entries: bootstrapState.entries } };
 		}
-		this._identity = this._createIdentity(opened.incarnation);
+		this._identity = this._place.identity(opened.incarnation);
 		this._log.info('log opened', { task: 'agreement', condition: opened.condition, term: opened.hardState.term });
 		this._core = new AgreementCore({
 			identity: this._identity,
@@ -239,24 +201,13 @@
 			random: Math.random,
 			now: systemClock.now(),
 			startedAt: PROCESS_STARTED_AT,
-			hasDiscoveredMembers: this._seeds.length > 0
+			hasDiscoveredMembers
 		});
 		if (opened.log.snapshot) {
 			this._state.restore(opened.log.snapshot.data);
 		}
 	}
 
-	/** The peer address if members are discovered, otherwise the instance name. */
-	private get _id(): MemberId {
-		return this._seeds.length > 0 ? this._instance.peerAddress : this._instance.name;
-	}
-
-	private _createIdentity(incarnation: string): ReplicaIdentity {
-		const { name, hall, peerAddress } = this._instance;
-		const address = this._seeds.length > 0 ? peerAddress : this._controls.get(name)!.address;
-		return { id: this._id, incarnation, address, hall };
-	}
-
 	/** Passes a message on for handling; while the disk takes no writes or after a failure, it is dropped or rejected at once. */
 	private _post(message: TaskMessage): void {
 		if (this._writer.isAvailable && !this._hasFailed) {
@@ -300,7 +251,7 @@
 		}
 		await this._performEffects(allEffects);
 		this._updateLeadership();
-		await this._compactIfDue();
+		await this._compactor.compactIfDue(this._core);
 	}
 
 	private _handleMessage(message: Exclude<TaskMessage, { type: 'propose' }>): Effects {
@@ -384,17 +335,6 @@
 		}
 	}
 
-	/**
-	 * Peer address of a replica. The settings take precedence over the member list, as instances may reach a peer at
-	 * different addresses. If members are discovered, the id is the address, so no member list is needed to reply.
-	 */
-	private _addressOf(id: MemberId): string | undefined {
-		if (this._seeds.length > 0) {
-			return id;
-		}
-		return this._controls.get(id)?.address ?? this._core.members.find(member => member.id === id)?.address;
-	}
-
 	private _updateLeadership(): void {
 		const isLeader = this._core.role === ReplicaRole.Leader;
 		if (isLeader === this._wasLeader) {
@@ -408,24 +348,6 @@
 		this._onDidChangeLeadership.fire(isLeader);
 	}
 
-	private async _compactIfDue(): Promise<void> {
-		const applied = this._core.commitIndex;
-		if (applied - this._core.snapshotIndex < this._settings.snapshotEveryEntries) {
-			return;
-		}
-		const snapshot = this._core.compact(applied, this._state.save());
-		try {
-			await this._store.compact(snapshot, this._core.entriesAfterSnapshot(), this._core.hardState);
-		} catch (error) {
-			if (!isSystemError(error)) {
-				throw error;
-			}
-			this._log.warn('snapshot not written', { task: 'agreement', index: applied, error: error.message });
-			return;
-		}
-		this._log.info('snapshot written', { task: 'agreement', index: applied, bytes: snapshot.data.byteLength });
-	}
-
 	/** Ends the process after a violated invariant, at once for the first time; until then this replica answers nothing. */
 	private _failReplica(error: Error): void {
 		if (this._hasFailed) {
@@ -435,12 +357,6 @@
 		this._log.error('replica failed', { task: 'agreement', error: error.stack });
 		this._suspend();
 		process.exitCode = EXIT_FAILED;
-		void this._waitBeforeEnd().then(() => process.kill(process.pid, 'SIGTERM'));
-	}
-
-	private async _waitBeforeEnd(): Promise<void> {
-		const delayMs = await this._failureBackoff.countFailure();
-		this._log.error('process ends after a failure of its replica', { task: 'agreement', delayMs });
-		await new Promise(resolve => setTimeout(resolve, delayMs));
+		void this._failureBackoff.waitBeforeEnd().then(() => process.kill(process.pid, 'SIGTERM'));
 	}
 }
--- a/src/plugins/agreement/node/failureBackoff.ts
+++ b/src/plugins/agreement/node/failureBackoff.ts
@@ -35,11 +35,18 @@
 		private readonly _clock: IClock = systemClock
 	) {}
 
+	/** Counts a failure, and resolves when the process is to end. */
+	async waitBeforeEnd(): Promise<void> {
+		const delayMs = await this._countFailure();
+		this._log.error('process ends after a failure of its replica', { task: 'agreement', delayMs });
+		await new Promise(resolve => setTimeout(resolve, delayMs));
+	}
+
 	/**
 	 * Counts a failure.
 	 * @returns how long to wait before the process ends; the longest time if the count cannot be saved
 	 */
-	async countFailure(): Promise<Millis> {
+	private async _countFailure(): Promise<Millis> {
 		const at = this._clock.wallNow();
 		const earlier = await this._read();
 		const isRecent = earlier !== undefined && Math.abs(at - earlier.at) < RESET_AFTER_MS;
