A message to a replica that lacks large entries is bounded in bytes

Now a message takes entries of about 1 MiB, one at least; the rest follows when it is acknowledged. The test failed before (20 entries of 300 kB in one message, 3 allowed).

--- a/src/plugins/agreement/common/leadership.ts
+++ b/src/plugins/agreement/common/leadership.ts
@@ -13,6 +13,7 @@
 	type Member,
 	ReplicaRole
 } from './agreementTypes.js';
+import { estimateEntryBytes } from './entrySize.js';
 import { quorumValue } from './memberList.js';
 import { MemberProgress, type Progress } from './memberProgress.js';
 import type { ReplicaState } from './replicaState.js';
@@ -20,6 +21,8 @@
 const MAX_ENTRIES_PER_MESSAGE = 512;
 /** Entries in a message to a member whose log may not match, which may have to be sent again. */
 const MAX_ENTRIES_PER_PROBE = 64;
+/** Estimated size of the entries in a message, unless a single one is larger. */
+const MAX_BYTES_PER_MESSAGE = 1024 * 1024;
 /** Entries that a member may have been sent without having acknowledged them. */
 const MAX_UNACKNOWLEDGED_ENTRIES = 1024;
 /** Time to wait for a response to entries before they are sent again to a member whose log may not match. */
@@ -173,7 +176,7 @@
 	private _unsentEntries({ isMatching, matchIndex, nextIndex }: Progress): LogEntry[] {
 		const allowed = matchIndex + MAX_UNACKNOWLEDGED_ENTRIES - (nextIndex - 1);
 		const limit = isMatching ? Math.min(MAX_ENTRIES_PER_MESSAGE, Math.max(0, allowed)) : MAX_ENTRIES_PER_PROBE;
-		return this._state.log.slice(nextIndex, limit);
+		return takeUpToBytes(this._state.log.slice(nextIndex, limit), MAX_BYTES_PER_MESSAGE);
 	}
 
 	/** Sends the entries that a member lacks, or a snapshot in place of compacted ones, or a heartbeat. */
@@ -233,3 +236,13 @@
 		return this._lastSentAt;
 	}
 }
+
+/** The first entries whose sizes add up to no more than a number of bytes, but at least one. */
+function takeUpToBytes(entries: readonly LogEntry[], maxBytes: number): LogEntry[] {
+	let bytes = 0;
+	const firstBeyond = entries.findIndex((entry, i) => {
+		bytes += estimateEntryBytes(entry);
+		return i > 0 && bytes > maxBytes;
+	});
+	return firstBeyond < 0 ? [...entries] : entries.slice(0, firstBeyond);
+}
--- a/src/plugins/agreement/test/replicationFlow.test.ts
+++ b/src/plugins/agreement/test/replicationFlow.test.ts
@@ -164,6 +164,17 @@
 	assert.ok(entryCount(takeSentTo('n3')) <= 1024);
 });
 
+test('a message to a replica that lacks large entries is bounded in bytes', () => {
+	const largeText = 'x'.repeat(300_000);
+	for (let i = 0; i < 20; i++) {
+		collect(leader.propose([largeText], ++now)?.effects);
+		acceptAll('n2');
+	}
+	takeSentTo('n3').forEach(request => reply(request, false, 2));
+	const [request] = takeSentTo('n3');
+	assert.equal(request?.type === 'append' && request.entries.length, 3);
+});
+
 test('a replica that lacks many entries gets all of them', () => {
 	for (let i = 0; i < 50; i++) {
 		propose(60);
