--- a/src/plugins/agreement/common/agreementCore.ts
+++ b/src/plugins/agreement/common/agreementCore.ts
@@ -90,6 +90,11 @@
 		return this._state.log.baseIndex;
 	}
 
+	/** Estimated size in bytes of the entries that follow the snapshot. */
+	get entryBytes(): number {
+		return this._state.log.entryBytes;
+	}
+
 	/** Whether this replica's log is empty and has no snapshot. */
 	get isBlank(): boolean {
 		return this._state.log.isBlank;
--- a/src/plugins/agreement/common/memoryLog.ts
+++ b/src/plugins/agreement/common/memoryLog.ts
@@ -4,6 +4,7 @@
 
 /** The replicated log in memory: the last snapshot and the entries that follow it. */
 
+import { estimateEntryBytes } from './entrySize.js';
 import { type LogEntry, type LogIndex, type Member, type Snapshot } from './agreementTypes.js';
 
 /** Log read from disk when a replica starts. */
@@ -14,14 +15,20 @@
 	readonly entries: readonly LogEntry[];
 }
 
+function sumBytes(entries: readonly LogEntry[]): number {
+	return entries.reduce((sum, entry) => sum + estimateEntryBytes(entry), 0);
+}
+
 /** The last snapshot and the entries that follow it, addressed by log index. */
 export class MemoryLog {
 	private _snapshot?: Snapshot;
 	private _entries: LogEntry[];
+	private _entryBytes: number;
 
 	constructor(stored: StoredLog) {
 		this._snapshot = stored.snapshot;
 		this._entries = [...stored.entries];
+		this._entryBytes = sumBytes(this._entries);
 	}
 
 	get snapshot(): Snapshot | undefined {
@@ -38,6 +45,11 @@
 		return this.baseIndex + this._entries.length;
 	}
 
+	/** Estimated size in bytes of the entries that follow the snapshot. */
+	get entryBytes(): number {
+		return this._entryBytes;
+	}
+
 	/** Term at `lastIndex`. */
 	get lastTerm(): number {
 		return this.termAt(this.lastIndex) ?? 0;
@@ -69,17 +81,20 @@
 				throw new Error(`log gap: entry ${entry.index} after ${this.lastIndex}`);
 			}
 			this._entries.push(entry);
+			this._entryBytes += estimateEntryBytes(entry);
 		}
 	}
 
 	/** Removes the entries from an index on. */
 	truncateFrom(index: LogIndex): void {
-		this._entries.length = index - this.baseIndex - 1;
+		const removed = this._entries.splice(index - this.baseIndex - 1);
+		this._entryBytes -= sumBytes(removed);
 	}
 
 	/** Removes the entries that a snapshot covers and keeps the rest. */
 	compact(snapshot: Snapshot): void {
 		this._entries = this._entries.slice(snapshot.index - this.baseIndex);
+		this._entryBytes = sumBytes(this._entries);
 		this._snapshot = snapshot;
 	}
 
@@ -87,6 +102,7 @@
 	reset(snapshot: Snapshot): void {
 		this._snapshot = snapshot;
 		this._entries = [];
+		this._entryBytes = 0;
 	}
 
 	/** The latest member list, committed or not, and the index of its entry or snapshot. */
--- a/src/plugins/agreement/node/logCompactor.ts
+++ b/src/plugins/agreement/node/logCompactor.ts
@@ -10,6 +10,9 @@
 import type { LogStore } from './logStore.js';
 import { isSystemError } from './logWriter.js';
 
+/** Estimated size of the entries in memory from which they are replaced, however few they are. */
+const MAX_ENTRY_BYTES = 8 * 1024 * 1024;
+
 /** Compacts the log of one replica. */
 export class LogCompactor {
 	/** @param _everyEntries number of committed entries after which they are replaced */
@@ -20,10 +23,11 @@
 		private readonly _log: ILogService
 	) {}
 
-	/** Compacts the log if enough entries were applied. If the disk fails, the file stays as it is until the next time. */
+	/** Compacts the log if enough entries were applied, or if they are large. If the disk fails, the file stays as it is until the next time. */
 	async compactIfDue(core: AgreementCore): Promise<void> {
 		const index = core.commitIndex;
-		if (index - core.snapshotIndex < this._everyEntries) {
+		const isDue = index - core.snapshotIndex >= this._everyEntries || core.entryBytes >= MAX_ENTRY_BYTES;
+		if (!isDue || index <= core.snapshotIndex) {
 			return;
 		}
 		const snapshot = core.compact(index, this._state.save());
--- a/src/plugins/agreement/test/replicaStorage.test.ts
+++ b/src/plugins/agreement/test/replicaStorage.test.ts
@@ -285,6 +285,16 @@
 	assert.equal(stopSignals, 1);
 });
 
+/** Guards against a log in memory that grows with the size of the commands until the process exceeds its memory. */
+test('large commands are compacted although they are few', async () => {
+	await startTask('c1', []);
+	await waitUntil('a leader is elected', () => task.hasLease());
+	for (let i = 0; i < 12; i++) {
+		await task.propose({ part: PART, body: 'x'.repeat(1024 * 1024) });
+	}
+	assert.ok(task.status().snapshotIndex > 0);
+});
+
 /** Guards against the end of all replicas, at each start, because of one entry. */
 test('a command that cannot be applied is rejected, and the replica goes on', async () => {
 	await startTask('c1', []);
