A peer of an older version that does not know relayed requests declines them

During an upgrade an instance without the relay answers 404 to the path, which the caller would have got for a proper request. Responses without the revision header come from no relay, so the request did not run there and goes to another peer. The test failed before it had the rule ('has an older version': 404). Suspicions are polled every 100 ms instead of 50, half the wake-ups.

--- a/src/plugins/forwarding/node/partitionMonitor.ts
+++ b/src/plugins/forwarding/node/partitionMonitor.ts
@@ -18,7 +18,7 @@
 import { type AttemptHandle, TargetContact } from '../common/targetContact.js';
 import { acceptsConnections } from './targets/targetProbe.js';
 
-const POLL_INTERVAL_MS: Millis = 50;
+const POLL_INTERVAL_MS: Millis = 100;
 /** Interval between checks while partitioned. */
 const CHECK_INTERVAL_MS: Millis = 500;
 /** Targets that are connected to in one check; in as many data halls as possible. */
--- a/src/plugins/forwarding/node/relay/relayClient.ts
+++ b/src/plugins/forwarding/node/relay/relayClient.ts
@@ -14,7 +14,7 @@
 import type { IMetricsService } from '../../../../kernel/node/metricsService.js';
 import type { FleetView } from '../../../fleet/common/fleetView.js';
 import type { EntryPeer } from '../../../fleet/common/fleetWire.js';
-import type { AttemptOutcome } from '../../common/attempt.js';
+import { type AttemptOutcome, NotRunCause } from '../../common/attempt.js';
 import type { IHeaderNames } from '../../common/headerNames.js';
 import { connectTimeoutMs, maxBufferedBytes } from '../../common/linkPacer.js';
 import { RELAY_PATH_PREFIX, RELAY_REVISION_HEADER } from '../../common/relayHeaders.js';
@@ -33,6 +33,9 @@
 /** A request with less time left than this is not relayed. */
 const MIN_REMAINING_MS: Millis = 20;
 
+/** A peer of an older version has no handler for relayed requests, and answers without running them. */
+const UNKNOWN_TO_PEER: AttemptOutcome = { type: 'not-run', hasArrived: true, cause: NotRunCause.Refused };
+
 /** Settings and services that relaying uses. */
 export interface RelayClientDependencies {
 	readonly region: string;
@@ -126,8 +129,12 @@
 		exchange.setDisconnectHandler(undefined);
 		clearTimeout(timer);
 		this._peers.end(peer);
-		const revision = Number(relayExchange.responseHeaders?.[RELAY_REVISION_HEADER] ?? 0);
-		this._handledRevision = Math.max(this._handledRevision, revision);
+		const revision = relayExchange.responseHeaders?.[RELAY_REVISION_HEADER];
+		if (outcome.type === 'answer' && revision === undefined) {
+			outcome.remainingBody?.destroy();
+			return UNKNOWN_TO_PEER;
+		}
+		this._handledRevision = Math.max(this._handledRevision, Number(revision ?? 0));
 		context.relayedTo = peer.name;
 		return outcome;
 	}
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -52,6 +52,8 @@
 
 /** An entry instance that takes relayed requests and answers them as a test says. */
 class Peer {
+	/** Whether its version knows relayed requests. */
+	isOld = false;
 	readonly served: { path: string; headers: IncomingMessage['headers']; body: string; origin: RelayOrigin }[] = [];
 	readonly calls: HttpPeerCalls;
 	readonly server: RelayServer;
@@ -62,6 +64,11 @@
 	constructor() {
 		const settings = { section: () => ({ peerAddress: '127.0.0.1:0' }) } as unknown as ISettingsService;
 		this.calls = new HttpPeerCalls(settings, silentLog);
+		const registerHandler = this.calls.handleRequests.bind(this.calls);
+		this.calls.handleRequests = (prefix, handler) =>
+			registerHandler(prefix, (request, response) =>
+				this.isOld ? response.writeHead(404).end() : handler(request, response)
+			);
 		const isPartitioned = (): boolean => this.isPartitioned;
 		const revision = (): number => this.revision;
 		this.server = new RelayServer(this.calls, {
@@ -217,6 +224,7 @@
 	['is draining', (peer: Peer) => peer.server.stopTaking()],
 	['is partitioned as well', (peer: Peer) => (peer.isPartitioned = true)],
 	['has an older revision', (peer: Peer) => (peer.revision = 0)],
+	['has an older version', (peer: Peer) => (peer.isOld = true)],
 	['has ended', (peer: Peer) => peer.calls.dispose()]
 ] as const) {
 	test(`a peer that ${cause} takes no request, and another one does`, async () => {
