A request that ends all targets at once does not pass for failed links

Cause: since a loss counted only once another target had responded, and none was left; the instances took themselves for partitioned and dropped the evidence. Now such a loss waits for what tells: the target is gone, silent, started anew or has a successor at its address: it stopped. It answers again in the same incarnation, or control still hears it after 7 s: it did not. A check for a partition connects to targets that have not failed first.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -182,6 +182,26 @@
 		}
 	}
 
+	/** When a target last answered this instance; undefined if never. */
+	answeredAt(id: string): Millis | undefined {
+		return this._reachability?.answeredAt(id);
+	}
+
+	/**
+	 * Whether an incarnation of a target is known to have stopped: it is gone, silent or started anew, or another target has
+	 * registered at its address.
+	 * @param since when it was last known to run
+	 */
+	hasStopped({ id, bornAt, address }: TargetRecord, since: Millis): boolean {
+		const known = this._targets.get(id);
+		if (!known || known.record.phase === TargetPhase.Gone || known.record.bornAt !== bornAt || known.isSilent) {
+			return true;
+		}
+		const isSuccessor = (other: KnownTarget): boolean =>
+			other.record.address === address && other.record.id !== id && other.knownSince > since;
+		return [...this._targets.values()].some(isSuccessor);
+	}
+
 	/** Sets the source of reachability observations. */
 	setReachability(reachability: ITargetReachability): void {
 		this._reachability = reachability;
--- a/src/plugins/forwarding/common/targetContact.ts
+++ b/src/plugins/forwarding/common/targetContact.ts
@@ -84,6 +84,11 @@
 		return [...this._failures.values()].filter(at => at >= since).length;
 	}
 
+	/** Whether the last attempt at a target failed, and no target has responded since. */
+	hasFailed(targetId: string): boolean {
+		return this._failures.has(targetId);
+	}
+
 	/** Whether the links of this instance, rather than single targets, seem to have failed. */
 	isSuspect(now: Millis): boolean {
 		const suspectTargets = new Set(this._failures.keys());
--- a/src/plugins/forwarding/node/abandonedRunMonitor.ts
+++ b/src/plugins/forwarding/node/abandonedRunMonitor.ts
@@ -24,6 +24,12 @@
 /** Maximum number of runs that are watched; further ones are not. */
 const MAX_RUNS = 512;
 
+/** An abandoned run whose target stopped. */
+export interface LostAbandonedRun {
+	readonly run: ObservedLostRun;
+	readonly target: TargetRecord;
+}
+
 interface WatchedRun {
 	readonly run: ObservedLostRun;
 	readonly abandonedAt: Millis;
@@ -39,7 +45,7 @@
 
 /** Watches the targets of abandoned runs for a while. */
 export class AbandonedRunMonitor extends Disposable {
-	private readonly _onDidLose = this._register(new Emitter<ObservedLostRun>());
+	private readonly _onDidLose = this._register(new Emitter<LostAbandonedRun>());
 	/** Fires for each abandoned run whose target stopped, unless targets mostly go on after such runs of the request. */
 	readonly onDidLose = this._onDidLose.event;
 	private readonly _targets = new Map<string, WatchedTarget>();
@@ -94,7 +100,7 @@
 			target,
 			target.runs.filter(run => now - run.abandonedAt < MAX_RUN_AFTER_ABANDON_MS && !lostRuns.includes(run))
 		);
-		lostRuns.forEach(run => this._recordLost(run, now));
+		lostRuns.forEach(run => this._recordLost(run, target.record, now));
 	}
 
 	private _recordRunning(run: WatchedRun, now: Millis): void {
@@ -104,10 +110,10 @@
 		}
 	}
 
-	private _recordLost({ run, abandonedAt, runningAt }: WatchedRun, now: Millis): void {
+	private _recordLost({ run, abandonedAt, runningAt }: WatchedRun, target: TargetRecord, now: Millis): void {
 		this._statistics.recordLost(run.digest, runningAt > abandonedAt, now);
 		if (this._statistics.isSuspicious(run.digest)) {
-			this._onDidLose.fire({ ...run, runningAt, endedAt: now });
+			this._onDidLose.fire({ run: { ...run, runningAt, endedAt: now }, target });
 		}
 	}
 
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -113,7 +113,7 @@
 			})
 		);
 		const lostRunDetector = this._register(
-			new LostRunDetector(metrics, log, lostAt => this._partitionMonitor.confirmsLoss(lostAt))
+			new LostRunDetector(metrics, log, (target, lostAt) => this._partitionMonitor.confirmsLoss(target, lostAt))
 		);
 		const quarantineGuard = this._register(new QuarantineGuard(_session, lostRunDetector));
 		this._retryPolicy = new RetryPolicy(_session.view, this._selector, quarantineGuard, returnTimes, _serviceBounds);
--- a/src/plugins/forwarding/node/lostRunDetector.ts
+++ b/src/plugins/forwarding/node/lostRunDetector.ts
@@ -23,6 +23,9 @@
 import { identityOf } from './requestDigest.js';
 import { TargetProbe } from './targets/targetProbe.js';
 
+/** Whether a run at a target that broke off at a time was lost by the target. */
+export type ConfirmLoss = (target: TargetRecord, lostAt: Millis) => Promise<boolean>;
+
 /** Detects the runs sent by this instance that were lost with their targets. */
 export class LostRunDetector extends Disposable {
 	private readonly _onDidLose = this._register(new Emitter<ObservedLostRun>());
@@ -39,7 +42,7 @@
 	constructor(
 		metrics: IMetricsService,
 		private readonly _log: ILogService,
-		private readonly _confirmsLoss: (lostAt: Millis) => Promise<boolean> = () => Promise.resolve(true)
+		private readonly _confirmsLoss: ConfirmLoss = () => Promise.resolve(true)
 	) {
 		super();
 		this._lostRuns = new Counter({
@@ -48,7 +51,9 @@
 			labelNames: ['attempt'],
 			registers: [metrics.registry]
 		});
-		this._register(this._abandonedRuns.onDidLose(run => void this._reportIfConfirmed(run, 'abandoned')));
+		this._register(
+			this._abandonedRuns.onDidLose(({ run, target }) => void this._reportIfConfirmed(run, target, 'abandoned'))
+		);
 	}
 
 	/**
@@ -60,7 +65,7 @@
 		context.lostTargetId = undefined;
 		if (outcome.type === 'broken' && isConnectionLoss(outcome.cause)) {
 			context.lostTargetId = target.id;
-			void this._reportIfTargetStopped(context, createRun(context, target, afterTargetId, sentAt), target.address);
+			void this._reportIfTargetStopped(context, createRun(context, target, afterTargetId, sentAt), target);
 		} else if (outcome.type === 'abandoned' && outcome.mayHaveRun) {
 			this._abandonedRuns.watch(createRun(context, target, afterTargetId, sentAt), target);
 		} else if (outcome.type === 'not-run' && outcome.cause === NotRunCause.NoConnection) {
@@ -80,20 +85,28 @@
 			if (context.exchange.isDisconnected) {
 				this._abandonedRuns.watch(endedRun, target);
 			} else {
-				void this._reportIfTargetStopped(context, endedRun, target.address);
+				void this._reportIfTargetStopped(context, endedRun, target);
 			}
 		});
 	}
 
-	private async _reportIfTargetStopped(context: RequestContext, run: ObservedLostRun, address: string): Promise<void> {
-		if (await this._probe.refusesConnections(run.targetId, address)) {
+	private async _reportIfTargetStopped(
+		context: RequestContext,
+		run: ObservedLostRun,
+		target: TargetRecord
+	): Promise<void> {
+		if (await this._probe.refusesConnections(run.targetId, target.address)) {
 			context.wasLostWithTarget = true;
-			await this._reportIfConfirmed(run, 'connection-lost');
+			await this._reportIfConfirmed(run, target, 'connection-lost');
 		}
 	}
 
-	private async _reportIfConfirmed(run: ObservedLostRun, attempt: 'connection-lost' | 'abandoned'): Promise<void> {
-		if (await this._confirmsLoss(run.endedAt)) {
+	private async _reportIfConfirmed(
+		run: ObservedLostRun,
+		target: TargetRecord,
+		attempt: 'connection-lost' | 'abandoned'
+	): Promise<void> {
+		if (await this._confirmsLoss(target, run.endedAt)) {
 			this._reportLostRun(run, attempt);
 		}
 	}
--- a/src/plugins/forwarding/node/partitionMonitor.ts
+++ b/src/plugins/forwarding/node/partitionMonitor.ts
@@ -13,6 +13,7 @@
 import { Emitter } from '../../../base/event.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import type { IMetricsService } from '../../../kernel/node/metricsService.js';
+import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
 import type { FleetView, KnownTarget } from '../../fleet/common/fleetView.js';
 import { type AttemptOutcome, NotRunCause } from '../common/attempt.js';
 import { type AttemptHandle, TargetContact } from '../common/targetContact.js';
@@ -32,8 +33,8 @@
 const LOSS_SETTLE_MS: Millis = 50;
 /** A response that arrives this long after a link has failed was sent afterwards. */
 const MAX_UNDER_WAY_MS: Millis = 200;
-/** How long a run that may have been lost by the links waits for a response of another target. */
-const MAX_LOSS_WAIT_MS: Millis = 1500;
+/** Control knows by then whether a target has gone silent, after three missed heartbeats. */
+const MAX_LOSS_WAIT_MS: Millis = 7000;
 
 /** Detects a partition of this instance from all targets. */
 export class PartitionMonitor extends Disposable {
@@ -42,6 +43,8 @@
 	readonly onDidChange = this._onDidChange.event;
 	private readonly _contact = new TargetContact(systemClock.now());
 	private _partitionedSince: Millis | undefined;
+	/** End of the last partition. */
+	private _partitionedUntil: Millis = Number.NEGATIVE_INFINITY;
 	private _isChecking = false;
 	private _checkedAt: Millis = Number.NEGATIVE_INFINITY;
 
@@ -95,23 +98,35 @@
 	}
 
 	/**
-	 * Whether a run that broke off was lost by its target, which stopped, and not by the links of this instance. Decided late enough
-	 * that failures of other links, and responses that were under way before, have arrived.
+	 * Whether a run that broke off was lost by its target, which stopped, and not by the links of this instance. Decided once that is
+	 * known: links that fail take the runs of several targets at once, and then only what becomes of the target tells.
+	 * @param target the incarnation of the target that ran the request
 	 * @param lostAt when the run was lost
 	 */
-	async confirmsLoss(lostAt: Millis): Promise<boolean> {
+	async confirmsLoss(target: TargetRecord, lostAt: Millis): Promise<boolean> {
 		await delay(LOSS_SETTLE_MS);
 		const giveUpAt = systemClock.now() + MAX_LOSS_WAIT_MS;
-		while (!this.isPartitioned && systemClock.now() < giveUpAt) {
-			const isSingle = this._contact.failedTargetsSince(lostAt - LOSS_SETTLE_MS) < MIN_KNOWN_TARGETS;
-			if (isSingle || this._contact.contactAt >= lostAt + MAX_UNDER_WAY_MS) {
+		while (systemClock.now() < giveUpAt) {
+			if (this._isLinkSound(lostAt) || this._view.hasStopped(target, lostAt)) {
 				return true;
 			}
+			if ((this._view.answeredAt(target.id) ?? Number.NEGATIVE_INFINITY) > lostAt) {
+				return false;
+			}
 			await delay(POLL_INTERVAL_MS);
 		}
 		return false;
 	}
 
+	/** Whether the links of this instance worked when a run was lost. */
+	private _isLinkSound(lostAt: Millis): boolean {
+		if (this.isPartitioned || this._partitionedUntil >= lostAt) {
+			return false;
+		}
+		const isSingle = this._contact.failedTargetsSince(lostAt - LOSS_SETTLE_MS) < MIN_KNOWN_TARGETS;
+		return isSingle || this._contact.contactAt >= lostAt + MAX_UNDER_WAY_MS;
+	}
+
 	private _poll(): void {
 		const now = systemClock.now();
 		const isDue = this.isPartitioned
@@ -140,10 +155,11 @@
 		this._setPartitioned(!hasContact);
 	}
 
-	/** Random targets that control hears, of different data halls as long as there are any. */
+	/** Random targets that control hears, of different data halls as long as there are any; those whose attempts failed come last. */
 	private _selectTargets(): KnownTarget[] {
 		const heard = [...this._view.servingTargets].filter(({ isSilent }) => !isSilent);
-		const remaining = shuffle(heard);
+		const hasFailed = ({ record }: KnownTarget): boolean => this._contact.hasFailed(record.id);
+		const remaining = [...shuffle(heard.filter(target => !hasFailed(target))), ...shuffle(heard.filter(hasFailed))];
 		const selected: KnownTarget[] = [];
 		const halls = new Set<string>();
 		for (const target of remaining) {
@@ -168,6 +184,7 @@
 		} else {
 			const lastedMs = Math.round(now - this._partitionedSince!);
 			this._partitionedSince = undefined;
+			this._partitionedUntil = now;
 			this._log.info('targets reached again', { task: 'forwarding', lastedMs });
 		}
 		this._onDidChange.fire(isPartitioned);
--- a/src/plugins/forwarding/test/partitionMonitor.test.ts
+++ b/src/plugins/forwarding/test/partitionMonitor.test.ts
@@ -10,6 +10,7 @@
 import { systemClock } from '../../../base/clock.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import { MetricsService } from '../../../kernel/node/metricsService.js';
+import type { TargetRecord } from '../../fleet/common/fleetTypes.js';
 import type { FleetView, KnownTarget } from '../../fleet/common/fleetView.js';
 import { NotRunCause } from '../common/attempt.js';
 import { PartitionMonitor } from '../node/partitionMonitor.js';
@@ -17,11 +18,15 @@
 const TARGETS = ['a', 'b', 'c', 'd'];
 const TIMEOUT_MS = 3000;
 const POLL_MS = 5;
+const TARGET_A = { id: 'a' } as unknown as TargetRecord;
 const silentLog = { info: () => undefined, warn: () => undefined } as unknown as ILogService;
 
 let servers: Server[];
 let addresses: string[];
 let monitor: PartitionMonitor;
+/** Ids of targets that control knows to have stopped, and of those that have answered since. */
+let stopped: Set<string>;
+let answered: Set<string>;
 
 async function openServer(port = 0): Promise<Server> {
 	const server = createServer(socket => socket.destroy());
@@ -59,7 +64,14 @@
 		record: { id, address: addresses[i], hall: id },
 		isSilent: false
 	})) as unknown as KnownTarget[];
-	monitor = new PartitionMonitor({ servingTargets } as unknown as FleetView, silentLog, new MetricsService());
+	stopped = new Set();
+	answered = new Set();
+	const view = {
+		servingTargets,
+		hasStopped: ({ id }: TargetRecord) => stopped.has(id),
+		answeredAt: (id: string) => (answered.has(id) ? Number.POSITIVE_INFINITY : undefined)
+	};
+	monitor = new PartitionMonitor(view as unknown as FleetView, silentLog, new MetricsService());
 });
 
 afterEach(async () => {
@@ -88,7 +100,7 @@
 test('a run that its target took along is confirmed at once', async () => {
 	const lostAt = systemClock.now();
 	failAttempts(['a']);
-	assert.equal(await monitor.confirmsLoss(lostAt), true);
+	assert.equal(await monitor.confirmsLoss(TARGET_A, lostAt), true);
 	assert.ok(systemClock.now() - lostAt < 200);
 });
 
@@ -96,16 +108,27 @@
 test('runs that break off as the instance is partitioned are not confirmed', async () => {
 	await closeAll();
 	const lostAt = systemClock.now();
-	const confirmed = monitor.confirmsLoss(lostAt);
+	const confirmed = monitor.confirmsLoss(TARGET_A, lostAt);
 	failAttempts(['a', 'b', 'c']);
+	await waitUntil('it is partitioned', () => monitor.isPartitioned);
+	answered.add('a');
 	assert.equal(await confirmed, false);
-	assert.equal(await monitor.confirmsLoss(systemClock.now()), false);
+});
+
+/** Guards against a request that ends all targets at once and passes for failed links, so that it is never quarantined. */
+test('runs that break off while no target can be reached are confirmed once their target is known to have stopped', async () => {
+	await closeAll();
+	const confirmed = monitor.confirmsLoss(TARGET_A, systemClock.now());
+	failAttempts(['a', 'b', 'c']);
+	await waitUntil('it is partitioned', () => monitor.isPartitioned);
+	stopped.add('a');
+	assert.equal(await confirmed, true);
 });
 
 test('runs of several targets that stop together are confirmed once another target responds', async () => {
 	const lostAt = systemClock.now();
 	failAttempts(['a', 'b']);
-	const confirmed = monitor.confirmsLoss(lostAt);
+	const confirmed = monitor.confirmsLoss(TARGET_A, lostAt);
 	await delay(250);
 	monitor.recordResponse(monitor.recordStart('d'));
 	assert.equal(await confirmed, true);
