--- a/src/plugins/forwarding/common/targetContact.ts
+++ b/src/plugins/forwarding/common/targetContact.ts
@@ -11,7 +11,7 @@
 
 /** Targets that have to fail, or fall silent, without a response of any target. */
 const MIN_SUSPECT_TARGETS = 3;
-/** Requests at this many targets that are all overdue make the links suspect even if nothing has failed yet. */
+/** An attempt is overdue after this time at the earliest, and only if no target has responded for as long. */
 const MIN_SILENCE_MS: Millis = 500;
 /** An attempt is overdue after the typical response time, multiplied by this. */
 const OVERDUE_FACTOR = 1.5;
--- a/src/plugins/forwarding/node/partitionMonitor.ts
+++ b/src/plugins/forwarding/node/partitionMonitor.ts
@@ -29,7 +29,7 @@
 /** A target that accepts no connection within this time does not count as reached. */
 const CHECK_TIMEOUT_MS: Millis = 500;
 
-/** Within which links that fail together do so, as seen here. */
+/** Links that fail together are noticed within this time. */
 const LOSS_SETTLE_MS: Millis = 50;
 /** A response that arrives this long after a link has failed was sent afterwards. */
 const MAX_UNDER_WAY_MS: Millis = 200;
