--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -273,3 +273,20 @@
 	assert.equal(view.peakEntryCount, 9);
 	assert.equal(view.entryCount, 9, 'retries are divided by the highest count as well');
 });
+
+test('an incarnation has stopped once it is gone, silent or started anew, or another target took its address', () => {
+	const view = new FleetView(() => 'r');
+	const at = (id: string, address: string, bornAt = 0): TargetRecord => ({ ...target(id), address, bornAt });
+	const records = ['a', 'b', 'c', 'd', 'e'].map(id => at(id, `${id}:1`));
+	view.apply(response(1, { targets: records }), 100);
+	assert.deepEqual(
+		records.filter(record => view.hasStopped(record, 150)),
+		[]
+	);
+	const successors = [{ ...target('a', TargetPhase.Gone), address: 'a:1' }, at('b', 'b:1', 7), at('f', 'c:1')];
+	view.apply({ ...response(2, { targets: successors }), silentTargets: ['d'] }, 200);
+	assert.deepEqual(
+		records.filter(record => view.hasStopped(record, 150)).map(({ id }) => id),
+		['a', 'b', 'c', 'd']
+	);
+});
