Review: the scripts keep within the doses, and judge by their own rule only

The freeze of case 2 lasted 8.7 s where twice the site's longest is 7 s, and was in another hall than the evacuated one; the extra answers of case 1 went on for 15 s where 11 s are allowed. Case 1 also judged REFUSED, and case 3 the ends of processes, which their rules do not name.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -14,7 +14,8 @@
 const SERVICE = 'huvo11a';
 /** Retries are allowed in full once the window of the retry budget has passed since the start. */
 const QUIET_MS = 12000;
-const PLAY_MS = 15000;
+/** Within twice the longest time for which the site has extra answers, 5.5 s. */
+const PLAY_MS = 10000;
 /** Of so many new requests, a server turns one away. */
 const TURNED_AWAY_OF = 20;
 
@@ -95,8 +96,9 @@
 			record.say(`TWICE: ${id} ran ${count} times (${runs.get(id).join(', ')}); its client got ${status}`);
 		}
 		if (count > 0 && [408, 421, 429, 503].includes(status)) {
-			broken++;
-			record.say(`REFUSED: ${id} ran (${runs.get(id).join(', ')}); its client got ${status}`);
+			record.say(
+				`REFUSED, which this case does not judge: ${id} ran (${runs.get(id).join(', ')}); its client got ${status}`
+			);
 		}
 	}
 	return broken === 0;
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -63,5 +63,5 @@
 	record.say(`it took ${tookMs.toFixed(0)} ms; a proper order has to be acknowledged within ${ACK_MS} ms`);
 	const ends = system.controls.flatMap(({ node, ends: own }) => own.map(({ at }) => `${node} at ${at.toFixed(0)}`));
 	record.say(`control processes that ended by themselves: ${ends.length} (${ends.join(', ')})`);
-	return acknowledged === 0 && ends.length === 0;
+	return acknowledged === 0;
 });
--- a/review/lib/operator.mjs
+++ b/review/lib/operator.mjs
@@ -14,12 +14,14 @@
 	/**
 	 * Sends an order to one node after the other until there is a clear answer; resolves to its status and when it came.
 	 * @param options.first the node that is asked first
+	 * @param options.withinMs the order is not sent again after this time
 	 */
-	async order(method, path, { headers, body, first, tries = 12 } = {}) {
+	async order(method, path, { headers, body, first, tries = 12, withinMs = Number.POSITIVE_INFINITY } = {}) {
 		const others = this._controls.filter(control => control !== first);
 		const nodes = first ? [first, ...others] : others;
 		let pauseMs = 50;
-		for (let i = 0; i < tries; i++) {
+		const sentAt = this._record.now();
+		for (let i = 0; i < tries && this._record.now() - sentAt <= withinMs; i++) {
 			const control = nodes[i % nodes.length];
 			this._record.note(`operator sends ${method} ${path} to ${control.node}`);
 			const answer = await send(method, `${control.controlUrl}${path}`, { headers, body, timeoutMs: CALL_MS });
