--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -24,7 +24,7 @@
 		controlZones: ['klang-sepang', 'penang-bayan', 'johor-nusajaya'],
 		frontZones: ['klang-sepang', 'klang-cyber']
 	});
-	onEnd(() => system.killNow());
+	onEnd(() => system.stopAll());
 	let isPlaying = false;
 	let asked = 0;
 	const turnedAway = new Set();
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -23,7 +23,7 @@
 
 await main(dirname(fileURLToPath(import.meta.url)), async ({ record, isTroubled, onEnd }) => {
 	const system = await System.create(record, { controlZones: ZONES, frontZones: ZONES });
-	onEnd(() => system.killNow());
+	onEnd(() => system.stopAll());
 	const servers = ZONES.flatMap((zone, i) =>
 		[1, 2].map(
 			copy =>
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -20,7 +20,7 @@
 		controlZones: ['klang-sepang', 'penang-bayan', 'johor-nusajaya'],
 		frontZones: ['klang-sepang']
 	});
-	onEnd(() => system.killNow());
+	onEnd(() => system.stopAll());
 	system.startAll();
 	const operator = new Operator(record, system.controls);
 	await system.waitFor('a configuration is taken', async () => {
--- a/review/lib/main.mjs
+++ b/review/lib/main.mjs
@@ -17,9 +17,9 @@
 	const record = new Record(join(folder, 'record.txt'));
 	const isTroubled = process.env.TROUBLE !== '0';
 	const cleanUps = [];
-	const end = code => {
-		for (const cleanUp of cleanUps.reverse()) {
-			cleanUp();
+	const end = async code => {
+		for (const cleanUp of cleanUps.splice(0).reverse()) {
+			await cleanUp();
 		}
 		record.save();
 		process.exit(code);
@@ -34,9 +34,9 @@
 		const holds = await play({ record, isTroubled, onEnd: cleanUp => cleanUps.push(cleanUp) });
 		record.say(holds ? 'the rule held' : 'the rule was broken');
 		clearTimeout(timer);
-		end(holds ? HELD : BROKEN);
+		await end(holds ? HELD : BROKEN);
 	} catch (error) {
 		record.say(`could not run: ${error.message}`);
-		end(COULD_NOT_RUN);
+		await end(COULD_NOT_RUN);
 	}
 }
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -190,24 +190,13 @@
 		return latest?.machine;
 	}
 
-	/** Ends all processes and removes the temporary folder. */
+	/** Ends all processes, waits for their end, and removes the temporary folder. */
 	async stopAll() {
 		this._isEnded = true;
 		await Promise.all([...this.controls, ...this.fronts].map(machine => this._kill(machine)));
 		rmSync(this._folder, { recursive: true, force: true });
 	}
 
-	/** Ends all processes at once, without waiting. */
-	killNow() {
-		this._isEnded = true;
-		for (const { child } of [...this.controls, ...this.fronts]) {
-			if (child && child.exitCode === null && child.signalCode === null) {
-				child.kill('SIGKILL');
-			}
-		}
-		rmSync(this._folder, { recursive: true, force: true });
-	}
-
 	async _kill(machine) {
 		const { child } = machine;
 		if (!child || child.exitCode !== null || child.signalCode !== null) {
