Attempts at targets are counted and logged by the retry budget that covers them

Nothing told which budget paid for an attempt beyond the first of its request, nor how late it was written, so the hypotheses on the retries beyond the limit could not be told apart. Each attempt is counted when it may first have been written: the first of its request, one from the own budget, or one that no budget covers. A relayed request carries how many attempts were written and how many are covered, for the count only; no decision uses it yet.

--- a/src/plugins/forwarding/common/relayHeaders.ts
+++ b/src/plugins/forwarding/common/relayHeaders.ts
@@ -16,3 +16,7 @@
 export const RELAY_REVISION_HEADER = 'shelffield-relay-revision';
 /** Present if the sender has counted the request as a first attempt, which allows for retries; it must be counted only once. */
 export const RELAY_COUNTED_HEADER = 'shelffield-relay-counted';
+/** Number of attempts that the sender may have written to targets. */
+export const RELAY_WRITTEN_HEADER = 'shelffield-relay-written';
+/** Number of attempts, those written included, that are the first one or that the sender has taken a retry for. */
+export const RELAY_COVERED_HEADER = 'shelffield-relay-covered';
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -24,6 +24,7 @@
 import type { OutcomeTracker } from '../../placement/common/outcomeTracker.js';
 import type { PartitionMonitor } from './partitionMonitor.js';
 import type { RegionTrafficMonitor } from './regionTrafficMonitor.js';
+import { AttemptCoverage, type RetryMonitor } from './retryMonitor.js';
 import type { BackoffMonitor } from './targets/backoffMonitor.js';
 import { TargetAgent } from './targets/targetAgent.js';
 import { TargetExchange, type CancelCause } from './targetExchange.js';
@@ -52,6 +53,7 @@
 	readonly limits: ITargetLimits;
 	readonly limitMonitor: LimitMonitor;
 	readonly partitionMonitor: PartitionMonitor;
+	readonly retryMonitor: RetryMonitor;
 }
 
 /** Runs the attempts of this instance and owns the connections to targets. */
@@ -234,10 +236,23 @@
 			onTargetReport: (report, writtenAt) => {
 				onResponse();
 				this._applyTargetReport(candidate, report, writtenAt);
-			}
+			},
+			onWritten: writtenAt => this._recordWritten(context, writtenAt)
 		});
 	}
 
+	private _recordWritten(context: RequestContext, now: Millis): void {
+		context.writtenAttempts++;
+		const isCovered = context.writtenAttempts <= context.coveredAttempts;
+		const coverage = context.writtenAttempts === 1 ? AttemptCoverage.First : AttemptCoverage.OwnBudget;
+		const delayMs = now - (context.retryTakenAt ?? now);
+		this._dependencies.retryMonitor.recordWritten(
+			context.service,
+			isCovered ? coverage : AttemptCoverage.None,
+			delayMs
+		);
+	}
+
 	private _recordResponseSize(route: Route, contentLength: string | undefined): void {
 		if (route.repeatRule === RepeatRule.LargeResponse && contentLength !== undefined) {
 			this._dependencies.largeResponseLimiter.recordSize(route, Number(contentLength));
--- a/src/plugins/forwarding/node/forwarding.ts
+++ b/src/plugins/forwarding/node/forwarding.ts
@@ -11,6 +11,10 @@
 export interface RelayOrigin {
 	/** Whether the other instance has counted it as a first attempt. */
 	readonly isCounted: boolean;
+	/** Number of attempts that the other instance may have written to targets. */
+	readonly writtenAttempts: number;
+	/** Number of attempts, those written included, that are the first one or that the other instance has taken a retry for. */
+	readonly coveredAttempts: number;
 }
 
 /** Forwards requests to targets. */
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -40,6 +40,7 @@
 import { RequestForwarder } from './requestForwarder.js';
 import { RequestIntake } from './requestIntake.js';
 import { RequestRecorder } from './requestRecorder.js';
+import { RetryMonitor } from './retryMonitor.js';
 import { RetryPolicy } from './retryPolicy.js';
 import { BackoffMonitor } from './targets/backoffMonitor.js';
 import { LimitMonitor } from './targets/limitMonitor.js';
@@ -130,7 +131,8 @@
 				backoffMonitor: new BackoffMonitor(metrics, log, now => this._selector.backedOffByService(now)),
 				limits: targetLimits,
 				limitMonitor: this._register(new LimitMonitor(metrics, log, targetLimits)),
-				partitionMonitor: this._partitionMonitor
+				partitionMonitor: this._partitionMonitor,
+				retryMonitor: this._register(new RetryMonitor(metrics, log))
 			})
 		);
 		this._forwarder = new RequestForwarder({
--- a/src/plugins/forwarding/node/relay/relayClient.ts
+++ b/src/plugins/forwarding/node/relay/relayClient.ts
@@ -120,7 +120,8 @@
 			body,
 			connectTimeoutMs: this._connectTimeoutMs,
 			maxBufferedBytes: this._maxBufferedBytes,
-			onTargetReport: () => undefined
+			onTargetReport: () => undefined,
+			onWritten: () => undefined
 		});
 		this._peers.begin(peer);
 		const timer = setTimeout(() => relayExchange.abandon(), Math.max(0, deadline - now));
--- a/src/plugins/forwarding/node/relay/relayServer.ts
+++ b/src/plugins/forwarding/node/relay/relayServer.ts
@@ -11,9 +11,15 @@
 import type { IPeerRequests } from '../../../../kernel/node/peerRequests.js';
 import type { FleetView } from '../../../fleet/common/fleetView.js';
 import type { IHeaderNames } from '../../common/headerNames.js';
-import { RELAY_COUNTED_HEADER, RELAY_PATH_PREFIX, RELAY_REVISION_HEADER } from '../../common/relayHeaders.js';
+import {
+	RELAY_COUNTED_HEADER,
+	RELAY_COVERED_HEADER,
+	RELAY_PATH_PREFIX,
+	RELAY_REVISION_HEADER,
+	RELAY_WRITTEN_HEADER
+} from '../../common/relayHeaders.js';
 import { CallerExchange } from '../callerExchange.js';
-import type { IForwarding } from '../forwarding.js';
+import type { IForwarding, RelayOrigin } from '../forwarding.js';
 import type { LinkScheduler } from '../linkScheduler.js';
 import { RelayedRequest } from './relayedRequest.js';
 
@@ -107,10 +113,18 @@
 		this._inFlight++;
 		response.once('close', () => this._inFlight--);
 		const exchange = new CallerExchange(new RelayedRequest(request, response), headerNames, linkScheduler);
-		const isCounted = request.headers[RELAY_COUNTED_HEADER] !== undefined;
-		forwarding.serve(exchange, { isCounted }).catch((error: Error) => {
+		forwarding.serve(exchange, originOf(request)).catch((error: Error) => {
 			log.error('relayed request failed', { task: 'front', requestId: exchange.requestId, error: error.stack });
 			exchange.fail();
 		});
 	}
 }
+
+/** How the sender has handled a request; one of an earlier version says nothing of its attempts. */
+function originOf({ headers }: IncomingMessage): RelayOrigin {
+	return {
+		isCounted: headers[RELAY_COUNTED_HEADER] !== undefined,
+		writtenAttempts: Number(headers[RELAY_WRITTEN_HEADER] ?? 0),
+		coveredAttempts: Number(headers[RELAY_COVERED_HEADER] ?? 1)
+	};
+}
--- a/src/plugins/forwarding/node/requestContext.ts
+++ b/src/plugins/forwarding/node/requestContext.ts
@@ -55,6 +55,12 @@
 	/** Attempts that reached a target and were refused by it. */
 	refusals: number;
 	connectFailures: number;
+	/** Attempts that may have been written to a target, by this instance or the one that relayed the request. */
+	writtenAttempts: number;
+	/** Attempts that may be written: the first one, and one more for each retry that was taken from a budget. */
+	coveredAttempts: number;
+	/** When a retry was last taken from the budget. */
+	retryTakenAt?: Millis;
 	/** Permits within rate limits of targets that were requested and denied. */
 	permitsDenied: number;
 	/** The latest server error of a target after which the request was retried. */
--- a/src/plugins/forwarding/node/requestIntake.ts
+++ b/src/plugins/forwarding/node/requestIntake.ts
@@ -81,6 +81,8 @@
 		possibleRuns: 0,
 		refusals: 0,
 		connectFailures: 0,
+		writtenAttempts: origin?.writtenAttempts ?? 0,
+		coveredAttempts: origin?.coveredAttempts ?? 1,
 		permitsDenied: 0,
 		attempts: [],
 		phase: QuarantinePhase.Clear
--- a/src/plugins/forwarding/node/retryPolicy.ts
+++ b/src/plugins/forwarding/node/retryPolicy.ts
@@ -125,12 +125,17 @@
 
 	/** Takes one retry from the budget; false where the request may not be retried or the budget is used up. */
 	private _acquireRetry(context: RequestContext): boolean {
-		return (
+		const now = systemClock.now();
+		const isAcquired =
 			context.possibleRuns < context.route.attempts &&
 			context.refusals < MAX_REFUSALS &&
 			context.body.canBeSent &&
-			this.retryBudgetOf(context.service).tryTake(this._view.entryCount, systemClock.now())
-		);
+			this.retryBudgetOf(context.service).tryTake(this._view.entryCount, now);
+		if (isAcquired) {
+			context.coveredAttempts++;
+			context.retryTakenAt = now;
+		}
+		return isAcquired;
 	}
 
 	private _retryAfterSchedulerOf(service: string): RetryAfterScheduler {
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -43,6 +43,8 @@
 	 * `writtenAt` is when the request may have been written, on the monotonic clock.
 	 */
 	readonly onTargetReport: (report: TargetReport, writtenAt: Millis) => void;
+	/** Called once, when the request may first have been written. */
+	readonly onWritten: (writtenAt: Millis) => void;
 }
 
 function mayHaveBody(status: number): boolean {
@@ -78,8 +80,9 @@
 		this._request = httpRequest({ agent: this._agent, host, port, method, path, headers, setHost: false });
 		this._request.on('socket', socket => {
 			if (!socket.connecting) {
-				this._writtenAt = systemClock.now();
-				this._reusedConnection = { socket, sentAt: this._writtenAt };
+				const sentAt = systemClock.now();
+				this._reusedConnection = { socket, sentAt };
+				this._recordWritten(sentAt);
 				return;
 			}
 			socket.once('connect', () => this._onConnect());
@@ -126,8 +129,13 @@
 	}
 
 	private _onConnect(): void {
-		this._writtenAt = systemClock.now();
 		clearTimeout(this._connectTimer);
+		this._recordWritten(systemClock.now());
+	}
+
+	private _recordWritten(now: Millis): void {
+		this._writtenAt = now;
+		this._options.onWritten(now);
 	}
 
 	private _onConnectTimeout(): void {
--- a/src/plugins/forwarding/node/targetHeaders.ts
+++ b/src/plugins/forwarding/node/targetHeaders.ts
@@ -7,7 +7,12 @@
 import type { Millis } from '../../../base/clock.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { endToEndHeaders } from '../common/hopByHopHeaders.js';
-import { RELAY_COUNTED_HEADER, RELAY_REVISION_HEADER } from '../common/relayHeaders.js';
+import {
+	RELAY_COUNTED_HEADER,
+	RELAY_COVERED_HEADER,
+	RELAY_REVISION_HEADER,
+	RELAY_WRITTEN_HEADER
+} from '../common/relayHeaders.js';
 import type { RequestContext } from './requestContext.js';
 
 /** Builds the headers; those that this system sets itself replace the caller's. */
@@ -18,7 +23,7 @@
 
 	constructor(private readonly _headerNames: IHeaderNames) {
 		const { remainingMs, expectedTarget, teamKey, team } = _headerNames;
-		const relayHeaders = [RELAY_REVISION_HEADER, RELAY_COUNTED_HEADER];
+		const relayHeaders = [RELAY_REVISION_HEADER, RELAY_COUNTED_HEADER, RELAY_WRITTEN_HEADER, RELAY_COVERED_HEADER];
 		this._replacedHeaders = new Set([remainingMs, expectedTarget, teamKey, team, ...relayHeaders]);
 		this._replacedForRelay = new Set([remainingMs, expectedTarget, team, ...relayHeaders]);
 	}
@@ -40,6 +45,8 @@
 	relayHeadersFor(context: RequestContext, revision: number, now: Millis): string[] {
 		const headers = this._commonHeaders(context, this._replacedForRelay, now);
 		headers.push(RELAY_REVISION_HEADER, String(revision));
+		headers.push(RELAY_WRITTEN_HEADER, String(context.writtenAttempts));
+		headers.push(RELAY_COVERED_HEADER, String(context.coveredAttempts));
 		if (context.isCounted) {
 			headers.push(RELAY_COUNTED_HEADER, '1');
 		}
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -118,7 +118,17 @@
 async function relayFor(exchange: CallerExchange): Promise<void> {
 	const body = await RequestBody.read(exchange.request);
 	const deadline = systemClock.now() + REMAINING_MS;
-	const context = { exchange, body, homeRegions, deadline, isCounted, attempts: [], possibleRuns: 0 };
+	const context = {
+		exchange,
+		body,
+		homeRegions,
+		deadline,
+		isCounted,
+		writtenAttempts: 2,
+		coveredAttempts: 3,
+		attempts: [],
+		possibleRuns: 0
+	};
 	const isTaken = await client.relay(context as unknown as RequestContext);
 	wasTaken.push(isTaken);
 	if (!isTaken) {
@@ -212,7 +222,7 @@
 	const { status, headers, body } = await call('order');
 	const [served] = peers[0]!.served;
 	assert.deepEqual([served!.path, served!.body, served!.headers['credential']], ['/a/b?c=1', 'order', 'key-1']);
-	assert.deepEqual(served!.origin, { isCounted: true });
+	assert.deepEqual(served!.origin, { isCounted: true, writtenAttempts: 2, coveredAttempts: 3 });
 	assert.ok(Number(served!.headers['deadline-ms']) <= REMAINING_MS);
 	assert.equal(status, 429);
 	assert.deepEqual([headers['retry-after'], headers['shelffield-verdict']], ['0.70', 'not-run']);
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -69,7 +69,8 @@
 		body,
 		connectTimeoutMs: 1000,
 		maxBufferedBytes: 64 * 1024,
-		onTargetReport: report => reports.push(report)
+		onTargetReport: report => reports.push(report),
+		onWritten: () => undefined
 	});
 }
 
