--- a/src/plugins/forwarding/test/retrySums.test.ts
+++ b/src/plugins/forwarding/test/retrySums.test.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Guards against retries of all instances together that exceed the limit of a service while instances restart, join or are cut off. */
+/** Guards against retries of all instances together that exceed the limit of a service. */
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -15,16 +15,23 @@
 /** Steps after which instances know of one that has joined or is reachable again. */
 const PROPAGATION_STEPS = 5;
 const MAX_INSTANCES = 12;
+/** When requests begin to need retries, after more than a window without. */
+const TROUBLE_STEP = 60;
 
 /** What happens to an instance at a step. */
 interface Disruption {
 	readonly step: number;
 	readonly instance: number;
-	/** The instances from this one on are cut off from the others, which then hear of fewer; `restart` loses the budget. */
-	readonly kind: 'restart' | 'cut' | 'heal' | 'join';
+	/**
+	 * - `restart`: the instance loses its budget
+	 * - `cut`: the instances from this one on are cut off from the others, which then hear of fewer, until `heal`
+	 * - `move`: its callers move to the next instance
+	 * - `calm`, `trouble`: from now on no request has to be retried, or as many as the budgets allow
+	 */
+	readonly kind: 'restart' | 'cut' | 'heal' | 'join' | 'move' | 'calm' | 'trouble';
 }
 
-/** Entry instances that retry as often as their budgets allow. */
+/** Entry instances that retry as often as their budgets allow while there is trouble. */
 class RetryingInstances {
 	readonly firstAttempts: number[] = [];
 	readonly retries: number[] = [];
@@ -32,11 +39,14 @@
 	private readonly _knownCounts: number[];
 	private _cutFrom = MAX_INSTANCES;
 	private _changedAt = Number.NEGATIVE_INFINITY;
+	private _isTrouble = true;
+	private readonly _requestsPerStep: number[];
 
 	constructor(
 		private _count: number,
-		private readonly _requestsPerStep: number
+		requestsPerStep: number
 	) {
+		this._requestsPerStep = Array.from({ length: MAX_INSTANCES }, (_, i) => (i < _count ? requestsPerStep : 0));
 		this._budgets = Array.from({ length: MAX_INSTANCES }, (_, i) =>
 			i < _count ? new ServiceRetryBudget(LIMITS, -2 * LIMITS.windowMs) : undefined
 		);
@@ -51,14 +61,14 @@
 		const now = step * STEP_MS;
 		let retries = 0;
 		this._budgets.forEach((budget, i) => {
-			for (let r = 0; r < this._requestsPerStep; r++) {
+			for (let r = 0; r < this._requestsPerStep[i]!; r++) {
 				budget?.recordFirstAttempt(now);
 			}
-			while (budget?.tryTake(this._knownCounts[i]!, now)) {
+			while (this._isTrouble && budget?.tryTake(this._knownCounts[i]!, now)) {
 				retries++;
 			}
 		});
-		this.firstAttempts.push(this._requestsPerStep * this._budgets.filter(Boolean).length);
+		this.firstAttempts.push(this._requestsPerStep.reduce((total, requests) => total + requests, 0));
 		this.retries.push(retries);
 	}
 
@@ -69,11 +79,18 @@
 			this._knownCounts[instance] = Number.POSITIVE_INFINITY;
 		} else if (kind === 'join' && this._count < MAX_INSTANCES) {
 			this._budgets[this._count] = new ServiceRetryBudget(LIMITS, step * STEP_MS);
+			this._requestsPerStep[this._count] = this._requestsPerStep[0]!;
 			this._knownCounts[this._count++] = Number.POSITIVE_INFINITY;
 		} else if (kind === 'cut') {
 			this._cutFrom = instance;
 		} else if (kind === 'heal') {
 			this._cutFrom = MAX_INSTANCES;
+		} else if (kind === 'move') {
+			const next = (instance + 1) % this._count;
+			this._requestsPerStep[next]! += this._requestsPerStep[instance]!;
+			this._requestsPerStep[instance] = 0;
+		} else if (kind === 'calm' || kind === 'trouble') {
+			this._isTrouble = kind === 'trouble';
 		}
 	}
 
@@ -114,6 +131,22 @@
 	assert.ok(simulate(9, 1, disruptions) <= 0, `${simulate(9, 1, disruptions)} too many`);
 });
 
+/** Guards against a budget that instances have spent and that others, or their successors, have again for the same requests. */
+for (const [title, kind, count] of [
+	['when half of them restart soon after they have begun', 'restart', 5],
+	['when half of the callers move to other instances soon after they have begun', 'move', 5]
+] as const) {
+	test(`retries of all instances stay within the limit ${title}`, () => {
+		const disruptions: Disruption[] = [
+			{ step: 0, instance: 0, kind: 'calm' },
+			{ step: TROUBLE_STEP, instance: 0, kind: 'trouble' },
+			...Array.from({ length: count }, (_, i) => ({ step: TROUBLE_STEP + 10, instance: 2 * i, kind }))
+		];
+		const excess = simulate(10, 20, disruptions);
+		assert.ok(excess <= 0, `${excess} too many`);
+	});
+}
+
 test('retries of all instances stay within the limit through drawn restarts, joins and cuts', () => {
 	const disruption = fc.record({
 		step: fc.integer({ min: 20, max: STEPS - 1 }),
@@ -132,3 +165,22 @@
 		{ seed: 49, numRuns: 300 }
 	);
 });
+
+test('retries of all instances stay within the limit through drawn troubles, restarts and moves of callers', () => {
+	const disruption = fc.record({
+		step: fc.integer({ min: 0, max: STEPS - 1 }),
+		instance: fc.integer({ min: 0, max: 8 }),
+		kind: fc.constantFrom('restart' as const, 'move' as const, 'calm' as const, 'trouble' as const)
+	});
+	fc.assert(
+		fc.property(
+			fc.integer({ min: 3, max: 9 }),
+			fc.integer({ min: 0, max: 30 }),
+			fc.array(disruption, { maxLength: 16 }),
+			(count, requestsPerStep, disruptions) => {
+				assert.ok(simulate(count, requestsPerStep, disruptions) <= 0);
+			}
+		),
+		{ seed: 68, numRuns: 300 }
+	);
+});
