Retries are paid for by recent first attempts, so that restarts and moves of callers give no second budget

Callers: targets got more repeats than the limit of the service allows, when instances restarted or callers moved to other instances shortly after many requests had to be retried.

Cause: each instance could spend at once what its first attempts of the last ten seconds allow. A bound on each instance's own window bounds the sum only if traffic stays where it is: when callers move, or a restarted process serves them, the same window is paid for twice.

Change: first attempts earn tokens, 1/1.35 of the ratio, which expire after 0.3 of the window. The retries of any window are paid for by first attempts of the window and of 0.35 of one before it, at whichever instances; a restart begins without tokens. The own sliding window stays beside it; the slack is counted for itself.

--- /dev/null
+++ b/src/plugins/forwarding/common/retryTokens.ts
@@ -0,0 +1,38 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * Tokens for retries that first attempts earn and that expire soon. Retries within a window are then paid for by first attempts of the
+ * window and of one token lifetime before it, whichever instances those were made at.
+ */
+
+import type { Millis } from '../../../base/clock.js';
+
+/** Unused tokens. */
+export class RetryTokens {
+	/** When the tokens were earned, in ascending order. */
+	private readonly _earnedAt: Millis[] = [];
+	private _earnedFraction = 0;
+
+	/** @param _perFirstAttempt tokens that a first attempt earns, 0 to 1 */
+	constructor(
+		private readonly _perFirstAttempt: number,
+		private readonly _lifetimeMs: Millis
+	) {}
+
+	recordFirstAttempt(now: Millis): void {
+		this._earnedFraction += this._perFirstAttempt;
+		if (this._earnedFraction >= 1) {
+			this._earnedFraction--;
+			this._earnedAt.push(now);
+		}
+	}
+
+	/** Takes the token that expires first; false if there is none. */
+	tryTake(now: Millis): boolean {
+		const firstValid = this._earnedAt.findIndex(earnedAt => now - earnedAt < this._lifetimeMs);
+		this._earnedAt.splice(0, firstValid < 0 ? this._earnedAt.length : firstValid);
+		return this._earnedAt.shift() !== undefined;
+	}
+}
--- a/src/plugins/forwarding/common/serviceRetryBudget.ts
+++ b/src/plugins/forwarding/common/serviceRetryBudget.ts
@@ -3,12 +3,13 @@
  *--------------------------------------------------------------------------------------------*/
 
 /**
- * Limits the retries of this instance at a service, so that all instances together stay within a shared limit. An instance
- * may make a fraction of its own first attempts in a window as retries, and uses its share of a fixed slack. No coordination
- * with other instances is needed.
+ * Limits the retries of this instance at a service, so that all instances together stay within a shared limit. First attempts earn
+ * tokens for retries, and each instance uses its share of a fixed slack. No coordination with other instances is needed.
  */
 
 import { type Millis, PROCESS_STARTED_AT } from '../../../base/clock.js';
+import { RetryTokens } from './retryTokens.js';
+import { SlidingCount } from './slidingCount.js';
 
 /** Limits on the retries of all instances together. */
 export interface RetryLimits {
@@ -19,33 +20,43 @@
 	readonly slack: number;
 }
 
+/** Lifetime of a token as a fraction of the window: longer ones allow for larger bursts of retries, and for fewer afterwards. */
+const TOKEN_LIFETIME_FRACTION = 0.3;
+/** Time that a retry may take from its decision to the target, as a fraction of the window. */
+const MAX_DELAY_FRACTION = 0.05;
 /**
- * Fraction of the ratio that is used. The remainder is a margin for windows that begin within a bucket, which is a tenth of
- * the window. Each instance counts its own first attempts, so the sum does not depend on the known number of instances.
+ * Fraction of the ratio that first attempts earn. The retries that reach targets within a window may be paid for by first attempts from
+ * before it, and other instances may have the same callers during the window.
  */
+const EARNED_FRACTION = 1 / (1 + TOKEN_LIFETIME_FRACTION + MAX_DELAY_FRACTION);
+/** Fraction of the ratio that this instance uses within a window, also if it has more tokens. */
 const RATIO_SAFETY_FACTOR = 0.85;
 /** Fraction of the slack that is used. The remainder covers instances that others don't know about yet. */
 const SLACK_SAFETY_FACTOR = 0.7;
-const BUCKETS_PER_WINDOW = 10;
-/** One more than a window has, since the oldest and the newest bucket lie in it only in part. */
-const BUCKETS = BUCKETS_PER_WINDOW + 1;
 
 /** Retry budget of this instance for one service, over a sliding window. */
 export class ServiceRetryBudget {
-	private readonly _firstAttempts = new Array<number>(BUCKETS).fill(0);
-	private readonly _retries = new Array<number>(BUCKETS).fill(0);
-	private _bucket = 0;
+	private readonly _tokens: RetryTokens;
+	private readonly _firstAttempts: SlidingCount;
+	private readonly _paidRetries: SlidingCount;
+	private readonly _slackRetries: SlidingCount;
 
 	/** @param _startedAt start of this process; the process before it may have used the slack of the window */
 	constructor(
 		private readonly _limits: RetryLimits,
 		private readonly _startedAt: Millis = PROCESS_STARTED_AT
-	) {}
+	) {
+		const { ratio, windowMs } = _limits;
+		this._tokens = new RetryTokens(EARNED_FRACTION * ratio, TOKEN_LIFETIME_FRACTION * windowMs);
+		this._firstAttempts = new SlidingCount(windowMs);
+		this._paidRetries = new SlidingCount(windowMs);
+		this._slackRetries = new SlidingCount(windowMs);
+	}
 
 	/** Records that a request was sent to its first target. */
 	recordFirstAttempt(now: Millis): void {
-		this._advance(now);
-		this._firstAttempts[this._bucket % BUCKETS]!++;
+		this._firstAttempts.add(now);
+		this._tokens.recordFirstAttempt(now);
 	}
 
 	/**
@@ -54,35 +65,26 @@
 	 * @returns false if the budget is exhausted
 	 */
 	tryTake(entryCount: number, now: Millis): boolean {
-		this._advance(now);
-		const oldest = this._firstAttempts[(this._bucket + 1) % BUCKETS]!;
-		const firstAttempts = sum(this._firstAttempts) - oldest;
-		const allowed =
-			RATIO_SAFETY_FACTOR * this._limits.ratio * firstAttempts + this._availableSlack(now) / Math.max(1, entryCount);
-		if (sum(this._retries) + 1 > allowed) {
+		return this._tryTakePaid(now) || this._tryTakeSlack(entryCount, now);
+	}
+
+	private _tryTakePaid(now: Millis): boolean {
+		const maxRetries = RATIO_SAFETY_FACTOR * this._limits.ratio * this._firstAttempts.atMostWindow(now);
+		if (this._paidRetries.atLeastWindow(now) + 1 > maxRetries || !this._tokens.tryTake(now)) {
 			return false;
 		}
-		this._retries[this._bucket % BUCKETS]!++;
+		this._paidRetries.add(now);
 		return true;
 	}
 
-	/** The part of the slack that all instances together may use now. */
-	private _availableSlack(now: Millis): number {
+	/** The slack is not available before a window has passed since the start, as the process before may have used it. */
+	private _tryTakeSlack(entryCount: number, now: Millis): boolean {
 		const { slack, windowMs } = this._limits;
-		return now - this._startedAt < windowMs ? 0 : SLACK_SAFETY_FACTOR * slack;
-	}
-
-	private _advance(now: Millis): void {
-		const bucket = Math.floor(now / (this._limits.windowMs / BUCKETS_PER_WINDOW));
-		const elapsedBuckets = Math.min(BUCKETS, bucket - this._bucket);
-		for (let i = 1; i <= elapsedBuckets; i++) {
-			this._firstAttempts[(this._bucket + i) % BUCKETS] = 0;
-			this._retries[(this._bucket + i) % BUCKETS] = 0;
+		const share = now - this._startedAt < windowMs ? 0 : (SLACK_SAFETY_FACTOR * slack) / Math.max(1, entryCount);
+		if (this._slackRetries.atLeastWindow(now) + 1 > share) {
+			return false;
 		}
-		this._bucket = Math.max(bucket, this._bucket);
+		this._slackRetries.add(now);
+		return true;
 	}
 }
-
-function sum(values: readonly number[]): number {
-	return values.reduce((total, value) => total + value, 0);
-}
