No attempt but the first of a request is made without a retry, also where another instance relays it

Callers saw nothing; targets got attempts beyond the retry limit. A request that a target had rejected, that had met a failed connection and that the retry budget refused went on to another entry instance, which took its attempt for the first one.

Change: before each attempt the policy checks that it is the first of the request or has a retry, and takes one otherwise; an instance relays a request that was at a target only with a retry, which goes along with it. So the sum holds on every path, whichever instance makes the attempt.

--- a/src/plugins/forwarding/node/requestContext.ts
+++ b/src/plugins/forwarding/node/requestContext.ts
@@ -78,6 +78,11 @@
 	wasLostWithTarget?: boolean;
 }
 
+/** Whether the next attempt is the first one of the request or has a retry. */
+export function isNextAttemptCovered({ writtenAttempts, coveredAttempts }: RequestContext): boolean {
+	return writtenAttempts < coveredAttempts;
+}
+
 /** Whether the target may have started to run the request. */
 export function mayHaveRun(outcome: AttemptOutcome): boolean {
 	return outcome.type === 'abandoned' ? outcome.mayHaveRun : outcome.type !== 'not-run';
--- a/src/plugins/forwarding/node/requestForwarder.ts
+++ b/src/plugins/forwarding/node/requestForwarder.ts
@@ -19,7 +19,13 @@
 import type { QuarantineGuard } from './quarantineGuard.js';
 import type { RelayClient } from './relay/relayClient.js';
 import type { RequestCompletion } from './requestCompletion.js';
-import { quarantinedResponse, type RequestContext, teamLimitResponse, unavailableResponse } from './requestContext.js';
+import {
+	isNextAttemptCovered,
+	quarantinedResponse,
+	type RequestContext,
+	teamLimitResponse,
+	unavailableResponse
+} from './requestContext.js';
 import type { RequestIntake } from './requestIntake.js';
 import type { RetryPolicy } from './retryPolicy.js';
 
@@ -61,7 +67,7 @@
 	/**
 	 * Makes attempts until the request is answered or its caller has disconnected. The checks before each attempt go from those
 	 * that cost nothing to those that wait for other instances: deadline, access, admission under shortage, the limit of the team,
-	 * quarantine, target selection, the limit of the target.
+	 * the limit of retries, quarantine, target selection, the limit of the target.
 	 */
 	async forward(context: RequestContext): Promise<void> {
 		const { exchange } = context;
@@ -75,6 +81,10 @@
 			if (exchange.isDisconnected) {
 				return;
 			}
+			if (!retryPolicy.coverNextAttempt(context)) {
+				completion.finishWithLocalResponse(context, retryPolicy.noTargetResponse(context));
+				return;
+			}
 			const candidate = this._chooseTarget(context);
 			if (!('known' in candidate)) {
 				await this._relayOrRefuse(context, candidate);
@@ -100,12 +110,15 @@
 		}
 	}
 
-	/** Refuses the request, unless no connection to a target could be established and another entry instance can serve it. */
+	/**
+	 * Refuses the request, unless no connection to a target could be established and another entry instance can serve it. A request
+	 * that a target has rejected is relayed only with a retry, since the other instance sends it to a target again.
+	 */
 	private async _relayOrRefuse(context: RequestContext, refusal: LocalResponse): Promise<void> {
 		const { relayClient, completion } = this._dependencies;
 		const isCertainlyNotRun = refusal.verdict === 'not-run' && context.possibleRuns === 0;
-		const mayRelay =
-			isCertainlyNotRun && !context.isRelayed && context.connectFailures > 0 && RELAYED_REASONS.has(refusal.reason);
+		const isConnectionMissing = context.connectFailures > 0 && RELAYED_REASONS.has(refusal.reason);
+		const mayRelay = isCertainlyNotRun && isConnectionMissing && !context.isRelayed && isNextAttemptCovered(context);
 		if (!mayRelay || !(await relayClient.relay(context))) {
 			completion.finishWithLocalResponse(context, refusal);
 		}
--- a/src/plugins/forwarding/node/retryPolicy.ts
+++ b/src/plugins/forwarding/node/retryPolicy.ts
@@ -22,7 +22,7 @@
 import type { IServiceBounds } from '../common/serviceBounds.js';
 import { mayRetrySameTarget } from '../../placement/common/targets/targetRefusal.js';
 import type { LocalResponse } from './callerExchange.js';
-import { type RequestContext, unavailableResponse } from './requestContext.js';
+import { isNextAttemptCovered, type RequestContext, unavailableResponse } from './requestContext.js';
 import type { TargetSelector } from '../../placement/common/targetSelector.js';
 import type { QuarantineGuard } from './quarantineGuard.js';
 
@@ -123,6 +123,11 @@
 		return unavailableResponse(reason, Math.max(SHORT_RETRY_AFTER_MS, retryAfterMs));
 	}
 
+	/** Makes sure that the next attempt is the first one of the request or has a retry; false where none can be taken. */
+	coverNextAttempt(context: RequestContext): boolean {
+		return isNextAttemptCovered(context) || this._acquireRetry(context);
+	}
+
 	/** Takes one retry from the budget; false where the request may not be retried or the budget is used up. */
 	private _acquireRetry(context: RequestContext): boolean {
 		const now = systemClock.now();
