A retry counts from when its attempt begins, and windows cover what arrives late

Callers were refused although retries were left, or targets got the retries of two windows in one: a retry counted from when it was decided. Connections that timed out after that held it up by 250 or 500 ms each, up to three times, and a retry that was taken and then found no target was lost to the budget.

Evidence: by the code, and the counters: up to 526 ms between taking a retry and writing it on. In small: nine instances without requests that use their slack, a burst that arrives 400 ms late and one a window later: 14 more than the limit with windows of eleven buckets.

Change: a retry is a permit. An attempt that found no connection gives it back, and the next one takes it anew; what a request has left at its end goes back too. What is counted over a window covers one bucket more, the time that a retry may take to its target.

--- a/src/plugins/forwarding/common/relayHeaders.ts
+++ b/src/plugins/forwarding/common/relayHeaders.ts
@@ -18,5 +18,5 @@
 export const RELAY_COUNTED_HEADER = 'shelffield-relay-counted';
 /** Number of attempts that the sender may have written to targets. */
 export const RELAY_WRITTEN_HEADER = 'shelffield-relay-written';
-/** Number of attempts, those written included, that are the first one or that the sender has taken a retry for. */
-export const RELAY_COVERED_HEADER = 'shelffield-relay-covered';
+/** Present if the sender has taken a retry for the next attempt. */
+export const RELAY_RETRY_HEADER = 'shelffield-relay-retry';
--- a/src/plugins/forwarding/common/retryTokens.ts
+++ b/src/plugins/forwarding/common/retryTokens.ts
@@ -25,14 +25,24 @@
 		this._earnedFraction += this._perFirstAttempt;
 		if (this._earnedFraction >= 1) {
 			this._earnedFraction--;
-			this._earnedAt.push(now);
+			this._insert(now);
 		}
 	}
 
-	/** Takes the token that expires first; false if there is none. */
-	tryTake(now: Millis): boolean {
+	/** Takes the token that expires first; returns when it was earned, or undefined if there is none. */
+	tryTake(now: Millis): Millis | undefined {
 		const firstValid = this._earnedAt.findIndex(earnedAt => now - earnedAt < this._lifetimeMs);
 		this._earnedAt.splice(0, firstValid < 0 ? this._earnedAt.length : firstValid);
-		return this._earnedAt.shift() !== undefined;
+		return this._earnedAt.shift();
+	}
+
+	/** Returns a token that was not used; it expires as if it had not been taken. */
+	giveBack(earnedAt: Millis): void {
+		this._insert(earnedAt);
+	}
+
+	private _insert(earnedAt: Millis): void {
+		const laterIndex = this._earnedAt.findIndex(other => other > earnedAt);
+		this._earnedAt.splice(laterIndex < 0 ? this._earnedAt.length : laterIndex, 0, earnedAt);
 	}
 }
--- a/src/plugins/forwarding/common/serviceRetryBudget.ts
+++ b/src/plugins/forwarding/common/serviceRetryBudget.ts
@@ -20,9 +20,16 @@
 	readonly slack: number;
 }
 
+/** One retry that was taken from a budget. */
+export interface RetryPermit {
+	readonly takenAt: Millis;
+	/** Returns the retry to the budget, where nothing was written with it; to be called once at most. */
+	giveBack(now: Millis): void;
+}
+
 /** Lifetime of a token as a fraction of the window: longer ones allow for larger bursts of retries, and for fewer afterwards. */
 const TOKEN_LIFETIME_FRACTION = 0.3;
-/** Time that a retry may take from its decision to the target, as a fraction of the window. */
+/** Time that a retry may take until it is written to a target, as a fraction of the window; one connect timeout at the default window. */
 const MAX_DELAY_FRACTION = 0.05;
 /**
  * Fraction of the ratio that first attempts earn. The retries that reach targets within a window may be paid for by first attempts from
@@ -60,31 +67,39 @@
 	}
 
 	/**
-	 * Consumes one retry from the budget.
+	 * Takes one retry from the budget. It has to be written to a target soon, or given back.
 	 * @param entryCount number of instances that share the slack; infinite if unknown, in which case no slack is available
-	 * @returns false if the budget is exhausted
+	 * @returns undefined if the budget is exhausted
 	 */
-	tryTake(entryCount: number, now: Millis): boolean {
-		return this._tryTakePaid(now) || this._tryTakeSlack(entryCount, now);
+	tryTake(entryCount: number, now: Millis): RetryPermit | undefined {
+		return this._tryTakePaid(now) ?? this._tryTakeSlack(entryCount, now);
 	}
 
-	private _tryTakePaid(now: Millis): boolean {
-		const maxRetries = RATIO_SAFETY_FACTOR * this._limits.ratio * this._firstAttempts.atMostWindow(now);
-		if (this._paidRetries.atLeastWindow(now) + 1 > maxRetries || !this._tokens.tryTake(now)) {
-			return false;
+	private _tryTakePaid(takenAt: Millis): RetryPermit | undefined {
+		const maxRetries = RATIO_SAFETY_FACTOR * this._limits.ratio * this._firstAttempts.atMostWindow(takenAt);
+		if (this._paidRetries.atLeastWindow(takenAt) + 1 > maxRetries) {
+			return undefined;
+		}
+		const earnedAt = this._tokens.tryTake(takenAt);
+		if (earnedAt === undefined) {
+			return undefined;
 		}
-		this._paidRetries.add(now);
-		return true;
+		this._paidRetries.add(takenAt);
+		const giveBack = (now: Millis): void => {
+			this._paidRetries.remove(takenAt, now);
+			this._tokens.giveBack(earnedAt);
+		};
+		return { takenAt, giveBack };
 	}
 
 	/** The slack is not available before a window has passed since the start, as the process before may have used it. */
-	private _tryTakeSlack(entryCount: number, now: Millis): boolean {
+	private _tryTakeSlack(entryCount: number, takenAt: Millis): RetryPermit | undefined {
 		const { slack, windowMs } = this._limits;
-		const share = now - this._startedAt < windowMs ? 0 : (SLACK_SAFETY_FACTOR * slack) / Math.max(1, entryCount);
-		if (this._slackRetries.atLeastWindow(now) + 1 > share) {
-			return false;
+		const share = takenAt - this._startedAt < windowMs ? 0 : (SLACK_SAFETY_FACTOR * slack) / Math.max(1, entryCount);
+		if (this._slackRetries.atLeastWindow(takenAt) + 1 > share) {
+			return undefined;
 		}
-		this._slackRetries.add(now);
-		return true;
+		this._slackRetries.add(takenAt);
+		return { takenAt, giveBack: now => this._slackRetries.remove(takenAt, now) };
 	}
 }
--- a/src/plugins/forwarding/common/slidingCount.ts
+++ b/src/plugins/forwarding/common/slidingCount.ts
@@ -7,8 +7,11 @@
 import type { Millis } from '../../../base/clock.js';
 
 const BUCKETS_PER_WINDOW = 10;
-/** One more than a window has, since the oldest and the newest bucket lie in it only in part. */
-const BUCKETS = BUCKETS_PER_WINDOW + 1;
+/**
+ * Two more than a window has: the oldest and the newest bucket lie in it only in part, and an event may take effect up to a bucket
+ * after it was added.
+ */
+const BUCKETS = BUCKETS_PER_WINDOW + 2;
 
 /** Events of the last window, in buckets of a tenth of it. */
 export class SlidingCount {
@@ -23,7 +26,16 @@
 		this._counts[this._bucket % BUCKETS]!++;
 	}
 
-	/** Number of events of the window and up to a bucket before it. */
+	/** Takes back an event that was added at a time. */
+	remove(addedAt: Millis, now: Millis): void {
+		this._advance(now);
+		const bucket = this._bucketOf(addedAt);
+		if (bucket > this._bucket - BUCKETS) {
+			this._counts[bucket % BUCKETS]!--;
+		}
+	}
+
+	/** Number of events of the window and of one to two buckets before it. */
 	atLeastWindow(now: Millis): number {
 		this._advance(now);
 		return this._counts.reduce((total, count) => total + count, 0);
@@ -31,7 +43,8 @@
 
 	/** Number of events of the window, up to a bucket at its beginning excepted. */
 	atMostWindow(now: Millis): number {
-		return this.atLeastWindow(now) - this._counts[(this._bucket + 1) % BUCKETS]!;
+		const outside = this._counts[(this._bucket + 1) % BUCKETS]! + this._counts[(this._bucket + 2) % BUCKETS]!;
+		return this.atLeastWindow(now) - outside;
 	}
 
 	private _bucketOf(time: Millis): number {
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -242,15 +242,15 @@
 	}
 
 	private _recordWritten(context: RequestContext, now: Millis): void {
-		context.writtenAttempts++;
-		const isCovered = context.writtenAttempts <= context.coveredAttempts;
-		const coverage = context.writtenAttempts === 1 ? AttemptCoverage.First : AttemptCoverage.OwnBudget;
-		const delayMs = now - (context.retryTakenAt ?? now);
-		this._dependencies.retryMonitor.recordWritten(
-			context.service,
-			isCovered ? coverage : AttemptCoverage.None,
-			delayMs
-		);
+		const { retryMonitor } = this._dependencies;
+		const { service, retryPermit } = context;
+		if (context.writtenAttempts++ === 0) {
+			retryMonitor.recordWritten(service, AttemptCoverage.First, 0);
+			return;
+		}
+		context.retryPermit = undefined;
+		const coverage = retryPermit ? AttemptCoverage.OwnBudget : AttemptCoverage.None;
+		retryMonitor.recordWritten(service, coverage, now - (retryPermit?.takenAt ?? now));
 	}
 
 	private _recordResponseSize(route: Route, contentLength: string | undefined): void {
--- a/src/plugins/forwarding/node/forwarding.ts
+++ b/src/plugins/forwarding/node/forwarding.ts
@@ -13,8 +13,8 @@
 	readonly isCounted: boolean;
 	/** Number of attempts that the other instance may have written to targets. */
 	readonly writtenAttempts: number;
-	/** Number of attempts, those written included, that are the first one or that the other instance has taken a retry for. */
-	readonly coveredAttempts: number;
+	/** Whether the other instance has taken a retry for the next attempt. */
+	readonly hasRetry: boolean;
 }
 
 /** Forwards requests to targets. */
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -203,6 +203,7 @@
 			this._retryPolicy.retryBudgetOf(service).recordFirstAttempt(exchange.arrivedAt);
 		}
 		await this._forwarder.forward(context);
+		this._retryPolicy.giveBackRetry(context);
 		if (team?.limit && context.hasTeamPermit) {
 			this._teamLimits.giveBack(team, exchange.arrivedAt);
 		}
--- a/src/plugins/forwarding/node/relay/relayClient.ts
+++ b/src/plugins/forwarding/node/relay/relayClient.ts
@@ -97,6 +97,7 @@
 			const outcome = await this._send(context, peer, now);
 			this._requests.inc({ outcome: outcome.type });
 			if (outcome.type !== 'not-run') {
+				context.retryPermit = undefined;
 				this._complete(context, outcome);
 				return true;
 			}
--- a/src/plugins/forwarding/node/relay/relayServer.ts
+++ b/src/plugins/forwarding/node/relay/relayServer.ts
@@ -13,8 +13,8 @@
 import type { IHeaderNames } from '../../common/headerNames.js';
 import {
 	RELAY_COUNTED_HEADER,
-	RELAY_COVERED_HEADER,
 	RELAY_PATH_PREFIX,
+	RELAY_RETRY_HEADER,
 	RELAY_REVISION_HEADER,
 	RELAY_WRITTEN_HEADER
 } from '../../common/relayHeaders.js';
@@ -125,6 +125,6 @@
 	return {
 		isCounted: headers[RELAY_COUNTED_HEADER] !== undefined,
 		writtenAttempts: Number(headers[RELAY_WRITTEN_HEADER] ?? 0),
-		coveredAttempts: Number(headers[RELAY_COVERED_HEADER] ?? 1)
+		hasRetry: headers[RELAY_RETRY_HEADER] !== undefined
 	};
 }
--- a/src/plugins/forwarding/node/requestContext.ts
+++ b/src/plugins/forwarding/node/requestContext.ts
@@ -14,6 +14,7 @@
 import type { DeniedAccess } from '../../routes/common/teamAccess.js';
 import type { AttemptOutcome, TargetResponse } from '../common/attempt.js';
 import type { AttemptTrace } from '../common/requestTrace.js';
+import type { RetryPermit } from '../common/serviceRetryBudget.js';
 import type { CallerExchange, LocalResponse } from './callerExchange.js';
 import type { RequestBody } from './requestBody.js';
 import { RequestEnd } from './requestRecorder.js';
@@ -57,10 +58,8 @@
 	connectFailures: number;
 	/** Attempts that may have been written to a target, by this instance or the one that relayed the request. */
 	writtenAttempts: number;
-	/** Attempts that may be written: the first one, and one more for each retry that was taken from a budget. */
-	coveredAttempts: number;
-	/** When a retry was last taken from the budget. */
-	retryTakenAt?: Millis;
+	/** A retry for the next attempt, of this instance or the one that relayed the request. */
+	retryPermit?: RetryPermit;
 	/** Permits within rate limits of targets that were requested and denied. */
 	permitsDenied: number;
 	/** The latest server error of a target after which the request was retried. */
@@ -78,11 +77,6 @@
 	wasLostWithTarget?: boolean;
 }
 
-/** Whether the next attempt is the first one of the request or has a retry. */
-export function isNextAttemptCovered({ writtenAttempts, coveredAttempts }: RequestContext): boolean {
-	return writtenAttempts < coveredAttempts;
-}
-
 /** Whether the target may have started to run the request. */
 export function mayHaveRun(outcome: AttemptOutcome): boolean {
 	return outcome.type === 'abandoned' ? outcome.mayHaveRun : outcome.type !== 'not-run';
--- a/src/plugins/forwarding/node/requestForwarder.ts
+++ b/src/plugins/forwarding/node/requestForwarder.ts
@@ -19,13 +19,7 @@
 import type { QuarantineGuard } from './quarantineGuard.js';
 import type { RelayClient } from './relay/relayClient.js';
 import type { RequestCompletion } from './requestCompletion.js';
-import {
-	isNextAttemptCovered,
-	quarantinedResponse,
-	type RequestContext,
-	teamLimitResponse,
-	unavailableResponse
-} from './requestContext.js';
+import { quarantinedResponse, type RequestContext, teamLimitResponse, unavailableResponse } from './requestContext.js';
 import type { RequestIntake } from './requestIntake.js';
 import type { RetryPolicy } from './retryPolicy.js';
 
@@ -92,6 +86,7 @@
 			}
 			const permit = await this._acquireTargetPermit(context, candidate);
 			if (permit === 'none') {
+				retryPolicy.giveBackRetry(context);
 				continue;
 			}
 			const outcome = await attemptSender.send(context, candidate, permit);
@@ -115,10 +110,11 @@
 	 * that a target has rejected is relayed only with a retry, since the other instance sends it to a target again.
 	 */
 	private async _relayOrRefuse(context: RequestContext, refusal: LocalResponse): Promise<void> {
-		const { relayClient, completion } = this._dependencies;
+		const { relayClient, retryPolicy, completion } = this._dependencies;
 		const isCertainlyNotRun = refusal.verdict === 'not-run' && context.possibleRuns === 0;
 		const isConnectionMissing = context.connectFailures > 0 && RELAYED_REASONS.has(refusal.reason);
-		const mayRelay = isCertainlyNotRun && isConnectionMissing && !context.isRelayed && isNextAttemptCovered(context);
+		const mayRelay =
+			isCertainlyNotRun && isConnectionMissing && !context.isRelayed && retryPolicy.coverNextAttempt(context);
 		if (!mayRelay || !(await relayClient.relay(context))) {
 			completion.finishWithLocalResponse(context, refusal);
 		}
--- a/src/plugins/forwarding/node/requestIntake.ts
+++ b/src/plugins/forwarding/node/requestIntake.ts
@@ -4,6 +4,7 @@
 
 /** Turns a caller's exchange into a request that can be forwarded: finds its route, checks access and reads the body. */
 
+import type { Millis } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
 import { rankOf } from '../../admission/common/requestRank.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
@@ -11,6 +12,7 @@
 import { chooseService } from '../../placement/common/weightedServiceChoice.js';
 import type { Route } from '../../routes/common/routeTable.js';
 import { checkAccess, type GrantedAccess } from '../../routes/common/teamAccess.js';
+import type { RetryPermit } from '../common/serviceRetryBudget.js';
 import type { CallerExchange, LocalResponse } from './callerExchange.js';
 import type { RelayOrigin } from './forwarding.js';
 import { accessDeniedResponse, type RequestContext, unavailableResponse } from './requestContext.js';
@@ -82,9 +84,14 @@
 		refusals: 0,
 		connectFailures: 0,
 		writtenAttempts: origin?.writtenAttempts ?? 0,
-		coveredAttempts: origin?.coveredAttempts ?? 1,
+		retryPermit: origin?.hasRetry ? relayedPermit(exchange.arrivedAt) : undefined,
 		permitsDenied: 0,
 		attempts: [],
 		phase: QuarantinePhase.Clear
 	};
 }
+
+/** A retry of the instance that relayed the request, which accounts for it. */
+function relayedPermit(takenAt: Millis): RetryPermit {
+	return { takenAt, giveBack: () => undefined };
+}
--- a/src/plugins/forwarding/node/retryPolicy.ts
+++ b/src/plugins/forwarding/node/retryPolicy.ts
@@ -22,7 +22,7 @@
 import type { IServiceBounds } from '../common/serviceBounds.js';
 import { mayRetrySameTarget } from '../../placement/common/targets/targetRefusal.js';
 import type { LocalResponse } from './callerExchange.js';
-import { isNextAttemptCovered, type RequestContext, unavailableResponse } from './requestContext.js';
+import { type RequestContext, unavailableResponse } from './requestContext.js';
 import type { TargetSelector } from '../../placement/common/targetSelector.js';
 import type { QuarantineGuard } from './quarantineGuard.js';
 
@@ -90,6 +90,9 @@
 	}
 
 	private _decideAfterNotRun(context: RequestContext, outcome: NotRun): LocalResponse | 'again' {
+		if (!outcome.hasArrived) {
+			this.giveBackRetry(context);
+		}
 		if (NOT_SENT_CAUSES.has(outcome.cause)) {
 			return 'again';
 		}
@@ -125,22 +128,25 @@
 
 	/** Makes sure that the next attempt is the first one of the request or has a retry; false where none can be taken. */
 	coverNextAttempt(context: RequestContext): boolean {
-		return isNextAttemptCovered(context) || this._acquireRetry(context);
+		return context.writtenAttempts === 0 || context.retryPermit !== undefined || this._acquireRetry(context);
+	}
+
+	/** Gives back a retry that no attempt was written with, so that retries count when they reach a target. */
+	giveBackRetry(context: RequestContext): void {
+		context.retryPermit?.giveBack(systemClock.now());
+		context.retryPermit = undefined;
 	}
 
 	/** Takes one retry from the budget; false where the request may not be retried or the budget is used up. */
 	private _acquireRetry(context: RequestContext): boolean {
-		const now = systemClock.now();
-		const isAcquired =
-			context.possibleRuns < context.route.attempts &&
-			context.refusals < MAX_REFUSALS &&
-			context.body.canBeSent &&
-			this.retryBudgetOf(context.service).tryTake(this._view.entryCount, now);
-		if (isAcquired) {
-			context.coveredAttempts++;
-			context.retryTakenAt = now;
+		const mayRetry =
+			context.possibleRuns < context.route.attempts && context.refusals < MAX_REFUSALS && context.body.canBeSent;
+		if (!mayRetry) {
+			return false;
 		}
-		return isAcquired;
+		const budget = this.retryBudgetOf(context.service);
+		context.retryPermit = budget.tryTake(this._view.entryCount, systemClock.now());
+		return context.retryPermit !== undefined;
 	}
 
 	private _retryAfterSchedulerOf(service: string): RetryAfterScheduler {
--- a/src/plugins/forwarding/node/targetHeaders.ts
+++ b/src/plugins/forwarding/node/targetHeaders.ts
@@ -9,7 +9,7 @@
 import { endToEndHeaders } from '../common/hopByHopHeaders.js';
 import {
 	RELAY_COUNTED_HEADER,
-	RELAY_COVERED_HEADER,
+	RELAY_RETRY_HEADER,
 	RELAY_REVISION_HEADER,
 	RELAY_WRITTEN_HEADER
 } from '../common/relayHeaders.js';
@@ -23,7 +23,7 @@
 
 	constructor(private readonly _headerNames: IHeaderNames) {
 		const { remainingMs, expectedTarget, teamKey, team } = _headerNames;
-		const relayHeaders = [RELAY_REVISION_HEADER, RELAY_COUNTED_HEADER, RELAY_WRITTEN_HEADER, RELAY_COVERED_HEADER];
+		const relayHeaders = [RELAY_REVISION_HEADER, RELAY_COUNTED_HEADER, RELAY_WRITTEN_HEADER, RELAY_RETRY_HEADER];
 		this._replacedHeaders = new Set([remainingMs, expectedTarget, teamKey, team, ...relayHeaders]);
 		this._replacedForRelay = new Set([remainingMs, expectedTarget, team, ...relayHeaders]);
 	}
@@ -46,7 +46,9 @@
 		const headers = this._commonHeaders(context, this._replacedForRelay, now);
 		headers.push(RELAY_REVISION_HEADER, String(revision));
 		headers.push(RELAY_WRITTEN_HEADER, String(context.writtenAttempts));
-		headers.push(RELAY_COVERED_HEADER, String(context.coveredAttempts));
+		if (context.retryPermit) {
+			headers.push(RELAY_RETRY_HEADER, '1');
+		}
 		if (context.isCounted) {
 			headers.push(RELAY_COUNTED_HEADER, '1');
 		}
