An instance that restarts while others are cut off is told how many share the limits

Targets could get more retries than the limit: each instance uses its part of the slack, by the highest number of instances it knows. One that restarts knows none, and control told it the number that it heard at that moment; the others, cut off, went on with their parts.

Control now tells the highest number that it has known, before its own restart too, as an entry instance does for itself.

The test of what control tells has no counterpart before.

--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -89,7 +89,7 @@
 	 * targets and demand is partial, and is only used until a complete response has been received.
 	 */
 	readonly hasHeardAll: boolean;
-	/** Number of entry instances in the system. */
+	/** Highest number of entry instances that accepted callers at the same time, as far as the control instance knows. */
 	readonly entryCount: number;
 	/** Names of the entry instances in the caller's region. */
 	readonly regionEntries: readonly string[];
--- a/src/plugins/fleet/common/livenessTracker.ts
+++ b/src/plugins/fleet/common/livenessTracker.ts
@@ -49,6 +49,7 @@
 export class LivenessTracker {
 	private readonly _entries = new Map<string, ObservedEntry>();
 	private readonly _targets = new Map<string, ObservedTarget>();
+	private _peakReadyEntries = 0;
 
 	/** @param _startedAt counts as the last heartbeat of targets without one */
 	constructor(
@@ -130,6 +131,13 @@
 		return live;
 	}
 
+	/** Highest number of live entry instances that accepted callers at the same time, up to now. */
+	peakReadyEntries(now: Millis): number {
+		const ready = this.liveEntries(now).filter(({ isReady }) => isReady);
+		this._peakReadyEntries = Math.max(this._peakReadyEntries, ready.length);
+		return this._peakReadyEntries;
+	}
+
 	/** When an entry instance last reported; undefined if never, or if it was dropped. */
 	entryLastSeenAt(name: string): Millis | undefined {
 		return this._entries.get(name)?.observedAt;
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -257,7 +257,7 @@
 			controls: this._agreement.status().members.map(({ address, hall }) => ({ address, hall })),
 			contactAgeMs: this._agreement.contactAgeMs(),
 			hasHeardAll,
-			entryCount: entries.length,
+			entryCount: Math.max(this._rememberedEntries.length, this._liveness.peakReadyEntries(now)),
 			regionEntries: regionalEntries.map(entry => entry.name),
 			hallPeers: regionalEntries.filter(entry => isHallPeer(entry, request.entry)).map(entry => entry.peerAddress),
 			peers: peers.digest === request.peersDigest ? undefined : peers,
--- a/src/plugins/fleet/test/fleetView.test.ts
+++ b/src/plugins/fleet/test/fleetView.test.ts
@@ -104,6 +104,16 @@
 	assert.equal(liveness.liveEntries(1200).length, 0);
 });
 
+/** Guards against shares of a common limit that grow for an instance that restarts while others are cut off. */
+test('entry instances that are lost still count for the shares of the others', () => {
+	const liveness = new LivenessTracker({ entryTimeoutMs: 1000, heartbeatTimeoutMs: 1000 }, 0);
+	['a', 'b', 'c'].forEach(name => liveness.recordEntry(describeEntry({ name }), 100));
+	assert.equal(liveness.peakReadyEntries(200), 3);
+	liveness.recordEntry(describeEntry({ name: 'a', incarnation: 'restarted' }), 60000);
+	assert.equal(liveness.liveEntries(60000).length, 1);
+	assert.equal(liveness.peakReadyEntries(60000), 3);
+});
+
 test('an outdated report of an entry instance is ignored', () => {
 	const entry = describeEntry({ sequence: 2, isReady: false });
 	const liveness = new LivenessTracker({ entryTimeoutMs: 1000, heartbeatTimeoutMs: 1000 }, 0);
--- a/src/plugins/forwarding/test/retrySums.test.ts
+++ b/src/plugins/forwarding/test/retrySums.test.ts
@@ -45,6 +45,7 @@
 	private readonly _knownCounts: number[];
 	private _cutFrom = MAX_INSTANCES;
 	private _changedAt = Number.NEGATIVE_INFINITY;
+	private _knownToControl: number;
 	private _isTrouble = true;
 	private _delaySteps = 0;
 	private readonly _requestsPerStep: number[];
@@ -53,6 +54,7 @@
 		private _count: number,
 		requestsPerStep: number
 	) {
+		this._knownToControl = _count;
 		this._requestsPerStep = Array.from({ length: MAX_INSTANCES }, (_, i) => (i < _count ? requestsPerStep : 0));
 		this._budgets = Array.from({ length: MAX_INSTANCES }, (_, i) =>
 			i < _count ? new ServiceRetryBudget(LIMITS, -2 * LIMITS.windowMs) : undefined
@@ -112,12 +114,16 @@
 		}
 	}
 
-	/** Only the side with a majority of the control instances, here the first one, hears of changes. Counts are the highest ones known. */
+	/**
+	 * Only the side with a majority of the control instances, here the first one, hears of changes. Counts are the highest ones known,
+	 * to the instance itself or to control.
+	 */
 	private _updateKnownCounts(): void {
 		const heard = Math.max(1, Math.min(this._count, this._cutFrom));
+		this._knownToControl = Math.max(this._knownToControl, heard);
 		for (let i = 0; i < heard; i++) {
 			const known = this._knownCounts[i]!;
-			this._knownCounts[i] = Number.isFinite(known) ? Math.max(known, heard) : heard;
+			this._knownCounts[i] = Number.isFinite(known) ? Math.max(known, this._knownToControl) : this._knownToControl;
 		}
 	}
 }
@@ -184,6 +190,15 @@
 	);
 });
 
+test('retries of all instances stay within the limit when the only one that control reaches restarts', () => {
+	const disruptions: Disruption[] = [
+		{ step: 20, instance: 1, kind: 'cut' },
+		{ step: 20, instance: 0, kind: 'restart' }
+	];
+	const excess = simulate(3, 0, disruptions);
+	assert.ok(excess <= 0, `${excess} too many`);
+});
+
 /** Guards against retries of two windows that arrive within one. */
 test('retries of all instances stay within the limit when those of one burst arrive late, and those a window later at once', () => {
 	const disruptions: Disruption[] = [
