A request that may have run at another instance is not refused as not run

Callers of the product's own path got 503 with the verdict not-run for a repeatable request that other instances may have run.

Cause: a spilled request whose runs at all other instances were lost counted as one that nobody had taken, so this instance went on with its own targets and refused it for the lack of one. Found while the spill was searched for retries without a budget.

Change: a spill that ends after a lost run throws that. Measured: the new test fails on the former code (verdict not-run) and passes.

--- a/src/plugins/dispatch/node/dispatchService.ts
+++ b/src/plugins/dispatch/node/dispatchService.ts
@@ -218,7 +218,10 @@
 		}
 	}
 
-	/** Tries other instances in turn; returns undefined if none accepted the request and it can still be sent elsewhere. */
+	/**
+	 * Tries other instances in turn; returns undefined if none accepted the request, so that it has not run.
+	 * @throws RequestError if it may have run at one of them, or can't be sent again
+	 */
 	private async _trySpill(
 		request: DispatchRequest,
 		sink: ResponseSink,
@@ -227,6 +230,7 @@
 		const arrivedAt = systemClock.now();
 		const candidates = this._spillCandidates(request.service, mayQueue);
 		const trackedSink = new StartTrackingSink(sink);
+		let lostRun: RequestError | undefined;
 		for (const { identity } of candidates) {
 			try {
 				const target = await spillRequest(this._transport, identity.peerAddress, request, trackedSink, mayQueue);
@@ -237,8 +241,12 @@
 				if (!canTryNext || request.signal.aborted) {
 					throw error;
 				}
+				lostRun = mayHaveRun ? error : lostRun;
 			}
 		}
+		if (lostRun) {
+			throw lostRun;
+		}
 		return undefined;
 	}
 
--- a/src/plugins/dispatch/test/dispatchService.test.ts
+++ b/src/plugins/dispatch/test/dispatchService.test.ts
@@ -73,6 +73,10 @@
 	{ type: 'refused', verdict: 'not-run', reason: RefusalReason.NoCapacity, status: 503, message: 'no slot' }
 ];
 
+const LOST_RESPONSE: readonly SpillResponse[] = [
+	{ type: 'refused', verdict: 'may-have-run', reason: RefusalReason.TargetFailed, status: 502, message: 'lost' }
+];
+
 interface TestInstance {
 	readonly service: DispatchService;
 	readonly calledAddresses: string[];
@@ -170,3 +174,15 @@
 		assert.equal((await instance.service.dispatch(request(`r-${i}`), SINK)).target, 'elsewhere');
 	}
 });
+
+/** Guards against a refusal that says the request has not run, although another instance may have run it. */
+test('a request that may have run at every other instance is not refused as not run', async t => {
+	const targetUrl = await listen((_request, response) => response.end('done'));
+	const instance = await startInstance(targetUrl, new Map([['e2', LOST_RESPONSE]]));
+	t.after(() => instance.service.dispose());
+	instance.ownsTarget = false;
+	instance.changeOwnership();
+	await assert.rejects(instance.service.dispatch({ ...request('r-1'), isRepeatable: true }, SINK), {
+		verdict: 'may-have-run'
+	});
+});
