Requests that may have run at another instance go on to further ones within the retry ratio

Callers saw nothing; targets of the product's own path got a repeatable request from up to every instance of the region when its runs were lost, each time as a first attempt, without any budget. The same cause as for relayed requests on the users' platform: a request that changes instances takes no account of its attempts along.

Change: the instance that has the caller counts the first spill as a first attempt and takes a retry for each further one after a run that may have taken place. Declined ones stay free.

Not covered: a request that another instance refuses after its targets have rejected it (design/sums.md).

--- a/src/plugins/dispatch/node/dispatchService.ts
+++ b/src/plugins/dispatch/node/dispatchService.ts
@@ -13,6 +13,7 @@
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IPeerTransport } from '../../../kernel/node/peerTransport.js';
 import { ISettingsService, registerCrossCheck } from '../../../kernel/node/settingsService.js';
+import { RetryBudget } from '../../admission/common/retryBudget.js';
 import { DrainScope } from '../../configuration/common/configuration.js';
 import { IEntryConfiguration, type ReportPart } from '../../configuration/common/entryConfiguration.js';
 import type { DispatchRequest, DispatchResult, IDispatch, ResponseSink } from '../common/dispatch.js';
@@ -106,6 +107,8 @@
 /** Implements dispatch with one `ServiceDispatcher` for each configured service. */
 export class DispatchService extends Disposable implements IDispatch {
 	private readonly _services = new Map<string, ServiceDispatcher>();
+	/** Budgets for sending requests that may have run at another instance to a further one, by service and group. */
+	private readonly _spillRetryBudgets = new Map<string, RetryBudget>();
 	private readonly _settings: ReadonlyMap<string, ServiceSettings>;
 	private readonly _platformList: PlatformListPoller;
 	private readonly _hall: string;
@@ -230,14 +233,19 @@
 		const arrivedAt = systemClock.now();
 		const candidates = this._spillCandidates(request.service, mayQueue);
 		const trackedSink = new StartTrackingSink(sink);
+		const retryBudget = this._spillRetryBudgetOf(request);
 		let lostRun: RequestError | undefined;
+		if (candidates.length > 0) {
+			retryBudget.recordFirstAttempt();
+		}
 		for (const { identity } of candidates) {
 			try {
 				const target = await spillRequest(this._transport, identity.peerAddress, request, trackedSink, mayQueue);
 				return { target, status: 0, totalMs: systemClock.now() - arrivedAt, queuedMs: 0 };
 			} catch (error) {
 				const mayHaveRun = error instanceof RequestError && error.verdict === 'may-have-run';
-				const canTryNext = isNotRun(error) || (mayHaveRun && request.isRepeatable && !trackedSink.isStarted);
+				const isRepeatable = request.isRepeatable && !trackedSink.isStarted && !request.signal.aborted;
+				const canTryNext = isNotRun(error) || (mayHaveRun && isRepeatable && retryBudget.tryTake());
 				if (!canTryNext || request.signal.aborted) {
 					throw error;
 				}
@@ -250,6 +258,16 @@
 		return undefined;
 	}
 
+	private _spillRetryBudgetOf({ service, group }: DispatchRequest): RetryBudget {
+		const key = `${service} ${group}`;
+		let budget = this._spillRetryBudgets.get(key);
+		if (!budget) {
+			budget = new RetryBudget(this._settings.get(service)!.retryRatio);
+			this._spillRetryBudgets.set(key, budget);
+		}
+		return budget;
+	}
+
 	/** @param mayQueue whether the other instance may queue the request if it has no free slot */
 	private _spillCandidates(service: string, mayQueue: boolean): readonly DirectoryEntry[] {
 		const { identity, directory, loads } = this._configuration;
--- a/src/plugins/dispatch/test/dispatchService.test.ts
+++ b/src/plugins/dispatch/test/dispatchService.test.ts
@@ -186,3 +186,22 @@
 		verdict: 'may-have-run'
 	});
 });
+
+/** Guards against retries that no retry budget covers, when requests that may have run go on to further instances. */
+test('requests that may have run elsewhere are retried at other instances within the retry ratio', async t => {
+	const targetUrl = await listen((_request, response) => response.end('done'));
+	const others = new Map(['e2', 'e3', 'e4', 'e5'].map(name => [name, LOST_RESPONSE] as const));
+	const instance = await startInstance(targetUrl, others);
+	t.after(() => instance.service.dispose());
+	instance.ownsTarget = false;
+	instance.changeOwnership();
+	const requests = 30;
+	for (let i = 0; i < requests; i++) {
+		await assert.rejects(instance.service.dispatch({ ...request(`r-${i}`), isRepeatable: true }, SINK), {
+			verdict: 'may-have-run'
+		});
+	}
+	const retries = instance.calledAddresses.length - requests;
+	const allowed = SERVICE_SETTINGS.retryRatio * requests;
+	assert.ok(retries > 0 && retries <= allowed, `${retries} retries, ${allowed} allowed`);
+});
