A second attempt at the same target has a connection of its own

Cause: after a refusal with free slots a request goes to the same target again, with the same id, and the connection that had just carried the refusal was the first to be used. A late second copy of the refusal was taken for the response to the second attempt, so for a promise that it had not run, and another target ran it too. The request id is the only thing that tells responses apart, so two attempts with the same id must not share a connection.

Change: connections are pooled by address and by the number of the attempt at the target; the share of the connections that a target accepts covers all of them, and an idle one of another attempt gives way.

--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -88,7 +88,7 @@
 		const { known, state } = candidate;
 		const now = systemClock.now();
 		context.tried.add(known.record.id);
-		const blockingCause = this._blockingCause(candidate, permit, now);
+		const blockingCause = this._blockingCause(context, candidate, permit, now);
 		if (blockingCause !== undefined) {
 			permit?.giveBack();
 			return notSent(blockingCause);
@@ -139,6 +139,7 @@
 
 	/** Why nothing may be sent to the target now; undefined where a request may be sent. */
 	private _blockingCause(
+		context: RequestContext,
 		{ known, state }: ChosenTarget,
 		permit: IPermit | undefined,
 		now: Millis
@@ -151,8 +152,10 @@
 			return NotRunCause.RateLimited;
 		}
 		const [host, port] = splitAddress(known.record.address);
-		const hasAvailableConnection = this._agent.hasAvailableConnection(host, port, this._maxConnections(known.record));
-		return hasAvailableConnection ? undefined : NotRunCause.ConnectionsInUse;
+		const connectionOptions = { host, port, attemptAtTarget: attemptAtTarget(context, known.record) };
+		return this._agent.ensureAvailableConnection(connectionOptions, this._maxConnections(known.record))
+			? undefined
+			: NotRunCause.ConnectionsInUse;
 	}
 
 	/** This instance's share of the connections that a target accepts from all entry instances; unbounded for a service without configuration. */
@@ -224,6 +227,7 @@
 		return new TargetExchange(this._agent, this._dependencies.headerNames, {
 			requestId: exchange.requestId,
 			targetId: known.record.id,
+			attemptAtTarget: attemptAtTarget(context, known.record),
 			host,
 			port,
 			method: exchange.request.method ?? 'GET',
@@ -265,6 +269,11 @@
 	return [host, Number(port)];
 }
 
+/** Number of the next attempt of a request among those at a target, from 1. */
+function attemptAtTarget({ attempts }: RequestContext, { id }: TargetRecord): number {
+	return 1 + attempts.filter(({ target }) => target === id).length;
+}
+
 function createTrace({ exchange }: RequestContext, candidate: ChosenTarget, now: Millis): AttemptTrace {
 	const { known, state, firstRegion, passedOver, estimate } = candidate;
 	return {
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -12,7 +12,7 @@
 import { refusalCause } from '../../placement/common/targets/targetRefusal.js';
 import { parseTargetReport, type TargetReport } from '../../placement/common/targets/targetReport.js';
 import type { RequestBody } from './requestBody.js';
-import type { TargetAgent } from './targets/targetAgent.js';
+import type { ConnectionOptions, TargetAgent } from './targets/targetAgent.js';
 
 const STATUS_MISDIRECTED_REQUEST = 421;
 const STATUS_NO_CONTENT = 204;
@@ -29,6 +29,8 @@
 export interface TargetExchangeOptions {
 	readonly requestId: string;
 	readonly targetId: string;
+	/** Number of this attempt among those of the request at the target, from 1. */
+	readonly attemptAtTarget: number;
 	readonly host: string;
 	readonly port: number;
 	readonly method: string;
@@ -75,9 +77,10 @@
 		private readonly _options: TargetExchangeOptions
 	) {
 		this.outcome = new Promise(resolve => (this._resolve = resolve));
-		const { host, port, method, path } = _options;
+		const { host, port, attemptAtTarget, method, path } = _options;
 		const headers = _options.rawHeaders as unknown as Record<string, string>;
-		this._request = httpRequest({ agent: this._agent, host, port, method, path, headers, setHost: false });
+		const connectionOptions: ConnectionOptions = { host, port, attemptAtTarget };
+		this._request = httpRequest({ ...connectionOptions, agent: this._agent, method, path, headers, setHost: false });
 		this._request.on('socket', socket => {
 			if (!socket.connecting) {
 				const sentAt = systemClock.now();
--- a/src/plugins/forwarding/node/targets/targetAgent.ts
+++ b/src/plugins/forwarding/node/targets/targetAgent.ts
@@ -4,10 +4,11 @@
 
 /** Connection pool for requests to targets. */
 
-import { Agent, type ClientRequest } from 'node:http';
+import { Agent, type ClientRequest, type ClientRequestArgs } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { type Millis, systemClock } from '../../../../base/clock.js';
+import { MAX_ATTEMPTS_PER_TARGET } from '../../../placement/common/targets/targetRefusal.js';
 import { AdaptiveIdleTimeout } from '../../common/adaptiveIdleTimeout.js';
 
 /** Idle timeout of connections to targets that announce no keep-alive timeout. */
@@ -19,6 +20,18 @@
 const MAX_IDLE_SOCKETS = 64;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
+/** Attempts of one request at the same target, from the first to the last one that is made. */
+const ATTEMPTS_AT_TARGET = Array.from({ length: MAX_ATTEMPTS_PER_TARGET }, (_unused, i) => i + 1);
+
+/** What a connection is used for. */
+export interface ConnectionOptions extends ClientRequestArgs {
+	/**
+	 * Number of the attempt among those of its request at the target, from 1; 1 if omitted. Attempts of the same request have
+	 * different connections, since a late second copy of the response to an earlier one has the same request id.
+	 */
+	readonly attemptAtTarget?: number;
+}
+
 function closeOnUnexpectedData(this: Socket): void {
 	this.destroy();
 }
@@ -42,11 +55,33 @@
 		super({ keepAlive: true, maxFreeSockets: MAX_IDLE_SOCKETS, scheduling: 'lifo' });
 	}
 
-	/** Whether there is an idle connection to a target, or a further one may be opened. */
-	hasAvailableConnection(host: string, port: number, maxConnections: number): boolean {
-		const name = this.getName({ host, port });
-		const hasIdleConnection = (this.freeSockets[name]?.length ?? 0) > 0;
-		return hasIdleConnection || (this.sockets[name]?.length ?? 0) < maxConnections;
+	/** Pools connections by address, and by the attempt at the target that they carry. */
+	override getName(options: ConnectionOptions = {}): string {
+		const { attemptAtTarget = 1 } = options;
+		return attemptAtTarget === 1 ? super.getName(options) : `${super.getName(options)}:attempt-${attemptAtTarget}`;
+	}
+
+	/**
+	 * Makes sure that there is an idle connection to a target for an attempt, or that a further one may be opened. Closes an idle one of
+	 * other attempts where that makes room.
+	 * @returns false if all connections are in use
+	 */
+	ensureAvailableConnection(options: ConnectionOptions, maxConnections: number): boolean {
+		if (this._idleConnections(options).length > 0) {
+			return true;
+		}
+		const pools = ATTEMPTS_AT_TARGET.map(attemptAtTarget => ({ ...options, attemptAtTarget }));
+		const idle = pools.flatMap(pool => this._idleConnections(pool));
+		const inUse = pools.reduce((total, pool) => total + (this.sockets[this.getName(pool)]?.length ?? 0), 0);
+		if (inUse + idle.length < maxConnections) {
+			return true;
+		}
+		idle[0]?.destroy();
+		return idle.length > 0;
+	}
+
+	private _idleConnections(options: ConnectionOptions): Socket[] {
+		return (this.freeSockets[this.getName(options)] ?? []).filter(socket => !socket.destroyed);
 	}
 
 	override keepSocketAlive(stream: Duplex): boolean {
@@ -88,7 +123,9 @@
 
 	/** Closes the idle connections to an address at which another process listens now. */
 	closeIdleConnections(host: string, port: number): void {
-		this.freeSockets[this.getName({ host, port })]?.forEach(socket => socket.destroy());
+		for (const attemptAtTarget of ATTEMPTS_AT_TARGET) {
+			this._idleConnections({ host, port, attemptAtTarget }).forEach(socket => socket.destroy());
+		}
 	}
 
 	private _closeAllIdle(): void {
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -56,9 +56,11 @@
 /** What targets reported in response headers, in order. */
 const reports: TargetReport[] = [];
 
-async function startAttempt(play: (connection: Duplex) => void, connecting = false): Promise<TargetExchange> {
+/** @param attemptAtTarget number of the attempt among those of the request at the target */
+async function startAttemptWith(agent: ScriptedAgent, attemptAtTarget: number): Promise<TargetExchange> {
 	const body = await RequestBody.read({ headers: {} } as never);
-	return new TargetExchange(new ScriptedAgent(play, connecting), NAMES, {
+	return new TargetExchange(agent, NAMES, {
+		attemptAtTarget,
 		requestId: 'a',
 		targetId: 't',
 		host: '127.0.0.1',
@@ -74,6 +76,10 @@
 	});
 }
 
+function startAttempt(play: (connection: Duplex) => void, connecting = false): Promise<TargetExchange> {
+	return startAttemptWith(new ScriptedAgent(play, connecting), 1);
+}
+
 async function attempt(play: (connection: Duplex) => void): Promise<AttemptOutcome> {
 	return (await startAttempt(play)).outcome;
 }
@@ -199,3 +205,21 @@
 	written.cancelIfUnwritten(NotRunCause.BackingOff);
 	assert.equal((await written.outcome).type, 'answer');
 });
+
+/** Guards against a second copy of a refusal that is taken for the response to the next attempt at the same target. */
+test('a late copy of a refusal is not the response to a second attempt at the same target', async () => {
+	const refusal = 'HTTP/1.1 503 Refused\r\nRequest-Id: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n';
+	const written: Duplex[] = [];
+	const agent = new ScriptedAgent(connection => {
+		written.push(connection);
+		written[0]!.push(refusal);
+	});
+	const first = await (await startAttemptWith(agent, 1)).outcome;
+	await new Promise(resolve => setImmediate(resolve));
+	const second = await startAttemptWith(agent, 2);
+	while (written.length < 2) {
+		await new Promise(resolve => setImmediate(resolve));
+	}
+	written[1]!.push('HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n');
+	assert.deepEqual([first.type, (await second.outcome).type], ['not-run', 'answer']);
+});
--- a/src/plugins/placement/common/targets/targetRefusal.ts
+++ b/src/plugins/placement/common/targets/targetRefusal.ts
@@ -16,7 +16,7 @@
  * Maximum number of attempts of one request at the same target. The second one shows whether the target refused the first by chance;
  * further retries are better spent at other targets.
  */
-const MAX_ATTEMPTS_PER_TARGET = 2;
+export const MAX_ATTEMPTS_PER_TARGET = 2;
 
 /**
  * Whether a target that refused a request is full or sheds load, according to its own load report.
