Commands that no replica could store or read again are rejected

Cause: a command was appended to the log before anything showed that it can be encoded. An error of the encoder is none of the disk, so the replica failed; a command with a key that the decoder refuses was written and committed, and every replica would fail at its next start.

--- a/src/plugins/agreement/common/agreement.ts
+++ b/src/plugins/agreement/common/agreement.ts
@@ -17,6 +17,14 @@
 	}
 }
 
+/** The command can't be encoded and decoded again, so it can't be part of the log; nothing was appended. */
+export class InvalidCommandError extends Error {
+	constructor(cause: Error) {
+		super(`the command cannot be part of the log: ${cause.message}`, { cause });
+		this.name = 'InvalidCommandError';
+	}
+}
+
 /** The command was appended, but this replica lost leadership before the commit was confirmed. */
 export class OutcomeUnknownError extends Error {
 	constructor() {
@@ -48,6 +56,7 @@
 	addPart(part: IReplicatedPart): void;
 	/**
 	 * Appends a command to the log and resolves with the result of applying it, once committed.
+	 * @throws InvalidCommandError if the command can't be part of the log
 	 * @throws NotLeaderError if nothing was appended
 	 * @throws OutcomeUnknownError if the command may or may not be committed
 	 */
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -42,6 +42,7 @@
 import { ReplicaPlace } from './replicaPlace.js';
 import { statusBeforeOpen, statusOf } from './replicaStatus.js';
 import { ReplicationMonitor } from './replicationMonitor.js';
+import { assertStorable } from './storableCommand.js';
 
 const TICK_MS = 20;
 const EXIT_FAILED = 1;
@@ -133,7 +134,8 @@
 		}
 	}
 
-	propose<T>(command: PartCommand): Promise<T> {
+	async propose<T>(command: PartCommand): Promise<T> {
+		assertStorable(command);
 		return new Promise<T>((resolve, reject) => {
 			const proposal: Proposal = { command, resolve: result => resolve(result as T), reject };
 			this._post({ type: 'propose', proposal });
--- a/src/plugins/agreement/test/replicaStorage.test.ts
+++ b/src/plugins/agreement/test/replicaStorage.test.ts
@@ -303,3 +303,17 @@
 	assert.equal(await propose(1), 1);
 	assert.equal(stopSignals, 0);
 });
+
+/** Guards against commands that end one leader after the other, or each replica that reads its log. */
+for (const [title, body] of [
+	['that cannot be encoded', { callback: () => undefined }],
+	['that cannot be decoded', JSON.parse('{ "__proto__": 1 }')]
+] as const) {
+	test(`a command ${title} is rejected, and the replica goes on`, async () => {
+		await startTask('c1', []);
+		await waitUntil('a leader is elected', () => task.hasLease());
+		await assert.rejects(task.propose({ part: PART, body }), { name: 'InvalidCommandError' });
+		assert.equal(await propose(1), 1);
+		assert.equal(stopSignals, 0);
+	});
+}
