Names from outside are looked up among a record's own keys, and those that messages cannot carry are refused

A service, team or target named '__proto__' made messages between instances undecodable, all of them, as the decoder refuses that key.

Change: records that come as messages are asked for their own keys only; '__proto__' is refused as the name of a service, a team or a target, with the field and what is allowed.

--- a/src/plugins/fleet/common/entryLookUp.ts
+++ b/src/plugins/fleet/common/entryLookUp.ts
@@ -5,6 +5,7 @@
 /** Answers to callers' look-ups of entry instances, and the demand of callers by region. */
 
 import type { Millis } from '../../../base/clock.js';
+import { ownValue } from '../../../base/records.js';
 import type { EntryDescription } from './fleetTypes.js';
 import type { RegionDemand } from './fleetWire.js';
 
@@ -64,8 +65,9 @@
 	const sums: Record<string, Record<string, number>> = {};
 	for (const entry of entries) {
 		for (const [service, slots] of Object.entries(entry.demand)) {
-			const byRegion = (sums[service] ??= {});
-			byRegion[entry.region] = (byRegion[entry.region] ?? 0) + slots;
+			const byRegion = ownValue(sums, service) ?? {};
+			sums[service] = byRegion;
+			byRegion[entry.region] = (ownValue(byRegion, entry.region) ?? 0) + slots;
 		}
 	}
 	return sums;
--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -6,6 +6,7 @@
 
 import type { Millis } from '../../../base/clock.js';
 import { Emitter } from '../../../base/event.js';
+import { ownValue } from '../../../base/records.js';
 import { RouteIndex } from '../../routes/common/routeIndex.js';
 import { type FleetChanges, type FleetRevision, TargetPhase, type TargetRecord } from './fleetTypes.js';
 import { QuarantineView } from './quarantineView.js';
@@ -133,7 +134,8 @@
 
 	/** Slots of a service needed by the callers of a region; undefined if not reported. */
 	demandOf(service: string, region: string): number | undefined {
-		return this._demand[service]?.[region];
+		const byRegion = ownValue(this._demand, service);
+		return byRegion && ownValue(byRegion, region);
 	}
 
 	/** Targets of a service in phase `Serving`. */
--- a/src/plugins/fleet/test/entryLookUp.test.ts
+++ b/src/plugins/fleet/test/entryLookUp.test.ts
@@ -6,7 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { selectEntries, canAnswerLookUps, mergeRemembered } from '../common/entryLookUp.js';
+import { selectEntries, canAnswerLookUps, mergeRemembered, sumDemandByRegion } from '../common/entryLookUp.js';
 import type { EntryDescription } from '../common/fleetTypes.js';
 import { describeEntry } from '../../../../test/fakes/describeEntry.js';
 import { ObservationCompleteness } from '../common/observationCompleteness.js';
@@ -88,3 +88,10 @@
 	clock.setConnected(true, 1500);
 	assert.equal(clock.completeSince, undefined);
 });
+
+/** Guards against names that match what every object inherits. */
+test('the demand for a service named like an inherited member is summed by region', () => {
+	const demanding = { ...entry('a'), demand: { constructor: 2 } };
+	assert.deepEqual(sumDemandByRegion([demanding, { ...demanding, name: 'b' }]), { constructor: { r1: 4 } });
+	assert.equal(sumDemandByRegion([{ ...demanding, region: 'constructor' }])['constructor']!['constructor'], 2);
+});
--- a/src/plugins/limits/common/ledgerCeilings.ts
+++ b/src/plugins/limits/common/ledgerCeilings.ts
@@ -10,6 +10,7 @@
  */
 
 import type { Millis } from '../../../base/clock.js';
+import { ownValue } from '../../../base/records.js';
 import type { IReplicatedPart } from '../../agreement/common/replicatedState.js';
 import { type Ceilings, INITIAL_CEILING_FRACTION, type ICeilings } from './creditLedger.js';
 import { FinishedCredits } from './finishedCredits.js';
@@ -168,9 +169,9 @@
 }
 
 function ceilingOf({ ceilings }: LedgerRecord, team: string, maxRequests: number): number {
-	return ceilings[team] ?? INITIAL_CEILING_FRACTION * maxRequests;
+	return ownValue(ceilings, team) ?? INITIAL_CEILING_FRACTION * maxRequests;
 }
 
 function usageBoundOf({ usageBounds }: LedgerRecord, team: string): number {
-	return usageBounds[team] ?? Number.POSITIVE_INFINITY;
+	return ownValue(usageBounds, team) ?? Number.POSITIVE_INFINITY;
 }
--- a/src/plugins/limits/test/limits.test.ts
+++ b/src/plugins/limits/test/limits.test.ts
@@ -248,6 +248,13 @@
 	assert.ok(renew(4, 200, later) > 0);
 });
 
+/** Guards against names that match what every object inherits. */
+test('a team named like an inherited member has the initial ceiling', () => {
+	const ceilings = new LedgerCeilings(POLICY, () => 0);
+	assert.equal(ceilings.currentCeiling('constructor', 100), ceilings.currentCeiling('t', 100));
+	assert.equal(ceilings.currentUsageBound('constructor'), ceilings.currentUsageBound('t'));
+});
+
 test('the bound on the usage of a team that became idle is lowered', () => {
 	const { ceilings, ledger, renew } = createLedger();
 	renew(1, 35);
--- a/src/plugins/routes/common/routeTableValidation.ts
+++ b/src/plugins/routes/common/routeTableValidation.ts
@@ -4,6 +4,7 @@
 
 /** Validates route tables before they are published. */
 
+import { isUsableKey } from '../../../base/records.js';
 import type { Route, RouteTable, ServiceDefinition, Team } from './routeTable.js';
 
 /** An invalid field and what is allowed there. */
@@ -50,10 +51,15 @@
 	validateWeightedServices(route, services, issues);
 }
 
-function validateService(service: ServiceDefinition, issues: RouteTableIssue[]): void {
-	if (service.name === '') {
-		issues.push({ field: 'service name', allowed: 'a non-empty string' });
+/** Messages between instances have the name as a key. */
+function validateKey(name: string, field: string, issues: RouteTableIssue[]): void {
+	if (name === '' || !isUsableKey(name)) {
+		issues.push({ field, allowed: 'a non-empty string other than __proto__' });
 	}
+}
+
+function validateService(service: ServiceDefinition, issues: RouteTableIssue[]): void {
+	validateKey(service.name, 'service name', issues);
 	if (!(service.maxConnections > 0)) {
 		issues.push({ field: `service '${service.name}' connections`, allowed: 'more than 0' });
 	}
@@ -63,9 +69,7 @@
 }
 
 function validateTeam(team: Team, issues: RouteTableIssue[]): void {
-	if (team.name === '') {
-		issues.push({ field: 'team name', allowed: 'a non-empty string' });
-	}
+	validateKey(team.name, 'team name', issues);
 	if (team.limit && !(team.limit.perSecond > 0 && team.limit.burst >= 0)) {
 		issues.push({ field: `team '${team.name}' limit`, allowed: 'a rate above 0 and a burst of 0 or more' });
 	}
--- a/src/plugins/routes/test/routes.test.ts
+++ b/src/plugins/routes/test/routes.test.ts
@@ -42,6 +42,18 @@
 	assert.equal(validateRouteTable({ ...table(route({})), version: 0 }).length, 1);
 });
 
+/** Guards against names that messages between instances can't have as a key. */
+test('a service or a team that messages cannot name is an issue', () => {
+	const valid = table(route({}));
+	const service = { ...valid.services[0]!, name: '__proto__' };
+	const team = { name: '__proto__', keyDigests: [], rank: 0, homeRegions: [], limit: undefined };
+	const issues = validateRouteTable({ ...valid, services: [...valid.services, service], teams: [team] });
+	assert.deepEqual(
+		issues.map(({ field }) => field),
+		['service name', 'team name']
+	);
+});
+
 test('the longest path prefix of the host is matched; query and port are ignored', () => {
 	const index = new RouteIndex(table(route({ name: 'short' }), route({ name: 'long', pathPrefix: '/a/b/' })));
 	assert.equal(index.find('shop.example', '/a/x')?.name, 'short');
--- a/test/platform/heartbeats.test.ts
+++ b/test/platform/heartbeats.test.ts
@@ -81,3 +81,10 @@
 		{ numRuns: 3000, seed: 36 }
 	);
 });
+
+/** Guards against names that messages between instances can't have as a key. */
+test('a heartbeat of a target or for a service that messages cannot name is refused', () => {
+	const text = JSON.stringify(VALID_HEARTBEAT);
+	assert.throws(() => readHeartbeat('__proto__', text), { field: 'id' });
+	assert.equal(readOrField(text.replace('"reads"', '"__proto__"')), 'info.service');
+});
