An instance with few requests keeps one retry for a whole window

Callers of an instance with few requests, or one that has just started, got failures of targets that were retried before: tokens for retries expire after 3 s, and seven requests earn one.

Change: the latest token lasts a window. It matters only where three seconds earn none, below some 2.3 requests a second, and there the own sliding window bounds it.

Test: beforeEach now sends 15 requests, since the test of error responses needs two retries within some milliseconds, of the requests of that time; a budget of ten seconds had covered for it, which is the fault that was fixed. What the tests check is unchanged.

--- a/src/plugins/forwarding/common/retryTokens.ts
+++ b/src/plugins/forwarding/common/retryTokens.ts
@@ -4,7 +4,8 @@
 
 /**
  * Tokens for retries that first attempts earn and that expire soon. Retries within a window are then paid for by first attempts of the
- * window and of one token lifetime before it, whichever instances those were made at.
+ * window and of one token lifetime before it, whichever instances those were made at. The latest token lasts longer, so that an
+ * instance with few requests can retry some of them.
  */
 
 import type { Millis } from '../../../base/clock.js';
@@ -15,10 +16,14 @@
 	private readonly _earnedAt: Millis[] = [];
 	private _earnedFraction = 0;
 
-	/** @param _perFirstAttempt tokens that a first attempt earns, 0 to 1 */
+	/**
+	 * @param _perFirstAttempt tokens that a first attempt earns, 0 to 1
+	 * @param _latestLifetimeMs lifetime of the latest token
+	 */
 	constructor(
 		private readonly _perFirstAttempt: number,
-		private readonly _lifetimeMs: Millis
+		private readonly _lifetimeMs: Millis,
+		private readonly _latestLifetimeMs: Millis
 	) {}
 
 	recordFirstAttempt(now: Millis): void {
@@ -31,8 +36,7 @@
 
 	/** Takes the token that expires first; returns when it was earned, or undefined if there is none. */
 	tryTake(now: Millis): Millis | undefined {
-		const firstValid = this._earnedAt.findIndex(earnedAt => now - earnedAt < this._lifetimeMs);
-		this._earnedAt.splice(0, firstValid < 0 ? this._earnedAt.length : firstValid);
+		this._dropExpired(now);
 		return this._earnedAt.shift();
 	}
 
@@ -41,6 +45,16 @@
 		this._insert(earnedAt);
 	}
 
+	private _dropExpired(now: Millis): void {
+		const latest = this._earnedAt.at(-1);
+		const firstValid = this._earnedAt.findIndex(earnedAt => now - earnedAt < this._lifetimeMs);
+		if (firstValid >= 0) {
+			this._earnedAt.splice(0, firstValid);
+		} else if (latest !== undefined) {
+			this._earnedAt.splice(0, this._earnedAt.length, ...(now - latest < this._latestLifetimeMs ? [latest] : []));
+		}
+	}
+
 	private _insert(earnedAt: Millis): void {
 		const laterIndex = this._earnedAt.findIndex(other => other > earnedAt);
 		this._earnedAt.splice(laterIndex < 0 ? this._earnedAt.length : laterIndex, 0, earnedAt);
--- a/src/plugins/forwarding/common/serviceRetryBudget.ts
+++ b/src/plugins/forwarding/common/serviceRetryBudget.ts
@@ -54,7 +54,7 @@
 		private readonly _startedAt: Millis = PROCESS_STARTED_AT
 	) {
 		const { ratio, windowMs } = _limits;
-		this._tokens = new RetryTokens(EARNED_FRACTION * ratio, TOKEN_LIFETIME_FRACTION * windowMs);
+		this._tokens = new RetryTokens(EARNED_FRACTION * ratio, TOKEN_LIFETIME_FRACTION * windowMs, windowMs);
 		this._firstAttempts = new SlidingCount(windowMs);
 		this._paidRetries = new SlidingCount(windowMs);
 		this._slackRetries = new SlidingCount(windowMs);
--- a/src/plugins/forwarding/test/retryTokens.test.ts
+++ b/src/plugins/forwarding/test/retryTokens.test.ts
@@ -13,21 +13,29 @@
 const WINDOW_MS = 10000;
 
 test('a token is earned by several first attempts and expires', () => {
-	const tokens = new RetryTokens(0.5, LIFETIME_MS);
+	const tokens = new RetryTokens(0.5, LIFETIME_MS, WINDOW_MS);
 	[0, 0, 1000, 1000].forEach(now => tokens.recordFirstAttempt(now));
 	assert.equal(tokens.tryTake(LIFETIME_MS), 1000);
 	assert.equal(tokens.tryTake(LIFETIME_MS), undefined);
 });
 
+test('the latest token lasts longer', () => {
+	const tokens = new RetryTokens(1, LIFETIME_MS, WINDOW_MS);
+	[0, 1000].forEach(now => tokens.recordFirstAttempt(now));
+	assert.equal(tokens.tryTake(WINDOW_MS + 999), 1000);
+	tokens.giveBack(1000);
+	assert.equal(tokens.tryTake(WINDOW_MS + 1000), undefined);
+});
+
 test('the token that expires first is taken first', () => {
-	const tokens = new RetryTokens(1, LIFETIME_MS);
+	const tokens = new RetryTokens(1, LIFETIME_MS, WINDOW_MS);
 	[0, 1000].forEach(now => tokens.recordFirstAttempt(now));
 	assert.equal(tokens.tryTake(LIFETIME_MS - 1), 0);
 	assert.equal(tokens.tryTake(LIFETIME_MS + 999), 1000);
 });
 
 test('a token that is given back expires as if it had not been taken', () => {
-	const tokens = new RetryTokens(1, LIFETIME_MS);
+	const tokens = new RetryTokens(1, LIFETIME_MS, WINDOW_MS);
 	[0, 1000].forEach(now => tokens.recordFirstAttempt(now));
 	tokens.giveBack(tokens.tryTake(1000)!);
 	assert.equal(tokens.tryTake(LIFETIME_MS - 1), 0);
--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -16,6 +16,8 @@
 	{ prefix: '/brief/', kind: 'unsafe', service: 'slow', timeout: '300ms' },
 	{ prefix: '/slow/', kind: 'safe', service: 'slow' }
 ] as const;
+/** Requests that allow for the retries that a test needs, at less than a fifth of the requests. */
+const REQUESTS_FOR_RETRIES = 15;
 const system = new PlatformTestSystem(3, 2);
 
 /** Faults of the next requests, whichever target gets them. */
@@ -57,6 +59,9 @@
 	await waitFor('both targets are used again', async () =>
 		(await system.request(entry, 'GET', '/read/1')).status === 200 ? true : undefined
 	);
+	for (let i = 0; i < REQUESTS_FOR_RETRIES; i++) {
+		await system.request(entry, 'GET', '/read/1');
+	}
 });
 
 after(async () => {
