The body of a request keeps its length, whatever its caller names as a header of the connection

Cause: the length of a body was forwarded as one of the caller's headers. A caller that names Content-Length in Connection had it removed, and the body went out without framing.

Change: the framing is made from the body itself: its length, or chunks. The caller's is never forwarded.

--- a/src/plugins/forwarding/node/targetHeaders.ts
+++ b/src/plugins/forwarding/node/targetHeaders.ts
@@ -4,6 +4,7 @@
 
 /** Builds the request headers for an attempt at a target, or for relaying a request to another entry instance. */
 
+import type { IncomingMessage } from 'node:http';
 import type { Millis } from '../../../base/clock.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { endToEndHeaders } from '../common/hopByHopHeaders.js';
@@ -13,8 +14,11 @@
 	RELAY_REVISION_HEADER,
 	RELAY_WRITTEN_HEADER
 } from '../common/relayHeaders.js';
+import type { RequestBody } from './requestBody.js';
 import type { RequestContext } from './requestContext.js';
 
+const CONTENT_LENGTH = 'content-length';
+
 /** Builds the headers; those that this system sets itself replace the caller's. */
 export class TargetHeaders {
 	private readonly _replacedHeaders: ReadonlySet<string>;
@@ -23,9 +27,15 @@
 
 	constructor(private readonly _headerNames: IHeaderNames) {
 		const { remainingMs, expectedTarget, teamKey, team } = _headerNames;
-		const relayHeaders = [RELAY_REVISION_HEADER, RELAY_COUNTED_HEADER, RELAY_WRITTEN_HEADER, RELAY_RETRY_HEADER];
-		this._replacedHeaders = new Set([remainingMs, expectedTarget, teamKey, team, ...relayHeaders]);
-		this._replacedForRelay = new Set([remainingMs, expectedTarget, team, ...relayHeaders]);
+		const ownHeaders = [
+			CONTENT_LENGTH,
+			RELAY_REVISION_HEADER,
+			RELAY_COUNTED_HEADER,
+			RELAY_WRITTEN_HEADER,
+			RELAY_RETRY_HEADER
+		];
+		this._replacedHeaders = new Set([remainingMs, expectedTarget, teamKey, team, ...ownHeaders]);
+		this._replacedForRelay = new Set([remainingMs, expectedTarget, team, ...ownHeaders]);
 	}
 
 	/** The raw headers for one attempt, names and values alternating. */
@@ -61,14 +71,20 @@
 		const headers = endToEndHeaders(request.rawHeaders, replaced);
 		const remainingMs = Math.max(1, Math.floor(context.deadline - now));
 		headers.push(this._headerNames.remainingMs, String(remainingMs));
-		if (request.headers['transfer-encoding'] !== undefined) {
-			headers.push(...bodyFramingHeaders(context.body.bufferedLength));
-		}
+		headers.push(...bodyFramingHeaders(request, context.body));
 		return headers;
 	}
 }
 
-/** The framing of a body that arrived chunked: by its length where it is buffered whole. */
-function bodyFramingHeaders(bufferedLength: number | undefined): string[] {
-	return bufferedLength === undefined ? ['Transfer-Encoding', 'chunked'] : ['Content-Length', String(bufferedLength)];
+/**
+ * The framing of a request body; none where the request has no body. It never depends on what the caller names as headers of its
+ * connection: a target would take a body without framing for the next request.
+ */
+function bodyFramingHeaders({ headers }: IncomingMessage, { bufferedLength }: RequestBody): string[] {
+	const declaredLength = headers[CONTENT_LENGTH];
+	if (declaredLength === undefined && headers['transfer-encoding'] === undefined) {
+		return [];
+	}
+	const length = bufferedLength ?? declaredLength;
+	return length === undefined ? ['Transfer-Encoding', 'chunked'] : ['Content-Length', String(length)];
 }
--- a/test/platform/requests.test.ts
+++ b/test/platform/requests.test.ts
@@ -170,6 +170,27 @@
 	assert.ok(performance.now() - startedAt < 1000);
 });
 
+/** Guards against requests that are smuggled inside the body of another one. */
+for (const method of ['GET', 'DELETE', 'POST']) {
+	test(`a body whose length the caller names as a header of its connection stays the body of a ${method}`, async () => {
+		const [id, inner] = [`outer-${method}`, `inner-${method}`];
+		const body = [
+			`GET /order/1 HTTP/1.1`,
+			'Host: shop.example',
+			`Request-Id: ${inner}`,
+			'Expect-Instance: i-1',
+			'',
+			''
+		].join('\r\n');
+		const headers = { Connection: 'keep-alive, Content-Length', 'Content-Length': String(body.length) };
+		const response = await system.request(entry, method, '/order/1', { id, body, headers });
+		assert.equal(response.status, 200);
+		const received = readTargets.flatMap(target => target.executedRequests);
+		assert.equal(received.find(request => request.id === id)!.body, body);
+		assert.equal(received.filter(request => request.id === inner).length, 0);
+	});
+}
+
 test('a request is cancelled at the target if its caller disconnects', async () => {
 	const url = `${system.callerUrl(entry)}/slow/1`;
 	const request = httpRequest(url, { headers: { Host: 'shop.example', 'Request-Id': 'left', 'Deadline-Ms': '3000' } });
