A running target stays heard although a late heartbeat has registered another one at its address

Cause: a late heartbeat of a crashed target that nobody had heard before registered it at the address of its successor, at a control instance that had just started or by two late heartbeats 1.5 s apart. From then on every heartbeat of the living one was ignored as stale, since another target owned its address. The address was taken for a proof of who runs; the last to register is not the last to run.

Change: a target that goes on sending heartbeats is running, whoever owns the address; a shutdown of a registered incarnation always counts; a control instance that has just started takes an owner that it has not heard yet for live.

--- a/src/plugins/fleet/common/livenessTracker.ts
+++ b/src/plugins/fleet/common/livenessTracker.ts
@@ -51,10 +51,10 @@
 	private readonly _targets = new Map<string, ObservedTarget>();
 	private _peakReadyEntries = 0;
 
-	/** @param _startedAt counts as the last heartbeat of targets without one */
+	/** @param startedAt counts as the last heartbeat of targets without one */
 	constructor(
 		private readonly _timeouts: LivenessTimeouts,
-		private readonly _startedAt: Millis
+		readonly startedAt: Millis
 	) {}
 
 	/** Records a report that an entry instance sent to this control instance. */
@@ -158,7 +158,7 @@
 	 * @param completeSince since when this instance has observed all heartbeats; it may have missed earlier ones
 	 */
 	isSilent(id: string, now: Millis, completeSince: Millis = Number.NEGATIVE_INFINITY): boolean {
-		const observedAt = this._targets.get(id)?.observedAt ?? this._startedAt;
+		const observedAt = this._targets.get(id)?.observedAt ?? this.startedAt;
 		return now - observedAt > this._timeouts.heartbeatTimeoutMs && now - completeSince > REOBSERVE_MS;
 	}
 
--- a/src/plugins/fleet/common/staleHeartbeatFilter.ts
+++ b/src/plugins/fleet/common/staleHeartbeatFilter.ts
@@ -12,27 +12,34 @@
 /** Maximum age of the owner's last heartbeat for it to count as live: heartbeats are sent every 1.5 s, and one may be late. */
 const OWNER_LIVE_MS = 3000;
 /**
- * A new target at the address of a live one is confirmed by a heartbeat this long after its first. Delayed heartbeats arrive
- * together, so that they confirm nothing.
+ * A target at the address of another one is confirmed by a heartbeat this long after its first. Delayed heartbeats arrive together,
+ * so that they confirm nothing.
  */
 const CONFIRMATION_DELAY_MS = 1000;
-/** Unconfirmed targets are dropped after this time. */
-const PENDING_EXPIRY_MS = 10000;
+/** After a pause of this length a target has to be confirmed again. */
+const MAX_PAUSE_MS = 4000;
 
 /** The last target to register at an address. */
 export interface AddressOwner {
 	readonly id: string;
-	/** When its last heartbeat arrived; undefined if none has. */
-	readonly lastHeartbeatAt: Millis | undefined;
+	/** When its last heartbeat arrived; the start of the control instance if none has. */
+	readonly lastHeartbeatAt: Millis;
+}
+
+/** Heartbeats of a target at an address that another one owns, without a longer pause between them. */
+interface HeartbeatSeries {
+	readonly firstAt: Millis;
+	readonly lastAt: Millis;
 }
 
 /** Detects stale heartbeats by the owner of their address. */
 export class StaleHeartbeatFilter {
-	/** When the first heartbeat of each unconfirmed target arrived, by id. */
-	private readonly _firstHeartbeatAt = new Map<string, Millis>();
+	/** By target id. */
+	private readonly _series = new Map<string, HeartbeatSeries>();
 
 	/**
-	 * Whether a heartbeat is to be ignored as stale.
+	 * Whether a heartbeat is to be ignored as stale. A target that goes on sending heartbeats is running, although another one that
+	 * was heard late may have registered at its address.
 	 * @param isRegistered whether this incarnation of the target is registered
 	 * @param owner the last target to register at its address; undefined if there is none or it is gone
 	 */
@@ -40,27 +47,25 @@
 		if (!owner || owner.id === id) {
 			return false;
 		}
-		return isRegistered || (this._isLive(owner, now) && !this._isConfirmed(id, now));
+		const isConfirmed = this._isConfirmed(id, now);
+		return !isConfirmed && (isRegistered || this._isLive(owner, now));
 	}
 
 	private _isLive({ lastHeartbeatAt }: AddressOwner, now: Millis): boolean {
-		return lastHeartbeatAt !== undefined && now - lastHeartbeatAt <= OWNER_LIVE_MS;
+		return now - lastHeartbeatAt <= OWNER_LIVE_MS;
 	}
 
 	private _isConfirmed(id: string, now: Millis): boolean {
-		this._dropExpired(now);
-		const firstHeartbeatAt = this._firstHeartbeatAt.get(id);
-		if (firstHeartbeatAt === undefined) {
-			this._firstHeartbeatAt.set(id, now);
-			return false;
-		}
-		return now - firstHeartbeatAt >= CONFIRMATION_DELAY_MS;
+		this._dropPaused(now);
+		const firstAt = this._series.get(id)?.firstAt ?? now;
+		this._series.set(id, { firstAt, lastAt: now });
+		return now - firstAt >= CONFIRMATION_DELAY_MS;
 	}
 
-	private _dropExpired(now: Millis): void {
-		for (const [id, firstHeartbeatAt] of this._firstHeartbeatAt) {
-			if (now - firstHeartbeatAt > PENDING_EXPIRY_MS) {
-				this._firstHeartbeatAt.delete(id);
+	private _dropPaused(now: Millis): void {
+		for (const [id, { lastAt }] of this._series) {
+			if (now - lastAt > MAX_PAUSE_MS) {
+				this._series.delete(id);
 			}
 		}
 	}
--- a/src/plugins/fleet/node/targetRegistrar.ts
+++ b/src/plugins/fleet/node/targetRegistrar.ts
@@ -7,7 +7,7 @@
 import { type Millis, systemClock } from '../../../base/clock.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import { selectPacedSenders } from '../common/pacedSenders.js';
-import { StaleHeartbeatFilter } from '../common/staleHeartbeatFilter.js';
+import { type AddressOwner, StaleHeartbeatFilter } from '../common/staleHeartbeatFilter.js';
 import type { TargetHeartbeat } from '../common/fleetControl.js';
 import type { FleetState } from '../common/fleetState.js';
 import { type TargetChange, type TargetDescription, TargetPhase, type TargetRecord } from '../common/fleetTypes.js';
@@ -43,7 +43,7 @@
 		const { id, bornAt } = description;
 		const now = systemClock.now();
 		const known = this._state.target(id);
-		const incarnation = this._classify(description, known, now);
+		const incarnation = this._classify(heartbeat, known, now);
 		if (
 			incarnation === Incarnation.Stale ||
 			(incarnation === Incarnation.Current && known!.phase === TargetPhase.Gone)
@@ -88,17 +88,24 @@
 		this._liveness.dropTarget(id);
 	}
 
-	/** Determines which incarnation sent a heartbeat, and logs stale ones, which are ignored. */
-	private _classify(description: TargetDescription, known: TargetRecord | undefined, now: Millis): Incarnation {
+	/**
+	 * Determines which incarnation sent a heartbeat, and logs stale ones, which are ignored. The shutdown of a registered incarnation
+	 * is never stale: a late one is still true.
+	 */
+	private _classify(
+		{ description, isLeaving }: TargetHeartbeat,
+		known: TargetRecord | undefined,
+		now: Millis
+	): Incarnation {
 		const { id, bornAt, address, service } = description;
 		const isKnown = known?.bornAt === bornAt;
 		const holderId = this._state.targetIdAt(address);
-		const holder =
-			holderId === undefined ? undefined : { id: holderId, lastHeartbeatAt: this._liveness.lastHeartbeatAt(holderId) };
+		const holder = holderId === undefined ? undefined : this._addressOwner(holderId);
 		const isSuperseded = known !== undefined && bornAt < known.bornAt;
 		// A target keeps its service across restarts, so a heartbeat for another service comes from a different target.
 		const isForeign = known !== undefined && service !== known.service && known.service !== '';
-		if (isSuperseded || isForeign || this._staleHeartbeatFilter.isStale(id, isKnown, holder, now)) {
+		const isStale = this._staleHeartbeatFilter.isStale(id, isKnown, holder, now) && !(isKnown && isLeaving);
+		if (isSuperseded || isForeign || isStale) {
 			this._log.info('stale heartbeat ignored', {
 				task: 'fleet',
 				target: id,
@@ -112,6 +119,10 @@
 		return isKnown ? Incarnation.Current : Incarnation.New;
 	}
 
+	private _addressOwner(id: string): AddressOwner {
+		return { id, lastHeartbeatAt: this._liveness.lastHeartbeatAt(id) ?? this._liveness.startedAt };
+	}
+
 	private _registrationOf(
 		description: TargetDescription,
 		coldLeftMs: Millis
