An order is not carried out long after its caller gave it up

Cause: an order to take a hall back lay in a control instance that was stopped for seconds. Its caller gave it at another one, and then evacuated the hall again; the instance woke, read the old order and had the leader carry it out. Nothing about an order for a hall tells when it was given, and the instance did not ask whether it had waited.

Change: a process that did not run for half a second, by the monotonic or the wall clock, refuses orders with 503 for the half second that follows, also as the leader for another instance; callers then go to another one.

Not covered: bytes of a call between control instances that a partition delivers after the call was given up, while the same leader leads.

--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -9,6 +9,7 @@
 
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import { StallDetector } from '../../../base/stallDetector.js';
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
@@ -75,6 +76,7 @@
 	private _crowdedTargets: readonly CrowdedTarget[] = [];
 	private _crowdedLoggedAt: Millis = Number.NEGATIVE_INFINITY;
 	private readonly _changeNotifier = new ChangeNotifier();
+	private readonly _stallDetector = this._register(new StallDetector());
 	private readonly _completeness = new ObservationCompleteness();
 	private readonly _commands: FleetCommandClient;
 	private readonly _registrar: TargetRegistrar;
@@ -100,7 +102,13 @@
 			settings.section<{ dataFolder: string }>('agreement').dataFolder,
 			this._log
 		);
-		this._commands = new FleetCommandClient(this._calls, this._agreement, this._state, this._liveness);
+		this._commands = new FleetCommandClient(
+			this._calls,
+			this._agreement,
+			this._state,
+			this._liveness,
+			this._stallDetector
+		);
 		this._regionByHall = settings.section<PlaceSettings>('places').halls;
 		this._registrar = new TargetRegistrar(this._state, this._liveness, this._commands, this._regionByHall, this._log);
 		this._limitManager = new TargetLimitManager(
@@ -134,7 +142,12 @@
 		this._register(toDisposable(() => clearInterval(timer)));
 	}
 
-	order(command: FleetCommand): Promise<FleetResult> {
+	async order(command: FleetCommand): Promise<FleetResult> {
+		if (this._stallDetector.hasStalledRecently()) {
+			throw new FleetUnavailableError(
+				'this control instance has just been stopped, and later orders may have been given'
+			);
+		}
 		return this._commands.submit(command);
 	}
 
