An accepted connection is no contact with a target

Change: the check sends a health check, and any response counts; it waits as long as responses are taken to be due.

--- a/src/plugins/forwarding/common/targetContact.ts
+++ b/src/plugins/forwarding/common/targetContact.ts
@@ -4,7 +4,7 @@
 
 /**
  * Tells a fault of this instance's links from faults of targets: several targets that fail or fall silent while not a single one
- * responds make the links suspect. A suspicion has to be confirmed by connecting to other targets.
+ * responds make the links suspect. A suspicion has to be confirmed by health checks of other targets.
  */
 
 import type { Millis } from '../../../base/clock.js';
@@ -39,7 +39,7 @@
 		this._contactAt = now;
 	}
 
-	/** When any target last responded or accepted a connection. */
+	/** When any target last responded. */
 	get contactAt(): Millis {
 		return this._contactAt;
 	}
@@ -73,7 +73,7 @@
 		this._take(handle);
 	}
 
-	/** Records that a target responded or accepted a connection. */
+	/** Records that a target responded. */
 	recordContact(now: Millis): void {
 		this._contactAt = Math.max(this._contactAt, now);
 		this._failures.clear();
@@ -89,10 +89,15 @@
 		return this._failures.has(targetId);
 	}
 
+	/** Time after which a response is overdue. */
+	get overdueMs(): Millis {
+		return Math.max(MIN_SILENCE_MS, OVERDUE_FACTOR * this._typicalResponseMs);
+	}
+
 	/** Whether the links of this instance, rather than single targets, seem to have failed. */
 	isSuspect(now: Millis): boolean {
 		const suspectTargets = new Set(this._failures.keys());
-		const overdueMs = Math.max(MIN_SILENCE_MS, OVERDUE_FACTOR * this._typicalResponseMs);
+		const { overdueMs } = this;
 		if (now - this._contactAt >= overdueMs) {
 			for (const { targetId, sentAt } of this._pending.values()) {
 				if (now - sentAt >= overdueMs) {
--- a/src/plugins/forwarding/node/partitionMonitor.ts
+++ b/src/plugins/forwarding/node/partitionMonitor.ts
@@ -4,7 +4,7 @@
 
 /**
  * Detects that this instance is partitioned from all targets, although callers, control and other instances reach it. Attempts of
- * requests make the links suspect, connections to other targets confirm it, and such connections show when it ends.
+ * requests make the links suspect, health checks of other targets confirm it, and such checks show when it ends.
  */
 
 import { Gauge } from 'prom-client';
@@ -17,17 +17,19 @@
 import type { FleetView, KnownTarget } from '../../fleet/common/fleetView.js';
 import { type AttemptOutcome, NotRunCause } from '../common/attempt.js';
 import { type AttemptHandle, TargetContact } from '../common/targetContact.js';
-import { acceptsConnections } from './targets/targetProbe.js';
+import { respondsToHealthCheck } from './targets/targetProbe.js';
 
 const POLL_INTERVAL_MS: Millis = 100;
 /** Interval between checks while partitioned. */
 const CHECK_INTERVAL_MS: Millis = 500;
-/** Targets that are connected to in one check; in as many data halls as possible. */
+/** Targets of one check; in as many data halls as possible. */
 const TARGETS_PER_CHECK = 4;
 /** With fewer targets than this, their failure tells nothing about the links. */
 const MIN_KNOWN_TARGETS = 2;
 /** A target that accepts no connection within this time does not count as reached. */
-const CHECK_TIMEOUT_MS: Millis = 500;
+const CONNECT_TIMEOUT_MS: Millis = 500;
+/** For a target whose service is not in the route table; any response counts. */
+const DEFAULT_HEALTH_PATH = '/';
 
 /** Links that fail together are noticed within this time. */
 const LOSS_SETTLE_MS: Millis = 50;
@@ -137,7 +139,7 @@
 		}
 	}
 
-	/** Connects to some targets; none that accepts means that this instance is partitioned. */
+	/** Checks some targets; none that responds means that this instance is partitioned. */
 	private async _check(now: Millis): Promise<void> {
 		const targets = this._selectTargets();
 		if (targets.length < MIN_KNOWN_TARGETS) {
@@ -146,7 +148,7 @@
 		}
 		this._isChecking = true;
 		this._checkedAt = now;
-		const isReached = await anyAccepts(targets);
+		const isReached = await this._anyResponds(targets);
 		this._isChecking = false;
 		if (isReached) {
 			this._contact.recordContact(systemClock.now());
@@ -172,6 +174,23 @@
 		return [...selected, ...others].slice(0, TARGETS_PER_CHECK);
 	}
 
+	private _anyResponds(targets: readonly KnownTarget[]): Promise<boolean> {
+		const checks = targets.map(async ({ record }) => {
+			const hasResponded = await respondsToHealthCheck(record.address, {
+				healthPath: this._view.routes?.service(record.service)?.healthPath ?? DEFAULT_HEALTH_PATH,
+				connectTimeoutMs: CONNECT_TIMEOUT_MS,
+				responseTimeoutMs: this._contact.overdueMs
+			});
+			if (!hasResponded) {
+				throw new Error(`${record.id} does not respond`);
+			}
+		});
+		return Promise.any(checks).then(
+			() => true,
+			() => false
+		);
+	}
+
 	private _setPartitioned(isPartitioned: boolean): void {
 		if (isPartitioned === this.isPartitioned) {
 			return;
@@ -191,18 +210,6 @@
 	}
 }
 
-async function anyAccepts(targets: readonly KnownTarget[]): Promise<boolean> {
-	const checks = targets.map(async ({ record }) => {
-		if (!(await acceptsConnections(record.address, CHECK_TIMEOUT_MS))) {
-			throw new Error(`${record.id} accepts no connection`);
-		}
-	});
-	return Promise.any(checks).then(
-		() => true,
-		() => false
-	);
-}
-
 function delay(ms: Millis): Promise<void> {
 	return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/src/plugins/forwarding/node/targets/targetProbe.ts
+++ b/src/plugins/forwarding/node/targets/targetProbe.ts
@@ -4,6 +4,7 @@
 
 /** Checks whether a target that closed a connection unexpectedly is still running. */
 
+import { request as httpRequest } from 'node:http';
 import { connect } from 'node:net';
 import type { Millis } from '../../../../base/clock.js';
 
@@ -36,9 +37,37 @@
 	return (await tryConnect(address, CONNECT_TIMEOUT_MS)) === 'failed';
 }
 
-/** Whether a connection to an address is established within a time. */
-export async function acceptsConnections(address: string, timeoutMs: Millis): Promise<boolean> {
-	return (await tryConnect(address, timeoutMs)) === 'connected';
+/** How a target is checked. */
+export interface HealthCheckOptions {
+	readonly healthPath: string;
+	readonly connectTimeoutMs: Millis;
+	/** Time for the response after the connection is established. */
+	readonly responseTimeoutMs: Millis;
+}
+
+/** Whether a target responds to a health check, whatever the response is. An accepted connection alone shows nothing. */
+export function respondsToHealthCheck(address: string, options: HealthCheckOptions): Promise<boolean> {
+	const { healthPath, connectTimeoutMs, responseTimeoutMs } = options;
+	const [host, port] = address.split(':') as [string, string];
+	return new Promise(resolve => {
+		const request = httpRequest({ host, port, path: healthPath, agent: false });
+		const finish = (hasResponded: boolean): void => {
+			clearTimeout(timer);
+			request.destroy();
+			resolve(hasResponded);
+		};
+		const timeOut = (): void => finish(false);
+		let timer = setTimeout(timeOut, connectTimeoutMs);
+		request.once('socket', socket =>
+			socket.once('connect', () => {
+				clearTimeout(timer);
+				timer = setTimeout(timeOut, responseTimeoutMs);
+			})
+		);
+		request.once('response', () => finish(true));
+		request.on('error', timeOut);
+		request.end();
+	});
 }
 
 /** Opens a connection and closes it again. */
--- a/src/plugins/forwarding/test/partitionMonitor.test.ts
+++ b/src/plugins/forwarding/test/partitionMonitor.test.ts
@@ -5,7 +5,7 @@
 /** When an instance counts as partitioned from all targets, and which lost runs it then does not blame on them. */
 
 import assert from 'node:assert/strict';
-import { createServer, type AddressInfo, type Server } from 'node:net';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { systemClock } from '../../../base/clock.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
@@ -21,6 +21,7 @@
 const TARGET_A = { id: 'a' } as unknown as TargetRecord;
 const silentLog = { info: () => undefined, warn: () => undefined } as unknown as ILogService;
 
+const sockets = new Set<Socket>();
 let servers: Server[];
 let addresses: string[];
 let monitor: PartitionMonitor;
@@ -28,13 +29,22 @@
 let stopped: Set<string>;
 let answered: Set<string>;
 
-async function openServer(port = 0): Promise<Server> {
-	const server = createServer(socket => socket.destroy());
+const RESPONSE = 'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n';
+
+/** A target that responds to everything, or accepts connections and stays silent. */
+async function openServer(port = 0, isSilent = false): Promise<Server> {
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.once('data', () => (isSilent ? undefined : socket.end(RESPONSE)));
+	});
 	await new Promise<void>(resolve => server.listen(port, '127.0.0.1', () => resolve()));
 	return server;
 }
 
 async function closeAll(): Promise<void> {
+	sockets.forEach(socket => socket.destroy());
+	sockets.clear();
 	await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
 }
 
@@ -79,7 +89,7 @@
 	await closeAll();
 });
 
-test('an instance that cannot connect to any target is partitioned until one accepts a connection', async () => {
+test('an instance that cannot connect to any target is partitioned until one responds', async () => {
 	const changes: boolean[] = [];
 	monitor.onDidChange(isPartitioned => changes.push(isPartitioned));
 	await closeAll();
@@ -90,7 +100,21 @@
 	assert.deepEqual(changes, [true, false]);
 });
 
-test('it is not while another target accepts connections, however many fail', async () => {
+/** Guards against connections that are established but carry nothing. */
+test('an instance whose connections to targets are accepted and stay silent is partitioned until one responds', async () => {
+	const ports = addresses.map(address => Number(address.split(':')[1]));
+	await closeAll();
+	servers = await Promise.all(ports.map(port => openServer(port, true)));
+	TARGETS.forEach(id => monitor.recordStart(id));
+	await waitUntil('it is partitioned', () => monitor.isPartitioned);
+	await delay(1500);
+	assert.equal(monitor.isPartitioned, true);
+	await closeAll();
+	servers = [await openServer(ports[0])];
+	await waitUntil('it is not any more', () => !monitor.isPartitioned);
+});
+
+test('it is not while another target responds, however many fail', async () => {
 	await Promise.all(servers.slice(0, 3).map(server => new Promise(resolve => server.close(resolve))));
 	failAttempts(['a', 'b', 'c', 'a', 'b', 'c']);
 	await delay(300);
