One way to wait in tests, and the guard against suspensions of a replica has a file of its own

Sixteen files had the same function to wait; they use node:timers/promises now. The replay of limits keeps its own, as its virtual time does not reach that module.

--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -7,8 +7,7 @@
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { Emitter } from '../../../base/event.js';
 import { Mailbox } from '../../../base/mailbox.js';
-import { type Millis, PROCESS_STARTED_AT, systemClock } from '../../../base/clock.js';
-import { SuspensionDetector } from '../../../base/suspensionDetector.js';
+import { PROCESS_STARTED_AT, systemClock } from '../../../base/clock.js';
 import { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
@@ -43,6 +42,7 @@
 import { statusBeforeOpen, statusOf } from './replicaStatus.js';
 import { ReplicationMonitor } from './replicationMonitor.js';
 import { assertStorable } from './storableCommand.js';
+import { SuspensionGuard } from './suspensionGuard.js';
 
 const TICK_MS = 20;
 const EXIT_FAILED = 1;
@@ -82,9 +82,7 @@
 	/** Whether an invariant was violated, after which this replica must not handle or answer anything. */
 	private _hasFailed = false;
 	private readonly _failureBackoff: FailureBackoff;
-	private readonly _suspensionDetector = new SuspensionDetector();
-	/** Quorum contact before this time does not count for the lease. */
-	private _contactValidFrom: Millis = Number.NEGATIVE_INFINITY;
+	private readonly _suspensionGuard: SuspensionGuard;
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
@@ -93,6 +91,7 @@
 		@IMetricsService metrics: IMetricsService
 	) {
 		super();
+		this._suspensionGuard = new SuspensionGuard(this._log);
 		this._replicationMonitor = new ReplicationMonitor(metrics, this._log);
 		this._senders = new PeerSenders(this._peerCalls, id => this._place.addressOf(id, this._core.members));
 		this._place = new ReplicaPlace(settings);
@@ -143,15 +142,7 @@
 	}
 
 	hasLease(): boolean {
-		const now = systemClock.now();
-		// The monotonic clock stops during a suspension, so the lease may seem valid although another leader was elected.
-		if (this._suspensionDetector.detectSuspension()) {
-			this._contactValidFrom = now;
-			this._log.warn('machine may have been suspended; lease invalid until the next quorum contact', {
-				task: 'agreement'
-			});
-		}
-		return this._core?.hasLease(now, this._contactValidFrom) ?? false;
+		return this._core?.hasLease(systemClock.now(), this._suspensionGuard.contactValidFrom()) ?? false;
 	}
 
 	uncommittedCommands(part: string): readonly unknown[] {
--- a/src/plugins/agreement/test/replicaStorage.test.ts
+++ b/src/plugins/agreement/test/replicaStorage.test.ts
@@ -9,6 +9,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterEach, beforeEach, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import type { ISettingsService } from '../../../kernel/node/settingsService.js';
@@ -114,10 +115,6 @@
 	}
 }
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 function propose(body: number): Promise<unknown> {
 	return task.propose({ part: PART, body });
 }
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -5,6 +5,7 @@
 /** The HTTP listener for callers, including its readiness endpoint and graceful shutdown. */
 
 import type { IncomingMessage } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
@@ -180,7 +181,3 @@
 		});
 	}
 }
-
-function delay(ms: Millis): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/src/plugins/forwarding/node/partitionMonitor.ts
+++ b/src/plugins/forwarding/node/partitionMonitor.ts
@@ -7,6 +7,7 @@
  * requests make the links suspect, health checks of other targets confirm it, and such checks show when it ends.
  */
 
+import { setTimeout as delay } from 'node:timers/promises';
 import { Gauge } from 'prom-client';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
@@ -210,10 +211,6 @@
 	}
 }
 
-function delay(ms: Millis): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 function shuffle<T>(items: readonly T[]): T[] {
 	return items
 		.map(item => ({ item, order: Math.random() }))
--- a/src/plugins/forwarding/node/retryMonitor.ts
+++ b/src/plugins/forwarding/node/retryMonitor.ts
@@ -19,7 +19,7 @@
 export enum AttemptCoverage {
 	/** The first attempt of a request needs no retry. */
 	First = 'first',
-	/** A retry from the budget of this instance. */
+	/** A retry from the budget of this instance, or of the one that relayed the request. */
 	OwnBudget = 'own',
 	/** A further attempt that no budget has paid for. */
 	None = 'none'
--- a/src/plugins/forwarding/test/lostRunDetector.test.ts
+++ b/src/plugins/forwarding/test/lostRunDetector.test.ts
@@ -8,6 +8,7 @@
 import { createServer, type Server } from 'node:net';
 import { PassThrough } from 'node:stream';
 import { test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { systemClock } from '../../../base/clock.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import { MetricsService } from '../../../kernel/node/metricsService.js';
@@ -66,10 +67,6 @@
 	return { ...description, phase: TargetPhase.Serving, changedAt: 1, pacedSenders: [] };
 }
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** Runs that are reported as lost after attempts that broke for these causes. */
 async function lostAt(address: string, causes: readonly ResponseFailureCause[]): Promise<readonly ObservedLostRun[]> {
 	const detector = new LostRunDetector(new MetricsService(), { warn: () => undefined } as unknown as ILogService);
--- a/src/plugins/forwarding/test/partitionMonitor.test.ts
+++ b/src/plugins/forwarding/test/partitionMonitor.test.ts
@@ -7,6 +7,7 @@
 import assert from 'node:assert/strict';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { systemClock } from '../../../base/clock.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import { MetricsService } from '../../../kernel/node/metricsService.js';
@@ -55,10 +56,6 @@
 	}
 }
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 async function waitUntil(what: string, condition: () => boolean): Promise<void> {
 	const deadline = performance.now() + TIMEOUT_MS;
 	while (!condition()) {
--- a/test/platform/coldRestarts.test.ts
+++ b/test/platform/coldRestarts.test.ts
@@ -6,6 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createConfigDocument, PlatformTestSystem, waitFor } from './platformTestSystem.js';
 import { TestTarget } from './testTarget.js';
 
@@ -34,10 +35,6 @@
 	await system.sendHeartbeat(target, 'reads', 'ready', `${coldLeftMs}ms`);
 }
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 async function waitUntilServed(): Promise<void> {
 	await waitFor('requests are served', async () =>
 		(await system.request(entry, 'GET', '/read/1')).status === 200 ? true : undefined
--- a/test/platform/fatalRequests.test.ts
+++ b/test/platform/fatalRequests.test.ts
@@ -6,6 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { after, before, type TestContext, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createConfigDocument, type Instance, PlatformTestSystem, waitFor } from './platformTestSystem.js';
 import { type LostRun, RestartingTargets } from './restartingTargets.js';
 
@@ -46,10 +47,6 @@
 	readonly remainingMs?: number;
 }
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** Sends the request in intervals for a time, each to the next entry instances. */
 async function sendRepeatedly(load: FatalLoad, durationMs: number): Promise<void> {
 	const endTime = performance.now() + durationMs;
--- a/test/platform/fullDisk.test.ts
+++ b/test/platform/fullDisk.test.ts
@@ -6,6 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createConfigDocument, type Instance, PlatformTestSystem, waitFor } from './platformTestSystem.js';
 
 const ROUTES = [{ prefix: '/read/', kind: 'safe', service: 'reads' }] as const;
@@ -16,10 +17,6 @@
 const system = new PlatformTestSystem(3, 1, '', [], 'test/fakes/fullDiskPreload.js');
 let version = 1;
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 async function versionAt(instance: Instance): Promise<number | undefined> {
 	const response = await system.callControl(instance, 'GET', '/api/config');
 	return response.status === 200 ? (JSON.parse(response.body) as { version: number }).version : undefined;
--- a/test/platform/lateOrders.test.ts
+++ b/test/platform/lateOrders.test.ts
@@ -7,6 +7,7 @@
 import assert from 'node:assert/strict';
 import { connect } from 'node:net';
 import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createConfigDocument, type Instance, PlatformTestSystem, waitFor } from './platformTestSystem.js';
 import { TestTarget } from './testTarget.js';
 
@@ -31,10 +32,6 @@
 });
 let heartbeats: NodeJS.Timeout;
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 async function isServed(): Promise<boolean> {
 	return (await system.request(entry, 'GET', '/read/1')).status === 200;
 }
--- a/test/platform/limitedTargets.test.ts
+++ b/test/platform/limitedTargets.test.ts
@@ -9,6 +9,7 @@
 
 import assert from 'node:assert/strict';
 import { after, afterEach, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import {
 	PlatformTestSystem,
 	type HttpResponse,
@@ -65,10 +66,6 @@
 	readonly tookMs: number;
 }
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** Sends a request for a random object: every third at-most-once, the others repeatable. */
 async function sendRequest(entry: Instance): Promise<RequestOutcome> {
 	const headers = { Cookie: `Affinity-Key=${Math.floor(Math.random() * OBJECT_COUNT)}` };
--- a/test/platform/partitionedEntries.test.ts
+++ b/test/platform/partitionedEntries.test.ts
@@ -6,6 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createConfigDocument, type Instance, PlatformTestSystem, waitFor } from './platformTestSystem.js';
 import { TestTarget } from './testTarget.js';
 
@@ -55,10 +56,6 @@
 let sequence = 0;
 const results: Result[] = [];
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 async function sendOne(entry: Instance): Promise<Result> {
 	const id = `q-${++sequence}`;
 	const isOrder = sequence % ORDER_EVERY === 0;
--- a/test/platform/quarantine.test.ts
+++ b/test/platform/quarantine.test.ts
@@ -9,6 +9,7 @@
 
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { QuarantineList } from '../../src/plugins/fleet/common/quarantineApi.js';
 import {
 	sendHttpRequest,
@@ -43,10 +44,6 @@
 	crashesOn: ({ path, body }) => path === '/read/fatal' || body === 'fatal'
 });
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** The lost runs of requests with a path. */
 function lostRunsOf(path: string): LostRun[] {
 	return targets.lostRuns.filter(run => run.request.path === path);
--- a/test/platform/retryLimits.test.ts
+++ b/test/platform/retryLimits.test.ts
@@ -6,6 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createConfigDocument, PlatformTestSystem, waitFor } from './platformTestSystem.js';
 import { TestTarget } from './testTarget.js';
 
@@ -39,10 +40,6 @@
 		})
 );
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** Sends requests to all instances at a constant interval; returns their number. */
 async function sendLoad(): Promise<number> {
 	const pending: Promise<unknown>[] = [];
--- a/test/platform/targetBackoff.test.ts
+++ b/test/platform/targetBackoff.test.ts
@@ -9,6 +9,7 @@
 
 import assert from 'node:assert/strict';
 import { after, afterEach, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import {
 	PlatformTestSystem,
 	type HttpResponse,
@@ -49,10 +50,6 @@
 );
 let sentCount = 0;
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** Sends a request for one of several objects in turn: every third at-most-once, the others repeatable. */
 function sendRequest(): Promise<HttpResponse> {
 	const cookie = `Affinity-Key=${sentCount++ % OBJECT_COUNT}`;
--- a/test/platform/totalRestarts.test.ts
+++ b/test/platform/totalRestarts.test.ts
@@ -6,6 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { createConfigDocument, type Instance, PlatformTestSystem, waitFor } from './platformTestSystem.js';
 import { TestTarget } from './testTarget.js';
 
@@ -30,10 +31,6 @@
 	paddingBytes: 20
 });
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 async function isServed(entry: Instance): Promise<boolean> {
 	const response = await system.request(entry, 'GET', '/read/1').catch(() => undefined);
 	return response?.status === 200;
--- a/test/platform/unevenTargets.test.ts
+++ b/test/platform/unevenTargets.test.ts
@@ -9,6 +9,7 @@
 
 import assert from 'node:assert/strict';
 import { after, afterEach, before, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import {
 	PlatformTestSystem,
 	type Instance,
@@ -70,10 +71,6 @@
 const [usual, changed] = [new SlowableTarget(1), new SlowableTarget(2)];
 let sentCount = 0;
 
-function delay(ms: number): Promise<void> {
-	return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** Sends a request for one of several objects in turn; returns its status and the time that it took. */
 async function sendRequest(): Promise<{ readonly status: number; readonly tookMs: number }> {
 	const startedAt = performance.now();
