Retry tokens that expired are dropped although no retry is taken

An instance without retries kept every token that its first attempts earned: 15 a second at 100 requests a second, for as long as it ran. Expired ones are now dropped as new ones are earned, and tokens are found from the latest on.

--- a/src/plugins/forwarding/common/retryTokens.ts
+++ b/src/plugins/forwarding/common/retryTokens.ts
@@ -31,9 +31,15 @@
 		if (this._earnedFraction >= 1) {
 			this._earnedFraction--;
 			this._insert(now);
+			this._dropExpired(now);
 		}
 	}
 
+	/** Number of tokens that are held. */
+	get count(): number {
+		return this._earnedAt.length;
+	}
+
 	/** Takes the token that expires first; returns when it was earned, or undefined if there is none. */
 	tryTake(now: Millis): Millis | undefined {
 		this._dropExpired(now);
@@ -46,17 +52,19 @@
 	}
 
 	private _dropExpired(now: Millis): void {
-		const latest = this._earnedAt.at(-1);
-		const firstValid = this._earnedAt.findIndex(earnedAt => now - earnedAt < this._lifetimeMs);
-		if (firstValid >= 0) {
-			this._earnedAt.splice(0, firstValid);
-		} else if (latest !== undefined) {
-			this._earnedAt.splice(0, this._earnedAt.length, ...(now - latest < this._latestLifetimeMs ? [latest] : []));
+		while (this._earnedAt.length > 1 && now - this._earnedAt[0]! >= this._lifetimeMs) {
+			this._earnedAt.shift();
+		}
+		if (this._earnedAt.length === 1 && now - this._earnedAt[0]! >= this._latestLifetimeMs) {
+			this._earnedAt.shift();
 		}
 	}
 
 	private _insert(earnedAt: Millis): void {
-		const laterIndex = this._earnedAt.findIndex(other => other > earnedAt);
-		this._earnedAt.splice(laterIndex < 0 ? this._earnedAt.length : laterIndex, 0, earnedAt);
+		let index = this._earnedAt.length;
+		while (index > 0 && this._earnedAt[index - 1]! > earnedAt) {
+			index--;
+		}
+		this._earnedAt.splice(index, 0, earnedAt);
 	}
 }
--- a/src/plugins/forwarding/common/serviceRetryBudget.ts
+++ b/src/plugins/forwarding/common/serviceRetryBudget.ts
@@ -29,7 +29,7 @@
 
 /** Lifetime of a token as a fraction of the window: longer ones allow for larger bursts of retries, and for fewer afterwards. */
 const TOKEN_LIFETIME_FRACTION = 0.3;
-/** Time that a retry may take until it is written to a target, as a fraction of the window; one connect timeout at the default window. */
+/** Time that a retry may take until it is written to a target, up to a connect timeout, as a fraction of the window. */
 const MAX_DELAY_FRACTION = 0.05;
 /**
  * Fraction of the ratio that first attempts earn. The retries that reach targets within a window may be paid for by first attempts from
--- a/src/plugins/forwarding/test/retryTokens.test.ts
+++ b/src/plugins/forwarding/test/retryTokens.test.ts
@@ -19,6 +19,15 @@
 	assert.equal(tokens.tryTake(LIFETIME_MS), undefined);
 });
 
+/** Guards against tokens that pile up while nothing has to be retried. */
+test('expired tokens are dropped although none is taken', () => {
+	const tokens = new RetryTokens(1, LIFETIME_MS, WINDOW_MS);
+	for (let now = 0; now < 100 * LIFETIME_MS; now += 100) {
+		tokens.recordFirstAttempt(now);
+	}
+	assert.equal(tokens.count, LIFETIME_MS / 100);
+});
+
 test('the latest token lasts longer', () => {
 	const tokens = new RetryTokens(1, LIFETIME_MS, WINDOW_MS);
 	[0, 1000].forEach(now => tokens.recordFirstAttempt(now));
