An order for a data hall has no effect after a later one, however it is delayed between control instances

Cause: an order for a hall named nothing by which a late one could be told.

Change: an order names the revision of the hall's last order that the instance with the caller knew. The replicated state refuses it after any other order, also after one that changed nothing else. An instance whose replica lags behind repeats the order on the newest revision only while its caller waits. Configurations have the same by their base version, so they need no detector of stalls any more.

Not covered: an order has no body and names nothing on its way from the operator to the first control instance. There it is known to be late only by the end of its connection and by a stall of the process, as before.

--- a/src/plugins/fleet/common/fleetControl.ts
+++ b/src/plugins/fleet/common/fleetControl.ts
@@ -8,7 +8,13 @@
 import type { Team } from '../../routes/common/routeTable.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
 import type { QuarantineRecord } from './quarantineTypes.js';
-import type { EntryDescription, FleetCommand, FleetResult, PublishedTable, TargetDescription } from './fleetTypes.js';
+import type {
+	EntryDescription,
+	FleetResult,
+	PublishedTable,
+	PublishTableCommand,
+	TargetDescription
+} from './fleetTypes.js';
 
 /** The request could not be completed or its outcome is unknown; the client should try another control instance. */
 export class FleetUnavailableError extends Error {
@@ -32,10 +38,16 @@
 /** Commands, heartbeats and look-ups at a control instance. */
 export interface IFleetControl {
 	/**
-	 * Submits a command to the leader.
+	 * Publishes a table.
 	 * @throws FleetUnavailableError no leader responded, or the outcome is unknown
 	 */
-	order(command: FleetCommand): Promise<FleetResult>;
+	publishTable(command: PublishTableCommand): Promise<FleetResult>;
+	/**
+	 * Drains a data hall or puts it back in service, unless another order for the hall comes before.
+	 * @param hasCallerLeft whether the caller no longer waits; an order that only its caller could tell from a late one is then dropped
+	 * @throws FleetUnavailableError the caller has left, no leader responded, or the outcome is unknown
+	 */
+	setHall(hall: string, isDrained: boolean, hasCallerLeft: () => Promise<boolean>): Promise<FleetResult>;
 	/**
 	 * Reads the table in force from the leader; undefined if none was published.
 	 * @throws FleetUnavailableError no leader could be reached
--- a/src/plugins/fleet/common/fleetState.ts
+++ b/src/plugins/fleet/common/fleetState.ts
@@ -94,6 +94,11 @@
 		return this._halls.get(hall)?.isDrained ?? false;
 	}
 
+	/** Revision of the last order for a data hall; 0 for none. */
+	hallRevision(hall: string): FleetRevision {
+		return this._halls.get(hall)?.changedAt ?? 0;
+	}
+
 	/** Records changed after a revision; the whole state if the changes since then are no longer known. */
 	changesAfter(revision: FleetRevision): FleetChanges {
 		const isWhole = revision < this._compactedRevision || revision > this._revision;
@@ -167,12 +172,16 @@
 		return this._notifyChanged();
 	}
 
-	private _setHall(command: SetHallCommand): FleetResult {
-		if (this.isDrained(command.hall) === command.isDrained) {
+	private _setHall({ hall, isDrained, base }: SetHallCommand): FleetResult {
+		const changedAt = this.hallRevision(hall);
+		if (base !== undefined && base !== changedAt) {
+			return recordChanged(`data hall '${hall}'`, base, changedAt);
+		}
+		if (base === undefined && this.isDrained(hall) === isDrained) {
 			return this._success();
 		}
+		// An order that repeats the last one counts too: earlier ones that are still under way must not follow it.
 		this._revision++;
-		const { hall, isDrained } = command;
 		this._halls.set(hall, { hall, isDrained, changedAt: this._revision });
 		return this._notifyChanged();
 	}
@@ -288,6 +297,11 @@
 	}
 }
 
+function recordChanged(record: string, base: FleetRevision, changedAt: FleetRevision): FleetResult {
+	const message = `${record} was last changed at revision ${changedAt}, not at the base revision ${base}`;
+	return { ok: false, code: FleetRefusalCode.RecordChanged, message, changedAt };
+}
+
 /** Fills in fields that are missing from records saved by earlier versions. */
 function withDefaults(saved: TargetRecord): TargetRecord {
 	return { ...saved, bornAt: saved.bornAt ?? 0, pacedSenders: saved.pacedSenders ?? [] };
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -62,6 +62,7 @@
 export interface HallRecord {
 	readonly hall: string;
 	readonly isDrained: boolean;
+	/** Revision of the last order for the hall, also of one that changed nothing else. */
 	readonly changedAt: FleetRevision;
 }
 
@@ -89,6 +90,11 @@
 	readonly type: 'setHall';
 	readonly hall: string;
 	readonly isDrained: boolean;
+	/**
+	 * Revision of the last order for the hall that the submitting instance knew, 0 for none; the order has no effect after any other
+	 * one. Absent from instances that do not know it.
+	 */
+	readonly base?: FleetRevision;
 }
 
 /** Changes the phase of targets; several changes may share one log entry. */
@@ -136,13 +142,21 @@
 	/** The version in force is not the base version of the command. */
 	BaseMoved = 'base-moved',
 	/** The version is not greater than the one in force. */
-	VersionNotRising = 'version-not-rising'
+	VersionNotRising = 'version-not-rising',
+	/** The record that the command is based on has changed since. */
+	RecordChanged = 'record-changed'
 }
 
 /** Result of applying a fleet command. */
 export type FleetResult =
 	| { readonly ok: true; readonly revision: FleetRevision }
-	| { readonly ok: false; readonly code: FleetRefusalCode; readonly message: string };
+	| {
+			readonly ok: false;
+			readonly code: FleetRefusalCode;
+			readonly message: string;
+			/** Revision that last changed the record, 0 for none; present for `RecordChanged`. */
+			readonly changedAt?: FleetRevision;
+	  };
 
 /** Changes since a revision, or the whole state. */
 export interface FleetChanges {
--- a/src/plugins/fleet/node/fleetCommandClient.ts
+++ b/src/plugins/fleet/node/fleetCommandClient.ts
@@ -32,6 +32,11 @@
 	paceTargets: 600
 };
 const APPLY_POLL_INTERVAL_MS = 20;
+/** Attempts at a change of a record that other changes come before, each based on the one before. */
+const MAX_CHANGE_ATTEMPTS = 3;
+
+/** Whether the caller that asked for a change no longer waits for it, so that it may have asked for another one elsewhere. */
+export type HasCallerLeft = () => Promise<boolean>;
 
 /** Executes commands on behalf of this control instance. */
 export class FleetCommandClient {
@@ -59,6 +64,32 @@
 		return result;
 	}
 
+	/**
+	 * Changes a record for a caller. The command names the revision of the record that it is based on and is refused after any other
+	 * change, however long it is delayed on its way to the leader. A refused command is based on the newest revision instead only while
+	 * the caller waits.
+	 * @param base revision of the record as known to this instance
+	 * @throws FleetUnavailableError the caller has left, no leader responded, or the outcome is unknown
+	 */
+	async submitForCaller(
+		createCommand: (base: FleetRevision) => FleetCommand,
+		base: FleetRevision,
+		hasCallerLeft: HasCallerLeft
+	): Promise<FleetResult> {
+		let newestBase = base;
+		for (let attempt = 0; attempt < MAX_CHANGE_ATTEMPTS; attempt++) {
+			if (await hasCallerLeft()) {
+				throw new FleetUnavailableError('the caller has left, and may have given later orders elsewhere');
+			}
+			const result = await this.submit(createCommand(newestBase));
+			if (result.ok || result.changedAt === undefined) {
+				return result;
+			}
+			newestBase = result.changedAt;
+		}
+		throw new FleetUnavailableError('other changes of the same record come first');
+	}
+
 	/**
 	 * Executes a command at the leader; resolves once it is committed.
 	 * @throws FleetUnavailableError no leader responded, or the outcome is unknown
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -25,6 +25,7 @@
 	type FleetCommand,
 	type FleetResult,
 	type PublishedTable,
+	type PublishTableCommand,
 	TargetPhase,
 	type TargetRecord
 } from '../common/fleetTypes.js';
@@ -45,7 +46,7 @@
 import { type CrowdedTarget, RequestedWork } from '../common/requestedWork.js';
 import { ChangeNotifier } from './changeNotifier.js';
 import { EntryListFile } from './entryListFile.js';
-import { FleetCommandClient } from './fleetCommandClient.js';
+import { FleetCommandClient, type HasCallerLeft } from './fleetCommandClient.js';
 import { QuarantineManager } from './quarantineManager.js';
 import { TargetLimitManager } from './targetLimitManager.js';
 import { TargetRegistrar } from './targetRegistrar.js';
@@ -142,13 +143,21 @@
 		this._register(toDisposable(() => clearInterval(timer)));
 	}
 
-	async order(command: FleetCommand): Promise<FleetResult> {
+	publishTable(command: PublishTableCommand): Promise<FleetResult> {
+		return this._commands.submit(command);
+	}
+
+	async setHall(hall: string, isDrained: boolean, hasCallerLeft: HasCallerLeft): Promise<FleetResult> {
 		if (this._stallDetector.hasStalledRecently()) {
 			throw new FleetUnavailableError(
 				'this control instance has just been stopped, and later orders may have been given'
 			);
 		}
-		return this._commands.submit(command);
+		return this._commands.submitForCaller(
+			base => ({ type: 'setHall', hall, isDrained, base }),
+			this._state.hallRevision(hall),
+			hasCallerLeft
+		);
 	}
 
 	readTable(): Promise<PublishedTable | undefined> {
--- a/src/plugins/fleet/test/fleetState.test.ts
+++ b/src/plugins/fleet/test/fleetState.test.ts
@@ -66,6 +66,22 @@
 	assert.equal(publish(restored, 1, 0).ok, true);
 });
 
+/** Guards against a late order that undoes a later one, also one that found the hall as it wanted it. */
+test('an order for a data hall has no effect after another one', () => {
+	const state = new FleetState();
+	const setHall = (isDrained: boolean, base: number) =>
+		state.apply({ type: 'setHall', hall: 'h', isDrained, base }) as { ok: boolean; changedAt?: number };
+	assert.equal(setHall(true, 0).ok, true);
+	const late = state.hallRevision('h');
+	assert.equal(setHall(true, late).ok, true);
+	assert.deepEqual([setHall(false, late).ok, setHall(false, late).changedAt], [false, state.hallRevision('h')]);
+	assert.equal(state.isDrained('h'), true);
+	assert.equal(setHall(false, state.hallRevision('h')).ok, true);
+	const restored = new FleetState();
+	restored.restore(structuredClone(state.save()));
+	assert.deepEqual([restored.isDrained('h'), restored.hallRevision('h')], [false, state.hallRevision('h')]);
+});
+
 function startIncarnation(state: FleetState, bornAt: number, phase = TargetPhase.Serving, address = '127.0.0.1:1') {
 	const description = { id: 'a', bornAt, service: 's', address, hall: 'h', version: 'v', slots: 1 };
 	return state.apply({
