Removals and registrations of targets have no effect once their target or its address has changed

A registration that arrived late took the address from the target that had registered there since, whose heartbeats count as stale until they are confirmed. A control instance whose replica showed the target as gone acknowledged the removal of its later incarnation, which stayed in service.

Change: both name the revision of the record that the submitting instance knew, a registration also the owner of its address; the replicated state refuses them after any other change, unless they would change nothing. Where ids are used once a removal stays true however late it is.

--- a/src/plugins/fleet/common/fleetControl.ts
+++ b/src/plugins/fleet/common/fleetControl.ts
@@ -58,8 +58,12 @@
 	 * @throws FleetUnavailableError this control instance has no recent contact with the leader
 	 */
 	heartbeat(heartbeat: TargetHeartbeat): Promise<void>;
-	/** Marks a target as gone; resolves when the change is in the replicated log. */
-	removeTarget(id: string): Promise<void>;
+	/**
+	 * Marks a target as gone; resolves when the change is in the replicated log.
+	 * @param hasCallerLeft whether the caller no longer waits; a request that may be about an earlier incarnation is then dropped
+	 * @throws FleetUnavailableError the caller has left, no leader responded, or the outcome is unknown
+	 */
+	removeTarget(id: string, hasCallerLeft: () => Promise<boolean>): Promise<void>;
 	/** A team of the table in force, as known to this instance; undefined if there is none of that name. */
 	team(name: string): Team | undefined;
 	/**
--- a/src/plugins/fleet/common/fleetState.ts
+++ b/src/plugins/fleet/common/fleetState.ts
@@ -191,12 +191,25 @@
 		if (effective.length === 0) {
 			return this._success();
 		}
+		const outdated = effective.find(change => this._isOutdated(change));
+		if (outdated) {
+			const changedAt = this._targets.get(outdated.id)?.changedAt ?? 0;
+			return recordChanged(`target '${outdated.id}' or the owner of its address`, outdated.base ?? 0, changedAt);
+		}
 		this._revision++;
 		effective.forEach(change => this._changeTarget(change));
 		this._evictGoneTargets();
 		return this._notifyChanged();
 	}
 
+	/** Whether the record or the address of a target has changed since the change was submitted. */
+	private _isOutdated({ id, base, addressOwner, description }: TargetChange): boolean {
+		const isRecordChanged = base !== undefined && base !== (this._targets.get(id)?.changedAt ?? 0);
+		const isAddressTaken =
+			addressOwner !== undefined && (this.targetIdAt(description!.address) ?? null) !== addressOwner;
+		return isRecordChanged || isAddressTaken;
+	}
+
 	private _isEffective(change: TargetChange): boolean {
 		const known = this._targets.get(change.id);
 		if (!known) {
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -115,6 +115,13 @@
 	readonly pacedSenders?: readonly string[];
 	/** Until when a registered target is cold, as in its record; absent if it is not. */
 	readonly coldUntil?: number;
+	/**
+	 * Revision that last changed the target's record as known to the submitting instance, 0 for none; the command is refused after any
+	 * other change. Absent for a change that is true whenever it arrives.
+	 */
+	readonly base?: FleetRevision;
+	/** For a registration, id of the owner of the address as known to the submitting instance; refused if it is another one. */
+	readonly addressOwner?: string | null;
 }
 
 /** Changes rate limits of targets, the entry instances that may send to them, or until when targets are cold. */
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -169,8 +169,8 @@
 		await this._registrar.heartbeat(heartbeat);
 	}
 
-	removeTarget(id: string): Promise<void> {
-		return this._registrar.remove(id);
+	removeTarget(id: string, hasCallerLeft: HasCallerLeft): Promise<void> {
+		return this._registrar.remove(id, hasCallerLeft);
 	}
 
 	team(name: string): Team | undefined {
--- a/src/plugins/fleet/node/targetRegistrar.ts
+++ b/src/plugins/fleet/node/targetRegistrar.ts
@@ -8,11 +8,17 @@
 import type { ILogService } from '../../../kernel/node/logService.js';
 import { selectPacedSenders } from '../common/pacedSenders.js';
 import { type AddressOwner, StaleHeartbeatFilter } from '../common/staleHeartbeatFilter.js';
-import type { TargetHeartbeat } from '../common/fleetControl.js';
+import { FleetUnavailableError, type TargetHeartbeat } from '../common/fleetControl.js';
 import type { FleetState } from '../common/fleetState.js';
-import { type TargetChange, type TargetDescription, TargetPhase, type TargetRecord } from '../common/fleetTypes.js';
+import {
+	type FleetResult,
+	type TargetChange,
+	type TargetDescription,
+	TargetPhase,
+	type TargetRecord
+} from '../common/fleetTypes.js';
 import type { LivenessTracker } from '../common/livenessTracker.js';
-import type { FleetCommandClient } from './fleetCommandClient.js';
+import type { FleetCommandClient, HasCallerLeft } from './fleetCommandClient.js';
 
 /** Incarnation of a target that a heartbeat comes from, compared with the registered one. */
 enum Incarnation {
@@ -77,14 +83,20 @@
 		this._log.info('target is cold', { task: 'fleet', target: id, leftMs: Math.round(coldLeftMs) });
 	}
 
-	/** Removes a target at its own request; resolves when that is in the replicated log. */
-	async remove(id: string): Promise<void> {
+	/**
+	 * Removes a target at its own request; resolves when that is in the replicated log. Where targets restart under their id, the
+	 * request does not tell which incarnation it is about, so it is the one that is registered while its caller waits.
+	 * @throws FleetUnavailableError the caller has left, or the change may not be in the log
+	 */
+	async remove(id: string, hasCallerLeft: HasCallerLeft): Promise<void> {
 		const known = this._state.target(id);
-		if (known?.phase === TargetPhase.Gone) {
-			await this._commands.waitUntilTargetChangeApplied(known.changedAt);
-		} else {
-			await this._submitChange({ id, phase: TargetPhase.Gone });
-		}
+		const mayRestart = known === undefined || known.bornAt > 0;
+		const result = await this._commands.submitForCaller(
+			base => ({ type: 'changeTargets', changes: [{ id, phase: TargetPhase.Gone, base }] }),
+			known?.changedAt ?? 0,
+			async () => mayRestart && (await hasCallerLeft())
+		);
+		this._reportChange(id, TargetPhase.Gone, result);
 		this._liveness.dropTarget(id);
 	}
 
@@ -126,11 +138,13 @@
 	private _registrationOf(
 		description: TargetDescription,
 		coldLeftMs: Millis
-	): Pick<TargetChange, 'description' | 'pacedSenders' | 'coldUntil'> {
+	): Omit<TargetChange, 'id' | 'phase' | 'bornAt'> {
 		const region = this._regionByHall.get(description.hall) ?? '';
 		const entries = this._liveness.liveEntries(systemClock.now());
 		return {
 			description,
+			base: this._state.target(description.id)?.changedAt ?? 0,
+			addressOwner: this._state.targetIdAt(description.address) ?? null,
 			pacedSenders: selectPacedSenders(description.id, region, entries),
 			...(coldLeftMs > 0 ? { coldUntil: Date.now() + coldLeftMs } : {})
 		};
@@ -139,9 +153,17 @@
 	private async _submitChange(change: TargetChange): Promise<void> {
 		const command = { type: 'changeTargets', changes: [change] } as const;
 		// A registration is acknowledged without waiting until the entry instances apply it.
-		await (change.phase === TargetPhase.Serving
+		const result = await (change.phase === TargetPhase.Serving
 			? this._commands.submitToLeader(command)
 			: this._commands.submit(command));
-		this._log.info('target changed', { task: 'fleet', target: change.id, phase: change.phase });
+		this._reportChange(change.id, change.phase, result);
+	}
+
+	/** @throws FleetUnavailableError the change is based on an outdated record; the target asks another instance, or again later */
+	private _reportChange(target: string, phase: TargetPhase, result: FleetResult): void {
+		if (!result.ok) {
+			throw new FleetUnavailableError(result.message);
+		}
+		this._log.info('target changed', { task: 'fleet', target, phase });
 	}
 }
--- a/src/plugins/fleet/test/fleetState.test.ts
+++ b/src/plugins/fleet/test/fleetState.test.ts
@@ -106,3 +106,32 @@
 	restored.restore(JSON.parse(JSON.stringify(state.save())));
 	assert.deepEqual([restored.target('a'), restored.targetIdAt('127.0.0.1:2')], [state.target('a'), 'a']);
 });
+
+/** Guards against a removal that reaches the leader after the target has started again under its id. */
+test('a removal does not affect an incarnation that is registered after it was submitted', () => {
+	const state = new FleetState();
+	startIncarnation(state, 100);
+	const base = state.target('a')!.changedAt;
+	const remove = (removalBase: number) =>
+		state.apply({ type: 'changeTargets', changes: [{ id: 'a', phase: TargetPhase.Gone, base: removalBase }] });
+	startIncarnation(state, 200);
+	assert.equal(remove(base).ok, false);
+	assert.equal(state.target('a')?.phase, TargetPhase.Serving);
+	assert.equal(remove(state.target('a')!.changedAt).ok, true);
+	assert.equal(state.target('a')?.phase, TargetPhase.Gone);
+});
+
+/** Guards against a registration that reaches the leader after the target has crashed and another one has taken its address. */
+test('a registration does not take an address that another target has registered since', () => {
+	const state = new FleetState();
+	const register = (id: string, addressOwner: string | null) => {
+		const description = { id, bornAt: 0, service: 's', address: '127.0.0.1:1', hall: 'h', version: 'v', slots: 1 };
+		const change = { id, phase: TargetPhase.Serving, description, pacedSenders: [], base: 0, addressOwner };
+		return state.apply({ type: 'changeTargets', changes: [change] });
+	};
+	assert.equal(register('second', null).ok, true);
+	assert.equal(register('first', null).ok, false);
+	assert.deepEqual([state.targetIdAt('127.0.0.1:1'), state.target('first')], ['second', undefined]);
+	assert.equal(register('third', 'second').ok, true);
+	assert.equal(state.targetIdAt('127.0.0.1:1'), 'third');
+});
