Limits and senders of targets that are reported late do not replace later ones

A report that was held up on its way to the leader put an earlier, possibly higher limit back into the record, and senders that a deposed leader had chosen replaced those of the next one, until the next report.

Change: both name the revision of the record that they were compared with, and have no effect after another change; entry instances report a limit again until the record has it. When a target is cold needs no base: the later end counts in whichever order.

Left: two equal limits of a target with another one between them that was never recorded are not told apart.

--- a/src/plugins/fleet/common/fleetState.ts
+++ b/src/plugins/fleet/common/fleetState.ts
@@ -255,9 +255,9 @@
 		return this._notifyChanged();
 	}
 
-	private _isPaceChange({ id, bornAt, limitPerSecond, pacedSenders, coldUntil }: PaceChange): boolean {
+	private _isPaceChange({ id, bornAt, limitPerSecond, pacedSenders, coldUntil, base }: PaceChange): boolean {
 		const known = this._findIncarnation(id, bornAt);
-		if (!known || known.phase === TargetPhase.Gone) {
+		if (!known || known.phase === TargetPhase.Gone || (base ?? known.changedAt) !== known.changedAt) {
 			return false;
 		}
 		const isLimitChanged = limitPerSecond !== undefined && limitPerSecond !== (known.limitPerSecond ?? null);
--- a/src/plugins/fleet/common/fleetTypes.ts
+++ b/src/plugins/fleet/common/fleetTypes.ts
@@ -139,6 +139,8 @@
 	readonly pacedSenders?: readonly string[];
 	/** Unix milliseconds; an earlier time than the recorded one has no effect. */
 	readonly coldUntil?: number;
+	/** Revision that last changed the record on which the change is based; it has no effect after another change. */
+	readonly base?: FleetRevision;
 }
 
 /** Any command on the fleet's part of the replicated state. */
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -12,6 +12,7 @@
 	FleetChanges,
 	FleetCommand,
 	FleetResult,
+	FleetRevision,
 	Heartbeat,
 	PublishedTable
 } from './fleetTypes.js';
@@ -53,6 +54,8 @@
 	readonly bornAt: number;
 	/** Requests per second; `null` if the target no longer declares a limit. */
 	readonly perSecond: number | null;
+	/** Revision of the target's record that the reporting instance compared with; absent from older instances. */
+	readonly base?: FleetRevision;
 }
 
 /** An entry instance that holds a share of a target's limit. */
--- a/src/plugins/fleet/node/targetLimitManager.ts
+++ b/src/plugins/fleet/node/targetLimitManager.ts
@@ -66,7 +66,7 @@
 			if (target.phase === TargetPhase.Serving && isRateLimited(target)) {
 				const pacedSenders = this._selectSenders(target, completeSince, now);
 				if (pacedSenders.join() !== target.pacedSenders.join()) {
-					changes.push({ id: target.id, bornAt: target.bornAt, pacedSenders });
+					changes.push({ id: target.id, bornAt: target.bornAt, pacedSenders, base: target.changedAt });
 				}
 			}
 		}
@@ -90,7 +90,9 @@
 		const changedLimits = [...this._reported.values()].filter(limit => this._differsFromRecord(limit));
 		this._reported.clear();
 		if (changedLimits.length > 0) {
-			await this._submit(changedLimits.map(({ id, bornAt, perSecond }) => ({ id, bornAt, limitPerSecond: perSecond })));
+			await this._submit(
+				changedLimits.map(({ id, bornAt, perSecond, base }) => ({ id, bornAt, limitPerSecond: perSecond, base }))
+			);
 		}
 	}
 
--- a/src/plugins/fleet/test/fleetState.test.ts
+++ b/src/plugins/fleet/test/fleetState.test.ts
@@ -135,3 +135,17 @@
 	assert.equal(register('third', 'second').ok, true);
 	assert.equal(state.targetIdAt('127.0.0.1:1'), 'third');
 });
+
+/** Guards against an earlier limit of a target, or earlier senders, that return when the report of them arrives late. */
+test('a limit that is reported against an outdated record has no effect', () => {
+	const state = new FleetState();
+	startIncarnation(state, 100);
+	const limit = (limitPerSecond: number, base: number) =>
+		state.apply({ type: 'paceTargets', changes: [{ id: 'a', bornAt: 100, limitPerSecond, base }] });
+	const base = state.target('a')!.changedAt;
+	limit(20, base);
+	limit(50, state.target('a')!.changedAt);
+	const { revision } = state;
+	limit(20, base);
+	assert.deepEqual([state.target('a')?.limitPerSecond, state.revision], [50, revision]);
+});
--- a/src/plugins/limits/common/targetLimitTable.ts
+++ b/src/plugins/limits/common/targetLimitTable.ts
@@ -140,7 +140,7 @@
 	unreportedLimits(now: Millis): ReportedLimit[] {
 		return this._currentLimits(now).flatMap(({ record, limit: { perSecond } }) =>
 			differsFromRecorded(perSecond, record.limitPerSecond)
-				? [{ id: record.id, bornAt: record.bornAt, perSecond: perSecond ?? null }]
+				? [{ id: record.id, bornAt: record.bornAt, perSecond: perSecond ?? null, base: record.changedAt }]
 				: []
 		);
 	}
