Releases, answers and lost runs that are reported late or twice change nothing that was counted since

A lost run that an answer had withdrawn counted again when its report came a second time.

Change: a release names the runs that the releasing instance knew, and is refused where others count. Reports of answers have an id that stays when they are sent again; the leader handles each once in its term, and only once its commit has succeeded. Lost runs, which have ids of their own, are remembered after they are withdrawn.

Left: times in a report are relative to when it was sent, so the first copy that arrives shifts them by as long as it lay.

--- a/src/plugins/fleet/common/lossEvidence.ts
+++ b/src/plugins/fleet/common/lossEvidence.ts
@@ -13,6 +13,7 @@
  */
 
 import type { Millis } from '../../../base/clock.js';
+import { RecentKeys } from '../../../base/recentKeys.js';
 import {
 	countSeparateLosses,
 	isIndependent,
@@ -34,6 +35,8 @@
 const MAX_LOSSES = 48;
 /** Number of targets whose lost runs are kept; above it those of the target that stopped first are no longer related to each other. */
 const MAX_TARGETS = 1024;
+/** Number of reported runs that are recognized when they are reported again. */
+const MAX_REPORTED_RUNS = 4096;
 /** Number of requests remembered for each of these targets. */
 const MAX_REQUESTS_OF_TARGET = 256;
 
@@ -68,6 +71,7 @@
 	/** Number of runs that counted before the collection began, by digest. */
 	private _earlierCounts = new Map<string, number>();
 	private _startedAt = Number.NEGATIVE_INFINITY;
+	private readonly _reportedRuns = new RecentKeys(MAX_REPORTED_RUNS);
 
 	/**
 	 * Starts anew, on top of runs that another instance has counted. Nothing is known of their times, but that they were sent before.
@@ -78,15 +82,15 @@
 		this._stoppedTargets.clear();
 		this._lossCounts.clear();
 		this._answeredAt.clear();
+		this._reportedRuns.clear();
 		this._earlierCounts = new Map(earlierCounts);
 		this._startedAt = now;
 	}
 
-	/** Adds a reported run; one that was reported before changes nothing. */
+	/** Adds a reported run; one that was reported before changes nothing, also if an answer has withdrawn it since. */
 	add(reported: ReportedLostRun, now: Millis): void {
-		const { digest } = reported;
-		const losses = this._lossesByDigest.get(digest) ?? [];
-		if (losses.some(({ run }) => isSameRun(run, reported))) {
+		const { digest, requestId, targetId } = reported;
+		if (!this._reportedRuns.add(`${digest} ${requestId} ${targetId}`)) {
 			return;
 		}
 		if (reported.answeredAgoMs !== undefined) {
--- a/src/plugins/fleet/common/quarantineTypes.ts
+++ b/src/plugins/fleet/common/quarantineTypes.ts
@@ -87,19 +87,33 @@
 	readonly records: readonly QuarantineRecord[];
 }
 
-/** The last answer to a request before it became suspected. */
-export interface EarlierAnswer {
+/** An answer to a suspected request. */
+export interface AnsweredRequest {
 	readonly digest: string;
+	/** Stays the same when the answer is reported again. */
+	readonly reportId: string;
+}
+
+/** The last answer to a request before it became suspected. */
+export interface EarlierAnswer extends AnsweredRequest {
 	readonly agoMs: Millis;
 }
 
+/** A request that an operator releases. */
+export interface ReleasedRequest {
+	readonly digest: string;
+	/** Runs that count against it as known to the releasing instance; it is not released if others count by then. */
+	readonly runs: readonly LostRun[];
+}
+
 /** What an entry instance reports about requests. */
 export interface RunReport {
 	readonly endedRuns: readonly ReportedLostRun[];
-	/** Digests of suspected requests that a target answered. */
-	readonly answered: readonly string[];
+	/** Suspected requests that a target answered. */
+	readonly answered: readonly AnsweredRequest[];
 	/** Requests that became suspected after a target had answered them. */
 	readonly earlierAnswers?: readonly EarlierAnswer[];
+	readonly released?: ReleasedRequest;
 }
 
 /** Number of counted lost runs from which a request is suspected. */
--- a/src/plugins/fleet/node/quarantineManager.ts
+++ b/src/plugins/fleet/node/quarantineManager.ts
@@ -6,6 +6,7 @@
 
 import PQueue from 'p-queue';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import { RecentKeys } from '../../../base/recentKeys.js';
 import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import type { IAgreement } from '../../agreement/common/agreement.js';
@@ -15,7 +16,9 @@
 import { isSameRun } from '../common/lossSequence.js';
 import { QUARANTINE_PART, type QuarantineCommand, type QuarantineState } from '../common/quarantineState.js';
 import {
+	type AnsweredRequest,
 	type QuarantineSnapshot,
+	type ReleasedRequest,
 	phaseOf,
 	QuarantinePhase,
 	type RunReport,
@@ -26,10 +29,14 @@
 const LEADER_CALL_TIMEOUT_MS = 500;
 /** Maximum number of runs of one report that are logged one by one. */
 const MAX_LOGGED_RUNS = 8;
+/** Number of reported answers that are recognized when they are reported again. */
+const MAX_HANDLED_ANSWERS = 4096;
 
 /** Manages quarantined requests at a control instance. */
 export class QuarantineManager {
 	private readonly _evidence = new LossEvidence();
+	/** Reports of answers that are handled in this term. */
+	private readonly _handledAnswers = new RecentKeys(MAX_HANDLED_ANSWERS);
 	/** Term in which this instance collects evidence as the leader. */
 	private _term?: number;
 	/** Runs commits one at a time: which runs to count depends on those that are counted already. */
@@ -55,10 +62,11 @@
 	/**
 	 * Releases a request from suspicion or quarantine.
 	 * @returns whether it was suspected or quarantined, by the leader's state: the replica here may lag behind
-	 * @throws FleetUnavailableError the leader could not be reached, or it could not commit
+	 * @throws FleetUnavailableError the leader could not be reached, could not commit, or counts runs that are not known here
 	 */
 	async release(digest: string): Promise<boolean> {
-		const isKnown = await this._handleReport({ endedRuns: [], answered: [digest] }, false);
+		const released = { digest, runs: this._state.countedRuns(digest) };
+		const isKnown = await this._handleReport({ endedRuns: [], answered: [], released }, false);
 		this._log.warn('request released', { task: 'fleet', digest, isKnown });
 		return isKnown;
 	}
@@ -78,15 +86,17 @@
 		return this._forwardToLeader(report);
 	}
 
-	private async _commitReport({ endedRuns, answered, earlierAnswers = [] }: RunReport): Promise<boolean> {
+	private async _commitReport({ endedRuns, answered, earlierAnswers = [], released }: RunReport): Promise<boolean> {
 		const now = systemClock.now();
 		this._startTerm();
 		endedRuns.forEach(run => this._evidence.add(run, now));
-		earlierAnswers.forEach(({ digest, agoMs }) => this._evidence.recordAnswer(digest, now - agoMs));
+		earlierAnswers
+			.filter(({ reportId }) => this._handledAnswers.add(reportId))
+			.forEach(({ digest, agoMs }) => this._evidence.recordAnswer(digest, now - agoMs));
 		await this._commit([...digestsOf(endedRuns), ...earlierAnswers.map(({ digest }) => digest)]);
 		this._logReport(endedRuns);
 		this._recountLater(endedRuns);
-		return this._clear(answered, now);
+		return released ? this._release(released, now) : this._withdraw(answered, now);
 	}
 
 	/** Commits what now counts for some requests; all that arrive while a commit is under way share the next one. */
@@ -109,6 +119,28 @@
 		await this._commitUncounted(uncommitted);
 	}
 
+	/**
+	 * Withdraws what counts against answered requests; an answer that is reported again withdraws nothing that was counted since.
+	 * @returns whether one of the requests was suspected or quarantined
+	 */
+	private async _withdraw(answered: readonly AnsweredRequest[], now: Millis): Promise<boolean> {
+		const unhandled = answered.filter(({ reportId }) => !this._handledAnswers.has(reportId));
+		const wasListed = await this._clear(
+			unhandled.map(({ digest }) => digest),
+			now
+		);
+		unhandled.forEach(({ reportId }) => this._handledAnswers.add(reportId));
+		return wasListed;
+	}
+
+	/** @returns whether the request was suspected or quarantined */
+	private _release({ digest, runs }: ReleasedRequest, now: Millis): Promise<boolean> {
+		if (!this._state.countedRuns(digest).every(run => runs.some(known => isSameRun(run, known)))) {
+			throw new FleetUnavailableError('runs of the request are counted that the releasing instance does not know');
+		}
+		return this._clear([digest], now);
+	}
+
 	/** @returns whether one of the requests was suspected or quarantined */
 	private async _clear(digests: readonly string[], answeredAt: Millis): Promise<boolean> {
 		digests.forEach(digest => this._evidence.recordAnswer(digest, answeredAt));
@@ -125,6 +157,7 @@
 		const { term } = this._agreement.status();
 		if (term !== this._term) {
 			this._term = term;
+			this._handledAnswers.clear();
 			const counts = this._state.records.map(({ digest, runs }) => [digest, runs.length] as const);
 			this._evidence.restart(new Map(counts), systemClock.now());
 		}
@@ -189,7 +222,7 @@
 		const request = { report, isForwarded: true };
 		try {
 			const response = await this._calls.call(address, reportRunsMethod, request, LEADER_CALL_TIMEOUT_MS);
-			return response.wasListed ?? report.answered.some(digest => this._isListed(digest));
+			return response.wasListed ?? report.answered.some(({ digest }) => this._isListed(digest));
 		} catch (error) {
 			throw new FleetUnavailableError((error as Error).message);
 		}
--- a/src/plugins/fleet/node/runReporter.ts
+++ b/src/plugins/fleet/node/runReporter.ts
@@ -4,11 +4,17 @@
 
 /** Reports lost runs and answers to suspected requests, retrying until a control instance accepts them. */
 
+import { randomUUID } from 'node:crypto';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import { reportRunsMethod } from '../common/fleetWire.js';
-import { type RunReport, type ObservedLostRun, toReportedRun } from '../common/quarantineTypes.js';
+import {
+	type AnsweredRequest,
+	type ObservedLostRun,
+	type RunReport,
+	toReportedRun
+} from '../common/quarantineTypes.js';
 
 /** Reports within this time are sent in one call; a terminating target loses all its runs at once. */
 const BATCH_WINDOW_MS = 30;
@@ -20,8 +26,7 @@
 /** Maximum number of pending runs, and of pending digests; the oldest are dropped beyond it. */
 const MAX_PENDING = 256;
 
-interface DatedAnswer {
-	readonly digest: string;
+interface DatedAnswer extends AnsweredRequest {
 	/** On the monotonic clock. */
 	readonly answeredAt: Millis;
 }
@@ -29,7 +34,7 @@
 /** Sends the lost runs and answers that the control instances have not yet accepted. */
 export class RunReporter {
 	private _pendingRuns: ObservedLostRun[] = [];
-	private _answeredDigests: string[] = [];
+	private _answers: AnsweredRequest[] = [];
 	private _earlierAnswers: DatedAnswer[] = [];
 	private _isSending = false;
 	private _isStopped = false;
@@ -49,15 +54,15 @@
 
 	/** Queues the digest of a suspected request that a target answered. */
 	reportAnswer(digest: string): void {
-		if (!this._answeredDigests.includes(digest)) {
-			this._answeredDigests.push(digest);
+		if (!this._answers.some(answer => answer.digest === digest)) {
+			this._answers.push({ digest, reportId: randomUUID() });
 			this._startSending();
 		}
 	}
 
 	/** Queues when a request that became suspected was last answered. */
 	reportEarlierAnswer(digest: string, answeredAt: Millis): void {
-		this._earlierAnswers.push({ digest, answeredAt });
+		this._earlierAnswers.push({ digest, reportId: randomUUID(), answeredAt });
 		this._startSending();
 	}
 
@@ -68,7 +73,7 @@
 
 	private _startSending(): void {
 		this._pendingRuns = this._pendingRuns.slice(-MAX_PENDING);
-		this._answeredDigests = this._answeredDigests.slice(-MAX_PENDING);
+		this._answers = this._answers.slice(-MAX_PENDING);
 		this._earlierAnswers = this._earlierAnswers.slice(-MAX_PENDING);
 		if (!this._isSending) {
 			this._isSending = true;
@@ -77,18 +82,18 @@
 	}
 
 	private get _hasPending(): boolean {
-		return this._pendingRuns.length + this._answeredDigests.length + this._earlierAnswers.length > 0;
+		return this._pendingRuns.length + this._answers.length + this._earlierAnswers.length > 0;
 	}
 
 	private async _sendPending(): Promise<void> {
 		await pause(BATCH_WINDOW_MS);
 		for (let attempt = 0; !this._isStopped && this._hasPending; attempt++) {
 			const runs = this._pendingRuns;
-			const answered = this._answeredDigests;
+			const answered = this._answers;
 			const earlier = this._earlierAnswers;
 			if (await this._send(attempt, runs, answered, earlier)) {
 				this._pendingRuns = this._pendingRuns.filter(run => !runs.includes(run));
-				this._answeredDigests = this._answeredDigests.filter(digest => !answered.includes(digest));
+				this._answers = this._answers.filter(answer => !answered.includes(answer));
 				this._earlierAnswers = this._earlierAnswers.filter(answer => !earlier.includes(answer));
 			} else {
 				await pause(attempt < this._controlAddresses().length ? RETRY_PAUSE_MS : SLOW_RETRY_PAUSE_MS);
@@ -104,7 +109,7 @@
 	private async _send(
 		attempt: number,
 		runs: readonly ObservedLostRun[],
-		answered: readonly string[],
+		answered: readonly AnsweredRequest[],
 		earlier: readonly DatedAnswer[]
 	): Promise<boolean> {
 		const controls = this._controlAddresses();
@@ -116,7 +121,7 @@
 		const report: RunReport = {
 			endedRuns: runs.map(run => toReportedRun(run, now)),
 			answered,
-			earlierAnswers: earlier.map(({ digest, answeredAt }) => ({ digest, agoMs: now - answeredAt }))
+			earlierAnswers: earlier.map(({ answeredAt, ...answer }) => ({ ...answer, agoMs: now - answeredAt }))
 		};
 		try {
 			await this._calls.call(address, reportRunsMethod, { report, isForwarded: false }, CALL_TIMEOUT_MS);
--- a/src/plugins/fleet/test/quarantineReports.test.ts
+++ b/src/plugins/fleet/test/quarantineReports.test.ts
@@ -134,6 +134,43 @@
 	assert.equal(await leader.manager.release(DIGEST), false);
 });
 
+/** Guards against a release that a partition holds up, and that clears what was counted after its successor. */
+test('a release that arrives late or twice does not release a request that is suspected anew', async () => {
+	const leader = createControl(suspectedState());
+	const delayed: ReportRunsRequest[] = [];
+	const follower = createControl(suspectedState(), request => {
+		delayed.push(request);
+		return Promise.reject(new Error('no response within 500 ms'));
+	});
+	await assert.rejects(follower.manager.release(DIGEST), FleetUnavailableError);
+	assert.equal(await leader.manager.release(DIGEST), true);
+	const runs = [3, 4].map(i => ({ digest: DIGEST, pathHash: 1, team: '', requestId: `r-${i}`, targetId: `t-${i}` }));
+	leader.state.apply({ type: 'noteRuns', runs });
+	await assert.rejects(leader.handle(delayed[0]!), FleetUnavailableError);
+	assert.equal(leader.state.countedRuns(DIGEST).length, 2);
+});
+
+/** Guards against a report that was given up and sent again, and whose first copy arrives after later runs. */
+test('reports of runs and answers that arrive a second time change nothing', async t => {
+	let now = 100_000;
+	t.mock.method(performance, 'now', () => now);
+	const leader = createControl(new QuarantineState());
+	const countAfter = async (report: ReportRunsRequest): Promise<number> => {
+		await leader.handle(report);
+		return leader.state.countedRuns(DIGEST).length;
+	};
+	const [first, second, third, fourth] = [1, 2, 3, 4].map(i =>
+		lostRun(i, { sentAgoMs: i % 2 === 1 ? 3000 : 500, endedAgoMs: i % 2 === 1 ? 2900 : 400 })
+	) as [ReportedLostRun, ReportedLostRun, ReportedLostRun, ReportedLostRun];
+	const answered = { report: { endedRuns: [], answered: [{ digest: DIGEST, reportId: 'a' }] }, isForwarded: false };
+	assert.equal(await countAfter(reportOf([first, second])), 2);
+	assert.equal(await countAfter(answered), 0);
+	now += 5000;
+	assert.equal(await countAfter(reportOf([first, second])), 0);
+	assert.equal(await countAfter(reportOf([third, fourth])), 2);
+	assert.equal(await countAfter(answered), 2);
+});
+
 test('a release is unavailable while the leader cannot be reached', async () => {
 	const follower = createControl(suspectedState(), () => Promise.reject(new Error('connection refused')));
 	await assert.rejects(follower.manager.release(DIGEST), FleetUnavailableError);
--- a/src/plugins/fleet/test/runReporter.test.ts
+++ b/src/plugins/fleet/test/runReporter.test.ts
@@ -54,7 +54,7 @@
 	await pause(100);
 	assert.equal(controls.receivedRequests.length, 1);
 	const { endedRuns, answered } = controls.receivedRequests[0]!.report;
-	assert.deepEqual([endedRuns.length, answered], [2, ['d']]);
+	assert.deepEqual([endedRuns.length, answered.map(({ digest }) => digest)], [2, ['d']]);
 	assert.ok(endedRuns[0]!.sentAgoMs >= 200 && endedRuns[0]!.endedAgoMs >= 100 && endedRuns[0]!.endedAgoMs < 200);
 });
 
