Unused credits of a team are returned once, and only to the holder that granted them

Credits that an entry instance returned went along with each attempt of a call: a control instance that took them back and whose response came too late was followed by the next one, which took them back too. A call that a partition held up returned credits whose requests had left the window in which they count, so the leader deducted them from requests that were in it.

Change: returned credits go with the first attempt only, and name the holder that granted them and the oldest time of these grants by its own clock. A holder takes back only what it granted itself within 3 s, which with its reports stays within the window.

--- a/src/plugins/limits/common/limitPolicy.ts
+++ b/src/plugins/limits/common/limitPolicy.ts
@@ -29,6 +29,8 @@
  * delays of messages and `MAX_REPORT_GAP_MS` less than a window.
  */
 export const MAX_GIVE_BACK_AGE_MS: Millis = 2000;
+/** A holder accepts returned credits for this long after it granted them, which allows for the delays of both calls. */
+export const MAX_RETURN_AGE_MS: Millis = MAX_GIVE_BACK_AGE_MS + 1000;
 /** The ledger ignores credits that were given back if the holder's report before is older; they may have been spent long ago. */
 export const MAX_REPORT_GAP_MS: Millis = 1000;
 /** Only this fraction of the allowed requests is admitted, since requests may reach targets closer together than they were admitted. */
--- a/src/plugins/limits/common/limitWire.ts
+++ b/src/plugins/limits/common/limitWire.ts
@@ -55,13 +55,22 @@
 	readonly grants?: readonly CreditGrant[];
 }
 
+/** The grant of a holder that credits come from. */
+export interface CreditSource {
+	readonly holder: string;
+	/** When they were taken, by the monotonic clock of the holder. */
+	readonly takenAt: Millis;
+}
+
 /** Takes credits of a team for requests at an entry instance. */
 export interface TakeRequest {
 	readonly team: string;
 	/** Requests that wait for a credit. */
 	readonly needed: number;
-	/** Credits that were taken before and not spent. */
+	/** Credits that were taken before and not spent; sent once, whether or not there is a response. */
 	readonly returned: number;
+	/** Oldest grant that they come from; they are accepted only by its holder, and only for some time. */
+	readonly returnedFrom?: CreditSource;
 }
 
 /** Response of a control instance, received directly or through an entry instance. */
@@ -69,6 +78,8 @@
 	readonly granted: number;
 	/** Time until there may be credits for requests that got none; 0 if unknown because the leader could not be reached. */
 	readonly retryAfterMs: Millis;
+	/** Absent if no credits were granted. */
+	readonly source?: CreditSource;
 }
 
 /** Takes credits from a control instance, or through another entry instance of the same data hall. */
--- a/src/plugins/limits/node/creditHolder.ts
+++ b/src/plugins/limits/node/creditHolder.ts
@@ -21,6 +21,7 @@
 	type TakeRequest,
 	type TakeResponse
 } from '../common/limitWire.js';
+import { MAX_RETURN_AGE_MS } from '../common/limitPolicy.js';
 import { TeamCredits } from '../common/teamCredits.js';
 
 /** Interval of periodic renewals; `CREDIT_LIFETIME_MS` is five times as long. */
@@ -84,26 +85,38 @@
 	}
 
 	/** Takes credits; synchronously if there are enough, or if the team is known to be over its limit. */
-	take({ team, needed, returned }: TakeRequest): TakeResponse | Promise<TakeResponse> {
+	take(request: TakeRequest): TakeResponse | Promise<TakeResponse> {
+		const { team, needed } = request;
 		this._returnCreditsAfterSuspension();
 		const now = systemClock.now();
 		const credits = this._getOrCreateCredits(team);
-		credits.giveBack(returned);
+		credits.giveBack(this._acceptedReturns(request, now));
 		credits.recordRequests(needed, now);
 		const granted = credits.takeUpTo(needed, now);
 		if (credits.needsRefill(now)) {
 			void this._refill();
 		}
 		if (granted === needed) {
-			return { granted, retryAfterMs: 0 };
+			return this._respond(granted, 0, now);
 		}
 		if (now < credits.noCreditsUntil) {
 			this._observer?.recordRefused(CreditShortage.Limit, needed - granted);
-			return { granted, retryAfterMs: clampRetryAfterMs(credits.noCreditsUntil - now) };
+			return this._respond(granted, clampRetryAfterMs(credits.noCreditsUntil - now), now);
 		}
 		return this._takeAfterRenewal(credits, granted, needed - granted);
 	}
 
+	/** Returned credits that this holder granted, not so long ago that they may have left the window in which they count as spent. */
+	private _acceptedReturns({ returned, returnedFrom }: TakeRequest, now: Millis): number {
+		const isAccepted = returnedFrom?.holder === this._holderId && now - returnedFrom.takenAt <= MAX_RETURN_AGE_MS;
+		return isAccepted ? returned : 0;
+	}
+
+	private _respond(granted: number, retryAfterMs: Millis, takenAt: Millis): TakeResponse {
+		const source = { holder: this._holderId, takenAt };
+		return granted > 0 ? { granted, retryAfterMs, source } : { granted, retryAfterMs };
+	}
+
 	/** Returns all credits to the leader. */
 	async release(): Promise<void> {
 		const reports = [...this._credits].map(([team, credits]) => credits.releaseAll(team));
@@ -118,7 +131,8 @@
 	/** Waits until the leader has granted credits, the team is known to be over its limit, or `MAX_WAIT_MS` have passed. */
 	private async _takeAfterRenewal(credits: TeamCredits, granted: number, missing: number): Promise<TakeResponse> {
 		this._observer?.recordWaited(missing);
-		const giveUpAt = systemClock.now() + MAX_WAIT_MS;
+		const startedAt = systemClock.now();
+		const giveUpAt = startedAt + MAX_WAIT_MS;
 		let remaining = missing;
 		let hasAnswer = false;
 		for (let now = systemClock.now(); remaining > 0 && now < giveUpAt; now = systemClock.now()) {
@@ -139,7 +153,7 @@
 			const shortage = hasAnswer ? CreditShortage.Ceiling : 'leader';
 			this._observer?.recordRefused(waitMs > 0 ? CreditShortage.Limit : shortage, remaining);
 		}
-		return { granted: granted + missing - remaining, retryAfterMs: waitMs > 0 ? clampRetryAfterMs(waitMs) : 0 };
+		return this._respond(granted + missing - remaining, waitMs > 0 ? clampRetryAfterMs(waitMs) : 0, startedAt);
 	}
 
 	/** Replaces spent credits of all teams that hold few; one call at a time. */
--- a/src/plugins/limits/node/teamLimitsTask.ts
+++ b/src/plugins/limits/node/teamLimitsTask.ts
@@ -66,14 +66,17 @@
 	private _getOrCreateQueue(team: string): TeamAdmissionQueue {
 		let queue = this._queues.get(team);
 		if (!queue) {
-			queue = new TeamAdmissionQueue((needed, returned) => this._take({ team, needed, returned }));
+			queue = new TeamAdmissionQueue((needed, returned, returnedFrom) =>
+				this._take({ team, needed, returned, returnedFrom })
+			);
 			this._queues.set(team, queue);
 		}
 		return queue;
 	}
 
 	private async _take(request: TakeRequest): Promise<TakeResponse> {
-		return (await this._takeFromControl(request)) ?? (await this._takeFromPeer(request)) ?? UNKNOWN;
+		const response = await this._takeFromControl(request);
+		return response ?? (await this._takeFromPeer(withoutReturns(request))) ?? UNKNOWN;
 	}
 
 	/** Tries the nearest control instances one after the other; undefined if none responds. */
@@ -98,15 +101,17 @@
 	): Promise<TakeResponse | undefined> {
 		const now = systemClock.now();
 		const isEligible = (address: string): boolean => now >= (this._skippedUntil.get(address) ?? 0);
+		let attempt = request;
 		for (const address of addresses.filter(isEligible).slice(0, maxAttempts)) {
 			try {
-				const response = await this._calls.call(address, takeMethod, request, timeoutMs);
+				const response = await this._calls.call(address, takeMethod, attempt, timeoutMs);
 				this._lastResponseAt.set(address, systemClock.now());
 				return response;
 			} catch (error) {
 				const reason = (error as Error).message;
 				this._log.warn('cannot take credits', { task: 'limits', team: request.team, address, reason });
 				this._recordFailure(address, systemClock.now());
+				attempt = withoutReturns(request);
 			}
 		}
 		return undefined;
@@ -118,3 +123,8 @@
 		}
 	}
 }
+
+/** The same request for a further instance: the one called before may have accepted the returned credits. */
+function withoutReturns({ team, needed }: TakeRequest): TakeRequest {
+	return { team, needed, returned: 0 };
+}
--- a/src/plugins/limits/test/creditHolder.test.ts
+++ b/src/plugins/limits/test/creditHolder.test.ts
@@ -7,7 +7,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { ILogService } from '../../../kernel/node/logService.js';
-import type { RenewRequest } from '../common/limitWire.js';
+import { MAX_RETURN_AGE_MS } from '../common/limitPolicy.js';
+import type { CreditSource, RenewRequest } from '../common/limitWire.js';
 import { CreditHolder } from '../node/creditHolder.js';
 
 const LOG = { info: () => undefined, warn: () => undefined } as unknown as ILogService;
@@ -54,6 +55,25 @@
 	holder.dispose();
 });
 
+/** Guards against credits that a delayed call takes back after they have left the window, or at another holder. */
+test('returned credits are accepted by the holder that granted them, and only for some time', async t => {
+	const { holder, renewals } = new HolderFixture();
+	let now = 100_000;
+	t.mock.method(performance, 'now', () => now);
+	const { source } = await holder.take(ONE_REQUEST);
+	const givenBackAfter = async (returnedFrom: CreditSource | undefined, ageMs: number): Promise<number> => {
+		now += ageMs;
+		await holder.take({ ...ONE_REQUEST, returned: 1, returnedFrom });
+		await holder.release();
+		return renewals.at(-1)!.reports[0]!.givenBack!;
+	};
+	assert.equal(await givenBackAfter({ ...source!, holder: 'another' }, 0), 0);
+	assert.equal(await givenBackAfter(undefined, 0), 0);
+	assert.equal(await givenBackAfter(source, MAX_RETURN_AGE_MS), 1);
+	assert.equal(await givenBackAfter(source, 1), 1);
+	holder.dispose();
+});
+
 test('a grant in transit during a suspension is ignored', async () => {
 	const fixture = new HolderFixture();
 	const { holder } = fixture;
--- a/src/plugins/limits/test/limitReplay.ts
+++ b/src/plugins/limits/test/limitReplay.ts
@@ -199,9 +199,9 @@
 		let queue = this._queues.get(key);
 		if (!queue) {
 			const { holder } = this._controls[entry % HOLDER_COUNT]!;
-			queue = new TeamAdmissionQueue(async (needed, returned): Promise<TakeResponse> => {
+			queue = new TeamAdmissionQueue(async (needed, returned, returnedFrom): Promise<TakeResponse> => {
 				await delay(HOP_MS);
-				const response = await holder.take({ team: `t${team}`, needed, returned });
+				const response = await holder.take({ team: `t${team}`, needed, returned, returnedFrom });
 				await delay(HOP_MS);
 				return response;
 			});
--- a/src/plugins/limits/test/teamLimits.test.ts
+++ b/src/plugins/limits/test/teamLimits.test.ts
@@ -28,6 +28,7 @@
 /** The task with peers that respond or fail depending on their address. */
 class TaskFixture {
 	readonly calledAddresses: string[] = [];
+	readonly returnedCounts: number[] = [];
 	handler: ((request: TakeRequest) => Promise<TakeResponse>) | undefined;
 	readonly task: TeamLimitsTask;
 
@@ -35,8 +36,9 @@
 		const calls = {
 			handleUnary: (_method: unknown, handler: (request: TakeRequest) => Promise<TakeResponse>) =>
 				(this.handler = handler),
-			call: async (address: string) => {
+			call: async (address: string, _method: unknown, request: TakeRequest) => {
 				this.calledAddresses.push(address);
+				this.returnedCounts.push(request.returned);
 				const response = responseOf(address);
 				if (!response) {
 					throw new Error('no response');
@@ -80,6 +82,13 @@
 	assert.equal(await fixture.verdict(), LimitVerdict.Unknown);
 });
 
+/** Guards against credits that two instances take back, of which the first responded too late. */
+test('unused credits are returned in one call only, whether or not it is answered', async () => {
+	const fixture = new TaskFixture(() => undefined);
+	await fixture.handler!({ team: 'growers', needed: 1, returned: 3, returnedFrom: { holder: 'h', takenAt: 0 } });
+	assert.deepEqual(fixture.returnedCounts, [3, 0]);
+});
+
 test('a control instance that has just responded is not skipped after one lost call', async () => {
 	let isLost = false;
 	const fixture = new TaskFixture(address => (isLost && address === 'near:1' ? undefined : ONE_GRANTED));
