Calls for credits that arrive late or twice get none

A call that was late only against one for other teams was not told from one that was late for its own, so its report was left out.

Change: sequence numbers count by holder and team; a report that is not the latest on its team changes nothing and gets no credits.

--- a/src/plugins/limits/common/creditLedger.ts
+++ b/src/plugins/limits/common/creditLedger.ts
@@ -75,9 +75,13 @@
 	readonly usageBound: number;
 }
 
+const NOTHING_GRANTED: CreditGrant = { granted: 0, roomInMs: 0 };
+
 /** The credits of one team at all holders. */
 class TeamAccount {
 	private readonly _holders = new Map<string, HolderAccount>();
+	/** Sequence number of the last call of each holder that reported on this team. */
+	private readonly _sequences = new Map<string, number>();
 	private readonly _spent: SpendHistory;
 	private _granted = 0;
 
@@ -95,20 +99,24 @@
 		return outstanding + this._spent.total(now);
 	}
 
-	hasHolder(holder: string): boolean {
-		return this._holders.has(holder);
-	}
-
-	/** Applies a report of a holder; the first one to this leader opens the holder's account. */
-	applyReport(holder: string, report: CreditReport, now: Millis): void {
+	/**
+	 * Applies a report of a holder; the first one to this leader opens the holder's account.
+	 * @returns false, and changes nothing, if a later call has reported on this team, or this one has
+	 */
+	applyReport(holder: string, sequence: number, report: CreditReport, now: Millis): boolean {
+		if (sequence <= (this._sequences.get(holder) ?? 0)) {
+			return false;
+		}
+		this._sequences.set(holder, sequence);
 		const account = this._holders.get(holder);
 		if (!account) {
 			this._holders.set(holder, new HolderAccount(report, now));
-			return;
+			return true;
 		}
 		const { spent, givenBack } = account.applyReport(report, now);
 		this._spent.add(spent, now);
 		this._spent.remove(givenBack);
+		return true;
 	}
 
 	/** Credits granted, without those that came back unspent. */
@@ -170,7 +178,6 @@
 /** The accounts of all teams during the term of one leader. */
 export class CreditLedger {
 	private readonly _accounts = new Map<string, TeamAccount>();
-	private readonly _sequences = new Map<string, number>();
 	/** Credits that only the ceiling or the usage bound refused, by team, since ceilings were last computed. */
 	private readonly _shortfalls = new Map<string, number>();
 	/** Lowest ceilings that were proposed and may not be committed yet; they apply at once. */
@@ -188,22 +195,16 @@
 	) {}
 
 	/**
-	 * Applies a holder's reports and grants credits. A report that arrives after a later one is not applied, unless the holder has no
-	 * account for the team yet.
+	 * Applies a holder's reports and grants credits. A report that arrives after a later one on the same team, or twice, changes nothing
+	 * and gets no credits.
 	 * @returns the grants, in the order of the reports
 	 */
 	renew({ holder, sequence, reports }: RenewRequest, now: Millis): CreditGrant[] {
-		const isLatest = sequence > (this._sequences.get(holder) ?? 0);
-		if (isLatest) {
-			this._sequences.set(holder, sequence);
-		}
-		return reports.map(report => {
-			const account = this._getOrCreateAccount(report.team);
-			if (isLatest || !account.hasHolder(holder)) {
-				account.applyReport(holder, report, now);
-			}
-			return this._grant(holder, report, now);
-		});
+		return reports.map(report =>
+			this._getOrCreateAccount(report.team).applyReport(holder, sequence, report, now)
+				? this._grant(holder, report, now)
+				: NOTHING_GRANTED
+		);
 	}
 
 	/** Whether waiting requests got no credit only for want of a higher ceiling. */
--- a/src/plugins/limits/common/limitWire.ts
+++ b/src/plugins/limits/common/limitWire.ts
@@ -45,7 +45,7 @@
 export interface RenewRequest {
 	/** Id of the holder; a new one after each start of the control instance. */
 	readonly holder: string;
-	/** Increases with each call; reports that arrive after a later call are ignored. */
+	/** Increases with each call; a report that arrives after a later one on the same team, or twice, is ignored. */
 	readonly sequence: number;
 	readonly reports: readonly CreditReport[];
 }
--- a/src/plugins/limits/test/limits.test.ts
+++ b/src/plugins/limits/test/limits.test.ts
@@ -187,6 +187,18 @@
 	return { ceilings, ledger, renew };
 }
 
+/** Guards against credits for a call that its holder gave up, which would be missing elsewhere. */
+test('a call for credits that arrives late or twice gets none; calls for other teams do not make it late', () => {
+	const { ceilings, ledger } = createLedger();
+	ceilings.apply({ type: 'ceilings', term: 1, ceilings: { t: 300, other: 300 }, usageBounds: { t: 300, other: 300 } });
+	const renew = (sequence: number, team: string): number => {
+		const report = { team, received: 0, spent: 0, returned: 0, givenBack: 0, needed: 5, ahead: 0 };
+		return ledger.renew({ holder: 'h', sequence, reports: [report] }, 1000)[0]!.granted;
+	};
+	assert.deepEqual([renew(2, 't'), renew(1, 't'), renew(2, 't')], [5, 0, 0]);
+	assert.equal(renew(1, 'other'), 5);
+});
+
 test('a grant takes the usage no higher than its committed bound', () => {
 	const { ceilings, renew } = createLedger();
 	ceilings.apply({ type: 'ceilings', term: 1, ceilings: { t: 300 }, usageBounds: { t: 25 } });
