A claim of an order key has no effect once its request was recorded as not run

An entry instance that gets no answer to a claim records its request as not run and tells the caller so. A claim that a partition delivered after that took the key for a request that nobody would end; so did a second copy of one, as the outcome deleted all that was known of the request.

Change: the requests with a key that did not run are remembered with it, and a claim by one of them is refused. Request ids are new for each attempt of a caller. State that earlier versions saved is read.

--- a/src/plugins/once/common/orderLedger.ts
+++ b/src/plugins/once/common/orderLedger.ts
@@ -6,7 +6,8 @@
  * Replicated record of order keys and of the outcomes of their requests.
  *
  * A claim belongs to the request that made it and is not released by a timeout: until its outcome is known, other
- * requests with the same key are refused, because it may have run. Keys are deleted after the retention period.
+ * requests with the same key are refused, because it may have run. A request that did not run is remembered, so that its
+ * claim has no effect when it arrives after that outcome. Keys are deleted after the retention period.
  */
 
 import type { IReplicatedPart } from '../../agreement/common/replicatedState.js';
@@ -15,6 +16,8 @@
 export const ORDER_PART = 'once';
 
 const DATE_LENGTH = 10;
+/** Requests with one key that are remembered as not run; each resend of an order is one. */
+const MAX_WITHDRAWN = 64;
 
 /** The response of a target, replayed to later requests with the same key. */
 export interface StoredResponse {
@@ -61,17 +64,27 @@
 	| { readonly kind: 'unknown' }
 	| { readonly kind: 'conflict' }
 	| { readonly kind: 'too-old' }
+	/** The outcome of this request is recorded as not run: the claim is late, and nobody waits for it. */
+	| { readonly kind: 'withdrawn' }
 	/** No answer from the leader: it is unknown whether the key was claimed, and the request must not be sent. */
 	| { readonly kind: 'no-quorum' };
 
-/** The state of one order key. */
-interface OrderRecord {
+/** A claim and its outcome. */
+interface Claim {
 	readonly digest: string;
 	readonly requestId: string;
 	readonly state: 'claimed' | 'ran' | 'unknown';
 	readonly answer?: StoredResponse;
 }
 
+/** The state of one order key. */
+interface OrderRecord {
+	/** Absent while no request claims the key. */
+	readonly claim?: Claim;
+	/** Ids of the latest requests that did not run, oldest first. */
+	readonly withdrawn: readonly string[];
+}
+
 /** Order keys by date; see the head of this file. */
 export class OrderLedger implements IReplicatedPart {
 	readonly id = ORDER_PART;
@@ -98,39 +111,52 @@
 
 	restore(saved: unknown): void {
 		this._days.clear();
-		for (const [date, day] of saved as [string, [string, OrderRecord][]][]) {
-			this._days.set(date, new Map(day));
+		for (const [date, day] of saved as [string, [string, OrderRecord | Claim][]][]) {
+			this._days.set(date, new Map(day.map(([key, record]) => [key, toRecord(record)])));
 		}
 	}
 
 	private _applyClaim(command: ClaimCommand): ClaimResult {
 		this._deleteDaysBefore(command.oldestDate);
-		const date = command.key.slice(0, DATE_LENGTH);
+		const date = dateOf(command.key);
 		if (date < command.oldestDate) {
 			return { kind: 'too-old' };
 		}
-		const existing = this._days.get(date)?.get(command.key);
-		if (existing) {
-			return claimResultFor(existing, command);
+		const { key, digest, requestId } = command;
+		const { claim, withdrawn } = this._record(key);
+		if (withdrawn.includes(requestId)) {
+			return { kind: 'withdrawn' };
+		}
+		if (claim) {
+			return claimResultFor(claim, command);
 		}
-		const { digest, requestId } = command;
-		this._getOrCreateDay(date).set(command.key, { digest, requestId, state: 'claimed' });
+		this._getOrCreateDay(date).set(key, { claim: { digest, requestId, state: 'claimed' }, withdrawn });
 		return { kind: 'granted' };
 	}
 
-	private _applyOutcome(command: OutcomeCommand): void {
-		const day = this._days.get(command.key.slice(0, DATE_LENGTH));
-		const existing = day?.get(command.key);
-		if (!day || !existing || existing.requestId !== command.requestId || existing.state !== 'claimed') {
-			return;
-		}
-		const { outcome } = command;
+	private _applyOutcome({ key, requestId, outcome }: OutcomeCommand): void {
+		const { claim, withdrawn } = this._record(key);
+		const isClaimed = claim?.requestId === requestId && claim.state === 'claimed';
 		if (outcome.kind === 'not-run') {
-			day.delete(command.key);
-			return;
+			if (isClaimed || claim?.requestId !== requestId) {
+				this._withdraw(key, isClaimed ? undefined : claim, withdrawn, requestId);
+			}
+		} else if (isClaimed) {
+			const answer = outcome.kind === 'ran' ? outcome.answer : undefined;
+			this._getOrCreateDay(dateOf(key)).set(key, { claim: { ...claim, state: outcome.kind, answer }, withdrawn });
 		}
-		const answer = outcome.kind === 'ran' ? outcome.answer : undefined;
-		day.set(command.key, { ...existing, state: outcome.kind, answer });
+	}
+
+	private _withdraw(key: string, claim: Claim | undefined, withdrawn: readonly string[], requestId: string): void {
+		const others = withdrawn.filter(id => id !== requestId);
+		this._getOrCreateDay(dateOf(key)).set(key, {
+			...(claim ? { claim } : {}),
+			withdrawn: [...others, requestId].slice(-MAX_WITHDRAWN)
+		});
+	}
+
+	private _record(key: string): OrderRecord {
+		return this._days.get(dateOf(key))?.get(key) ?? { withdrawn: [] };
 	}
 
 	private _getOrCreateDay(date: string): Map<string, OrderRecord> {
@@ -151,7 +177,16 @@
 	}
 }
 
-function claimResultFor(existing: OrderRecord, command: ClaimCommand): ClaimResult {
+function dateOf(key: string): string {
+	return key.slice(0, DATE_LENGTH);
+}
+
+/** Reads a saved record; earlier versions saved the claim alone. */
+function toRecord(saved: OrderRecord | Claim): OrderRecord {
+	return 'withdrawn' in saved ? saved : { claim: saved, withdrawn: [] };
+}
+
+function claimResultFor(existing: Claim, command: ClaimCommand): ClaimResult {
 	if (existing.digest !== command.digest) {
 		return { kind: 'conflict' };
 	}
