Requests to join and removals of members have no effect after the member list has changed

A removal names an id, so a late one removed a member that had joined again.

Change: a replica tells its member list by its term and index in the response to a hello, and admits only who names the latest; a joining replica repeats its hello at once when it was told a new one. A removal names when the member was admitted, as known to the instance that got it from the operator.

Left: replicas of earlier versions name no list, so they are admitted only by leaders of their own version.

--- a/src/plugins/agreement/common/agreement.ts
+++ b/src/plugins/agreement/common/agreement.ts
@@ -6,7 +6,7 @@
 
 import type { Event } from '../../../base/event.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
-import type { Member, MemberId, ReplicaRole } from './agreementTypes.js';
+import type { LogIndex, Member, MemberId, ReplicaRole } from './agreementTypes.js';
 import type { IReplicatedPart, PartCommand } from './replicatedState.js';
 
 /** This replica is not the leader; nothing was appended. */
@@ -74,8 +74,11 @@
 	 * may have been committed and acknowledged before; until a leader has been elected nothing else tells.
 	 */
 	uncommittedCommands(part: string): readonly unknown[];
-	/** Removes a member; resolves with false if this replica cannot do so now. */
-	removeMember(id: MemberId): Promise<boolean>;
+	/**
+	 * Removes a member; resolves with false if this replica cannot do so now.
+	 * @param admittedAt when the member was admitted, by its entry in the member list; 0 if the entry does not tell
+	 */
+	removeMember(id: MemberId, admittedAt: LogIndex): Promise<boolean>;
 	status(): ReplicaStatus;
 }
 
--- a/src/plugins/agreement/common/agreementCore.ts
+++ b/src/plugins/agreement/common/agreementCore.ts
@@ -21,6 +21,7 @@
 	type LogIndex,
 	type Member,
 	type MemberId,
+	type MemberListVersion,
 	MemberRole,
 	ReplicaRole,
 	type Snapshot
@@ -70,6 +71,11 @@
 		return this._state.members;
 	}
 
+	/** Identifies the member list of this replica, committed or not. */
+	get memberListVersion(): MemberListVersion {
+		return { term: this._state.term, index: this._state.membersIndex };
+	}
+
 	/** Last index known to this replica to be committed. */
 	get commitIndex(): LogIndex {
 		return this._state.commitIndex;
@@ -202,15 +208,25 @@
 		return { first, effects: state.takeEffects() };
 	}
 
-	/** Handles a request to join; a leader admits the replica as a learner unless another member change is in progress. */
-	join(identity: ReplicaIdentity, now: Millis): Effects {
-		this._memberChanges.admit(identity, now);
+	/**
+	 * Handles a request to join; a leader admits the replica as a learner unless another member change is in progress.
+	 * @param basis member list that this replica told the joining one last; after any change the request is outdated
+	 */
+	join(identity: ReplicaIdentity, basis: MemberListVersion | undefined, now: Millis): Effects {
+		const { term, index } = this.memberListVersion;
+		if (basis?.term === term && basis.index === index) {
+			this._memberChanges.admit(identity, now);
+		}
 		return this._state.takeEffects();
 	}
 
-	/** Removes a member on an operator's request; `done` is false if this replica cannot do so now. */
-	removeMember(id: MemberId, now: Millis): { done: boolean; effects: Effects } {
-		const done = this._memberChanges.remove(id, now);
+	/**
+	 * Removes a member on an operator's request; `done` is false if this replica cannot do so now.
+	 * @param admittedAt when the member to remove was admitted; one that was admitted again since is not removed
+	 */
+	removeMember(id: MemberId, admittedAt: LogIndex, now: Millis): { done: boolean; effects: Effects } {
+		const member = this.members.find(other => other.id === id);
+		const done = (member?.admittedAt ?? 0) === admittedAt && this._memberChanges.remove(id, now);
 		return { done, effects: this._state.takeEffects() };
 	}
 
--- a/src/plugins/agreement/common/agreementTypes.ts
+++ b/src/plugins/agreement/common/agreementTypes.ts
@@ -31,6 +31,14 @@
 	readonly admittedAt?: LogIndex;
 }
 
+/** A member list of one replica: no other list of that replica has the same term and index. */
+export interface MemberListVersion {
+	/** Current term of the replica. */
+	readonly term: number;
+	/** Index of the entry, or of the snapshot, that the list is from. */
+	readonly index: LogIndex;
+}
+
 /** Type of a log entry. */
 export enum EntryKind {
 	/** First entry of a leader's term, without a payload. */
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -19,7 +19,9 @@
 	type Effects,
 	EntryKind,
 	type LogEntry,
+	type LogIndex,
 	type MemberId,
+	type MemberListVersion,
 	ReplicaRole
 } from '../common/agreementTypes.js';
 import { createBootstrapState, INITIAL_INCARNATION } from '../common/bootstrapState.js';
@@ -52,8 +54,13 @@
 	| { readonly type: 'tick' }
 	| { readonly type: 'received'; readonly message: AgreementMessage }
 	| { readonly type: 'propose'; readonly proposal: Proposal }
-	| { readonly type: 'join'; readonly identity: ReplicaIdentity }
-	| { readonly type: 'remove'; readonly id: MemberId; readonly resolve: (done: boolean) => void }
+	| { readonly type: 'join'; readonly identity: ReplicaIdentity; readonly basis: MemberListVersion | undefined }
+	| {
+			readonly type: 'remove';
+			readonly id: MemberId;
+			readonly admittedAt: LogIndex;
+			readonly resolve: (done: boolean) => void;
+	  }
 	| { readonly type: 'bootstrap' };
 
 /** The replicated log of this control instance. */
@@ -109,10 +116,10 @@
 		});
 		this._peerCalls.handleUnary(helloMethod, async request => {
 			if (request.asksToJoin) {
-				this._post({ type: 'join', identity: request.identity });
+				this._post({ type: 'join', identity: request.identity, basis: request.memberList });
 			}
-			const memberAddresses = this._core.members.map(member => member.address);
-			return { identity: this._identity, isBlank: this._core.isBlank, memberAddresses };
+			const { isBlank, members, memberListVersion: memberList } = this._core;
+			return { identity: this._identity, isBlank, memberAddresses: members.map(({ address }) => address), memberList };
 		});
 	}
 
@@ -157,8 +164,8 @@
 		return this._core?.contactAge(systemClock.now()) ?? Number.POSITIVE_INFINITY;
 	}
 
-	removeMember(id: MemberId): Promise<boolean> {
-		return new Promise(resolve => this._post({ type: 'remove', id, resolve }));
+	removeMember(id: MemberId, admittedAt: LogIndex): Promise<boolean> {
+		return new Promise(resolve => this._post({ type: 'remove', id, admittedAt, resolve }));
 	}
 
 	status(): ReplicaStatus {
@@ -256,11 +263,11 @@
 				this._replicationMonitor.recordReceived(message.message);
 				return this._core.receive(message.message, now);
 			case 'join':
-				return this._core.join(message.identity, now);
+				return this._core.join(message.identity, message.basis, now);
 			case 'bootstrap':
 				return this._core.bootstrap(now);
 			case 'remove': {
-				const removal = this._core.removeMember(message.id, now);
+				const removal = this._core.removeMember(message.id, message.admittedAt, now);
 				message.resolve(removal.done);
 				return removal.effects;
 			}
--- a/src/plugins/agreement/node/agreementWire.ts
+++ b/src/plugins/agreement/node/agreementWire.ts
@@ -5,7 +5,7 @@
 /** Peer methods between replicas. */
 
 import { defineUnary } from '../../../kernel/common/peerMethods.js';
-import type { AgreementMessage } from '../common/agreementTypes.js';
+import type { AgreementMessage, MemberListVersion } from '../common/agreementTypes.js';
 import type { ReplicaIdentity } from '../common/agreementCore.js';
 
 /** Protocol messages for the called replica, in order. */
@@ -24,6 +24,8 @@
 	readonly isBlank: boolean;
 	/** Whether the caller asks the leader to admit it as a member. */
 	readonly asksToJoin: boolean;
+	/** Member list that the called replica told the caller last; absent before its first response. */
+	readonly memberList?: MemberListVersion;
 }
 
 /** Identity of the called replica, and whether its log is empty. */
@@ -32,6 +34,8 @@
 	readonly isBlank: boolean;
 	/** Addresses of the members known to the called replica; may be outdated. */
 	readonly memberAddresses: readonly string[];
+	/** To be named by requests to join; absent from older replicas. */
+	readonly memberList?: MemberListVersion;
 }
 
 /** Delivers protocol messages to a replica. */
--- a/src/plugins/agreement/node/memberDiscovery.ts
+++ b/src/plugins/agreement/node/memberDiscovery.ts
@@ -7,6 +7,7 @@
 import { systemClock } from '../../../base/clock.js';
 import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { AgreementCore, ReplicaIdentity } from '../common/agreementCore.js';
+import type { MemberListVersion } from '../common/agreementTypes.js';
 import { helloMethod, type HelloResponse } from './agreementWire.js';
 
 const HELLO_INTERVAL_MS = 200;
@@ -24,6 +25,8 @@
 export class MemberDiscovery {
 	/** Addresses of all members that were ever in a member list here or in a hello response. */
 	private readonly _knownAddresses = new Set<string>();
+	/** Member list that each replica told last, by its address. */
+	private readonly _toldLists = new Map<string, MemberListVersion>();
 
 	constructor(
 		private readonly _peerCalls: IPeerCalls,
@@ -43,10 +46,13 @@
 			if (this._core.leader !== undefined) {
 				lastLeaderAt = systemClock.now();
 			}
+			let wasToldNewList = false;
 			if (!isMember || systemClock.now() - lastLeaderAt > LEADER_TIMEOUT_MS) {
-				await this._sendHello(seeds(), !isMember || this._core.leader === undefined);
+				wasToldNewList = await this._sendHello(seeds(), !isMember || this._core.leader === undefined);
+			}
+			if (isMember || !wasToldNewList) {
+				await pause();
 			}
-			await pause();
 		}
 	}
 
@@ -59,9 +65,12 @@
 	async joinOrBootstrap(others: readonly ConfiguredPeer[], bootstrap: () => void): Promise<void> {
 		const hasLowestName = others.every(({ name }) => this._identity.id < name);
 		while (!this._core.isVoter) {
-			const request = { identity: this._identity, isBlank: true, asksToJoin: true };
-			const calls = others.map(({ address }) => this._peerCalls.call(address, helloMethod, request, HELLO_TIMEOUT_MS));
+			const calls = others.map(({ address }) => this._hello(address, true));
 			const responses = await Promise.allSettled(calls);
+			this._recordLists(
+				others.map(({ address }) => address),
+				responses
+			);
 			const areAllBlank = responses.every(
 				response => response.status === 'fulfilled' && isBlankResponse(response.value)
 			);
@@ -79,17 +88,42 @@
 		);
 	}
 
-	private async _sendHello(seeds: readonly string[], asksToJoin: boolean): Promise<void> {
+	/** @returns whether a replica told a member list that it had not told before, so that a request to join can name it */
+	private async _sendHello(seeds: readonly string[], asksToJoin: boolean): Promise<boolean> {
 		this._core.members.forEach(member => this._knownAddresses.add(member.address));
-		const addresses = new Set([...seeds, ...this._knownAddresses]);
-		addresses.delete(this._identity.address);
-		const request = { identity: this._identity, isBlank: this._core.isBlank, asksToJoin };
-		const calls = [...addresses].map(address => this._peerCalls.call(address, helloMethod, request, HELLO_TIMEOUT_MS));
-		for (const response of await Promise.allSettled(calls)) {
+		const addressSet = new Set([...seeds, ...this._knownAddresses]);
+		addressSet.delete(this._identity.address);
+		const addresses = [...addressSet];
+		const responses = await Promise.allSettled(addresses.map(address => this._hello(address, asksToJoin)));
+		for (const response of responses) {
 			if (response.status === 'fulfilled') {
 				response.value.memberAddresses.forEach(address => this._knownAddresses.add(address));
 			}
 		}
+		return this._recordLists(addresses, responses);
+	}
+
+	private _hello(address: string, asksToJoin: boolean): Promise<HelloResponse> {
+		const { isBlank } = this._core;
+		const request = { identity: this._identity, isBlank, asksToJoin, memberList: this._toldLists.get(address) };
+		return this._peerCalls.call(address, helloMethod, request, HELLO_TIMEOUT_MS);
+	}
+
+	/** @returns whether a list differs from the one that its replica told before */
+	private _recordLists(
+		addresses: readonly string[],
+		responses: readonly PromiseSettledResult<HelloResponse>[]
+	): boolean {
+		let hasNewList = false;
+		responses.forEach((response, i) => {
+			const list = response.status === 'fulfilled' ? response.value.memberList : undefined;
+			const before = this._toldLists.get(addresses[i]!);
+			if (list && (list.term !== before?.term || list.index !== before.index)) {
+				this._toldLists.set(addresses[i]!, list);
+				hasNewList = true;
+			}
+		});
+		return hasNewList;
 	}
 }
 
--- a/src/plugins/agreement/test/agreementModel.ts
+++ b/src/plugins/agreement/test/agreementModel.ts
@@ -282,7 +282,7 @@
 	private _join(node: ModelNode): void {
 		const identity = { id: node.id, incarnation: node.disk.incarnation, address: node.id };
 		for (const other of this._running().filter(item => item !== node)) {
-			this._perform(other, core => core.join(identity, this._now));
+			this._perform(other, core => core.join(identity, core.memberListVersion, this._now));
 		}
 	}
 
--- a/src/plugins/operators/common/operatorApi.ts
+++ b/src/plugins/operators/common/operatorApi.ts
@@ -14,6 +14,8 @@
 	readonly path: string;
 	readonly query: Readonly<Record<string, string>>;
 	readonly body?: unknown;
+	/** When the members that the receiving instance knows were admitted, by id; their removal names that. */
+	readonly admissions?: Readonly<Record<string, number>>;
 }
 
 /** Response to an `OperatorRequest`. */
--- a/src/plugins/operators/node/operatorServer.ts
+++ b/src/plugins/operators/node/operatorServer.ts
@@ -163,14 +163,16 @@
 
 	/** Answers the request if this instance is the leader or knows no other leader; otherwise forwards it to the leader, once. */
 	private async _answerOrForward(request: OperatorRequest): Promise<OperatorResponse> {
-		const { leader, id } = this._agreement.status();
+		const { leader, id, members } = this._agreement.status();
 		const peer = leader === undefined ? undefined : this._controlPeers.get(leader);
+		const admissions = Object.fromEntries(members.map(member => [member.id, member.admittedAt ?? 0]));
 		if (leader === id || !peer) {
-			return this._service.handleRequest(request);
+			return this._service.handleRequest({ ...request, admissions });
 		}
 		const abortController = new AbortController();
 		try {
-			const call = this._transport.call(peer.address, forwardMethod, request, LEADER_RESPONSE_TIMEOUT_MS);
+			const forwarded = { ...request, admissions };
+			const call = this._transport.call(peer.address, forwardMethod, forwarded, LEADER_RESPONSE_TIMEOUT_MS);
 			return await Promise.race([call, this._rejectOnLeaderChange(leader!, abortController.signal)]);
 		} catch (error) {
 			const message = `the leader ${leader} did not respond: ${(error as Error).message}`;
--- a/src/plugins/operators/node/operatorService.ts
+++ b/src/plugins/operators/node/operatorService.ts
@@ -4,6 +4,7 @@
 
 /** Handles operators' requests on the leader. */
 
+import { ownValue } from '../../../base/records.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
 import { IAgreement } from '../../agreement/common/agreement.js';
@@ -85,7 +86,8 @@
 		}
 		const member = MEMBER_PATH.exec(path);
 		if (member && method === 'POST') {
-			return { status: 200, body: await this._removeMember(member[1]!) };
+			const id = member[1]!;
+			return { status: 200, body: await this._removeMember(id, ownValue(request.admissions ?? {}, id)) };
 		}
 		const plan = PLAN_PATH.exec(path);
 		if (plan && method === 'GET' && !plan[2]) {
@@ -168,15 +170,16 @@
 		return { planId, status: record.status, stagesBegun: record.stagesBegun };
 	}
 
-	private async _removeMember(id: string): Promise<{ removed: string }> {
+	/** @param admittedAt when the member was admitted, as known to the instance that received the request */
+	private async _removeMember(id: string, admittedAt: number | undefined): Promise<{ removed: string }> {
 		const { members } = this._agreement.status();
 		if (!members.some(member => member.id === id)) {
 			const allowed = members.map(member => member.id).join(', ');
 			const message = `there is no member '${id}'`;
 			throw new OperatorError(404, { code: 'unknown-member', message, field: 'member', allowed, verdict: 'not-run' });
 		}
-		if (!(await this._agreement.removeMember(id))) {
-			const message = `cannot remove '${id}': it is the leader, or another membership change is in progress`;
+		if (admittedAt === undefined || !(await this._agreement.removeMember(id, admittedAt))) {
+			const message = `cannot remove '${id}': it is the leader, was admitted anew, or another membership change is in progress`;
 			throw new OperatorError(409, { code: 'wrong-state', message, verdict: 'not-run' }, RETRY_AFTER_MS);
 		}
 		return { removed: id };
