Takeovers of targets and their ends have no effect after a later change of the ownership

A takeover that arrived after its requester had given up left the targets to an instance that did not know of it.

Change: the replicated state counts the changes of each instance's ownership; both commands name the count that their sender was told last, and are refused after any other change. Renewals tell the ownerships; an instance that finds a takeover of its own that it had given up ends it.

--- a/src/plugins/ownership/common/ownershipWire.ts
+++ b/src/plugins/ownership/common/ownershipWire.ts
@@ -5,6 +5,7 @@
 /** Peer methods for the ownership of targets. */
 
 import { defineUnary } from '../../../kernel/common/peerMethods.js';
+import type { TargetOwnership } from './takeoverState.js';
 
 /** Renews the lease of an entry instance at control, and requests or ends a takeover. */
 export interface RenewRequest {
@@ -13,6 +14,8 @@
 	readonly takeOver?: string;
 	/** The sibling whose targets the instance returns; `takeOver` is then ignored. */
 	readonly giveBack?: string;
+	/** Version of the sibling's ownership that the instance was told last; 0 before it was told any. */
+	readonly base?: number;
 	/** Set when a control instance forwards the request to the leader. */
 	readonly isForwarded?: boolean;
 }
@@ -22,6 +25,8 @@
 	readonly isRenewed: boolean;
 	/** Whether the requested takeover, or its end, is committed to the replicated log. */
 	readonly isRecorded: boolean;
+	/** Ownerships of all instances whose targets were taken over at some time; absent if this instance is not the leader. */
+	readonly ownerships?: Readonly<Record<string, TargetOwnership>>;
 }
 
 /** Asks a sibling to promise not to take over the targets of the instance. */
--- a/src/plugins/ownership/common/takeoverState.ts
+++ b/src/plugins/ownership/common/takeoverState.ts
@@ -10,48 +10,72 @@
 export const TAKEOVER_PART = 'takeover';
 
 /** Starts or ends the takeover of the targets of the instance `of` by its sibling `by`. */
-export type TakeoverCommand =
-	| { readonly type: 'takeOver'; readonly of: string; readonly by: string }
-	| { readonly type: 'giveBack'; readonly of: string; readonly by: string };
+export interface TakeoverCommand {
+	readonly type: 'takeOver' | 'giveBack';
+	readonly of: string;
+	readonly by: string;
+	/** Version of the instance's ownership that the command is based on; refused after any other change. */
+	readonly base: number;
+}
+
+/** Who owns the targets of an instance. */
+export interface TargetOwnership {
+	/** The sibling that has taken over; absent when there is none. */
+	readonly takenOverBy?: string;
+	/** Increases with each takeover and each end of one; 0 before the first. */
+	readonly version: number;
+}
 
 /** The result of applying a command. */
 export interface TakeoverResult {
-	/** False when the targets are already taken over by another instance. */
+	/** False when the command is outdated, or the targets are taken over by another instance. */
 	readonly ok: boolean;
 }
 
+const NEVER_TAKEN_OVER: TargetOwnership = { version: 0 };
+
 /** The takeovers in force. */
 export class TakeoverState implements IReplicatedPart {
 	readonly id = TAKEOVER_PART;
-	/** The sibling that has taken over, by the instance whose targets it has. */
-	private _takenOverBy = new Map<string, string>();
+	/** By the instance that the targets are assigned to. */
+	private _ownerships = new Map<string, TargetOwnership>();
 
-	/** The sibling that has taken over the targets of an instance; undefined when there is none. */
-	takenOverBy(instance: string): string | undefined {
-		return this._takenOverBy.get(instance);
+	/** Who owns the targets of an instance. */
+	ownership(instance: string): TargetOwnership {
+		return this._ownerships.get(instance) ?? NEVER_TAKEN_OVER;
+	}
+
+	/** All instances whose targets were taken over at some time. */
+	get ownerships(): Readonly<Record<string, TargetOwnership>> {
+		return Object.fromEntries(this._ownerships);
 	}
 
 	apply(body: unknown): TakeoverResult {
-		const command = body as TakeoverCommand;
-		const takenOverBy = this._takenOverBy.get(command.of);
-		if (command.type === 'takeOver') {
-			const ok = takenOverBy === undefined || takenOverBy === command.by;
-			if (ok) {
-				this._takenOverBy.set(command.of, command.by);
-			}
-			return { ok };
+		const { type, of, by, base } = body as TakeoverCommand;
+		const { takenOverBy, version } = this.ownership(of);
+		const isInForce = type === 'takeOver' ? takenOverBy === by : takenOverBy !== by;
+		if (isInForce) {
+			return { ok: true };
 		}
-		if (takenOverBy === command.by) {
-			this._takenOverBy.delete(command.of);
+		if (base !== version || (type === 'takeOver' && takenOverBy !== undefined)) {
+			return { ok: false };
 		}
+		const next = { version: version + 1 };
+		this._ownerships.set(of, type === 'takeOver' ? { ...next, takenOverBy: by } : next);
 		return { ok: true };
 	}
 
 	save(): unknown {
-		return [...this._takenOverBy];
+		return [...this._ownerships];
 	}
 
 	restore(saved: unknown): void {
-		this._takenOverBy = new Map(saved as [string, string][]);
+		const ownerships = saved as [string, TargetOwnership | string][];
+		this._ownerships = new Map(ownerships.map(([instance, ownership]) => [instance, toOwnership(ownership)]));
 	}
 }
+
+/** Reads a saved ownership; earlier versions saved the sibling that has taken over. */
+function toOwnership(saved: TargetOwnership | string): TargetOwnership {
+	return typeof saved === 'string' ? { takenOverBy: saved, version: 0 } : saved;
+}
--- a/src/plugins/ownership/node/hallOwnershipTask.ts
+++ b/src/plugins/ownership/node/hallOwnershipTask.ts
@@ -8,6 +8,7 @@
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { Emitter } from '../../../base/event.js';
 import { rendezvousRank } from '../../../base/hashing.js';
+import { ownValue } from '../../../base/records.js';
 import type { ControlPeerSettings, InstanceSettings } from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IPeerTransport } from '../../../kernel/node/peerTransport.js';
@@ -15,6 +16,7 @@
 import type { ITargetOwnership } from '../../dispatch/common/targetOwnership.js';
 import { OwnershipLease } from '../common/ownershipLease.js';
 import { promiseMethod, renewMethod, type RenewRequest } from '../common/ownershipWire.js';
+import type { TargetOwnership } from '../common/takeoverState.js';
 
 const RENEW_INTERVAL_MS = 400;
 const PROMISE_INTERVAL_MS = 400;
@@ -39,6 +41,8 @@
 	private _controlIndex = 0;
 	/** A returned sibling whose takeover control has not yet recorded as ended. */
 	private _pendingGiveBack: string | undefined;
+	/** Ownerships of siblings as told by the leader last. */
+	private _ownerships: Readonly<Record<string, TargetOwnership>> = {};
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
@@ -97,18 +101,22 @@
 		const now = systemClock.now();
 		const takeOver = [...this._siblings.keys()].find(name => this._lease.mayRequestTakeover(name, now));
 		const giveBack = this._pendingGiveBack;
-		const request: RenewRequest = { instance: this._self, giveBack, takeOver: giveBack ? undefined : takeOver };
+		const sibling = giveBack ?? takeOver;
+		const base = sibling === undefined ? undefined : ownValue(this._ownerships, sibling)?.version;
+		const request: RenewRequest = { instance: this._self, giveBack, takeOver: giveBack ? undefined : takeOver, base };
 		const control = this._controls[this._controlIndex % this._controls.length]!;
 		try {
 			const response = await this._transport.call(control.address, renewMethod, request, CALL_TIMEOUT_MS);
 			if (response.isRenewed) {
 				this._lease.renew(now);
 			}
+			this._ownerships = response.ownerships ?? this._ownerships;
 			if (giveBack && response.isRecorded) {
 				this._pendingGiveBack = undefined;
 			} else if (takeOver && response.isRecorded) {
 				this._startTakeover(takeOver);
 			}
+			this._pendingGiveBack ??= this._findUnusedTakeover();
 			if (!response.isRenewed) {
 				this._controlIndex++;
 			}
@@ -117,6 +125,13 @@
 		}
 	}
 
+	/** A sibling whose takeover was recorded after this instance had given up the request for it. */
+	private _findUnusedTakeover(): string | undefined {
+		return [...this._siblings.keys()].find(
+			name => ownValue(this._ownerships, name)?.takenOverBy === this._self && !this._lease.hasTakenOver(name)
+		);
+	}
+
 	private _startTakeover(sibling: string): void {
 		const isGone = this._connectionRefusedBy.has(sibling);
 		this._lease.recordTakeover(
--- a/src/plugins/ownership/node/takeoverService.ts
+++ b/src/plugins/ownership/node/takeoverService.ts
@@ -40,23 +40,20 @@
 	}
 
 	private async _handleRenewal(request: RenewRequest): Promise<RenewResponse> {
-		const { instance, takeOver, giveBack } = request;
-		const takenOverBy = this._state.takenOverBy(instance);
-		if (takenOverBy !== undefined) {
-			await this._endTakeoverIfExpired(instance, takenOverBy);
-		}
-		const isRenewed = this._state.takenOverBy(instance) === undefined;
+		const { instance, takeOver, giveBack, base = 0 } = request;
+		await this._endTakeoverIfExpired(instance);
+		const isRenewed = this._state.ownership(instance).takenOverBy === undefined;
 		if (isRenewed) {
 			this._lastRenewedAt.set(instance, systemClock.now());
 		}
 		let isRecorded = false;
 		if (giveBack !== undefined) {
-			isRecorded = await this._propose({ type: 'giveBack', of: giveBack, by: instance });
+			isRecorded = await this._propose({ type: 'giveBack', of: giveBack, by: instance, base });
 		} else if (takeOver !== undefined && isRenewed && this._isLeaseExpired(takeOver)) {
-			isRecorded = await this._propose({ type: 'takeOver', of: takeOver, by: instance });
+			isRecorded = await this._propose({ type: 'takeOver', of: takeOver, by: instance, base });
 			this._log.info('takeover requested', { task: 'ownership', of: takeOver, by: instance, isRecorded });
 		}
-		return { isRenewed, isRecorded };
+		return { isRenewed, isRecorded, ownerships: this._state.ownerships };
 	}
 
 	/** Whether the lease of an instance has expired, even if the previous leader renewed it right before it lost leadership. */
@@ -69,9 +66,10 @@
 		return now - lastPossibleRenewalAt > OWNERSHIP_LEASE_MS + CLOCK_DRIFT_MARGIN_MS;
 	}
 
-	private async _endTakeoverIfExpired(instance: string, takenOverBy: string): Promise<void> {
-		if (this._isLeaseExpired(takenOverBy)) {
-			await this._propose({ type: 'giveBack', of: instance, by: takenOverBy });
+	private async _endTakeoverIfExpired(instance: string): Promise<void> {
+		const { takenOverBy, version } = this._state.ownership(instance);
+		if (takenOverBy !== undefined && this._isLeaseExpired(takenOverBy)) {
+			await this._propose({ type: 'giveBack', of: instance, by: takenOverBy, base: version });
 		}
 	}
 
