A refusal that does not name its request is no promise that the request has not run

A target refuses a request without an id by an answer without one; a second copy of that, which arrives where the response to the next request on the connection is due, was taken for the refusal of that one, and another target ran it too.

Change: a response that says the request has not run counts only with its id, unless the request has none; otherwise the request may have run. An entry instance that declines a relayed request names it.

--- a/src/plugins/forwarding/node/relay/relayServer.ts
+++ b/src/plugins/forwarding/node/relay/relayServer.ts
@@ -101,8 +101,10 @@
 
 	/** States that the request was not executed, so that the sender may pass it on to another peer. */
 	private _decline(request: IncomingMessage, response: ServerResponse, cause: DeclineCause): void {
+		const { notRun, requestId } = this._dependencies.headerNames;
 		request.resume();
-		response.writeHead(STATUS_UNAVAILABLE, { [this._dependencies.headerNames.notRun]: cause, 'Content-Length': 0 });
+		response.setHeader(requestId, request.headers[requestId] ?? '');
+		response.writeHead(STATUS_UNAVAILABLE, { [notRun]: cause, 'Content-Length': 0 });
 		response.end();
 	}
 
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -188,6 +188,12 @@
 		if (status !== STATUS_MISDIRECTED_REQUEST) {
 			this._options.onTargetReport(report, this._writtenAt ?? Number.NEGATIVE_INFINITY);
 		}
+		if (report.isNotRun && echoedId === undefined && this._options.requestId !== '') {
+			// It may be a late copy of the refusal of a request without an id, so it promises nothing for this one.
+			this._settle({ type: 'broken', cause: ResponseFailureCause.ResponseMismatch });
+			this._request.destroy();
+			return;
+		}
 		if (report.isNotRun) {
 			response.resume();
 			this._settle({ type: 'not-run', hasArrived: true, cause: this._notRunCause(status, report) });
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -206,6 +206,17 @@
 	assert.equal((await written.outcome).type, 'answer');
 });
 
+/** Guards against the refusal of a request without an id, a second copy of which arrives where the response to another one is due. */
+test('a refusal without a request id promises nothing for a request that has one', async () => {
+	const outcome = await attempt(connection =>
+		connection.push('HTTP/1.1 400 Bad Request\r\nNot-Run: no-id\r\nContent-Length: 0\r\n\r\n')
+	);
+	assert.deepEqual(
+		[outcome.type, outcome.type === 'broken' && outcome.cause],
+		['broken', ResponseFailureCause.ResponseMismatch]
+	);
+});
+
 /** Guards against a second copy of a refusal that is taken for the response to the next attempt at the same target. */
 test('a late copy of a refusal is not the response to a second attempt at the same target', async () => {
 	const refusal = 'HTTP/1.1 503 Refused\r\nRequest-Id: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n';
