Attempts of a request at targets with the same address have connections of their own

When a target has ended and another one uses its address, that one turns the request away, which then goes to it under its own id, on the connection that carried the refusal: attempts were numbered by target, connections are pooled by address. A late second copy of the refusal passed for a promise of the second target, and a third one ran the request too.

Change: attempts are numbered by address. Connections are pooled for twice as many of them as one target gets; a request that has been sent to an address more often goes elsewhere.

--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -108,6 +108,7 @@
 			this._dependencies.regionTrafficMonitor.recordFirstAttempt(candidate.firstRegion, known.region);
 		}
 		context.attempts.push(trace);
+		context.attemptedAddresses.push(known.record.address);
 		this._inFlight.set(targetExchange, known.record);
 		const outcome = await targetExchange.outcome;
 		this._inFlight.delete(targetExchange);
@@ -152,7 +153,7 @@
 			return NotRunCause.RateLimited;
 		}
 		const [host, port] = splitAddress(known.record.address);
-		const connectionOptions = { host, port, attemptAtTarget: attemptAtTarget(context, known.record) };
+		const connectionOptions = { host, port, attemptAtAddress: attemptAtAddress(context, known.record) };
 		return this._agent.ensureAvailableConnection(connectionOptions, this._maxConnections(known.record))
 			? undefined
 			: NotRunCause.ConnectionsInUse;
@@ -227,7 +228,7 @@
 		return new TargetExchange(this._agent, this._dependencies.headerNames, {
 			requestId: exchange.requestId,
 			targetId: known.record.id,
-			attemptAtTarget: attemptAtTarget(context, known.record),
+			attemptAtAddress: attemptAtAddress(context, known.record),
 			host,
 			port,
 			method: exchange.request.method ?? 'GET',
@@ -269,9 +270,9 @@
 	return [host, Number(port)];
 }
 
-/** Number of the next attempt of a request among those at a target, from 1. */
-function attemptAtTarget({ attempts }: RequestContext, { id }: TargetRecord): number {
-	return 1 + attempts.filter(({ target }) => target === id).length;
+/** Number of the next attempt of a request among those at the address of a target, from 1. */
+function attemptAtAddress({ attemptedAddresses }: RequestContext, { address }: TargetRecord): number {
+	return 1 + attemptedAddresses.filter(attempted => attempted === address).length;
 }
 
 function createTrace({ exchange }: RequestContext, candidate: ChosenTarget, now: Millis): AttemptTrace {
--- a/src/plugins/forwarding/node/relay/relayClient.ts
+++ b/src/plugins/forwarding/node/relay/relayClient.ts
@@ -113,7 +113,7 @@
 		const relayExchange = new TargetExchange(this._agent, headerNames, {
 			requestId: exchange.requestId,
 			targetId: peer.name,
-			attemptAtTarget: 1,
+			attemptAtAddress: 1,
 			host,
 			port: Number(port),
 			method: exchange.request.method ?? 'GET',
--- a/src/plugins/forwarding/node/requestContext.ts
+++ b/src/plugins/forwarding/node/requestContext.ts
@@ -65,6 +65,8 @@
 	/** The latest server error of a target after which the request was retried. */
 	errorResponse?: TargetResponse;
 	readonly attempts: AttemptTrace[];
+	/** Addresses that the attempts were made at, in order. */
+	readonly attemptedAddresses: string[];
 	/** Quarantine phase of the request when its current target was selected. */
 	phase: QuarantinePhase;
 	/** Hash of host and path; computed on first use. */
--- a/src/plugins/forwarding/node/requestIntake.ts
+++ b/src/plugins/forwarding/node/requestIntake.ts
@@ -87,6 +87,7 @@
 		retryPermit: origin?.hasRetry ? relayedPermit(exchange.arrivedAt) : undefined,
 		permitsDenied: 0,
 		attempts: [],
+		attemptedAddresses: [],
 		phase: QuarantinePhase.Clear
 	};
 }
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -29,8 +29,8 @@
 export interface TargetExchangeOptions {
 	readonly requestId: string;
 	readonly targetId: string;
-	/** Number of this attempt among those of the request at the target, from 1. */
-	readonly attemptAtTarget: number;
+	/** Number of this attempt among those of the request at the address, from 1. */
+	readonly attemptAtAddress: number;
 	readonly host: string;
 	readonly port: number;
 	readonly method: string;
@@ -77,9 +77,9 @@
 		private readonly _options: TargetExchangeOptions
 	) {
 		this.outcome = new Promise(resolve => (this._resolve = resolve));
-		const { host, port, attemptAtTarget, method, path } = _options;
+		const { host, port, attemptAtAddress, method, path } = _options;
 		const headers = _options.rawHeaders as unknown as Record<string, string>;
-		const connectionOptions: ConnectionOptions = { host, port, attemptAtTarget };
+		const connectionOptions: ConnectionOptions = { host, port, attemptAtAddress };
 		this._request = httpRequest({ ...connectionOptions, agent: this._agent, method, path, headers, setHost: false });
 		this._request.on('socket', socket => {
 			if (!socket.connecting) {
--- a/src/plugins/forwarding/node/targets/targetAgent.ts
+++ b/src/plugins/forwarding/node/targets/targetAgent.ts
@@ -20,16 +20,20 @@
 const MAX_IDLE_SOCKETS = 64;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
-/** Attempts of one request at the same target, from the first to the last one that is made. */
-const ATTEMPTS_AT_TARGET = Array.from({ length: MAX_ATTEMPTS_PER_TARGET }, (_unused, i) => i + 1);
+/** Targets that one request may find at an address one after the other. */
+const MAX_TARGETS_AT_ADDRESS = 2;
+const MAX_ATTEMPTS_AT_ADDRESS = MAX_TARGETS_AT_ADDRESS * MAX_ATTEMPTS_PER_TARGET;
+/** Attempts of one request at the same address, from the first to the last one that is made. */
+const ATTEMPTS_AT_ADDRESS = Array.from({ length: MAX_ATTEMPTS_AT_ADDRESS }, (_unused, i) => i + 1);
 
 /** What a connection is used for. */
 export interface ConnectionOptions extends ClientRequestArgs {
 	/**
-	 * Number of the attempt among those of its request at the target, from 1; 1 if omitted. Attempts of the same request have
-	 * different connections, since a late second copy of the response to an earlier one has the same request id.
+	 * Number of the attempt among those of its request at the address, from 1; 1 if omitted. Attempts of the same request have
+	 * different connections, also at different targets that used the address one after the other, since a late second copy of the
+	 * response to an earlier one has the same request id.
 	 */
-	readonly attemptAtTarget?: number;
+	readonly attemptAtAddress?: number;
 }
 
 function closeOnUnexpectedData(this: Socket): void {
@@ -55,22 +59,25 @@
 		super({ keepAlive: true, maxFreeSockets: MAX_IDLE_SOCKETS, scheduling: 'lifo' });
 	}
 
-	/** Pools connections by address, and by the attempt at the target that they carry. */
+	/** Pools connections by address, and by the attempt at the address that they carry. */
 	override getName(options: ConnectionOptions = {}): string {
-		const { attemptAtTarget = 1 } = options;
-		return attemptAtTarget === 1 ? super.getName(options) : `${super.getName(options)}:attempt-${attemptAtTarget}`;
+		const { attemptAtAddress = 1 } = options;
+		return attemptAtAddress === 1 ? super.getName(options) : `${super.getName(options)}:attempt-${attemptAtAddress}`;
 	}
 
 	/**
 	 * Makes sure that there is an idle connection to a target for an attempt, or that a further one may be opened. Closes an idle one of
 	 * other attempts where that makes room.
-	 * @returns false if all connections are in use
+	 * @returns false if all connections are in use, or the request has been sent to the address too often
 	 */
 	ensureAvailableConnection(options: ConnectionOptions, maxConnections: number): boolean {
+		if ((options.attemptAtAddress ?? 1) > MAX_ATTEMPTS_AT_ADDRESS) {
+			return false;
+		}
 		if (this._idleConnections(options).length > 0) {
 			return true;
 		}
-		const pools = ATTEMPTS_AT_TARGET.map(attemptAtTarget => ({ ...options, attemptAtTarget }));
+		const pools = ATTEMPTS_AT_ADDRESS.map(attemptAtAddress => ({ ...options, attemptAtAddress }));
 		const idle = pools.flatMap(pool => this._idleConnections(pool));
 		const inUse = pools.reduce((total, pool) => total + (this.sockets[this.getName(pool)]?.length ?? 0), 0);
 		if (inUse + idle.length < maxConnections) {
@@ -123,8 +130,8 @@
 
 	/** Closes the idle connections to an address at which another process listens now. */
 	closeIdleConnections(host: string, port: number): void {
-		for (const attemptAtTarget of ATTEMPTS_AT_TARGET) {
-			this._idleConnections({ host, port, attemptAtTarget }).forEach(socket => socket.destroy());
+		for (const attemptAtAddress of ATTEMPTS_AT_ADDRESS) {
+			this._idleConnections({ host, port, attemptAtAddress }).forEach(socket => socket.destroy());
 		}
 	}
 
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -127,6 +127,7 @@
 		writtenAttempts: 2,
 		retryPermit: { takenAt: 0, giveBack: () => undefined },
 		attempts: [],
+		attemptedAddresses: [],
 		possibleRuns: 0
 	};
 	const isTaken = await client.relay(context as unknown as RequestContext);
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -56,11 +56,11 @@
 /** What targets reported in response headers, in order. */
 const reports: TargetReport[] = [];
 
-/** @param attemptAtTarget number of the attempt among those of the request at the target */
-async function startAttemptWith(agent: ScriptedAgent, attemptAtTarget: number): Promise<TargetExchange> {
+/** @param attemptAtAddress number of the attempt among those of the request at the target */
+async function startAttemptWith(agent: ScriptedAgent, attemptAtAddress: number): Promise<TargetExchange> {
 	const body = await RequestBody.read({ headers: {} } as never);
 	return new TargetExchange(agent, NAMES, {
-		attemptAtTarget,
+		attemptAtAddress,
 		requestId: 'a',
 		targetId: 't',
 		host: '127.0.0.1',
