Documents and heartbeats that are not Unicode text are refused

Cause: bodies were decoded with replacement of what is not UTF-8. Half a surrogate pair passes JSON, but has no encoding: the decoder of messages and of the log returns it in texts up to some fifty characters and replaces it in longer ones, so the leader, which keeps the decoded document, had another name than the others, and than itself after a restart.

Change: both are refused, with the field and what is allowed, also in heartbeats and in the ids of targets.

--- a/src/plugins/routes/common/routeTableValidation.ts
+++ b/src/plugins/routes/common/routeTableValidation.ts
@@ -54,7 +54,7 @@
 /** Messages between instances have the name as a key. */
 function validateKey(name: string, field: string, issues: RouteTableIssue[]): void {
 	if (name === '' || !isUsableKey(name)) {
-		issues.push({ field, allowed: 'a non-empty string other than __proto__' });
+		issues.push({ field, allowed: 'a non-empty string of Unicode text other than __proto__' });
 	}
 }
 
--- a/test/platform/routeDocument.test.ts
+++ b/test/platform/routeDocument.test.ts
@@ -6,7 +6,10 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { decodeText } from '../../platform/bodyText.js';
 import { InvalidFieldError, readRouteDocument } from '../../platform/routeDocument.js';
+import { readHeartbeat } from '../../platform/targetHeartbeat.js';
+import { validateRouteTable } from '../../src/plugins/routes/common/routeTableValidation.js';
 import { type ConfigRoute, createConfigDocument } from './platformTestSystem.js';
 
 /** Guards against words that match what every object inherits. */
@@ -19,3 +22,34 @@
 		});
 	});
 }
+
+/** A document with one route, some cells of which are replaced. */
+function createDocument(cells: Readonly<Record<string, unknown>>): string {
+	const document = JSON.parse(createConfigDocument(1, [{ prefix: '/a/', kind: 'safe', service: 's' }])) as {
+		routes: { columns: string[]; rows: unknown[][] };
+	};
+	for (const [column, value] of Object.entries(cells)) {
+		document.routes.rows[0]![document.routes.columns.indexOf(column)] = value;
+	}
+	return JSON.stringify(document);
+}
+
+/** Guards against a document that is read back with other bytes than were sent. */
+test('a document that is not UTF-8 is refused', () => {
+	const document = Buffer.from(createDocument({ host: 'shop#.example' }));
+	document[document.indexOf('#')] = 0xff;
+	assert.throws(() => decodeText(document), { name: InvalidFieldError.name, field: 'body' });
+	assert.equal(decodeText(Buffer.from('{"host":"é"}')), '{"host":"é"}');
+});
+
+/** Guards against names that differ between replicas: long ones with half a surrogate pair are read back as others. */
+test('names with half a surrogate pair are refused', () => {
+	const half = `${'a'.repeat(60)}\ud800`;
+	for (const cells of [{ name: half }, { host: half }, { service: half }, { home_regions: [half] }]) {
+		assert.throws(() => readRouteDocument(createDocument(cells)), InvalidFieldError, Object.keys(cells)[0]);
+	}
+	assert.equal(readRouteDocument(createDocument({ host: 'shop\ud83d\ude00' })).routes[0]?.host, 'shop\ud83d\ude00');
+	const info = { service: half, zone: 'z', slots: 1 };
+	const heartbeat = { addr: '127.0.0.1:1', info, status: { state: 'ready', seq: 1 } };
+	assert.throws(() => readHeartbeat('i-1', JSON.stringify(heartbeat)), { field: 'info.service' });
+});
