--- a/test/platform/routeDocument.test.ts
+++ b/test/platform/routeDocument.test.ts
@@ -53,3 +53,15 @@
 	const heartbeat = { addr: '127.0.0.1:1', info, status: { state: 'ready', seq: 1 } };
 	assert.throws(() => readHeartbeat('i-1', JSON.stringify(heartbeat)), { field: 'info.service' });
 });
+
+/** Guards against a route that names an unknown service beside its split. */
+test('a route with a split and a service that is not known is refused', () => {
+	const split = [{ service: 's', weight: 1 }];
+	assert.throws(() => readRouteDocument(createDocument({ split, service: 'other' })), {
+		name: InvalidFieldError.name,
+		allowed: 's'
+	});
+	for (const service of ['s', null]) {
+		assert.equal(validateRouteTable(readRouteDocument(createDocument({ split, service }))).length, 0);
+	}
+});
