--- a/src/plugins/routes/common/routeTableValidation.ts
+++ b/src/plugins/routes/common/routeTableValidation.ts
@@ -36,8 +36,8 @@
 	if (route.name === '') {
 		issues.push({ field: 'route name', allowed: 'a non-empty string' });
 	}
-	if (route.host === '') {
-		issues.push({ field: `${field} host`, allowed: 'a non-empty string' });
+	if (route.host.trim() === '') {
+		issues.push({ field: `${field} host`, allowed: 'a string that is not blank' });
 	}
 	if (!route.pathPrefix.startsWith('/') || !route.pathPrefix.endsWith('/')) {
 		issues.push({ field: `${field} path prefix`, allowed: 'a string that begins and ends with a slash' });
--- a/test/platform/routeDocument.test.ts
+++ b/test/platform/routeDocument.test.ts
@@ -65,3 +65,9 @@
 		assert.equal(validateRouteTable(readRouteDocument(createDocument({ split, service }))).length, 0);
 	}
 });
+
+test('a host of blanks counts as empty', () => {
+	for (const host of ['', ' ', '\t ']) {
+		assert.equal(validateRouteTable(readRouteDocument(createDocument({ host }))).length, 1, JSON.stringify(host));
+	}
+});
