The leader asks no longer how long a command of another instance lay

Commands of another control instance were dropped for half a second after the leader's process had stood still.

--- a/src/plugins/fleet/node/fleetCommandClient.ts
+++ b/src/plugins/fleet/node/fleetCommandClient.ts
@@ -5,7 +5,6 @@
 /** Submits commands on the fleet state to the leader, reads from it, and waits until entry instances apply the changes. */
 
 import { type Millis, systemClock } from '../../../base/clock.js';
-import type { StallDetector } from '../../../base/stallDetector.js';
 import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { IAgreement } from '../../agreement/common/agreement.js';
 import { FleetUnavailableError } from '../common/fleetControl.js';
@@ -44,10 +43,9 @@
 		private readonly _calls: IPeerCalls,
 		private readonly _agreement: IAgreement,
 		private readonly _state: FleetState,
-		private readonly _liveness: LivenessTracker,
-		private readonly _stallDetector: StallDetector
+		private readonly _liveness: LivenessTracker
 	) {
-		_calls.handleUnary(orderMethod, async request => ({ result: await this._commitForPeer(request.command) }));
+		_calls.handleUnary(orderMethod, async request => ({ result: await this._commitIfLeader(request.command) }));
 		_calls.handleUnary(readTableMethod, async () => this._readIfLeader());
 	}
 
@@ -130,11 +128,6 @@
 		return response.published;
 	}
 
-	/** Commits a command of another instance, unless that may have given it up while this process was stopped. */
-	private async _commitForPeer(command: FleetCommand): Promise<FleetResult | undefined> {
-		return this._stallDetector.hasStalledRecently() ? undefined : this._commitIfLeader(command);
-	}
-
 	/** Commits a command if this instance is the leader; returns undefined if it is not. */
 	private async _commitIfLeader(command: FleetCommand): Promise<FleetResult | undefined> {
 		if (!this._agreement.hasLease()) {
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -103,13 +103,7 @@
 			settings.section<{ dataFolder: string }>('agreement').dataFolder,
 			this._log
 		);
-		this._commands = new FleetCommandClient(
-			this._calls,
-			this._agreement,
-			this._state,
-			this._liveness,
-			this._stallDetector
-		);
+		this._commands = new FleetCommandClient(this._calls, this._agreement, this._state, this._liveness);
 		this._regionByHall = settings.section<PlaceSettings>('places').halls;
 		this._registrar = new TargetRegistrar(this._state, this._liveness, this._commands, this._regionByHall, this._log);
 		this._limitManager = new TargetLimitManager(
--- a/src/plugins/fleet/test/fleetCommandClient.test.ts
+++ b/src/plugins/fleet/test/fleetCommandClient.test.ts
@@ -6,7 +6,6 @@
 
 import assert from 'node:assert/strict';
 import { beforeEach, test } from 'node:test';
-import { StallDetector } from '../../../base/stallDetector.js';
 import type { IPeerCalls } from '../../../kernel/common/peerCalls.js';
 import type { IAgreement } from '../../agreement/common/agreement.js';
 import { FleetState } from '../common/fleetState.js';
@@ -15,7 +14,6 @@
 import { LivenessTracker } from '../common/livenessTracker.js';
 import { FleetCommandClient } from '../node/fleetCommandClient.js';
 
-const stallDetector = new StallDetector();
 let leaderState: FleetState;
 let localState: FleetState;
 let received: FleetCommand[];
@@ -50,8 +48,7 @@
 		calls as unknown as IPeerCalls,
 		agreement as unknown as IAgreement,
 		localState,
-		new LivenessTracker({ entryTimeoutMs: 1, heartbeatTimeoutMs: 1 }, 0),
-		stallDetector
+		new LivenessTracker({ entryTimeoutMs: 1, heartbeatTimeoutMs: 1 }, 0)
 	);
 });
 
