One test delivers each command of another instance late and twice

The replicated state takes commands from other instances at several doors. The test has a case for each kind: applied after its successors, twice, and twice with its successors in between, the state must be the same as without it.

It found one: the start of a credit ledger of an earlier term replaced the one of the current term, whose ceilings then had no effect, so that a team's limit rested on the initial ceilings. No path was found on which the log gets it in this order; it has no effect now.

--- a/src/plugins/limits/common/ledgerCeilings.ts
+++ b/src/plugins/limits/common/ledgerCeilings.ts
@@ -136,9 +136,13 @@
 
 	/**
 	 * A new ledger starts with the initial ceilings. If it took over the previous ones, two leader changes in quick succession would
-	 * use up the capacity of teams, whose requests would be refused until the credits of both leaders have settled.
+	 * use up the capacity of teams, whose requests would be refused until the credits of both leaders have settled. The start of an
+	 * earlier ledger, or of this one again, changes nothing.
 	 */
 	private _begin(term: number): void {
+		if (this._term !== undefined && term <= this._term) {
+			return;
+		}
 		if (this._term !== undefined) {
 			this._previous.push({ ...this._current, endedAt: this._now() });
 		}
