The log of look-ups and the messages of a replica's task have files of their own

What logs that look-ups return entry instances of other regions is a class, and the type of the task's messages is a module.

--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -21,7 +21,6 @@
 	type LogEntry,
 	type LogIndex,
 	type MemberId,
-	type MemberListVersion,
 	ReplicaRole
 } from '../common/agreementTypes.js';
 import { createBootstrapState, INITIAL_INCARNATION } from '../common/bootstrapState.js';
@@ -45,24 +44,11 @@
 import { ReplicationMonitor } from './replicationMonitor.js';
 import { assertStorable } from './storableCommand.js';
 import { SuspensionGuard } from './suspensionGuard.js';
+import type { TaskMessage } from './taskMessage.js';
 
 const TICK_MS = 20;
 const EXIT_FAILED = 1;
 
-/** A message in the mailbox of the task. */
-type TaskMessage =
-	| { readonly type: 'tick' }
-	| { readonly type: 'received'; readonly message: AgreementMessage }
-	| { readonly type: 'propose'; readonly proposal: Proposal }
-	| { readonly type: 'join'; readonly identity: ReplicaIdentity; readonly basis: MemberListVersion | undefined }
-	| {
-			readonly type: 'remove';
-			readonly id: MemberId;
-			readonly admittedAt: LogIndex;
-			readonly resolve: (done: boolean) => void;
-	  }
-	| { readonly type: 'bootstrap' };
-
 /** The replicated log of this control instance. */
 export class AgreementTask extends Disposable implements IAgreement {
 	private readonly _onDidChangeLeadership = this._register(new Emitter<boolean>());
--- a/src/plugins/fleet/node/fleetControlTask.ts
+++ b/src/plugins/fleet/node/fleetControlTask.ts
@@ -47,6 +47,7 @@
 import { ChangeNotifier } from './changeNotifier.js';
 import { EntryListFile } from './entryListFile.js';
 import { FleetCommandClient, type HasCallerLeft } from './fleetCommandClient.js';
+import { LookUpLog } from './lookUpLog.js';
 import { QuarantineManager } from './quarantineManager.js';
 import { TargetLimitManager } from './targetLimitManager.js';
 import { TargetRegistrar } from './targetRegistrar.js';
@@ -89,8 +90,7 @@
 	private _rememberedEntries: readonly EntryDescription[] = [];
 	/** When each other control instance last sent an exchange, by its id. */
 	private readonly _lastExchangeAt = new Map<string, Millis>();
-	/** Regions whose look-ups are answered with entry instances of other regions. */
-	private readonly _regionsServedElsewhere = new Set<string>();
+	private readonly _lookUpLog: LookUpLog;
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
@@ -103,6 +103,7 @@
 			settings.section<{ dataFolder: string }>('agreement').dataFolder,
 			this._log
 		);
+		this._lookUpLog = new LookUpLog(this._log, () => this._agreement.contactAgeMs());
 		this._commands = new FleetCommandClient(this._calls, this._agreement, this._state, this._liveness);
 		this._regionByHall = settings.section<PlaceSettings>('places').halls;
 		this._registrar = new TargetRegistrar(this._state, this._liveness, this._commands, this._regionByHall, this._log);
@@ -198,40 +199,10 @@
 				? mergeRemembered(this._liveness.liveEntries(now), this._rememberedEntries)
 				: this._liveness.liveEntries(lastCompleteAt);
 		const selected = selectEntries(entries, region);
-		this._logCrossRegionLookUps(region, selected, entries);
+		this._lookUpLog.record(region, selected, entries);
 		return selected;
 	}
 
-	/** Logs when look-ups of a region start or stop returning entry instances of other regions. */
-	private _logCrossRegionLookUps(
-		region: string,
-		selected: readonly EntryDescription[],
-		entries: readonly EntryDescription[]
-	): void {
-		const isCrossRegion = selected.some(entry => entry.region !== region);
-		if (isCrossRegion === this._regionsServedElsewhere.has(region)) {
-			return;
-		}
-		if (isCrossRegion) {
-			this._regionsServedElsewhere.add(region);
-		} else {
-			this._regionsServedElsewhere.delete(region);
-		}
-		this._log.warn(
-			isCrossRegion
-				? 'look-ups return entry instances of other regions'
-				: 'look-ups return entry instances of their own region again',
-			{
-				task: 'fleet',
-				region,
-				heard: entries.length,
-				ready: entries.filter(entry => entry.isReady).length,
-				readyThere: entries.filter(entry => entry.isReady && entry.region === region).length,
-				contactAgeMs: Math.round(this._agreement.contactAgeMs())
-			}
-		);
-	}
-
 	private _updateCompleteness(now: Millis): void {
 		this._completeness.setConnected(
 			this._agreement.contactAgeMs() <= MAX_FRESH_CONTACT_AGE_MS && this._hasContactWithMajority(now),
