A response that names another request is not forwarded, on the product's own path either

A request ran twice by none of it: one that must not be repeated is sent again only if it was not written.

Change: a response with another request id than the one sent ends the attempt as one that may have run, and its connection; a target that echoes no id is trusted as before. The echo is not forwarded, as callers get the id from the system. The test target echoes the id.

--- a/src/plugins/dispatch/node/targetConnectionPool.ts
+++ b/src/plugins/dispatch/node/targetConnectionPool.ts
@@ -13,7 +13,11 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 20000;
-const HOP_BY_HOP_HEADERS = new Set([
+/** Sent with each request; a target that echoes it shows which request its response is for. */
+const REQUEST_ID_HEADER = 'shelffield-request-id';
+/** Response headers that concern the connection to the target, or that callers get from this system. */
+const DROPPED_HEADERS = new Set([
+	REQUEST_ID_HEADER,
 	'connection',
 	'keep-alive',
 	'transfer-encoding',
@@ -94,7 +98,7 @@
 			headers[name] = value;
 		}
 	}
-	headers['shelffield-request-id'] = request.requestId;
+	headers[REQUEST_ID_HEADER] = request.requestId;
 	headers['shelffield-group'] = request.group;
 	headers['shelffield-deadline-ms'] = String(Math.max(0, Math.floor(request.deadline - systemClock.now())));
 	if (request.orderKey !== undefined) {
@@ -140,10 +144,15 @@
 	}
 
 	onResponseStart(
-		_controller: Dispatcher.DispatchController,
+		controller: Dispatcher.DispatchController,
 		status: number,
 		headers: Record<string, string | string[] | undefined>
 	): void {
+		const echoedId = headers[REQUEST_ID_HEADER];
+		if (echoedId !== undefined && echoedId !== this._attempt.request.requestId) {
+			controller.abort(new Error('response to another request'));
+			return;
+		}
 		this._firstByteMs = systemClock.now() - this._startedAt;
 		this._status = status;
 		this._isDraining = headers[TARGET_LEAVING_HEADER] !== undefined;
@@ -207,7 +216,7 @@
 function flattenHeaders(headers: Record<string, string | string[] | undefined>): string[] {
 	const flat: string[] = [];
 	for (const [name, value] of Object.entries(headers)) {
-		if (value === undefined || HOP_BY_HOP_HEADERS.has(name)) {
+		if (value === undefined || DROPPED_HEADERS.has(name)) {
 			continue;
 		}
 		for (const item of Array.isArray(value) ? value : [value]) {
--- a/test/fakes/fakeTarget.ts
+++ b/test/fakes/fakeTarget.ts
@@ -123,6 +123,9 @@
 			startedAt: Date.now(),
 			outcome: 'running'
 		};
+		if (entry.requestId !== undefined) {
+			response.setHeader('Shelffield-Request-Id', entry.requestId);
+		}
 		if (this._behavior.leaving) {
 			response.setHeader('Target-Leaving', '1');
 		}
