A repeated order for a data hall is acknowledged without waiting for entry instances once more

An operator whose acknowledgement was lost sends the order again. It waits for the revision before, as it did.

--- a/src/plugins/fleet/common/fleetState.ts
+++ b/src/plugins/fleet/common/fleetState.ts
@@ -177,13 +177,16 @@
 		if (base !== undefined && base !== changedAt) {
 			return recordChanged(`data hall '${hall}'`, base, changedAt);
 		}
-		if (base === undefined && this.isDrained(hall) === isDrained) {
-			return this._success();
+		const inForce = this._success();
+		const isInForce = this.isDrained(hall) === isDrained;
+		if (base === undefined && isInForce) {
+			return inForce;
 		}
 		// An order that repeats the last one counts too: earlier ones that are still under way must not follow it.
 		this._revision++;
 		this._halls.set(hall, { hall, isDrained, changedAt: this._revision });
-		return this._notifyChanged();
+		const ordered = this._notifyChanged();
+		return isInForce ? inForce : ordered;
 	}
 
 	private _changeTargets(command: ChangeTargetsCommand): FleetResult {
--- a/src/plugins/fleet/test/fleetState.test.ts
+++ b/src/plugins/fleet/test/fleetState.test.ts
@@ -73,7 +73,7 @@
 		state.apply({ type: 'setHall', hall: 'h', isDrained, base }) as { ok: boolean; changedAt?: number };
 	assert.equal(setHall(true, 0).ok, true);
 	const late = state.hallRevision('h');
-	assert.equal(setHall(true, late).ok, true);
+	assert.deepEqual(setHall(true, late), { ok: true, revision: late }, 'in force before, so its caller need not wait');
 	assert.deepEqual([setHall(false, late).ok, setHall(false, late).changedAt], [false, state.hallRevision('h')]);
 	assert.equal(state.isDrained('h'), true);
 	assert.equal(setHall(false, state.hallRevision('h')).ok, true);
