--- a/src/base/recentKeys.ts
+++ b/src/base/recentKeys.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Remembers the keys of messages that were handled, so that a repeated or delayed copy is told from a new one. */
+/** Remembers the keys of messages that were handled, to recognize repeated and delayed copies. */
 
 /** The most recently added keys, up to a maximum number. */
 export class RecentKeys {
--- a/src/plugins/agreement/common/agreementCore.ts
+++ b/src/plugins/agreement/common/agreementCore.ts
@@ -210,11 +210,11 @@
 
 	/**
 	 * Handles a request to join; a leader admits the replica as a learner unless another member change is in progress.
-	 * @param basis member list that this replica told the joining one last; after any change the request is outdated
+	 * @param memberList member list that the joining replica received last from this one; after any change the request is outdated
 	 */
-	join(identity: ReplicaIdentity, basis: MemberListVersion | undefined, now: Millis): Effects {
+	join(identity: ReplicaIdentity, memberList: MemberListVersion | undefined, now: Millis): Effects {
 		const { term, index } = this.memberListVersion;
-		if (basis?.term === term && basis.index === index) {
+		if (memberList?.term === term && memberList.index === index) {
 			this._memberChanges.admit(identity, now);
 		}
 		return this._state.takeEffects();
--- a/src/plugins/agreement/node/agreementTask.ts
+++ b/src/plugins/agreement/node/agreementTask.ts
@@ -102,7 +102,7 @@
 		});
 		this._peerCalls.handleUnary(helloMethod, async request => {
 			if (request.asksToJoin) {
-				this._post({ type: 'join', identity: request.identity, basis: request.memberList });
+				this._post({ type: 'join', identity: request.identity, memberList: request.memberList });
 			}
 			const { isBlank, members, memberListVersion: memberList } = this._core;
 			return { identity: this._identity, isBlank, memberAddresses: members.map(({ address }) => address), memberList };
@@ -249,7 +249,7 @@
 				this._replicationMonitor.recordReceived(message.message);
 				return this._core.receive(message.message, now);
 			case 'join':
-				return this._core.join(message.identity, message.basis, now);
+				return this._core.join(message.identity, message.memberList, now);
 			case 'bootstrap':
 				return this._core.bootstrap(now);
 			case 'remove': {
--- a/src/plugins/agreement/node/agreementWire.ts
+++ b/src/plugins/agreement/node/agreementWire.ts
@@ -24,7 +24,7 @@
 	readonly isBlank: boolean;
 	/** Whether the caller asks the leader to admit it as a member. */
 	readonly asksToJoin: boolean;
-	/** Member list that the called replica told the caller last; absent before its first response. */
+	/** Member list that the called replica sent last; absent before its first response. */
 	readonly memberList?: MemberListVersion;
 }
 
@@ -34,7 +34,7 @@
 	readonly isBlank: boolean;
 	/** Addresses of the members known to the called replica; may be outdated. */
 	readonly memberAddresses: readonly string[];
-	/** To be named by requests to join; absent from older replicas. */
+	/** Identifies the member list, for requests to join; absent from older replicas. */
 	readonly memberList?: MemberListVersion;
 }
 
--- a/src/plugins/agreement/node/memberDiscovery.ts
+++ b/src/plugins/agreement/node/memberDiscovery.ts
@@ -25,8 +25,8 @@
 export class MemberDiscovery {
 	/** Addresses of all members that were ever in a member list here or in a hello response. */
 	private readonly _knownAddresses = new Set<string>();
-	/** Member list that each replica told last, by its address. */
-	private readonly _toldLists = new Map<string, MemberListVersion>();
+	/** Member list that each replica sent last, by its address. */
+	private readonly _receivedLists = new Map<string, MemberListVersion>();
 
 	constructor(
 		private readonly _peerCalls: IPeerCalls,
@@ -46,11 +46,11 @@
 			if (this._core.leader !== undefined) {
 				lastLeaderAt = systemClock.now();
 			}
-			let wasToldNewList = false;
+			let hasNewList = false;
 			if (!isMember || systemClock.now() - lastLeaderAt > LEADER_TIMEOUT_MS) {
-				wasToldNewList = await this._sendHello(seeds(), !isMember || this._core.leader === undefined);
+				hasNewList = await this._sendHello(seeds(), !isMember || this._core.leader === undefined);
 			}
-			if (isMember || !wasToldNewList) {
+			if (isMember || !hasNewList) {
 				await pause();
 			}
 		}
@@ -88,7 +88,7 @@
 		);
 	}
 
-	/** @returns whether a replica told a member list that it had not told before, so that a request to join can name it */
+	/** @returns whether a replica sent a member list that it had not sent before, so that a request to join can name it */
 	private async _sendHello(seeds: readonly string[], asksToJoin: boolean): Promise<boolean> {
 		this._core.members.forEach(member => this._knownAddresses.add(member.address));
 		const addressSet = new Set([...seeds, ...this._knownAddresses]);
@@ -105,11 +105,11 @@
 
 	private _hello(address: string, asksToJoin: boolean): Promise<HelloResponse> {
 		const { isBlank } = this._core;
-		const request = { identity: this._identity, isBlank, asksToJoin, memberList: this._toldLists.get(address) };
+		const request = { identity: this._identity, isBlank, asksToJoin, memberList: this._receivedLists.get(address) };
 		return this._peerCalls.call(address, helloMethod, request, HELLO_TIMEOUT_MS);
 	}
 
-	/** @returns whether a list differs from the one that its replica told before */
+	/** @returns whether a list differs from the one that its replica sent before */
 	private _recordLists(
 		addresses: readonly string[],
 		responses: readonly PromiseSettledResult<HelloResponse>[]
@@ -117,9 +117,9 @@
 		let hasNewList = false;
 		responses.forEach((response, i) => {
 			const list = response.status === 'fulfilled' ? response.value.memberList : undefined;
-			const before = this._toldLists.get(addresses[i]!);
+			const before = this._receivedLists.get(addresses[i]!);
 			if (list && (list.term !== before?.term || list.index !== before.index)) {
-				this._toldLists.set(addresses[i]!, list);
+				this._receivedLists.set(addresses[i]!, list);
 				hasNewList = true;
 			}
 		});
--- a/src/plugins/agreement/node/taskMessage.ts
+++ b/src/plugins/agreement/node/taskMessage.ts
@@ -13,7 +13,7 @@
 	| { readonly type: 'tick' }
 	| { readonly type: 'received'; readonly message: AgreementMessage }
 	| { readonly type: 'propose'; readonly proposal: Proposal }
-	| { readonly type: 'join'; readonly identity: ReplicaIdentity; readonly basis: MemberListVersion | undefined }
+	| { readonly type: 'join'; readonly identity: ReplicaIdentity; readonly memberList: MemberListVersion | undefined }
 	| {
 			readonly type: 'remove';
 			readonly id: MemberId;
--- a/src/plugins/agreement/test/memberChanges.test.ts
+++ b/src/plugins/agreement/test/memberChanges.test.ts
@@ -19,8 +19,8 @@
 	leader.onPersisted(leader.lastIndex, leader.term, ELECTED_AT);
 }
 
-function join(incarnation: string, basis = leader.memberListVersion): void {
-	leader.join({ id: 'b', incarnation, address: 'b' }, basis, ELECTED_AT);
+function join(incarnation: string, memberList = leader.memberListVersion): void {
+	leader.join({ id: 'b', incarnation, address: 'b' }, memberList, ELECTED_AT);
 	sync();
 }
 
--- a/src/plugins/fleet/common/fleetControl.ts
+++ b/src/plugins/fleet/common/fleetControl.ts
@@ -44,7 +44,7 @@
 	publishTable(command: PublishTableCommand): Promise<FleetResult>;
 	/**
 	 * Drains a data hall or puts it back in service, unless another order for the hall comes before.
-	 * @param hasCallerLeft whether the caller no longer waits; an order that only its caller could tell from a late one is then dropped
+	 * @param hasCallerLeft whether the caller no longer waits; the order is then dropped, as a later one may have been given elsewhere
 	 * @throws FleetUnavailableError the caller has left, no leader responded, or the outcome is unknown
 	 */
 	setHall(hall: string, isDrained: boolean, hasCallerLeft: () => Promise<boolean>): Promise<FleetResult>;
--- a/src/plugins/limits/node/teamAdmissionQueue.ts
+++ b/src/plugins/limits/node/teamAdmissionQueue.ts
@@ -82,7 +82,7 @@
 			this._waiting = [];
 			const returns = this._takeReturns();
 			const sentAt = systemClock.now();
-			const { granted, retryAfterMs, source } = await this._take(batch.length, returns.length, oldest(returns));
+			const { granted, retryAfterMs, source } = await this._take(batch.length, returns.length, earliest(returns));
 			if (source) {
 				this._grants.push({ sentAt, source });
 			}
@@ -93,7 +93,7 @@
 }
 
 /** The earliest of the grants of one holder. */
-function oldest(sources: readonly CreditSource[]): CreditSource | undefined {
+function earliest(sources: readonly CreditSource[]): CreditSource | undefined {
 	const byTime = [...sources].sort((a, b) => a.takenAt - b.takenAt);
 	return byTime[0];
 }
--- a/src/plugins/ownership/common/ownershipWire.ts
+++ b/src/plugins/ownership/common/ownershipWire.ts
@@ -14,7 +14,7 @@
 	readonly takeOver?: string;
 	/** The sibling whose targets the instance returns; `takeOver` is then ignored. */
 	readonly giveBack?: string;
-	/** Version of the sibling's ownership that the instance was told last; 0 before it was told any. */
+	/** Version of the sibling's ownership in the last response of the leader; 0 before the first. */
 	readonly base?: number;
 	/** Set when a control instance forwards the request to the leader. */
 	readonly isForwarded?: boolean;
--- a/src/plugins/ownership/node/hallOwnershipTask.ts
+++ b/src/plugins/ownership/node/hallOwnershipTask.ts
@@ -41,7 +41,7 @@
 	private _controlIndex = 0;
 	/** A returned sibling whose takeover control has not yet recorded as ended. */
 	private _pendingGiveBack: string | undefined;
-	/** Ownerships of siblings as told by the leader last. */
+	/** Ownerships of siblings in the last response of the leader. */
 	private _ownerships: Readonly<Record<string, TargetOwnership>> = {};
 
 	constructor(
