The metric of attempts tells why they failed, and which responses came without a length

A late copy of another response, a response that breaks off and one that is malformed were all counted as 'broken', and nothing told that a response ends with its connection. The metric has the cause as a second label, from a closed list, and the line of a request names it.

--- a/src/plugins/forwarding/common/requestTrace.ts
+++ b/src/plugins/forwarding/common/requestTrace.ts
@@ -15,6 +15,14 @@
 	readonly limitPerSecond?: number;
 }
 
+/** Metric labels of the outcome of an attempt. */
+export interface AttemptLabels {
+	/** Type of the outcome. */
+	readonly outcome: string;
+	/** Empty for none. */
+	readonly cause: string;
+}
+
 /** One attempt: the state of the target when it was selected, and the outcome. */
 export interface AttemptTrace {
 	readonly target: string;
@@ -35,6 +43,8 @@
 	readonly workTimeFactor?: number;
 	/** Outcome, followed by its cause if it has one. */
 	outcome: string;
+	/** The outcome as metric labels; undefined while the attempt is in progress. */
+	labels?: AttemptLabels;
 	tookMs: number;
 }
 
--- a/src/plugins/forwarding/node/attemptSender.ts
+++ b/src/plugins/forwarding/node/attemptSender.ts
@@ -18,7 +18,7 @@
 import type { AttemptTrace } from '../common/requestTrace.js';
 import type { ChosenTarget } from '../../placement/common/targetChoice.js';
 import type { TargetReport } from '../../placement/common/targets/targetReport.js';
-import { describeOutcome, type RequestContext, mayHaveRun } from './requestContext.js';
+import { describeOutcome, mayHaveRun, outcomeLabels, type RequestContext } from './requestContext.js';
 import type { LostRunDetector } from './lostRunDetector.js';
 import type { LimitMonitor } from './targets/limitMonitor.js';
 import type { OutcomeTracker } from '../../placement/common/outcomeTracker.js';
@@ -118,6 +118,7 @@
 		}
 		const endedAt = systemClock.now();
 		trace.outcome = describeOutcome(outcome);
+		trace.labels = outcomeLabels(outcome);
 		trace.tookMs = Math.round(endedAt - now);
 		exchange.setDisconnectHandler(undefined);
 		clearTimeout(timer);
--- a/src/plugins/forwarding/node/requestContext.ts
+++ b/src/plugins/forwarding/node/requestContext.ts
@@ -13,7 +13,7 @@
 import type { Route, Team } from '../../routes/common/routeTable.js';
 import type { DeniedAccess } from '../../routes/common/teamAccess.js';
 import type { AttemptOutcome, TargetResponse } from '../common/attempt.js';
-import type { AttemptTrace } from '../common/requestTrace.js';
+import type { AttemptLabels, AttemptTrace } from '../common/requestTrace.js';
 import type { RetryPermit } from '../common/serviceRetryBudget.js';
 import type { CallerExchange, LocalResponse } from './callerExchange.js';
 import type { RequestBody } from './requestBody.js';
@@ -79,16 +79,19 @@
 	wasLostWithTarget?: boolean;
 }
 
+/** In place of a cause: a response without a length, whose end is the end of its connection. */
+const ENDS_WITH_CONNECTION = 'ends-with-connection';
+
 /** Whether the target may have started to run the request. */
 export function mayHaveRun(outcome: AttemptOutcome): boolean {
 	return outcome.type === 'abandoned' ? outcome.mayHaveRun : outcome.type !== 'not-run';
 }
 
-/** The type of an outcome with its status or cause, for logs; the part before the colon is a metric label. */
+/** The type of an outcome with its status or cause, for logs. */
 export function describeOutcome(outcome: AttemptOutcome): string {
 	switch (outcome.type) {
 		case 'answer':
-			return `answer: ${outcome.status}`;
+			return `answer: ${outcome.status}${outcome.endsWithConnection ? `, ${ENDS_WITH_CONNECTION}` : ''}`;
 		case 'not-run':
 			return `${outcome.type}: ${outcome.cause}`;
 		case 'broken':
@@ -98,6 +101,19 @@
 	}
 }
 
+/** The type of an outcome and, from a closed list, its cause, as metric labels. */
+export function outcomeLabels(outcome: AttemptOutcome): AttemptLabels {
+	switch (outcome.type) {
+		case 'answer':
+			return { outcome: outcome.type, cause: outcome.endsWithConnection ? ENDS_WITH_CONNECTION : '' };
+		case 'not-run':
+		case 'broken':
+			return { outcome: outcome.type, cause: outcome.cause };
+		case 'abandoned':
+			return { outcome: outcome.type, cause: '' };
+	}
+}
+
 /** How a request that got a local response ended. */
 export function requestEndOf(response: LocalResponse): RequestEnd {
 	if (response.verdict === 'not-run') {
--- a/src/plugins/forwarding/node/requestRecorder.ts
+++ b/src/plugins/forwarding/node/requestRecorder.ts
@@ -9,11 +9,14 @@
 import { ILogService } from '../../../kernel/node/logService.js';
 import type { IMetricsService } from '../../../kernel/node/metricsService.js';
 import type { Route } from '../../routes/common/routeTable.js';
-import { type AttemptTrace, LogSampler } from '../common/requestTrace.js';
+import { type AttemptLabels, type AttemptTrace, LogSampler } from '../common/requestTrace.js';
 import type { CallerExchange } from './callerExchange.js';
 
 const LATENCY_BUCKETS_SECONDS = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4];
 
+/** Labels of an attempt that was still in progress when its request ended. */
+const UNKNOWN_OUTCOME: AttemptLabels = { outcome: 'unknown', cause: '' };
+
 /** How a request ended; the values are metric labels. */
 export enum RequestEnd {
 	/** A target's response was forwarded. */
@@ -48,7 +51,7 @@
 export class RequestRecorder {
 	private readonly _sampler = new LogSampler();
 	private readonly _requests: Counter<'service' | 'end'>;
-	private readonly _attempts: Counter<'outcome'>;
+	private readonly _attempts: Counter<'outcome' | 'cause'>;
 	private readonly _latencySeconds: Histogram<'service'>;
 	private readonly _suppressedLines: Counter;
 
@@ -65,8 +68,8 @@
 		});
 		this._attempts = new Counter({
 			name: 'shelffield_forwarding_attempts_total',
-			help: 'Attempts at targets by outcome.',
-			labelNames: ['outcome'],
+			help: 'Attempts at targets by outcome and its cause.',
+			labelNames: ['outcome', 'cause'],
 			registers
 		});
 		this._latencySeconds = new Histogram({
@@ -88,7 +91,7 @@
 		const { exchange, route, service, end, attempts } = request;
 		const durationMs = now - exchange.arrivedAt;
 		this._requests.inc({ service, end });
-		attempts.forEach(attempt => this._attempts.inc({ outcome: attempt.outcome.split(':')[0]! }));
+		attempts.forEach(({ labels }) => this._attempts.inc({ ...(labels ?? UNKNOWN_OUTCOME) }));
 		if (end === RequestEnd.Answered) {
 			this._latencySeconds.observe({ service }, durationMs / 1000);
 		}
@@ -109,7 +112,7 @@
 			reason: request.reason,
 			heldMs: Math.round(durationMs),
 			remainingMs: exchange.remainingMs,
-			attempts,
+			attempts: attempts.map(({ labels: _labels, ...logged }) => logged),
 			relayedTo: request.relayedTo,
 			viewAgeMs: Math.round(request.viewAgeMs),
 			tableVersion: request.tableVersion
