A part of a response without a length never looks whole when its instance ends

What callers saw: 200, half of the body, and an orderly end of the connection, when the entry instance was killed or the grace of a planned stop ended while it passed a response on whose end is the end of its connection. An instance that lives passed such a part on as whole when the instance in the middle of a relay had ended. Cause: the end of such a response is only the close of the connection, and the operating system closes the connections of a process that is gone in order. The class of fault: an end that is not stated. The same cause acted without any process ending: for a caller that closes its side of the connection first, and for HTTP/1.0 callers of a chunked response that breaks off. Between two instances the response goes in chunks, which state its end, with a header that tells how the target sent it.

--- a/src/plugins/connections/common/callerConnections.ts
+++ b/src/plugins/connections/common/callerConnections.ts
@@ -24,6 +24,12 @@
 	 * @returns false where requests behind it have been taken up, whose responses have to follow
 	 */
 	tryCloseConnection(): boolean;
+	/**
+	 * Prepares for a response whose end cannot be told from a connection that breaks off: one without a length or chunks. Until all of it
+	 * was sent, the connection ends with a reset, also when this process is killed.
+	 * @returns false where that is not possible, or requests behind it have been taken up, whose responses have to follow
+	 */
+	tryBeginUnframed(): boolean;
 	/** Closes the connection once the responses before this one were sent, with a reset if its end would pass for the end of the response. */
 	abort(withReset: boolean): void;
 	/** Sets the callback for the end of the exchange; `isComplete` tells whether the whole response was sent. */
--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -169,6 +169,16 @@
 		return this.pipeline.tryEndWith(item);
 	}
 
+	tryBeginUnframed(item: CallerRequest): boolean {
+		if (!this.tryEndWith(item) || !this.socket.tryPreventOrderlyClose()) {
+			return false;
+		}
+		item.response.useChunkedEncodingByDefault = false;
+		// Before the HTTP server's own listener, which closes the connection.
+		item.response.prependOnceListener('finish', () => this.socket.allowOrderlyClose());
+		return true;
+	}
+
 	/** Ends the taking up; a connection without requests that were taken up serves one more. */
 	endTakingUp(): void {
 		this._endsAfterFirst = true;
--- a/src/plugins/connections/node/callerRequest.ts
+++ b/src/plugins/connections/node/callerRequest.ts
@@ -17,6 +17,8 @@
 	closesWith(request: CallerRequest): boolean;
 	/** Makes the response to this request the last; returns false where others have to follow. */
 	tryEndWith(request: CallerRequest): boolean;
+	/** Makes the response to this request the last, with a reset in place of its end until all of it was sent; returns false where it cannot. */
+	tryBeginUnframed(request: CallerRequest): boolean;
 	/** Closes the connection when the response of this request would be next. */
 	abort(request: CallerRequest, withReset: boolean): void;
 }
@@ -48,6 +50,10 @@
 		return this._connection.tryEndWith(this);
 	}
 
+	tryBeginUnframed(): boolean {
+		return this._connection.tryBeginUnframed(this);
+	}
+
 	abort(withReset: boolean): void {
 		this._connection.abort(this, withReset);
 	}
--- a/src/plugins/connections/node/callerSocket.ts
+++ b/src/plugins/connections/node/callerSocket.ts
@@ -10,6 +10,7 @@
 import type { Socket } from 'node:net';
 import { Duplex } from 'node:stream';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import { trySetAbortiveClose } from '../../../kernel/node/abortiveClose.js';
 
 /** Bytes passed to the parser at a time while a request is expected: a few requests of usual size. */
 const HEADER_SLICE_BYTES = 1024;
@@ -58,6 +59,7 @@
 	private _isClosing = false;
 	private _hasCallerEnded = false;
 	private _isUnread = false;
+	private _mustReset = false;
 	private _timeoutMs: Millis = 0;
 
 	/** @param _unreadTimeoutMs how long data may wait without any of it being read */
@@ -113,6 +115,10 @@
 		if (this._isClosing || this.destroyed) {
 			return;
 		}
+		if (this._mustReset) {
+			this.resetAndDestroy();
+			return;
+		}
 		this._isClosing = true;
 		this._discardHeld();
 		this._raw.resume();
@@ -126,6 +132,21 @@
 		}
 	}
 
+	/**
+	 * Has the connection end with a reset, whatever closes it, until {@link allowOrderlyClose} is called.
+	 * @returns false where the operating system does not support that
+	 */
+	tryPreventOrderlyClose(): boolean {
+		this._mustReset = trySetAbortiveClose(this._raw, true);
+		return this._mustReset;
+	}
+
+	/** Lets the connection be closed in order again. */
+	allowOrderlyClose(): void {
+		this._mustReset = false;
+		trySetAbortiveClose(this._raw, false);
+	}
+
 	/** Closes the connection with a reset, which no caller takes for the end of a response. */
 	resetAndDestroy(): void {
 		this._raw.resetAndDestroy();
--- a/src/plugins/forwarding/common/attempt.ts
+++ b/src/plugins/forwarding/common/attempt.ts
@@ -18,7 +18,7 @@
 	readonly rawHeaders: RawHeaders;
 	/**
 	 * Whether the end of the body is marked by closing the connection (RFC 9112, section 6.3). Such a response is forwarded
-	 * in the same way: truncation can't be detected, so adding a length or chunked framing would present it as complete.
+	 * in the same way: truncation by the target can't be detected, so adding a length or chunked framing would present it as complete.
 	 */
 	readonly endsWithConnection: boolean;
 	/** The complete body, or its first bytes if the remaining body is streamed. */
--- a/src/plugins/forwarding/common/relayHeaders.ts
+++ b/src/plugins/forwarding/common/relayHeaders.ts
@@ -20,3 +20,8 @@
 export const RELAY_WRITTEN_HEADER = 'shelffield-relay-written';
 /** Present if the sender has taken a retry for the next attempt. */
 export const RELAY_RETRY_HEADER = 'shelffield-relay-retry';
+/**
+ * Present in a response that its target sent without a length. It is relayed in chunks, which state its end, and goes to the caller as its
+ * target sent it.
+ */
+export const RELAY_UNFRAMED_HEADER = 'shelffield-relay-unframed';
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -10,18 +10,19 @@
 import { RefusalReason, type Verdict } from '../../../base/verdict.js';
 import type { ICallerRequest } from '../../connections/common/callerConnections.js';
 import { digestKey } from '../../routes/common/teamIndex.js';
-import type { TargetResponse } from '../common/attempt.js';
+import type { RawHeaders, TargetResponse } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
-import { cookieValue, endToEndHeaders } from '../common/hopByHopHeaders.js';
-import { RELAY_REVISION_HEADER } from '../common/relayHeaders.js';
+import { cookieValue, endToEndHeaders, forEachHeader } from '../common/hopByHopHeaders.js';
+import { RELAY_REVISION_HEADER, RELAY_UNFRAMED_HEADER } from '../common/relayHeaders.js';
 import type { LinkScheduler } from './linkScheduler.js';
 import { PacedBody } from './pacedBody.js';
 
 const STATUS_BAD_GATEWAY = 502;
+const HTTP_1_0 = '1.0';
 const VERDICT_HEADER = 'Shelffield-Verdict';
 const NO_HEADERS: ReadonlySet<string> = new Set();
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(['content-length']);
-const RELAY_HEADERS: ReadonlySet<string> = new Set([RELAY_REVISION_HEADER]);
+const RELAY_HEADERS: ReadonlySet<string> = new Set([RELAY_REVISION_HEADER, RELAY_UNFRAMED_HEADER]);
 
 /** A response made by this instance rather than by a target. */
 export interface LocalResponse {
@@ -46,6 +47,12 @@
 	Target = 'target'
 }
 
+function hasContentLength(rawHeaders: RawHeaders): boolean {
+	let isFound = false;
+	forEachHeader(rawHeaders, lower => (isFound ||= lower === 'content-length'));
+	return isFound;
+}
+
 /** One request of a caller and its response. */
 export class CallerExchange {
 	readonly request: IncomingMessage;
@@ -153,18 +160,24 @@
 			response.remainingBody?.destroy();
 			return;
 		}
-		if (response.endsWithConnection && !this._callerRequest.tryCloseConnection()) {
-			// The responses to the requests behind it have to follow, so its end cannot be the end of the connection.
+		const isUnframed = this._isUnframed(response);
+		if (isUnframed && !this._callerRequest.tryBeginUnframed()) {
 			response.remainingBody?.destroy();
 			this.sendLocalResponse(FAILED_RESPONSE);
 			return;
 		}
-		this._writeHead(response, dropped, added);
+		this._writeHead(response, isUnframed, dropped, added);
 		if (!response.remainingBody) {
 			this._response.end(response.body);
 			return;
 		}
-		this._streamBody(response, response.remainingBody);
+		this._streamBody(response.body, response.remainingBody, isUnframed);
+	}
+
+	/** Whether only the end of the connection tells the caller where the response ends: HTTP/1.0 has no chunks. */
+	private _isUnframed({ endsWithConnection, remainingBody, rawHeaders }: TargetResponse): boolean {
+		const isChunked = remainingBody !== undefined && !hasContentLength(rawHeaders);
+		return endsWithConnection || (isChunked && this.request.httpVersion === HTTP_1_0);
 	}
 
 	/** Refuses the request before its body was read; a body that is too long ends the connection rather than being read. */
@@ -185,7 +198,7 @@
 	}
 
 	/** Streams a body that is not buffered whole, at the rate that the link scheduler allows. */
-	private _streamBody({ body, endsWithConnection }: TargetResponse, remainingBody: Readable): void {
+	private _streamBody(body: Buffer, remainingBody: Readable, isUnframed: boolean): void {
 		const paced = new PacedBody(this._linkScheduler);
 		const abort = (): void => {
 			if (paced.destroyed) {
@@ -194,7 +207,7 @@
 			const isUnread = paced.readableLength > 0 && this._response.writableNeedDrain;
 			this._truncationHandler?.(isUnread ? TruncationCause.Unread : TruncationCause.Target);
 			paced.destroy();
-			this._callerRequest.abort(endsWithConnection);
+			this._callerRequest.abort(isUnframed);
 		};
 		this.setDisconnectHandler(() => {
 			remainingBody.destroy();
@@ -210,9 +223,14 @@
 		remainingBody.pipe(paced).pipe(this._response);
 	}
 
-	private _writeHead(response: TargetResponse, dropped: ReadonlySet<string>, added: readonly string[]): void {
+	private _writeHead(
+		response: TargetResponse,
+		isUnframed: boolean,
+		dropped: ReadonlySet<string>,
+		added: readonly string[]
+	): void {
 		const isHeadRequest = this.request.method === 'HEAD';
-		const isBuffered = response.remainingBody === undefined && !response.endsWithConnection && !isHeadRequest;
+		const isBuffered = response.remainingBody === undefined && !isUnframed && !isHeadRequest;
 		const headers = endToEndHeaders(
 			response.rawHeaders,
 			isBuffered ? new Set([...CONTENT_LENGTH, ...dropped]) : dropped
@@ -220,10 +238,7 @@
 		if (isBuffered) {
 			headers.push('Content-Length', String(response.body.length));
 		}
-		if (response.endsWithConnection) {
-			this._response.useChunkedEncodingByDefault = false;
-		}
-		if (response.endsWithConnection || this._callerRequest.closesConnection) {
+		if (isUnframed || this._callerRequest.closesConnection) {
 			headers.push('Connection', 'close');
 		}
 		headers.push(...added);
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -9,6 +9,7 @@
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
+import { isAbortiveCloseSupported } from '../../../kernel/node/abortiveClose.js';
 import { HttpListener } from '../../../kernel/node/httpListener.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
@@ -93,6 +94,14 @@
 
 	/** Opens the listeners for callers and for readiness checks; look-ups return this instance once it is ready. */
 	async start(): Promise<void> {
+		if (!isAbortiveCloseSupported) {
+			this._log.warn(
+				'responses without a length are replaced by 502, as connections cannot be reset at the end of the process',
+				{
+					task: 'front'
+				}
+			);
+		}
 		await this._connections.listen({
 			address: this._settings.callerAddress,
 			maxConnections: this._settings.maxConnections,
--- a/src/plugins/forwarding/node/relay/relayClient.ts
+++ b/src/plugins/forwarding/node/relay/relayClient.ts
@@ -17,7 +17,7 @@
 import { type AttemptOutcome, NotRunCause } from '../../common/attempt.js';
 import type { IHeaderNames } from '../../common/headerNames.js';
 import { connectTimeoutMs, maxBufferedBytes } from '../../common/linkPacer.js';
-import { RELAY_PATH_PREFIX, RELAY_REVISION_HEADER } from '../../common/relayHeaders.js';
+import { RELAY_PATH_PREFIX, RELAY_REVISION_HEADER, RELAY_UNFRAMED_HEADER } from '../../common/relayHeaders.js';
 import { RelayPeers } from '../../common/relayPeers.js';
 import type { RequestCompletion } from '../requestCompletion.js';
 import { type RequestContext, unavailableResponse } from '../requestContext.js';
@@ -139,7 +139,8 @@
 		}
 		this._handledRevision = Math.max(this._handledRevision, Number(revision ?? 0));
 		context.relayedTo = peer.name;
-		return outcome;
+		const isUnframed = relayExchange.responseHeaders?.[RELAY_UNFRAMED_HEADER] !== undefined;
+		return outcome.type === 'answer' && isUnframed ? { ...outcome, endsWithConnection: true } : outcome;
 	}
 
 	private _complete(context: RequestContext, outcome: Exclude<AttemptOutcome, { type: 'not-run' }>): void {
--- a/src/plugins/forwarding/node/relay/relayedRequest.ts
+++ b/src/plugins/forwarding/node/relay/relayedRequest.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { type Millis, systemClock } from '../../../../base/clock.js';
 import type { ICallerRequest } from '../../../connections/common/callerConnections.js';
+import { RELAY_UNFRAMED_HEADER } from '../../common/relayHeaders.js';
 
 /** One relayed request and its response. */
 export class RelayedRequest implements ICallerRequest {
@@ -27,6 +28,12 @@
 		return true;
 	}
 
+	/** The chunks of the relayed response tell its end from a connection that breaks off. */
+	tryBeginUnframed(): boolean {
+		this.response.setHeader(RELAY_UNFRAMED_HEADER, '1');
+		return true;
+	}
+
 	abort(withReset: boolean): void {
 		const { socket } = this.response;
 		if (withReset) {
--- a/src/plugins/forwarding/test/callerExchange.test.ts
+++ b/src/plugins/forwarding/test/callerExchange.test.ts
@@ -37,6 +37,10 @@
 		return this._isLast;
 	}
 
+	tryBeginUnframed(): boolean {
+		return this._isLast;
+	}
+
 	abort(withReset: boolean): void {
 		this.aborts.push(withReset);
 	}
--- a/test/platform/testTarget.ts
+++ b/test/platform/testTarget.ts
@@ -20,10 +20,13 @@
  * - `extra`: runs it and sends a second response that belongs to no request
  * - `silent`: runs it and never responds
  * - `unframed`: runs it and sends a response without a length, ended by the end of the connection
+ * - `unframed-half`: runs it, sends half of a response without a length, and leaves the connection open
+ * - `chunked-half`: runs it and closes the connection in order after half of a chunked response
  * - `other-id`: runs it and responds with the id of another request
  * - `error`: runs it and responds with 500
  */
-export type InjectedFault = 'reset' | 'cut' | 'full' | 'extra' | 'silent' | 'unframed' | 'other-id' | 'error';
+export type InjectedFault =
+	'reset' | 'cut' | 'full' | 'extra' | 'silent' | 'unframed' | 'unframed-half' | 'chunked-half' | 'other-id' | 'error';
 
 /** A request as a target received it. */
 export interface ReceivedRequest {
@@ -194,6 +197,12 @@
 		}
 	}
 
+	/** The head of a successful response, with the blank line behind it. */
+	private _rawHead({ id }: ReceivedRequest, ...headers: string[]): string {
+		const lines = ['HTTP/1.1 200 OK', `Request-Id: ${id}`, `Server-Stamp: ${this.options.id}`, ...headers, '', ''];
+		return lines.join('\r\n');
+	}
+
 	private _respond(response: ServerResponse, received: ReceivedRequest, fault: InjectedFault | undefined): void {
 		const body = `${received.id}:${'x'.repeat(this.options.paddingBytes)}`;
 		const headers = {
@@ -220,9 +229,17 @@
 			case 'error':
 				response.writeHead(500, headers).end(body);
 				return;
-			case 'unframed': {
-				const lines = ['HTTP/1.1 200 OK', `Request-Id: ${received.id}`, `Server-Stamp: ${this.options.id}`, '', ''];
-				socket?.end(lines.join('\r\n') + body);
+			case 'unframed':
+				socket?.end(this._rawHead(received) + body);
+				return;
+			case 'unframed-half':
+				socket?.write(this._rawHead(received) + body.slice(0, body.length / 2));
+				return;
+			case 'chunked-half': {
+				const half = body.slice(0, body.length / 2);
+				socket?.end(
+					`${this._rawHead(received, 'Transfer-Encoding: chunked')}${half.length.toString(16)}\r\n${half}\r\n`
+				);
 				return;
 			}
 			default:
