--- a/test/platform/platformTestSystem.ts
+++ b/test/platform/platformTestSystem.ts
@@ -39,6 +39,12 @@
 	output: string;
 }
 
+/** Where a process listens. */
+export interface HostAndPort {
+	readonly host: string;
+	readonly port: number;
+}
+
 let systemCount = 0;
 
 /**
@@ -186,6 +192,21 @@
 		rmSync(this._folder, { recursive: true, force: true });
 	}
 
+	/** Where a control instance serves the control API. */
+	controlPort(instance: Instance): HostAndPort {
+		return { host: instance.ip, port: CONTROL_PORT };
+	}
+
+	/** Where an instance serves its peers. */
+	peerPort(instance: Instance): HostAndPort {
+		return { host: instance.ip, port: PEER_PORT };
+	}
+
+	/** Where an entry instance serves callers. */
+	callerPort(entry: Instance): HostAndPort {
+		return { host: entry.ip, port: CALLER_PORT };
+	}
+
 	/**
 	 * Calls the control API of an instance.
 	 * @param baseVersion version that the change is based on, sent as If-Match
