--- /dev/null
+++ b/src/kernel/common/bodyAccount.ts
@@ -0,0 +1,114 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/**
+ * Account of the bodies that a process receives on all its listeners. Load: any number of clients whose bodies stop short of their end. It
+ * never holds more than its limit: where a body has no room, those that have waited longest for a further byte give theirs up.
+ */
+
+import { createServiceIdentifier } from './serviceIdentifier.js';
+
+/** Part of the memory of the process that bodies may use while they are received. */
+const BODY_PART = 1 / 8;
+const BYTES_PER_MEGABYTE = 1024 * 1024;
+
+/** Bytes that are held for one body. */
+export interface IHeldBody {
+	/**
+	 * Changes the number of held bytes, as the body has grown.
+	 * @returns false where the account has no room for it although all other bodies gave theirs up
+	 */
+	tryResize(bytes: number): boolean;
+	/** Holds nothing more; to be called once the body is complete or given up. */
+	release(): void;
+}
+
+/** The account of one process. */
+export interface IBodyAccount {
+	/** Bytes of the largest body that it has room for. */
+	readonly limitBytes: number;
+	/** Bytes that are held for all bodies. */
+	readonly heldBytes: number;
+	/** Bodies that gave up their bytes for others. */
+	readonly evictions: number;
+	/** @param onEvicted called where the body has to give up its bytes, which are released by then */
+	hold(onEvicted: () => void): IHeldBody;
+}
+
+/** Service identifier of {@link IBodyAccount}. */
+export const IBodyAccount = createServiceIdentifier<IBodyAccount>('bodyAccount');
+
+class HeldBody implements IHeldBody {
+	bytes = 0;
+
+	constructor(
+		private readonly _account: BodyAccount,
+		readonly onEvicted: () => void
+	) {}
+
+	tryResize(bytes: number): boolean {
+		return this._account.tryResize(this, bytes);
+	}
+
+	release(): void {
+		this._account.release(this);
+	}
+}
+
+/** The account; a body counts from its first byte. */
+export class BodyAccount implements IBodyAccount {
+	readonly limitBytes: number;
+	/** Bodies that hold bytes, the one that has waited longest for a further byte first. */
+	private readonly _bodies = new Set<HeldBody>();
+	private _heldBytes = 0;
+	private _evictions = 0;
+
+	/** @param memoryMb memory of the process */
+	constructor(memoryMb: number) {
+		this.limitBytes = Math.floor(memoryMb * BYTES_PER_MEGABYTE * BODY_PART);
+	}
+
+	get heldBytes(): number {
+		return this._heldBytes;
+	}
+
+	get evictions(): number {
+		return this._evictions;
+	}
+
+	hold(onEvicted: () => void): IHeldBody {
+		return new HeldBody(this, onEvicted);
+	}
+
+	/** Used by the held bodies. */
+	tryResize(body: HeldBody, bytes: number): boolean {
+		if (bytes > this.limitBytes) {
+			return false;
+		}
+		this._count(body, bytes);
+		// Bodies that have just grown come last.
+		this._bodies.delete(body);
+		this._bodies.add(body);
+		for (const other of this._bodies) {
+			if (this._heldBytes <= this.limitBytes) {
+				break;
+			}
+			this._evictions++;
+			this.release(other);
+			other.onEvicted();
+		}
+		return true;
+	}
+
+	/** Used by the held bodies. */
+	release(body: HeldBody): void {
+		this._count(body, 0);
+		this._bodies.delete(body);
+	}
+
+	private _count(body: HeldBody, bytes: number): void {
+		this._heldBytes += bytes - body.bytes;
+		body.bytes = bytes;
+	}
+}
--- a/src/kernel/node/instanceSettings.ts
+++ b/src/kernel/node/instanceSettings.ts
@@ -11,6 +11,7 @@
 	addressSchema,
 	booleanSchema,
 	nameSchema,
+	numberSchema,
 	pathSchema,
 	settingsRegistry
 } from '../common/settingsRegistry.js';
@@ -25,6 +26,8 @@
 	readonly region: string;
 	readonly logLevel: string;
 	readonly peerAddress: string;
+	/** Memory that the process may use, in MiB. */
+	readonly memoryMb: number;
 }
 
 /** Section `[control.NAME]`. */
@@ -68,6 +71,12 @@
 			description:
 				'IPv4 address and port of the listener for other instances; port 0 lets the operating system choose one.'
 		},
+		memoryMb: {
+			schema: numberSchema(16, 1048576),
+			description:
+				'Memory that the process may use in MiB, 16 to 1048576; parts of it hold bodies that are being received, and data for callers and targets.',
+			default: '256'
+		},
 		logLevel: {
 			schema: z.enum(['debug', 'info', 'warn', 'error'], 'debug, info, warn or error'),
 			description: 'Minimum level of log lines: debug, info, warn or error.',
--- a/src/kernel/node/processHost.ts
+++ b/src/kernel/node/processHost.ts
@@ -6,10 +6,12 @@
 
 import { watchFile } from 'node:fs';
 import { parseArgs } from 'node:util';
+import { IBodyAccount } from '../common/bodyAccount.js';
 import { InstantiationService } from '../common/instantiationService.js';
 import { type IContribution, type ProcessKind, pluginRegistry } from '../common/pluginRegistry.js';
 import './instanceSettings.js';
 import './metricsListener.js';
+import { BodyAccountService } from './bodyAccountService.js';
 import type { InstanceSettings } from './instanceSettings.js';
 import { createLog, ILogService } from './logService.js';
 import { IMetricsService, MetricsService } from './metricsService.js';
@@ -35,6 +37,7 @@
 	services.set(ISettingsService, settings);
 	services.set(ILogService, log);
 	services.set(IMetricsService, new MetricsService());
+	services.set(IBodyAccount, services.createInstance(BodyAccountService));
 	services.set(IAdminEndpoints, new AdminEndpoints());
 	provideTransport(services);
 	return services;
--- a/src/plugins/connections/node/memoryAccountService.ts
+++ b/src/plugins/connections/node/memoryAccountService.ts
@@ -7,14 +7,14 @@
 import { Gauge } from 'prom-client';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import { ISettingsService } from '../../../kernel/node/settingsService.js';
-import type { FrontSettings } from '../../forwarding/common/frontSettings.js';
+import type { InstanceSettings } from '../../../kernel/node/instanceSettings.js';
 import { HeldMemoryAccount } from '../common/heldMemoryAccount.js';
 import { HeldBytes } from '../common/memoryAccount.js';
 
 /** Takes its limit from the settings. */
 export class MemoryAccountService extends HeldMemoryAccount {
 	constructor(@ISettingsService settings: ISettingsService, @IMetricsService metrics: IMetricsService) {
-		super(settings.section<FrontSettings>('front').memoryMb);
+		super(settings.section<InstanceSettings>('instance').memoryMb);
 		const gauge: Gauge<'kind'> = new Gauge({
 			name: 'shelffield_held_bytes',
 			help: 'Bytes held for callers and targets, by kind.',
--- a/src/plugins/forwarding/common/frontSettings.ts
+++ b/src/plugins/forwarding/common/frontSettings.ts
@@ -19,8 +19,6 @@
 	readonly maxConnections: number;
 	/** Bandwidth of the instance's network link in one direction, in Mbit/s. */
 	readonly linkMbit: number;
-	/** Memory that the process may use, in MiB. */
-	readonly memoryMb: number;
 }
 
 settingsRegistry.register({
@@ -40,12 +38,6 @@
 			schema: numberSchema(0.1, 1000000),
 			description: 'Bandwidth of the network link in Mbit/s, 0.1 to 1000000; large responses are paced to fit it.',
 			default: '1000'
-		},
-		memoryMb: {
-			schema: numberSchema(16, 1048576),
-			description:
-				'Memory that the process may use in MiB, 16 to 1048576; a part of it holds data for callers and targets.',
-			default: '256'
 		}
 	}
 });
--- a/test/platform/crowdTestSystem.ts
+++ b/test/platform/crowdTestSystem.ts
@@ -19,7 +19,7 @@
 
 /** Three control instances, one entry instance and a target. */
 export class CrowdTestSystem {
-	readonly system = new PlatformTestSystem(3, 1, '', [`memoryMb = ${ENTRY_MEMORY_MB}`]);
+	readonly system = new PlatformTestSystem(3, 1, '', [], undefined, ENTRY_MEMORY_MB);
 	readonly entry = this.system.entries[0]!;
 	readonly control = this.system.controls[0]!;
 	private readonly _target = new TestTarget({
--- a/test/platform/platformTestSystem.ts
+++ b/test/platform/platformTestSystem.ts
@@ -121,13 +121,15 @@
 	 * @param _contracts names of the parts of the platform's rules that hold, separated by commas
 	 * @param _entrySettings further lines of the settings of entry instances
 	 * @param _preload module that all processes load first, relative to the output folder of the compiler
+	 * @param _entryMemoryMb memory that entry instances may use, in MiB; the default of the setting if omitted
 	 */
 	constructor(
 		controls: number,
 		entries: number,
 		private readonly _contracts = '',
 		private readonly _entrySettings: readonly string[] = [],
-		private readonly _preload?: string
+		private readonly _preload?: string,
+		private readonly _entryMemoryMb?: number
 	) {
 		systemCount++;
 		this._subnet = subnetOf(process.pid, systemCount);
@@ -346,6 +348,10 @@
 		return join(this._folder, `data-${instance.ip}`);
 	}
 
+	private _memorySetting({ kind }: Instance): string[] {
+		return kind === 'entry' && this._entryMemoryMb !== undefined ? [`memoryMb = ${this._entryMemoryMb}`] : [];
+	}
+
 	private _createSettings(instance: Instance, isFirstStart: boolean): string {
 		const seeds = this.controls.slice(0, 3).map(control => `${control.ip}:${CONTROL_PORT}`);
 		const halls = this.controls.map(control => `${control.hall}:region-1`);
@@ -355,6 +361,7 @@
 			`hall = ${instance.hall}`,
 			'region = region-1',
 			`peerAddress = ${instance.ip}:${PEER_PORT}`,
+			...this._memorySetting(instance),
 			'[discovery]',
 			`seeds = ${seeds.join(',')}`,
 			`firstStart = ${isFirstStart}`,
