Bodies of configurations, heartbeats and operators' requests are collected within the account

The cause: readBody kept each chunk as an object of its own until the end, for any number of clients. It now copies chunks into a BodyBuffer that counts in the account of the process. A body that has to give up its memory gets 503 with Retry-After, verdict not-run and Connection: close, at the control API, the operators' API and the port for callers.

--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -12,6 +12,7 @@
 import { ConnectionTracker } from './connectionTracker.js';
 import type { IMetricsService } from './metricsService.js';
 import { listenWhenFree } from './listenWhenFree.js';
+import { BodyEvictedError } from './bodyEvictedError.js';
 import { BodyTooLargeError } from './bodyTooLargeError.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -19,14 +20,16 @@
 const REQUEST_TIMEOUT_MS = 60000;
 const KEEP_ALIVE_TIMEOUT_MS = 30000;
 const DRAIN_POLL_MS = 50;
+/** Value of `Retry-After` for a request whose body gave up its memory. */
+const EVICTED_RETRY_AFTER_SECONDS = 1;
 
 /** A parsed request. */
 export type HttpRequest = polka.Request;
 /** The response to a request. */
 export type HttpResponse = ServerResponse;
 /**
- * Handles a request. `BodyTooLargeError` results in status 413, any other error in status 500; after the headers are sent,
- * an error closes the connection.
+ * Handles a request. `BodyTooLargeError` results in status 413, `BodyEvictedError` in 503, any other error in 500; after the
+ * headers are sent, an error closes the connection.
  */
 export type HttpHandler = (request: HttpRequest, response: HttpResponse) => void | Promise<void>;
 
@@ -167,6 +170,12 @@
 			sendJson(response, 413, body);
 			return;
 		}
+		if (error instanceof BodyEvictedError) {
+			response.setHeader('Connection', 'close');
+			response.setHeader('Retry-After', EVICTED_RETRY_AFTER_SECONDS);
+			sendJson(response, 503, { code: 'body-evicted', message: error.message, verdict: 'not-run' });
+			return;
+		}
 		this._options.onError(error);
 		sendJson(response, 500, { code: 'internal', message: 'the request could not be handled', verdict: 'may-have-run' });
 	}
--- a/src/kernel/node/readBody.ts
+++ b/src/kernel/node/readBody.ts
@@ -2,36 +2,43 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/**
- * Reads request bodies into memory. Separate from the listener because it imports `node:stream/consumers`, which is large
- * and not needed by every process.
- */
+/** Reads request bodies into memory. */
 
 import type { IncomingMessage } from 'node:http';
-import { buffer } from 'node:stream/consumers';
+import type { IBodyAccount } from '../common/bodyAccount.js';
+import { BodyBuffer } from './bodyBuffer.js';
+import { BodyEvictedError } from './bodyEvictedError.js';
 import { BodyTooLargeError } from './bodyTooLargeError.js';
 
-/** Yields the chunks of a body; throws `BodyTooLargeError` as soon as they exceed the limit. */
-async function* limitSize(request: IncomingMessage, limitBytes: number): AsyncGenerator<Buffer> {
-	let sizeBytes = 0;
-	// The request must not be destroyed when the limit is exceeded, or the error response could not be sent.
-	for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-		sizeBytes += chunk.length;
-		if (sizeBytes > limitBytes) {
-			throw new BodyTooLargeError(limitBytes);
-		}
-		yield chunk;
-	}
-}
-
 /**
  * Reads the body of a request.
  * @param limitBytes maximum size of the body
  * @throws BodyTooLargeError the body exceeds the limit; the rest of it is not read
+ * @throws BodyEvictedError the body has given up its memory for others; the rest of it is not read
  */
-export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer> {
+export async function readBody(request: IncomingMessage, limitBytes: number, account: IBodyAccount): Promise<Buffer> {
 	if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
 		throw new BodyTooLargeError(limitBytes);
 	}
-	return buffer(limitSize(request, limitBytes));
+	return new Promise((resolve, reject) => {
+		const body = new BodyBuffer(account, limitBytes, () => fail(new BodyEvictedError()));
+		const append = (chunk: Buffer): void => {
+			try {
+				body.append(chunk);
+			} catch (error) {
+				fail(error as Error);
+			}
+		};
+		// The request must not be destroyed, or the error response could not be sent.
+		const fail = (error: Error): void => {
+			request.off('data', append);
+			request.pause();
+			body.release();
+			reject(error);
+		};
+		request.on('data', append);
+		request.once('end', () => resolve(body.take()));
+		request.once('error', fail);
+		request.once('close', () => fail(new Error('the connection closed before the end of the body')));
+	});
 }
--- a/src/plugins/callers/node/callerServer.ts
+++ b/src/plugins/callers/node/callerServer.ts
@@ -10,9 +10,11 @@
 import { systemClock } from '../../../base/clock.js';
 import { Disposable } from '../../../base/disposable.js';
 import { RefusalReason, RequestError } from '../../../base/verdict.js';
+import { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { type IContribution, ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import { addressSchema, integerSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
 import { HttpListener, type HttpRequest, type HttpResponse, sendJson } from '../../../kernel/node/httpListener.js';
+import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
 import { BodyTooLargeError } from '../../../kernel/node/bodyTooLargeError.js';
 import { readBody } from '../../../kernel/node/readBody.js';
 import type { InstanceSettings } from '../../../kernel/node/instanceSettings.js';
@@ -31,6 +33,7 @@
 const MS_PER_SECOND = 1000;
 const ETAG_LENGTH = 16;
 const NOT_READY_RETRY_AFTER_MS = 500;
+const EVICTED_RETRY_AFTER_MS = 500;
 const READY_POLL_INTERVAL_MS = 20;
 /** Time after which an instance starts even if its services have no targets. */
 const READY_TIMEOUT_MS = 6000;
@@ -75,6 +78,7 @@
 	constructor(
 		@ISettingsService settings: ISettingsService,
 		@IMetricsService metrics: IMetricsService,
+		@IBodyAccount private readonly _bodyAccount: IBodyAccount,
 		@ILogService private readonly _log: ILogService,
 		@IPeerTransport private readonly _transport: IPeerTransport,
 		@IEntryConfiguration private readonly _configuration: IEntryConfiguration,
@@ -245,6 +249,9 @@
 			response.destroy();
 			return;
 		}
+		if (error instanceof BodyEvictedError) {
+			response.setHeader('Connection', 'close');
+		}
 		sendRequestError(response, requestError, requestId);
 	}
 
@@ -269,7 +276,9 @@
 		response.once('close', () => !response.writableFinished && disconnected.abort());
 		const hasBody =
 			request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
-		const body = hasBody ? await readBody(request, this._dispatch.maxBodyBytes(service)) : Buffer.alloc(0);
+		const body = hasBody
+			? await readBody(request, this._dispatch.maxBodyBytes(service), this._bodyAccount)
+			: Buffer.alloc(0);
 		return {
 			requestId,
 			service,
@@ -313,6 +322,9 @@
 	if (error instanceof BodyTooLargeError) {
 		return new RequestError('not-run', RefusalReason.BodyTooLarge, 413, `${error.message}, the limit for this service`);
 	}
+	if (error instanceof BodyEvictedError) {
+		return new RequestError('not-run', RefusalReason.NoCapacity, 503, error.message, EVICTED_RETRY_AFTER_MS);
+	}
 	return undefined;
 }
 
--- a/src/plugins/operators/node/operatorServer.ts
+++ b/src/plugins/operators/node/operatorServer.ts
@@ -8,6 +8,7 @@
 import { readFileSync, statSync } from 'node:fs';
 import { z } from 'zod';
 import { Disposable } from '../../../base/disposable.js';
+import { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { type IContribution, ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import { addressSchema, integerSchema, pathSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
 import { HttpListener, type HttpRequest, type HttpResponse, sendJson } from '../../../kernel/node/httpListener.js';
@@ -93,6 +94,7 @@
 	constructor(
 		@ISettingsService settings: ISettingsService,
 		@IMetricsService metrics: IMetricsService,
+		@IBodyAccount private readonly _bodyAccount: IBodyAccount,
 		@ILogService private readonly _log: ILogService,
 		@IPeerTransport private readonly _transport: IPeerTransport,
 		@IAgreement private readonly _agreement: IAgreement,
@@ -144,7 +146,7 @@
 			});
 			return;
 		}
-		const body = await readBody(request, this._settings.maxBodyBytes);
+		const body = await readBody(request, this._settings.maxBodyBytes, this._bodyAccount);
 		const parsed = parseJson(body);
 		if (!parsed.ok) {
 			const message = `the body is not JSON: ${parsed.message}`;
