Messages of peers are collected within the account, and given up after 10 s

The cause: readMessageBody kept every chunk as an object until the end of the message, up to 64 MiB each for any number of senders, and without a limit in time. It now uses BodyBuffer and the account of the process for messages and for responses that call reads; a message that exceeds them, gives up its memory or takes longer than 10 s is destroyed with its connection.

--- a/src/kernel/node/httpPeerCalls.ts
+++ b/src/kernel/node/httpPeerCalls.ts
@@ -9,8 +9,10 @@
 
 import { Agent, createServer, type IncomingMessage, request as httpRequest, type ServerResponse } from 'node:http';
 import { Disposable, toDisposable } from '../../base/disposable.js';
+import { IBodyAccount } from '../common/bodyAccount.js';
 import type { IPeerCalls } from '../common/peerCalls.js';
 import type { UnaryMethod } from '../common/peerMethods.js';
+import { BodyBuffer } from './bodyBuffer.js';
 import type { InstanceSettings } from './instanceSettings.js';
 import { listenWhenFree } from './listenWhenFree.js';
 import { ILogService } from './logService.js';
@@ -24,6 +26,8 @@
 /** Less than {@link SERVER_KEEP_ALIVE_TIMEOUT_MS}, so that no call is sent on a connection that the server is closing. */
 const CLIENT_IDLE_TIMEOUT_MS = 20000;
 const SERVER_KEEP_ALIVE_TIMEOUT_MS = 60000;
+/** Senders give up a call, and with it its message, before that. */
+const MESSAGE_TIMEOUT_MS = 10000;
 const STATUS_OK = 200;
 const STATUS_UNKNOWN_METHOD = 404;
 const STATUS_FAILED = 500;
@@ -38,23 +42,29 @@
 	}
 }
 
-/** Reads a body; destroys a message that exceeds the size limit, and does not call `onBody` for one that is incomplete. */
-function readMessageBody(message: IncomingMessage, onBody: (body: Buffer) => void): void {
-	const chunks: Buffer[] = [];
-	let sizeBytes = 0;
+/**
+ * Reads a body. Destroys a message that exceeds the size limit, takes too long or gives up its memory for others, and does not call
+ * `onBody` for one that is incomplete.
+ */
+function readMessageBody(message: IncomingMessage, account: IBodyAccount, onBody: (body: Buffer) => void): void {
+	const body = new BodyBuffer(account, MAX_MESSAGE_BYTES, () => message.destroy());
+	const timer = setTimeout(() => message.destroy(), MESSAGE_TIMEOUT_MS);
 	message.on('data', (chunk: Buffer) => {
-		sizeBytes += chunk.length;
-		if (sizeBytes > MAX_MESSAGE_BYTES) {
-			message.destroy();
-			return;
+		try {
+			body.append(chunk);
+		} catch (error) {
+			message.destroy(error as Error);
 		}
-		chunks.push(chunk);
 	});
 	message.on('end', () => {
 		if (message.complete) {
-			onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+			onBody(body.take());
 		}
 	});
+	message.on('close', () => {
+		clearTimeout(timer);
+		body.release();
+	});
 }
 
 function sendText(response: ServerResponse, status: number, text: string): void {
@@ -81,7 +91,8 @@
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
-		@ILogService private readonly _log: ILogService
+		@ILogService private readonly _log: ILogService,
+		@IBodyAccount private readonly _bodyAccount: IBodyAccount
 	) {
 		super();
 		this._listenAddress = settings.section<InstanceSettings>('instance').peerAddress;
@@ -124,7 +135,7 @@
 			clientRequest.on('close', () => fail('connection closed before the response was complete'));
 			clientRequest.on('response', response => {
 				response.on('error', error => fail(error.message));
-				readMessageBody(response, responseBody => {
+				readMessageBody(response, this._bodyAccount, responseBody => {
 					if (response.statusCode !== STATUS_OK) {
 						fail(`${response.statusCode} ${responseBody.toString('utf8')}`);
 						return;
@@ -149,7 +160,7 @@
 				return;
 			}
 		}
-		readMessageBody(request, body => void this._handleCall(request, body, response));
+		readMessageBody(request, this._bodyAccount, body => void this._handleCall(request, body, response));
 	}
 
 	private async _handleCall(request: IncomingMessage, body: Buffer, response: ServerResponse): Promise<void> {
--- a/src/kernel/test/httpPeerCalls.test.ts
+++ b/src/kernel/test/httpPeerCalls.test.ts
@@ -5,10 +5,12 @@
 /** Peer calls over HTTP: responses, errors, timeouts, malformed responses and reconnecting to a restarted peer. */
 
 import assert from 'node:assert/strict';
+import { randomBytes } from 'node:crypto';
 import { createServer as createHttpServer } from 'node:http';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
+import { BodyAccount } from '../common/bodyAccount.js';
 import { defineUnary } from '../common/peerMethods.js';
 import { HttpPeerCalls } from '../node/httpPeerCalls.js';
 import type { ILogService } from '../node/logService.js';
@@ -17,13 +19,13 @@
 const echoMethod = defineUnary<{ text: string }, { text: string }>('test', 'Echo');
 const unregisteredMethod = defineUnary<{ text: string }, { text: string }>('test', 'Missing');
 
-function createCalls(peerAddress = '127.0.0.1:0'): HttpPeerCalls {
+function createCalls(peerAddress = '127.0.0.1:0', account = new BodyAccount(256)): HttpPeerCalls {
 	const settings: ISettingsService = {
 		section: <T>() => ({ peerAddress }) as T,
 		namedSections: <T>(): ReadonlyMap<string, T> => new Map(),
 		reload: () => []
 	};
-	return new HttpPeerCalls(settings, {} as ILogService);
+	return new HttpPeerCalls(settings, {} as ILogService, account);
 }
 
 test('a call resolves to the response, or rejects with the error of the handler', async () => {
@@ -69,3 +71,26 @@
 	caller.dispose();
 	malformedPeer.close();
 });
+
+test('a message that does not end gives up its memory for others, and its connection is closed', async () => {
+	const account = new BodyAccount(1);
+	const calls = createCalls('127.0.0.1:0', account);
+	calls.handleUnary(echoMethod, async ({ text }) => ({ text: String(text.length) }));
+	const address = await calls.listen();
+	const [host, port] = address.split(':');
+	const silent = connect(Number(port), host);
+	const closed = new Promise<void>(resolve => silent.once('close', () => resolve()));
+	silent.on('error', () => undefined).resume();
+	silent.write(`POST ${echoMethod.path} HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n`);
+	silent.write(`14000\r\n${'x'.repeat(0x14000)}\r\n`);
+	while (account.heldBytes < 0x14000) {
+		await new Promise(resolve => setImmediate(resolve));
+	}
+	const caller = createCalls();
+	const text = randomBytes(40000).toString('hex');
+	assert.equal((await caller.call(address, echoMethod, { text }, 5000)).text, '80000');
+	await closed;
+	assert.equal(account.heldBytes, 0);
+	caller.dispose();
+	calls.dispose();
+});
--- a/src/kernel/test/listenWhenFree.test.ts
+++ b/src/kernel/test/listenWhenFree.test.ts
@@ -7,6 +7,7 @@
 import assert from 'node:assert/strict';
 import { createServer, type AddressInfo, type Server } from 'node:net';
 import { test } from 'node:test';
+import { BodyAccount } from '../common/bodyAccount.js';
 import { HttpListener } from '../node/httpListener.js';
 import { HttpPeerCalls } from '../node/httpPeerCalls.js';
 import { listenWhenFree } from '../node/listenWhenFree.js';
@@ -42,7 +43,7 @@
 test('the listener for peer calls opens once its address is free', async () => {
 	const address = await takeAddress();
 	const settings = { section: () => ({ peerAddress: address }) } as unknown as ISettingsService;
-	const calls = new HttpPeerCalls(settings, LOG);
+	const calls = new HttpPeerCalls(settings, LOG, new BodyAccount(256));
 	assert.equal(await calls.listen(), address);
 	calls.dispose();
 });
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -10,6 +10,7 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { systemClock } from '../../../base/clock.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
+import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { HttpPeerCalls } from '../../../kernel/node/httpPeerCalls.js';
 import { MetricsService } from '../../../kernel/node/metricsService.js';
 import type { ISettingsService } from '../../../kernel/node/settingsService.js';
@@ -63,7 +64,7 @@
 
 	constructor() {
 		const settings = { section: () => ({ peerAddress: '127.0.0.1:0' }) } as unknown as ISettingsService;
-		this.calls = new HttpPeerCalls(settings, silentLog);
+		this.calls = new HttpPeerCalls(settings, silentLog, new BodyAccount(256));
 		const registerHandler = this.calls.handleRequests.bind(this.calls);
 		this.calls.handleRequests = (prefix, handler) =>
 			registerHandler(prefix, (request, response) =>
