Connections at the peer port are bounded, and silent ones make room for peers

The cause: the server had no limit of connections, and looked for requests without headers only every 30 s. ConnectionLimit now keeps 700: a further connection closes one without a request first, then an idle one, then one whose request has not arrived in whole, so that a crowd keeps no peer out. Headers have 5 s, checked each second, and idle connections 30 s instead of 60, while peers close theirs after 20 s, so no call meets a close.

One run each of connectionLimit (new), httpPeerCalls, listenWhenFree and relay.test passes.

--- a/src/kernel/node/httpPeerCalls.ts
+++ b/src/kernel/node/httpPeerCalls.ts
@@ -13,6 +13,7 @@
 import type { IPeerCalls } from '../common/peerCalls.js';
 import type { UnaryMethod } from '../common/peerMethods.js';
 import { BodyBuffer } from './bodyBuffer.js';
+import { ConnectionLimit } from './connectionLimit.js';
 import type { InstanceSettings } from './instanceSettings.js';
 import { listenWhenFree } from './listenWhenFree.js';
 import { ILogService } from './logService.js';
@@ -25,7 +26,12 @@
 const MAX_HEADER_BYTES = 128 * 1024;
 /** Less than {@link SERVER_KEEP_ALIVE_TIMEOUT_MS}, so that no call is sent on a connection that the server is closing. */
 const CLIENT_IDLE_TIMEOUT_MS = 20000;
-const SERVER_KEEP_ALIVE_TIMEOUT_MS = 60000;
+const SERVER_KEEP_ALIVE_TIMEOUT_MS = 30000;
+/** Less than what the descriptors of a small machine leave beside the other listeners. */
+const MAX_CONNECTIONS = 700;
+/** Peers connect when they have a call to send, so its headers follow at once. */
+const HEADERS_TIMEOUT_MS = 5000;
+const CONNECTION_CHECK_INTERVAL_MS = 1000;
 /** Senders give up a call, and with it its message, before that. */
 const MESSAGE_TIMEOUT_MS = 10000;
 const STATUS_OK = 200;
@@ -85,6 +91,9 @@
 	});
 	private readonly _server = createServer({
 		keepAliveTimeout: SERVER_KEEP_ALIVE_TIMEOUT_MS,
+		headersTimeout: HEADERS_TIMEOUT_MS,
+		connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+		requestTimeout: 0,
 		maxHeaderSize: MAX_HEADER_BYTES
 	});
 	private readonly _listenAddress: string;
@@ -96,7 +105,7 @@
 	) {
 		super();
 		this._listenAddress = settings.section<InstanceSettings>('instance').peerAddress;
-		this._server.requestTimeout = 0;
+		new ConnectionLimit(this._server, MAX_CONNECTIONS);
 		this._server.on('request', (request, response) => this._onRequest(request, response));
 		this._register(toDisposable(() => this._server.closeAllConnections()));
 		this._register(toDisposable(() => this._server.close()));
