A body that stops short of its end gives its memory up for others

Callers that sent chunked bodies and stopped short of their end brought an entry instance over its memory: the buffered beginning of each body was a list of the chunks as they came, without any bound over all connections, and a chunk of one byte costs some hundred bytes as an object of its own.

The beginning is now copied into one buffer that the account of received bodies counts. A body that has to give it up is refused with 503 (not run) and Retry-After, and its connection is closed after a linger, so that bytes that are still unread do not take the response with them. Nothing of it was sent to a target by then, so the promise holds. What goes beyond 64 KiB stays in the request rather than in the buffer.

Existing tests pass the account to RequestBody.read, otherwise they are unchanged.

--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -166,7 +166,12 @@
 	}
 
 	tryEndWith(item: CallerRequest): boolean {
-		return this.pipeline.tryEndWith(item);
+		if (!this.pipeline.tryEndWith(item)) {
+			return false;
+		}
+		// A close with unread bytes of the body would take the response with it.
+		this.socket.lingers ||= !item.request.complete;
+		return true;
 	}
 
 	tryBeginUnframed(item: CallerRequest): boolean {
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -30,6 +30,8 @@
 	readonly verdict: Verdict;
 	readonly reason: RefusalReason | 'no-route';
 	readonly retryAfterMs?: Millis;
+	/** Whether the connection is closed after it, rather than the rest of the request being read. */
+	readonly closesConnection?: boolean;
 }
 
 /** Response to a request that may have run and has no response that the caller could get. */
@@ -180,9 +182,9 @@
 		return endsWithConnection || (isChunked && this.request.httpVersion === HTTP_1_0);
 	}
 
-	/** Refuses the request before its body was read; a body that is too long ends the connection rather than being read. */
+	/** Refuses the request before its body was received; a body that does not fit ends the connection rather than being read. */
 	refuse(response: LocalResponse): void {
-		if (response.reason === RefusalReason.BodyTooLarge) {
+		if (response.closesConnection) {
 			this._callerRequest.tryCloseConnection();
 		}
 		this.sendLocalResponse(response);
--- a/src/plugins/forwarding/node/callerLimits.ts
+++ b/src/plugins/forwarding/node/callerLimits.ts
@@ -26,7 +26,12 @@
 		return { status: STATUS_HEADERS_TOO_LARGE, verdict: 'not-run', reason: RefusalReason.BadRequest };
 	}
 	if (Number(request.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
-		return { status: STATUS_CONTENT_TOO_LARGE, verdict: 'not-run', reason: RefusalReason.BodyTooLarge };
+		return {
+			status: STATUS_CONTENT_TOO_LARGE,
+			verdict: 'not-run',
+			reason: RefusalReason.BodyTooLarge,
+			closesConnection: true
+		};
 	}
 	return undefined;
 }
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -7,6 +7,7 @@
 import { systemClock } from '../../../base/clock.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { RefusalReason } from '../../../base/verdict.js';
+import { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { InstanceSettings } from '../../../kernel/node/instanceSettings.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
@@ -70,12 +71,13 @@
 		@IShortageAdmission admission: IShortageAdmission,
 		@IReturnTimes returnTimes: IReturnTimes,
 		@IShortageSettings shortageSettings: IShortageSettings,
+		@IBodyAccount bodyAccount: IBodyAccount,
 		@IMetricsService metrics: IMetricsService,
 		@ILogService log: ILogService
 	) {
 		super();
 		this._outcomeTracker = new OutcomeTracker(shortageSettings.isRanked);
-		this._intake = new RequestIntake(this._session.view);
+		this._intake = new RequestIntake(this._session.view, bodyAccount);
 		this._completion = new RequestCompletion(this._session, new RequestRecorder(metrics, log));
 		const instance = settings.section<InstanceSettings>('instance');
 		const { linkMbit } = settings.section<FrontSettings>('front');
@@ -170,7 +172,7 @@
 			return;
 		}
 		if (!('route' in accepted)) {
-			exchange.sendLocalResponse(accepted);
+			exchange.refuse(accepted);
 			return;
 		}
 		if (!this._admitLargeResponse(exchange, accepted.route)) {
--- a/src/plugins/forwarding/node/requestBody.ts
+++ b/src/plugins/forwarding/node/requestBody.ts
@@ -5,8 +5,11 @@
 /** The body of a caller's request: small ones are buffered whole, so that they can be sent again; large ones are streamed. */
 
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
+import { BodyBuffer } from '../../../kernel/node/bodyBuffer.js';
+import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
 
-/** A larger body is streamed; at least this much of it is buffered. */
+/** A larger body is streamed; this much of it is buffered. */
 export const MAX_BUFFERED_BYTES = 64 * 1024;
 
 /** The caller's connection closed before the end of the request body. */
@@ -17,6 +20,59 @@
 	}
 }
 
+/** The buffered part of a body. */
+interface BodyBeginning {
+	readonly bytes: Buffer;
+	readonly isComplete: boolean;
+}
+
+/** Buffers a body until its end, or up to the limit; the rest of a longer one stays in `request`, which is paused. */
+function readBeginning(request: IncomingMessage, account: IBodyAccount): Promise<BodyBeginning> {
+	return new Promise((resolve, reject) => {
+		const buffer = new BodyBuffer(account, MAX_BUFFERED_BYTES, () => fail(new BodyEvictedError()));
+		const stop = (): void => {
+			request.removeListener('data', onData);
+			request.removeListener('end', onEnd);
+			request.removeListener('close', onTruncated);
+			request.removeListener('error', onTruncated);
+			request.on('error', ignoreError);
+		};
+		const finish = (isComplete: boolean): void => {
+			stop();
+			resolve({ bytes: buffer.take(), isComplete });
+		};
+		const fail = (error: Error): void => {
+			stop();
+			buffer.release();
+			reject(error);
+		};
+		const onEnd = (): void => finish(true);
+		const onTruncated = (): void => fail(new BodyTruncatedError());
+		const onData = (chunk: Buffer): void => {
+			const buffered = chunk.subarray(0, MAX_BUFFERED_BYTES - buffer.length);
+			try {
+				buffer.append(buffered);
+			} catch {
+				// An account that has no room for the beginning of one body is as good as full.
+				fail(new BodyEvictedError());
+				return;
+			}
+			if (buffered.length < chunk.length) {
+				request.pause();
+				request.unshift(chunk.subarray(buffered.length));
+				finish(false);
+			}
+		};
+		request.on('data', onData);
+		request.on('end', onEnd);
+		request.on('close', onTruncated);
+		request.on('error', onTruncated);
+	});
+}
+
+/** The caller's disconnection is handled by its exchange. */
+function ignoreError(): void {}
+
 /** A request body, buffered whole or streamed after a buffered prefix. */
 export class RequestBody {
 	private _isConsumed = false;
@@ -28,32 +84,15 @@
 
 	/**
 	 * Buffers the body up to the limit; the rest of a larger one stays paused in `request`.
-	 * Rejects with {@link BodyTruncatedError} where the caller disconnects before that.
+	 * Rejects with {@link BodyTruncatedError} where the caller disconnects before that, and with {@link BodyEvictedError} where the account
+	 * has no room for it.
 	 */
-	static read(request: IncomingMessage): Promise<RequestBody> {
+	static async read(request: IncomingMessage, account: IBodyAccount): Promise<RequestBody> {
 		if (request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined) {
-			return Promise.resolve(new RequestBody(Buffer.alloc(0), undefined));
+			return new RequestBody(Buffer.alloc(0), undefined);
 		}
-		return new Promise((resolve, reject) => {
-			const chunks: Buffer[] = [];
-			let size = 0;
-			const finish = (rest: IncomingMessage | undefined): void => {
-				request.removeAllListeners('data');
-				request.removeAllListeners('end');
-				resolve(new RequestBody(Buffer.concat(chunks), rest));
-			};
-			request.on('data', (chunk: Buffer) => {
-				chunks.push(chunk);
-				size += chunk.length;
-				if (size > MAX_BUFFERED_BYTES) {
-					request.pause();
-					finish(request);
-				}
-			});
-			request.on('end', () => finish(undefined));
-			request.on('close', () => reject(new BodyTruncatedError()));
-			request.on('error', () => reject(new BodyTruncatedError()));
-		});
+		const { bytes, isComplete } = await readBeginning(request, account);
+		return new RequestBody(bytes, isComplete ? undefined : request);
 	}
 
 	/** Whether the body can be sent: always for a buffered one, only until {@link writeTo} was called for a streamed one. */
--- a/src/plugins/forwarding/node/requestIntake.ts
+++ b/src/plugins/forwarding/node/requestIntake.ts
@@ -6,7 +6,10 @@
 
 import type { Millis } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
+import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
+import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
 import { rankOf } from '../../admission/common/requestRank.js';
+import { SHORT_RETRY_AFTER_MS } from '../../admission/common/returnTimes.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import { QuarantinePhase } from '../../fleet/common/quarantineTypes.js';
 import { chooseService } from '../../placement/common/weightedServiceChoice.js';
@@ -16,13 +19,16 @@
 import type { CallerExchange, LocalResponse } from './callerExchange.js';
 import type { RelayOrigin } from './forwarding.js';
 import { accessDeniedResponse, type RequestContext, unavailableResponse } from './requestContext.js';
-import { RequestBody } from './requestBody.js';
+import { BodyTruncatedError, RequestBody } from './requestBody.js';
 
 const NO_CONFIGURATION_RETRY_AFTER_MS = 500;
 
 /** Admits exchanges of callers by the current route table. */
 export class RequestIntake {
-	constructor(private readonly _view: FleetView) {}
+	constructor(
+		private readonly _view: FleetView,
+		private readonly _bodyAccount: IBodyAccount
+	) {}
 
 	/**
 	 * Returns the request, or the response that refuses it; undefined where the caller disconnected before the end of the body.
@@ -43,9 +49,9 @@
 		}
 		let body: RequestBody;
 		try {
-			body = await RequestBody.read(exchange.request);
-		} catch {
-			return undefined;
+			body = await RequestBody.read(exchange.request, this._bodyAccount);
+		} catch (error) {
+			return bodyRefusal(error);
 		}
 		return createContext(exchange, origin, route, access, body);
 	}
@@ -58,6 +64,19 @@
 	}
 }
 
+/**
+ * The response to a request whose body was not received, of which nothing was sent to a target; undefined where the caller disconnected.
+ */
+function bodyRefusal(error: unknown): LocalResponse | undefined {
+	if (error instanceof BodyTruncatedError) {
+		return undefined;
+	}
+	if (error instanceof BodyEvictedError) {
+		return { ...unavailableResponse(RefusalReason.NoCapacity, SHORT_RETRY_AFTER_MS), closesConnection: true };
+	}
+	throw error;
+}
+
 function createContext(
 	exchange: CallerExchange,
 	origin: RelayOrigin | undefined,
--- a/src/plugins/forwarding/test/attemptSender.test.ts
+++ b/src/plugins/forwarding/test/attemptSender.test.ts
@@ -7,11 +7,13 @@
 import assert from 'node:assert/strict';
 import { type AddressInfo, createServer, type Socket } from 'node:net';
 import { after, before, test } from 'node:test';
+import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { ChosenTarget } from '../../placement/common/targetChoice.js';
 import { AttemptSender, type AttemptSenderDependencies } from '../node/attemptSender.js';
 import { RequestBody } from '../node/requestBody.js';
 import type { RequestContext } from '../node/requestContext.js';
 
+const MEMORY_MB = 256;
 const REMAINING_MS = 2000;
 const MISDIRECTED = 'HTTP/1.1 421 Misdirected\r\nRequest-Id: a\r\nNot-Run: other\r\nContent-Length: 0\r\n\r\n';
 const ANSWER = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n';
@@ -51,7 +53,7 @@
 	const request = { method: 'POST', headers: {}, rawHeaders: ['Request-Id', 'a'] };
 	return {
 		exchange: { request, requestId: 'a', path: '/', arrivedAt: performance.now(), setDisconnectHandler: ignore },
-		body: await RequestBody.read(request as never),
+		body: await RequestBody.read(request as never, new BodyAccount(MEMORY_MB)),
 		route: {},
 		service: 's',
 		deadline: performance.now() + REMAINING_MS,
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -9,6 +9,7 @@
 import type { AddressInfo } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { systemClock } from '../../../base/clock.js';
+import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { HttpPeerCalls } from '../../../kernel/node/httpPeerCalls.js';
@@ -29,6 +30,7 @@
 import type { RequestContext } from '../node/requestContext.js';
 import type { RequestRecorder } from '../node/requestRecorder.js';
 
+const MEMORY_MB = 256;
 const NAMES = {
 	requestId: 'request-id',
 	remainingMs: 'deadline-ms',
@@ -78,7 +80,7 @@
 					return isPartitioned();
 				},
 				serve: async (exchange, origin) => {
-					const body = await RequestBody.read(exchange.request);
+					const body = await RequestBody.read(exchange.request, new BodyAccount(MEMORY_MB));
 					const { headers } = exchange.request;
 					this.served.push({ path: exchange.path, headers, body: body.prefix.toString(), origin: origin! });
 					await this.serve(exchange, origin!);
@@ -117,7 +119,7 @@
 
 /** Serves callers by relaying, as an instance does that reaches no target. */
 async function relayFor(exchange: CallerExchange): Promise<void> {
-	const body = await RequestBody.read(exchange.request);
+	const body = await RequestBody.read(exchange.request, new BodyAccount(MEMORY_MB));
 	const deadline = systemClock.now() + REMAINING_MS;
 	const context = {
 		exchange,
--- /dev/null
+++ b/src/plugins/forwarding/test/requestBody.test.ts
@@ -0,0 +1,59 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** Bodies of callers while they are received. */
+
+import assert from 'node:assert/strict';
+import type { IncomingMessage } from 'node:http';
+import { PassThrough } from 'node:stream';
+import { test } from 'node:test';
+import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
+import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
+import { BodyTruncatedError, MAX_BUFFERED_BYTES, RequestBody } from '../node/requestBody.js';
+
+const MEMORY_MB = 1;
+
+function createRequest(): PassThrough & IncomingMessage {
+	return Object.assign(new PassThrough(), { headers: { 'transfer-encoding': 'chunked' } }) as never;
+}
+
+test('a body that stops short of its end gives its memory up for others, and is refused', async () => {
+	const account = new BodyAccount(MEMORY_MB);
+	const requests = Array.from({ length: 3 }, createRequest);
+	const bodies = requests.map(request => RequestBody.read(request, account));
+	const failure = assert.rejects(bodies[0]!, BodyEvictedError);
+	for (const request of requests) {
+		request.write(Buffer.alloc(MAX_BUFFERED_BYTES));
+		await new Promise(setImmediate);
+	}
+	await failure;
+	requests.forEach(request => request.end());
+	assert.equal((await bodies[2]!).bufferedLength, MAX_BUFFERED_BYTES);
+	assert.deepEqual([account.evictions, account.heldBytes], [1, 0]);
+});
+
+test('of a body over the limit exactly the limit is buffered, and the rest is streamed', async () => {
+	const request = createRequest();
+	const reading = RequestBody.read(request, new BodyAccount(MEMORY_MB));
+	request.write(Buffer.alloc(MAX_BUFFERED_BYTES, 'a'));
+	request.end(Buffer.from('rest'));
+	const body = await reading;
+	assert.deepEqual([body.prefix.length, body.bufferedLength], [MAX_BUFFERED_BYTES, undefined]);
+	const target = new PassThrough();
+	body.writeTo(target as never);
+	const chunks = (await target.toArray()) as Buffer[];
+	assert.equal(Buffer.concat(chunks).subarray(MAX_BUFFERED_BYTES).toString(), 'rest');
+});
+
+test('a caller that leaves in the midst of its body holds nothing any more', async () => {
+	const account = new BodyAccount(MEMORY_MB);
+	const request = createRequest();
+	const reading = RequestBody.read(request, account);
+	request.write('beginning');
+	await new Promise(setImmediate);
+	assert.ok(account.heldBytes > 0);
+	request.destroy();
+	await assert.rejects(reading, BodyTruncatedError);
+	assert.equal(account.heldBytes, 0);
+});
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -7,6 +7,7 @@
 import assert from 'node:assert/strict';
 import { Duplex } from 'node:stream';
 import { test } from 'node:test';
+import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { type AttemptOutcome, ResponseFailureCause, NotRunCause } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import type { TargetReport } from '../../placement/common/targets/targetReport.js';
@@ -14,6 +15,7 @@
 import { TargetAgent } from '../node/targets/targetAgent.js';
 import { TargetExchange } from '../node/targetExchange.js';
 
+const MEMORY_MB = 256;
 const NAMES: IHeaderNames = {
 	requestId: 'request-id',
 	remainingMs: 'remaining',
@@ -58,7 +60,7 @@
 
 /** @param attemptAtAddress number of the attempt among those of the request at the target */
 async function startAttemptWith(agent: ScriptedAgent, attemptAtAddress: number): Promise<TargetExchange> {
-	const body = await RequestBody.read({ headers: {} } as never);
+	const body = await RequestBody.read({ headers: {} } as never, new BodyAccount(MEMORY_MB));
 	return new TargetExchange(agent, NAMES, {
 		attemptAtAddress,
 		requestId: 'a',
