A body that has not come by the deadline of its request gets 408

A caller whose body stopped short of its end got no answer at all, however long it kept its connection open, and its part of the body stayed in memory for that long: reading the beginning of a body had no end in time, and the deadline was looked at only once the body was there.

Reading now ends at the deadline, arrival plus the lesser of Deadline-Ms and the timeout of the route, with 408 (not run) and the close. Nothing was sent to a target by then, so the promise of a 408 holds.

It was not run against a caller that goes on sending.

--- a/src/plugins/forwarding/node/requestBody.ts
+++ b/src/plugins/forwarding/node/requestBody.ts
@@ -5,6 +5,7 @@
 /** The body of a caller's request: small ones are buffered whole, so that they can be sent again; large ones are streamed. */
 
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Millis } from '../../../base/clock.js';
 import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { BodyBuffer } from '../../../kernel/node/bodyBuffer.js';
 import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
@@ -20,6 +21,14 @@
 	}
 }
 
+/** The buffered part of the body did not come in time. */
+export class BodyLateError extends Error {
+	constructor() {
+		super('the beginning of the request body did not come in time');
+		this.name = 'BodyLateError';
+	}
+}
+
 /** The buffered part of a body. */
 interface BodyBeginning {
 	readonly bytes: Buffer;
@@ -27,10 +36,16 @@
 }
 
 /** Buffers a body until its end, or up to the limit; the rest of a longer one stays in `request`, which is paused. */
-function readBeginning(request: IncomingMessage, account: IBodyAccount): Promise<BodyBeginning> {
+function readBeginning(
+	request: IncomingMessage,
+	account: IBodyAccount,
+	timeoutMs: Millis | undefined
+): Promise<BodyBeginning> {
 	return new Promise((resolve, reject) => {
 		const buffer = new BodyBuffer(account, MAX_BUFFERED_BYTES, () => fail(new BodyEvictedError()));
+		const timer = timeoutMs === undefined ? undefined : setTimeout(() => fail(new BodyLateError()), timeoutMs);
 		const stop = (): void => {
+			clearTimeout(timer);
 			request.removeListener('data', onData);
 			request.removeListener('end', onEnd);
 			request.removeListener('close', onTruncated);
@@ -86,12 +101,13 @@
 	 * Buffers the body up to the limit; the rest of a larger one stays paused in `request`.
 	 * Rejects with {@link BodyTruncatedError} where the caller disconnects before that, and with {@link BodyEvictedError} where the account
 	 * has no room for it.
+	 * @param timeoutMs how long the buffered part may take before it rejects with {@link BodyLateError}; undefined for any time
 	 */
-	static async read(request: IncomingMessage, account: IBodyAccount): Promise<RequestBody> {
+	static async read(request: IncomingMessage, account: IBodyAccount, timeoutMs?: Millis): Promise<RequestBody> {
 		if (request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined) {
 			return new RequestBody(Buffer.alloc(0), undefined);
 		}
-		const { bytes, isComplete } = await readBeginning(request, account);
+		const { bytes, isComplete } = await readBeginning(request, account, timeoutMs);
 		return new RequestBody(bytes, isComplete ? undefined : request);
 	}
 
--- a/src/plugins/forwarding/node/requestIntake.ts
+++ b/src/plugins/forwarding/node/requestIntake.ts
@@ -4,7 +4,7 @@
 
 /** Turns a caller's exchange into a request that can be forwarded: finds its route, checks access and reads the body. */
 
-import type { Millis } from '../../../base/clock.js';
+import { type Millis, systemClock } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
 import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
@@ -19,8 +19,9 @@
 import type { CallerExchange, LocalResponse } from './callerExchange.js';
 import type { RelayOrigin } from './forwarding.js';
 import { accessDeniedResponse, type RequestContext, unavailableResponse } from './requestContext.js';
-import { BodyTruncatedError, RequestBody } from './requestBody.js';
+import { BodyLateError, BodyTruncatedError, RequestBody } from './requestBody.js';
 
+const STATUS_REQUEST_TIMEOUT = 408;
 const NO_CONFIGURATION_RETRY_AFTER_MS = 500;
 
 /** Admits exchanges of callers by the current route table. */
@@ -47,13 +48,14 @@
 		if (!access.isGranted) {
 			return accessDeniedResponse(access);
 		}
+		const deadline = exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs);
 		let body: RequestBody;
 		try {
-			body = await RequestBody.read(exchange.request, this._bodyAccount);
+			body = await RequestBody.read(exchange.request, this._bodyAccount, deadline - systemClock.now());
 		} catch (error) {
 			return bodyRefusal(error);
 		}
-		return createContext(exchange, origin, route, access, body);
+		return createContext(exchange, origin, route, access, body, deadline);
 	}
 
 	/** Checks access again before each attempt, since a key can be revoked between attempts; undefined where access is still granted. */
@@ -74,6 +76,14 @@
 	if (error instanceof BodyEvictedError) {
 		return { ...unavailableResponse(RefusalReason.NoCapacity, SHORT_RETRY_AFTER_MS), closesConnection: true };
 	}
+	if (error instanceof BodyLateError) {
+		return {
+			status: STATUS_REQUEST_TIMEOUT,
+			verdict: 'not-run',
+			reason: RefusalReason.DeadlinePassed,
+			closesConnection: true
+		};
+	}
 	throw error;
 }
 
@@ -82,7 +92,8 @@
 	origin: RelayOrigin | undefined,
 	route: Route,
 	{ homeRegions, team }: GrantedAccess,
-	body: RequestBody
+	body: RequestBody,
+	deadline: Millis
 ): RequestContext {
 	return {
 		exchange,
@@ -93,7 +104,7 @@
 		rank: rankOf(team, route),
 		service: chooseService(route, exchange.requestId),
 		body,
-		deadline: exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs),
+		deadline,
 		isRelayed: origin !== undefined,
 		isCounted: origin?.isCounted ?? false,
 		tried: new Set(),
