A stopping instance passes on only requests that it can answer in time

Callers of an entry instance that was stopped as planned lost requests that came late in the grace period: they were passed on to a target, among them requests that may not be repeated, and their connections were closed without an answer when the process ended.

Cause: until its end the instance passed on whatever arrived, also where the target could not answer by then. The last second of the grace period was not used at all.

While it drains, the instance now decides before each attempt, and before it relays a request, whether the deadline of the request or the longest recent attempt of its route lies before the end of the process. Otherwise it refuses the request as not run, with Retry-After and the close. Where an attempt of a route was not measured, an answer is streamed or the request is still being received, the deadline decides. The process now ends 0.6 s before the end of the grace period.

The stub of the forwarding service in the test of relays got the new method; nothing that it checks has changed.

--- a/src/plugins/forwarding/node/forwarding.ts
+++ b/src/plugins/forwarding/node/forwarding.ts
@@ -4,6 +4,7 @@
 
 /** Interface of the service that forwards callers' requests to targets, as used by the listener for callers. */
 
+import type { Millis } from '../../../base/clock.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
 import type { CallerExchange } from './callerExchange.js';
 
@@ -26,6 +27,11 @@
 	 * @param origin for a request that another entry instance relayed
 	 */
 	serve(exchange: CallerExchange, origin?: RelayOrigin): Promise<void>;
+	/**
+	 * From now on, refuses requests that cannot be expected to be answered in time.
+	 * @param endsAt when the process ends, on the monotonic clock
+	 */
+	beginDrain(endsAt: Millis): void;
 }
 
 /** Service identifier of {@link IForwarding}. */
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -4,7 +4,7 @@
 
 /** Forwards callers' requests to targets: creates what that needs, and counts and ends each request. */
 
-import { systemClock } from '../../../base/clock.js';
+import { type Millis, systemClock } from '../../../base/clock.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { RefusalReason } from '../../../base/verdict.js';
 import { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
@@ -23,6 +23,7 @@
 import { OutcomeTracker } from '../../placement/common/outcomeTracker.js';
 import { TargetSelector } from '../../placement/common/targetSelector.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
+import { DrainGuard } from '../common/drainGuard.js';
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { LargeResponseLimiter } from '../common/largeResponseLimiter.js';
@@ -37,7 +38,7 @@
 import { RegionTrafficMonitor } from './regionTrafficMonitor.js';
 import { RelayClient } from './relay/relayClient.js';
 import { RequestCompletion } from './requestCompletion.js';
-import { type RequestContext, unavailableResponse } from './requestContext.js';
+import { drainRequestOf, type RequestContext, unavailableResponse } from './requestContext.js';
 import { RequestForwarder } from './requestForwarder.js';
 import { RequestIntake } from './requestIntake.js';
 import { RequestRecorder } from './requestRecorder.js';
@@ -60,6 +61,7 @@
 	private readonly _retryPolicy: RetryPolicy;
 	private readonly _partitionMonitor: PartitionMonitor;
 	private readonly _relayClient: RelayClient;
+	private readonly _drainGuard = new DrainGuard(systemClock.now());
 
 	constructor(
 		@ISettingsService settings: ISettingsService,
@@ -148,7 +150,8 @@
 			attemptSender,
 			retryPolicy: this._retryPolicy,
 			completion: this._completion,
-			relayClient: this._relayClient
+			relayClient: this._relayClient,
+			drainGuard: this._drainGuard
 		});
 		const timer = setInterval(() => this._reportDemand(), DEMAND_REPORT_INTERVAL_MS);
 		this._register(toDisposable(() => clearInterval(timer)));
@@ -175,7 +178,9 @@
 			exchange.refuse(accepted);
 			return;
 		}
-		if (!this._admitLargeResponse(exchange, accepted.route)) {
+		if (!this._drainGuard.mayPassOn(drainRequestOf(accepted), systemClock.now())) {
+			this._refuse(accepted, RefusalReason.Draining);
+		} else if (!this._admitLargeResponse(exchange, accepted.route)) {
 			this._refuse(accepted, RefusalReason.LinkFull);
 		} else if (!accepted.isRelayed && (this.isPartitioned || this._relayClient.isAhead)) {
 			await this._relay(accepted);
@@ -185,6 +190,10 @@
 		accepted.body.discardRest();
 	}
 
+	beginDrain(endsAt: Millis): void {
+		this._drainGuard.beginDrain(endsAt);
+	}
+
 	/** Has the request served by another entry instance, since this one cannot. */
 	private async _relay(context: RequestContext): Promise<void> {
 		if (await this._relayClient.relay(context)) {
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -48,7 +48,7 @@
 const ACCEPT_DURING_DRAIN_MS = 3000;
 const DRAIN_POLL_MS = 25;
 /** Part of the grace period reserved for the exit of the process. */
-const EXIT_MARGIN_MS = 1000;
+const EXIT_MARGIN_MS = 600;
 
 /** Accepts callers' connections and hands their requests to forwarding. */
 export class FrontListener extends Disposable {
@@ -120,16 +120,17 @@
 	}
 
 	/**
-	 * Withdraws this instance from look-ups at once, goes on serving requests that still arrive, and returns when none is in flight or
-	 * the grace period is about to end.
+	 * Withdraws this instance from look-ups at once, goes on serving requests that still arrive and can be answered in time, and returns
+	 * when none is in flight or the grace period is about to end.
 	 */
 	async drain(): Promise<void> {
 		const startedAt = systemClock.now();
+		const drainDeadline = startedAt + this._serviceBounds.stopGraceMs - EXIT_MARGIN_MS;
 		this._isDraining = true;
+		this._forwarding.beginDrain(drainDeadline);
 		this._session.setReady(false);
 		this._connections.endTakingUp();
 		this._relayServer.stopTaking();
-		const drainDeadline = startedAt + this._serviceBounds.stopGraceMs - EXIT_MARGIN_MS;
 		for (;;) {
 			const elapsedMs = systemClock.now() - startedAt;
 			const isAccepting = elapsedMs < Math.min(ACCEPT_DURING_DRAIN_MS, this._serviceBounds.stopGraceMs / 2);
--- a/src/plugins/forwarding/node/requestContext.ts
+++ b/src/plugins/forwarding/node/requestContext.ts
@@ -13,6 +13,7 @@
 import type { Route, Team } from '../../routes/common/routeTable.js';
 import type { DeniedAccess } from '../../routes/common/teamAccess.js';
 import type { AttemptOutcome, TargetResponse } from '../common/attempt.js';
+import type { DrainRequest } from '../common/drainGuard.js';
 import type { AttemptLabels, AttemptTrace } from '../common/requestTrace.js';
 import type { RetryPermit } from '../common/serviceRetryBudget.js';
 import type { CallerExchange, LocalResponse } from './callerExchange.js';
@@ -79,6 +80,12 @@
 	wasLostWithTarget?: boolean;
 }
 
+/** What the decision to pass a request on while this instance drains depends on. */
+export function drainRequestOf({ route, deadline, body, exchange }: RequestContext): DrainRequest {
+	const isWhole = body.bufferedLength !== undefined || exchange.request.complete;
+	return { route: route.name, deadline, isWhole };
+}
+
 /** In place of a cause: a response without a length, whose end is the end of its connection. */
 const ENDS_WITH_CONNECTION = 'ends-with-connection';
 
--- a/src/plugins/forwarding/node/requestForwarder.ts
+++ b/src/plugins/forwarding/node/requestForwarder.ts
@@ -14,12 +14,19 @@
 import type { ChosenTarget } from '../../placement/common/targetChoice.js';
 import type { TargetSelector } from '../../placement/common/targetSelector.js';
 import { type AttemptOutcome, NotRunCause } from '../common/attempt.js';
+import type { DrainGuard } from '../common/drainGuard.js';
 import type { AttemptSender } from './attemptSender.js';
 import type { LocalResponse } from './callerExchange.js';
 import type { QuarantineGuard } from './quarantineGuard.js';
 import type { RelayClient } from './relay/relayClient.js';
 import type { RequestCompletion } from './requestCompletion.js';
-import { quarantinedResponse, type RequestContext, teamLimitResponse, unavailableResponse } from './requestContext.js';
+import {
+	drainRequestOf,
+	quarantinedResponse,
+	type RequestContext,
+	teamLimitResponse,
+	unavailableResponse
+} from './requestContext.js';
 import type { RequestIntake } from './requestIntake.js';
 import type { RetryPolicy } from './retryPolicy.js';
 
@@ -52,6 +59,7 @@
 	readonly retryPolicy: RetryPolicy;
 	readonly completion: RequestCompletion;
 	readonly relayClient: RelayClient;
+	readonly drainGuard: DrainGuard;
 }
 
 /** Forwards requests to targets. */
@@ -61,7 +69,7 @@
 	/**
 	 * Makes attempts until the request is answered or its caller has disconnected. The checks before each attempt go from those
 	 * that cost nothing to those that wait for other instances: deadline, access, admission under shortage, the limit of the team,
-	 * the limit of retries, quarantine, target selection, the limit of the target.
+	 * the limit of retries, the end of a stop, quarantine, target selection, the limit of the target.
 	 */
 	async forward(context: RequestContext): Promise<void> {
 		const { exchange } = context;
@@ -89,7 +97,9 @@
 				retryPolicy.giveBackRetry(context);
 				continue;
 			}
+			const sentAt = systemClock.now();
 			const outcome = await attemptSender.send(context, candidate, permit);
+			this._recordDuration(context, outcome, sentAt);
 			quarantineGuard.recordOutcome(context, outcome);
 			const decision = retryPolicy.decide(context, outcome);
 			this._recordOutcome(context, outcome, decision === 'again');
@@ -141,12 +151,15 @@
 
 	/** The target of the next attempt, or the response where there is none. */
 	private _chooseTarget(context: RequestContext): ChosenTarget | LocalResponse {
-		const { quarantineGuard, selector, retryPolicy, admission } = this._dependencies;
+		const { quarantineGuard, selector, retryPolicy, admission, drainGuard } = this._dependencies;
+		const now = systemClock.now();
+		if (!drainGuard.mayPassOn(drainRequestOf(context), now)) {
+			return unavailableResponse(RefusalReason.Draining, SHORT_RETRY_AFTER_MS);
+		}
 		context.phase = quarantineGuard.phase(context);
 		if (context.phase === QuarantinePhase.Quarantined) {
 			return quarantinedResponse();
 		}
-		const now = systemClock.now();
 		const candidate = selector.choose(context, now);
 		if (candidate) {
 			return candidate;
@@ -155,6 +168,16 @@
 		return retryPolicy.noTargetResponse(context);
 	}
 
+	private _recordDuration({ route }: RequestContext, outcome: AttemptOutcome, sentAt: Millis): void {
+		const now = systemClock.now();
+		if (outcome.type === 'answer') {
+			const durationMs = outcome.remainingBody ? Number.POSITIVE_INFINITY : now - sentAt;
+			this._dependencies.drainGuard.recordAttempt(route.name, durationMs, now);
+		} else if (outcome.type === 'abandoned') {
+			this._dependencies.drainGuard.recordAttempt(route.name, now - sentAt, now);
+		}
+	}
+
 	private _recordOutcome(context: RequestContext, outcome: AttemptOutcome, isRetried: boolean): void {
 		const { admission, returnTimes } = this._dependencies;
 		const now = systemClock.now();
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -84,7 +84,8 @@
 					const { headers } = exchange.request;
 					this.served.push({ path: exchange.path, headers, body: body.prefix.toString(), origin: origin! });
 					await this.serve(exchange, origin!);
-				}
+				},
+				beginDrain: () => undefined
 			},
 			headerNames: NAMES,
 			linkScheduler: new LinkScheduler(new LinkPacer(LINK_MBIT)),
