Tests: responses that break off within their headers become 502

Operators of systems like this one saw targets that stopped in the middle of the headers of a response and closed the connection; callers got 200 with an empty or short body, framed as whole. These tests guard against that on the way of the platform's entry instances.

--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -14,6 +14,7 @@
 import { RequestBody } from '../node/requestBody.js';
 import { TargetAgent } from '../node/targets/targetAgent.js';
 import { TargetExchange } from '../node/targetExchange.js';
+import { truncatedHeads } from './truncatedHeads.js';
 
 const MEMORY_MB = 256;
 const NAMES: IHeaderNames = {
@@ -103,6 +104,20 @@
 	assert.equal(reset.type, 'broken');
 });
 
+for (const { place, text } of truncatedHeads('Request-Id: a')) {
+	test(`a response that breaks off ${place} is broken, whether its connection is closed or reset`, async () => {
+		const closed = await attempt(connection => {
+			connection.push(text);
+			connection.push(null);
+		});
+		const reset = await attempt(connection => {
+			connection.push(text);
+			setImmediate(() => connection.destroy(resetError()));
+		});
+		assert.deepEqual([closed.type, reset.type], ['broken', 'broken']);
+	});
+}
+
 test('a written request is broken when its target restarts, even if its connection reports no error', async () => {
 	const sent = await startAttempt(() => undefined);
 	await new Promise(resolve => setTimeout(resolve, 10));
