The product's own path keeps the form of a response without a length, and never lets a part of it look whole

What callers saw: an HTTP/1.0 caller got 200, a part of the body and an orderly end of its connection when its entry instance was killed or the target broke off. To HTTP/1.1 callers a response that its target sent without a length went in chunks, whose last one vouches for an end that nobody stated. Cause: the sink knew only status and headers, and a destroyed socket closes in order.

--- a/src/plugins/callers/node/callerServer.ts
+++ b/src/plugins/callers/node/callerServer.ts
@@ -13,7 +13,7 @@
 import { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { type IContribution, ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import { addressSchema, integerSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
-import { HttpListener, type HttpRequest, type HttpResponse, sendJson } from '../../../kernel/node/httpListener.js';
+import { HttpListener, type HttpRequest, type HttpResponse } from '../../../kernel/node/httpListener.js';
 import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
 import { BodyTooLargeError } from '../../../kernel/node/bodyTooLargeError.js';
 import { readBody } from '../../../kernel/node/readBody.js';
@@ -29,6 +29,7 @@
 import { ISteering } from '../../steering/common/steering.js';
 import { headersForTarget, isIdempotentMethod, readCallerHeaders } from '../common/callerHeaders.js';
 import { HttpResponseSink } from './httpResponseSink.js';
+import { sendRequestError } from './requestErrorResponse.js';
 
 const MS_PER_SECOND = 1000;
 const ETAG_LENGTH = 16;
@@ -327,20 +328,3 @@
 	}
 	return undefined;
 }
-
-/** Sends the response for a request that this instance refused or that failed. */
-function sendRequestError(response: HttpResponse, error: RequestError, requestId: string): void {
-	if (response.destroyed) {
-		return;
-	}
-	response.setHeader('Shelffield-Verdict', error.verdict);
-	response.setHeader('Shelffield-Request-Id', requestId);
-	if (error.retryAfterMs !== undefined) {
-		response.setHeader('Retry-After', Math.ceil(error.retryAfterMs / MS_PER_SECOND));
-	}
-	if (error.reason === RefusalReason.BodyTooLarge) {
-		response.setHeader('Connection', 'close');
-	}
-	const { verdict, reason, retryAfterMs, message } = error;
-	sendJson(response, error.status, { verdict, reason, retryAfterMs, requestId, message });
-}
--- a/src/plugins/dispatch/common/dispatch.ts
+++ b/src/plugins/dispatch/common/dispatch.ts
@@ -35,8 +35,10 @@
 	/**
 	 * Passes the status and the headers; called at most once.
 	 * @param headers names and values in turn
+	 * @param endsWithConnection whether only the close of the target's connection tells where the body ends (RFC 9112, section 6.3).
+	 * Such a response goes to the caller in the same form: a length or chunks would vouch for an end that nobody stated.
 	 */
-	start(status: number, headers: readonly string[]): void;
+	start(status: number, headers: readonly string[], endsWithConnection: boolean): void;
 	/** Passes a chunk of the body; returns false if the caller should pause until `onDrain` calls back. */
 	write(chunk: Buffer): boolean;
 	/** Calls back when writing may resume. */
--- a/src/plugins/dispatch/common/forwardingSink.ts
+++ b/src/plugins/dispatch/common/forwardingSink.ts
@@ -10,8 +10,8 @@
 export class ForwardingSink implements ResponseSink {
 	constructor(private readonly _sink: ResponseSink) {}
 
-	start(status: number, headers: readonly string[]): void {
-		this._sink.start(status, headers);
+	start(status: number, headers: readonly string[], endsWithConnection: boolean): void {
+		this._sink.start(status, headers, endsWithConnection);
 	}
 
 	write(chunk: Buffer): boolean {
@@ -47,9 +47,9 @@
 		return this._isStarted;
 	}
 
-	override start(status: number, headers: readonly string[]): void {
+	override start(status: number, headers: readonly string[], endsWithConnection: boolean): void {
 		this._isStarted = true;
 		this._onStart?.();
-		super.start(status, headers);
+		super.start(status, headers, endsWithConnection);
 	}
 }
--- a/src/plugins/dispatch/common/spill.ts
+++ b/src/plugins/dispatch/common/spill.ts
@@ -29,7 +29,13 @@
 
 /** Messages of the response stream, in order: `start`, any number of `chunk`, `end`; `refused` takes the place of the rest. */
 export type SpillResponse =
-	| { readonly type: 'start'; readonly status: number; readonly headers: readonly string[] }
+	| {
+			readonly type: 'start';
+			readonly status: number;
+			readonly headers: readonly string[];
+			/** Absent for a response with a length or chunks. */
+			readonly endsWithConnection?: boolean;
+	  }
 	| { readonly type: 'chunk'; readonly bytes: Uint8Array }
 	| { readonly type: 'end'; readonly target: string }
 	| {
--- a/src/plugins/dispatch/node/spillTransport.ts
+++ b/src/plugins/dispatch/node/spillTransport.ts
@@ -41,7 +41,7 @@
 			switch (response.type) {
 				case 'start':
 					isStarted = true;
-					sink.start(response.status, response.headers);
+					sink.start(response.status, response.headers, response.endsWithConnection ?? false);
 					return;
 				case 'chunk':
 					if (!sink.write(Buffer.from(response.bytes))) {
@@ -91,7 +91,8 @@
 	};
 	let isEnded = false;
 	const sink: ResponseSink = {
-		start: (status, headers) => stream.write({ type: 'start', status, headers }),
+		start: (status, headers, endsWithConnection) =>
+			stream.write({ type: 'start', status, headers, endsWithConnection }),
 		write: bytes => stream.write({ type: 'chunk', bytes }),
 		onDrain: callback => stream.once('drain', callback),
 		end: () => (isEnded = true),
--- a/src/plugins/dispatch/node/targetConnectionPool.ts
+++ b/src/plugins/dispatch/node/targetConnectionPool.ts
@@ -27,6 +27,11 @@
 	'proxy-connection'
 ]);
 
+/** Statuses of responses without a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+type ResponseHeaders = Record<string, string | string[] | undefined>;
+
 /** Result of one attempt to send a request to a target. */
 export type AttemptOutcome =
 	| { readonly kind: 'answered'; readonly status: number; readonly firstByteMs: number; readonly isDraining: boolean }
@@ -143,11 +148,7 @@
 		this._isSent = true;
 	}
 
-	onResponseStart(
-		controller: Dispatcher.DispatchController,
-		status: number,
-		headers: Record<string, string | string[] | undefined>
-	): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: ResponseHeaders): void {
 		const echoedId = headers[REQUEST_ID_HEADER];
 		if (echoedId !== undefined && echoedId !== this._attempt.request.requestId) {
 			controller.abort(new Error('response to another request'));
@@ -162,7 +163,12 @@
 			return;
 		}
 		this._isResponseStarted = true;
-		this._attempt.sink.start(status, flattenHeaders(headers));
+		this._attempt.sink.start(status, flattenHeaders(headers), this._endsWithConnection(status, headers));
+	}
+
+	private _endsWithConnection(status: number, headers: ResponseHeaders): boolean {
+		const isFramed = headers['content-length'] !== undefined || isChunked(headers['transfer-encoding']);
+		return !isFramed && this._attempt.request.method !== 'HEAD' && !BODILESS_STATUSES.has(status);
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -213,7 +219,12 @@
 	}
 }
 
-function flattenHeaders(headers: Record<string, string | string[] | undefined>): string[] {
+/** Whether the last transfer coding is `chunked`; after any other one, the body ends with the connection. */
+function isChunked(transferEncoding: string | string[] | undefined): boolean {
+	return /(^|,)\s*chunked\s*$/i.test(String(transferEncoding ?? ''));
+}
+
+function flattenHeaders(headers: ResponseHeaders): string[] {
 	const flat: string[] = [];
 	for (const [name, value] of Object.entries(headers)) {
 		if (value === undefined || DROPPED_HEADERS.has(name)) {
--- a/src/plugins/once/common/orderLedger.ts
+++ b/src/plugins/once/common/orderLedger.ts
@@ -23,6 +23,8 @@
 export interface StoredResponse {
 	readonly status: number;
 	readonly headers: readonly string[];
+	/** Whether only the close of the target's connection told where the body ended; absent in responses of earlier versions. */
+	readonly endsWithConnection?: boolean;
 	/** Absent when it exceeded the maximum stored size. */
 	readonly body?: Uint8Array;
 }
--- a/src/plugins/once/node/atMostOnceDispatchService.ts
+++ b/src/plugins/once/node/atMostOnceDispatchService.ts
@@ -123,7 +123,8 @@
 		const message = 'the request with this key ran; its response was too large to be stored';
 		throw new RequestError('ran', RefusalReason.ResponseNotStored, 409, message);
 	}
-	sink.start(response.status, [...response.headers, 'Shelffield-Replayed', 'true']);
+	const headers = [...response.headers, 'Shelffield-Replayed', 'true'];
+	sink.start(response.status, headers, response.endsWithConnection ?? false);
 	sink.write(Buffer.from(response.body));
 	sink.end();
 	return { target: '', status: response.status, totalMs: 0, queuedMs: 0 };
@@ -159,18 +160,21 @@
 class ResponseRecorder extends ForwardingSink {
 	private _status = 0;
 	private _headers: readonly string[] = [];
+	private _endsWithConnection = false;
 	private _chunks: Buffer[] | undefined = [];
 	private _bytes = 0;
 
 	storedResponse(): StoredResponse {
 		const body = this._chunks && Buffer.concat(this._chunks);
-		return { status: this._status, headers: this._headers, body };
+		const { _status: status, _headers: headers, _endsWithConnection: endsWithConnection } = this;
+		return { status, headers, endsWithConnection, body };
 	}
 
-	override start(status: number, headers: readonly string[]): void {
+	override start(status: number, headers: readonly string[], endsWithConnection: boolean): void {
 		this._status = status;
 		this._headers = headers;
-		super.start(status, headers);
+		this._endsWithConnection = endsWithConnection;
+		super.start(status, headers, endsWithConnection);
 	}
 
 	override write(chunk: Buffer): boolean {
--- a/test/fakes/fakeTarget.ts
+++ b/test/fakes/fakeTarget.ts
@@ -177,7 +177,10 @@
 		const workMs = Math.min(requestedMs * this._workFactor(), deadlineMs);
 		const bytes = Number(url.searchParams.get('bytes') ?? 0);
 		if (bytes > 0) {
-			await streamBytes(response, bytes, workMs, signal);
+			if (url.searchParams.has('unframed')) {
+				endWithConnection(response);
+			}
+			await streamBytes(response, bytes, workMs, signal, url.searchParams.has('breakOff'));
 			entry.outcome = 'answered';
 			return;
 		}
@@ -214,12 +217,19 @@
 	}
 }
 
-/** Streams the given number of bytes over `workMs`, followed by their SHA-256 as a hexadecimal digest. */
+/** Has a response go out without a length and without chunks. */
+function endWithConnection(response: ServerResponse): void {
+	response.useChunkedEncodingByDefault = false;
+	response.setHeader('Connection', 'close');
+}
+
+/** Streams the given number of bytes over `workMs`, followed by their SHA-256 as a hexadecimal digest unless `breaksOff`. */
 async function streamBytes(
 	response: ServerResponse,
 	bytes: number,
 	workMs: number,
-	signal: AbortSignal
+	signal: AbortSignal,
+	breaksOff: boolean
 ): Promise<void> {
 	const hash = createHash('sha256');
 	const chunks = Math.max(1, Math.ceil(bytes / CHUNK_BYTES));
@@ -236,6 +246,10 @@
 		}
 		await delay(workMs / chunks, undefined, { signal });
 	}
+	if (breaksOff) {
+		response.destroy();
+		return;
+	}
 	response.end(hash.digest('hex'));
 }
 
