A response without a length whose target resets its connection is not whole on the product's own path

What callers saw: 200, a part of the body and an end that says whole, where the target or its host reset the connection midway; the metrics counted the attempt as answered, and the part could be stored as the response of an order. Cause: undici takes an error with the code ECONNRESET for the end of a response that ends with its connection, since some systems report one behind a whole body. Responses with a length or chunks are checked and were broken before as well. Why this fixes it: the connection's first error listener gives resets another code before undici reads it, so that they are errors like any other; an orderly end still ends such a response.

--- a/src/plugins/dispatch/node/targetConnectionPool.ts
+++ b/src/plugins/dispatch/node/targetConnectionPool.ts
@@ -4,7 +4,7 @@
 
 /** HTTP connections to one target; tracks whether any byte of a request was sent. */
 
-import { type Dispatcher, Pool } from 'undici';
+import { buildConnector, type Dispatcher, Pool } from 'undici';
 import { systemClock } from '../../../base/clock.js';
 import type { IDisposable } from '../../../base/disposable.js';
 import type { Verdict } from '../../../base/verdict.js';
@@ -13,6 +13,9 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 20000;
+/** Code of the error of a connection that was reset, as it is and as `undici` gets it. */
+const RESET_CODE = 'ECONNRESET';
+const MARKED_RESET_CODE = 'ERR_TARGET_RESET';
 /** Sent with each request; a target that echoes it shows which request its response is for. */
 const REQUEST_ID_HEADER = 'shelffield-request-id';
 /** Response headers that concern the connection to the target, or that callers get from this system. */
@@ -58,6 +61,24 @@
 	readonly signal: AbortSignal;
 }
 
+const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
+/**
+ * Connects to a target. `undici` takes an error with the code `ECONNRESET` for the end of a response without a length, so resets get
+ * another code.
+ */
+const connectMarkingResets: buildConnector.connector = (options, callback) =>
+	connect(options, (...[error, socket]) => {
+		if (error) {
+			callback(error, null);
+			return;
+		}
+		socket.prependListener('error', (cause: NodeJS.ErrnoException) => {
+			cause.code = cause.code === RESET_CODE ? MARKED_RESET_CODE : cause.code;
+		});
+		callback(null, socket);
+	});
+
 /** Each connection carries one request at a time. */
 export class TargetConnectionPool implements IDisposable {
 	private readonly _pool: Pool;
@@ -67,7 +88,7 @@
 		this._pool = new Pool(url, {
 			connections: slots,
 			pipelining: 1,
-			connect: { timeout: CONNECT_TIMEOUT_MS },
+			connect: connectMarkingResets,
 			keepAliveTimeout: KEEP_ALIVE_MS,
 			headersTimeout: 0,
 			bodyTimeout: 0
