--- a/src/plugins/dispatch/node/serviceDispatcher.ts
+++ b/src/plugins/dispatch/node/serviceDispatcher.ts
@@ -7,23 +7,20 @@
 import PQueue from 'p-queue';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { type IDisposable } from '../../../base/disposable.js';
-import { RefusalReason, RequestError } from '../../../base/verdict.js';
 import { AdmissionControl } from '../../admission/common/admissionControl.js';
 import { FairQueue, type FairQueueOptions } from '../../admission/common/fairQueue.js';
 import { RetryBudget } from '../../admission/common/retryBudget.js';
 import type { DispatchRequest, DispatchResult, ResponseSink } from '../common/dispatch.js';
+import { GroupUsage } from '../common/groupUsage.js';
 import type { ListedTarget } from '../common/target.js';
 import { TargetChooser, TargetSlots, type TargetTiming } from '../common/targetSlots.js';
-import { type AttemptOutcome, TargetConnectionPool } from './targetConnectionPool.js';
+import { attemptError, refusalError, withUncertainty } from './dispatchErrors.js';
 import { PendingRequest } from './pendingRequest.js';
+import { type AttemptOutcome, TargetConnectionPool } from './targetConnectionPool.js';
 
 const MAX_ATTEMPTS = 3;
-/** Retry delay for a request whose target became unavailable right before the first byte was sent. */
-const WITHHELD_RETRY_AFTER_MS = 100;
 /** Start time for targets without a slow start. */
 const SLOW_START_DONE = Number.NEGATIVE_INFINITY;
-/** Smoothing factor of the exponential moving average of the requests in flight; one sample per refresh. */
-const DEMAND_SAMPLE_WEIGHT = 0.2;
 
 /** Settings of a service. */
 export interface ServicePolicy extends TargetTiming {
@@ -48,12 +45,6 @@
 	readonly connections: TargetConnectionPool;
 }
 
-/** Requests of a group in flight: the current number and its moving average. */
-interface GroupUsage {
-	inFlight: number;
-	meanInFlight: number;
-}
-
 /** Dispatcher of one service. */
 export class ServiceDispatcher implements IDisposable {
 	private readonly _targets = new Map<string, TargetEntry>();
@@ -61,7 +52,7 @@
 	private readonly _queue: PQueue<FairQueue, FairQueueOptions>;
 	private readonly _admission: AdmissionControl;
 	private readonly _retryBudgets = new Map<string, RetryBudget>();
-	private readonly _usageByGroup = new Map<string, GroupUsage>();
+	private readonly _groupUsage = new GroupUsage();
 	private readonly _chooser = new TargetChooser();
 	private _hasReceivedList = false;
 	private _responses = 0;
@@ -118,9 +109,7 @@
 		if (this._queue.concurrency !== concurrency) {
 			this._queue.concurrency = concurrency;
 		}
-		for (const usage of this._usageByGroup.values()) {
-			usage.meanInFlight += (usage.inFlight - usage.meanInFlight) * DEMAND_SAMPLE_WEIGHT;
-		}
+		this._groupUsage.sample();
 	}
 
 	/** Usable and occupied slots of the owned targets. */
@@ -141,11 +130,7 @@
 
 	/** Mean number of occupied slots and number of queued requests, by group. */
 	demand(): { group: string; used: number; queued: number }[] {
-		return [...this._usageByGroup].map(([group, usage]) => ({
-			group,
-			used: usage.meanInFlight,
-			queued: this._fairQueue.groupSize(group)
-		}));
+		return this._groupUsage.means().map(([group, used]) => ({ group, used, queued: this._fairQueue.groupSize(group) }));
 	}
 
 	/** Responses and failures since the last call; failures count as responses too. */
@@ -211,22 +196,17 @@
 			slots,
 			freeSlots: Math.max(0, slots - used)
 		});
-		if (decision.kind === 'admit') {
-			return;
+		if (decision.kind === 'refuse') {
+			throw refusalError(decision.cause, decision.retryAfterMs);
 		}
-		const { reason, message } = REFUSALS[decision.cause];
-		throw new RequestError('not-run', reason, 503, message, decision.retryAfterMs);
 	}
 
 	/** Refuses a request that is not expected to complete before its deadline, after the time it was queued. */
 	private _refuseIfDeadlineUnreachable(request: DispatchRequest): void {
 		const leftMs = request.deadline - systemClock.now();
-		if (!request.isDeadlineStrict || leftMs >= this._admission.meanServiceMs) {
-			return;
+		if (request.isDeadlineStrict && leftMs < this._admission.meanServiceMs) {
+			throw refusalError('deadline', Math.ceil(this._admission.meanServiceMs));
 		}
-		const { reason, message } = REFUSALS.deadline;
-		const retryAfterMs = Math.ceil(this._admission.meanServiceMs);
-		throw new RequestError('not-run', reason, 503, message, retryAfterMs);
 	}
 
 	private async _runAttempts(
@@ -243,7 +223,7 @@
 				systemClock.now()
 			);
 			if (!target) {
-				throw withUncertainty(this._noCapacityError(), mayHaveRun);
+				throw withUncertainty(refusalError('no-slots', Math.ceil(this._admission.meanServiceMs)), mayHaveRun);
 			}
 			const tryTakeRetry = (): boolean => attemptNumber < MAX_ATTEMPTS && !signal.aborted && budget.tryTake();
 			const mayRetry = (): boolean => request.isRepeatable && tryTakeRetry();
@@ -258,7 +238,7 @@
 				(outcome.kind === 'failed' && (wasNotRun || request.isRepeatable) && tryTakeRetry());
 			mayHaveRun ||= !wasNotRun;
 			if (!shouldRetry) {
-				throw withUncertainty(toRequestError(outcome, target.listed.name), mayHaveRun);
+				throw withUncertainty(attemptError(outcome, target.listed.name), mayHaveRun);
 			}
 		}
 	}
@@ -271,10 +251,9 @@
 		mayRetry: () => boolean
 	): Promise<AttemptOutcome> {
 		const { name } = target.listed;
-		const usage = this._getUsage(request.group);
 		const startedAt = systemClock.now();
 		target.acquire();
-		usage.inFlight++;
+		const endUsage = this._groupUsage.start(request.group);
 		const outcome = await this._targets.get(name)!.connections.attempt({
 			request,
 			sink,
@@ -282,7 +261,7 @@
 			mayRetry,
 			maySend: () => this._context.owns(name) && !target.isDraining
 		});
-		usage.inFlight--;
+		endUsage();
 		this._releaseSlot(target, outcome);
 		this._recordOutcome(target, outcome, systemClock.now() - startedAt);
 		return outcome;
@@ -325,54 +304,4 @@
 		}
 		return budget;
 	}
-
-	private _getUsage(group: string): GroupUsage {
-		let usage = this._usageByGroup.get(group);
-		if (!usage) {
-			usage = { inFlight: 0, meanInFlight: 0 };
-			this._usageByGroup.set(group, usage);
-		}
-		return usage;
-	}
-
-	private _noCapacityError(): RequestError {
-		const retryAfterMs = Math.ceil(this._admission.meanServiceMs);
-		return new RequestError('not-run', RefusalReason.NoCapacity, 503, REFUSALS['no-slots'].message, retryAfterMs);
-	}
-}
-
-const REFUSALS = {
-	'no-slots': { reason: RefusalReason.NoCapacity, message: 'no target of the service is available at this instance' },
-	'queue-full': { reason: RefusalReason.QueueFull, message: 'the queue of the service is full' },
-	deadline: {
-		reason: RefusalReason.DeadlineUnreachable,
-		message: 'the request is not expected to complete before its deadline'
-	}
-} as const;
-
-/** Replaces the verdict `not-run` if an earlier attempt may have run. */
-function withUncertainty(error: RequestError, mayHaveRun: boolean): RequestError {
-	if (!mayHaveRun || error.verdict !== 'not-run') {
-		return error;
-	}
-	return new RequestError('may-have-run', error.reason, error.status, error.message, error.retryAfterMs);
-}
-
-function toRequestError(outcome: AttemptOutcome, target: string): RequestError {
-	switch (outcome.kind) {
-		case 'failed':
-			return new RequestError(outcome.verdict, RefusalReason.TargetFailed, 502, `${target}: ${outcome.message}`);
-		case 'withheld':
-			return new RequestError(
-				'not-run',
-				RefusalReason.NoCapacity,
-				503,
-				`target ${target} is no longer available at this instance`,
-				WITHHELD_RETRY_AFTER_MS
-			);
-		case 'aborted':
-			return new RequestError(outcome.verdict, RefusalReason.Cancelled, 499, 'request cancelled');
-		default:
-			return new RequestError('may-have-run', RefusalReason.TargetFailed, 502, `${target}: response interrupted`);
-	}
 }
