--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -11,7 +11,6 @@
 import { systemClock } from '../../../base/clock.js';
 import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
-import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { HttpPeerCalls } from '../../../kernel/node/httpPeerCalls.js';
 import { MetricsService } from '../../../kernel/node/metricsService.js';
 import type { ISettingsService } from '../../../kernel/node/settingsService.js';
