The test target does not run requests whose body its sender breaks off

The crowd of large bodies streams beyond 64 KiB to the target, and their ends at the deadline or with their callers' close broke the target's read with an unhandled rejection, which failed the whole test file although each of its tests passed. The target now counts such requests and leaves them.

--- a/test/platform/testTarget.ts
+++ b/test/platform/testTarget.ts
@@ -83,6 +83,8 @@
 	rejectionHeaders: OutgoingHttpHeaders | undefined;
 	/** Headers added to each response of an executed request and to each rejection by `rejectionHeaders`. */
 	extraHeaders: OutgoingHttpHeaders = {};
+	/** Requests whose body was broken off by their sender; they were not executed. */
+	brokenRequests = 0;
 	/** Maximum number of connections that were open at the same time. */
 	peakConnections = 0;
 	private _openConnections = 0;
@@ -124,8 +126,14 @@
 
 	private async _handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const chunks: Buffer[] = [];
-		for await (const chunk of request) {
-			chunks.push(chunk as Buffer);
+		try {
+			for await (const chunk of request) {
+				chunks.push(chunk as Buffer);
+			}
+		} catch {
+			// The sender has broken off the body, so the request does not run.
+			this.brokenRequests++;
+			return;
 		}
 		const received: ReceivedRequest = {
 			id: String(request.headers['request-id']),
