A body in chunks of one byte does not keep other callers waiting

An entry instance answered nobody for seconds while a body in chunks of one byte arrived: all that one connection had sent, up to 2 MiB by libuv and then all that had been read, was parsed in one turn of the event loop, and each such chunk costs as much as a large one. Streamed, each byte became a chunk of its own at the target.

The rest of a streamed body is read in one piece from what has been parsed by then, and still not before its target has taken the beginning, so a connection that does not come up uses nothing up.

--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -36,6 +36,8 @@
 	serve(request: ICallerRequest): void;
 	/** Has `advance` called in a later turn of the event loop, after the connections that were scheduled before. */
 	schedule(connection: CallerConnection): void;
+	/** Takes a turn to read a part of a body; otherwise `socket.feed` is called in a later turn of the event loop. */
+	tryTakeReadTurn(connection: CallerConnection): boolean;
 	/** Called when the number of requests that were taken up changes. */
 	onTakenChange(difference: number): void;
 	/** Called when the connection is closed early on this side. */
@@ -131,6 +133,10 @@
 		return latest !== undefined && !latest.request.complete && !latest.request.destroyed;
 	}
 
+	tryTakeTurn(): boolean {
+		return this._host.tryTakeReadTurn(this);
+	}
+
 	/** Adds a request that the parser has read. */
 	add(request: IncomingMessage, response: ServerResponse): void {
 		const item = new CallerRequest(this, request, response, this.socket.fedArrivedAt);
--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -15,6 +15,7 @@
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import type { CallerConnectionOptions, ICallerConnections } from '../common/callerConnections.js';
 import { IMemoryAccount, MemoryPressure } from '../common/memoryAccount.js';
+import { ReadTurns } from '../common/readTurns.js';
 import { CallerConnection, type EarlyCloseCause, type ICallerConnectionHost } from './callerConnection.js';
 
 /** Prefix of the error codes of the Node.js HTTP parser. */
@@ -37,6 +38,7 @@
 	private _lastNumber = 0;
 	/** Connections with requests to take up, oldest first. */
 	private readonly _scheduled = new Set<CallerConnection>();
+	private readonly _readTurns = new ReadTurns<CallerConnection>();
 	private _turn: NodeJS.Immediate | undefined;
 	private readonly _earlyCloses: Counter<'cause'>;
 
@@ -84,6 +86,7 @@
 			serve: request => options.serve(request),
 			onTakenChange: difference => (this._inFlight += difference),
 			schedule: connection => this._schedule(connection),
+			tryTakeReadTurn: connection => this._tryTakeReadTurn(connection),
 			account: this._account,
 			unreadTimeoutMs: options.unreadTimeoutMs,
 			headerTimeoutMs: () => options.headerTimeoutMs(),
@@ -135,7 +138,10 @@
 		const connection = new CallerConnection(raw, host, ++this._lastNumber, this._isEnding);
 		const { socket } = connection;
 		this._connections.set(socket, connection);
-		socket.once('close', () => this._connections.delete(socket));
+		socket.once('close', () => {
+			this._connections.delete(socket);
+			this._readTurns.remove(connection);
+		});
 		http.emit('connection', socket);
 	}
 
@@ -144,14 +150,20 @@
 		this._turn ??= setImmediate(() => this._runTurn());
 	}
 
+	private _tryTakeReadTurn(connection: CallerConnection): boolean {
+		this._turn ??= setImmediate(() => this._runTurn());
+		return this._readTurns.tryTake(connection);
+	}
+
 	private _runTurn(): void {
 		this._turn = undefined;
+		this._readTurns.begin().forEach(({ socket }) => socket.feed());
 		const connections = [...this._scheduled].slice(0, MAX_TAKEN_PER_TURN);
 		for (const connection of connections) {
 			this._scheduled.delete(connection);
 			connection.advance();
 		}
-		if (this._scheduled.size > 0) {
+		if (this._scheduled.size > 0 || this._readTurns.isPending) {
 			this._turn ??= setImmediate(() => this._runTurn());
 		}
 	}
--- a/src/plugins/connections/node/callerSocket.ts
+++ b/src/plugins/connections/node/callerSocket.ts
@@ -33,6 +33,8 @@
 	mayFeed(): boolean;
 	/** Whether the next bytes belong to the body of a request. */
 	isInBody(): boolean;
+	/** Takes a turn for a part of a body; where it returns false, `feed` is called again in a later turn of the event loop. */
+	tryTakeTurn(): boolean;
 	/** Called before the parser gets bytes. */
 	onFeed(): void;
 }
@@ -103,6 +105,9 @@
 		}
 		this._isFeeding = true;
 		while (this._isWanted && this._held.length > 0 && !this.destroyed && this._control.mayFeed()) {
+			if (this._control.isInBody() && !this._control.tryTakeTurn()) {
+				break;
+			}
 			this._control.onFeed();
 			this._isWanted = this.push(this._takeSlice());
 		}
--- /dev/null
+++ b/src/plugins/connections/test/bodyReading.test.ts
@@ -0,0 +1,52 @@
+/*---------------------------------------------------------------------------------------------
+ *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
+ *--------------------------------------------------------------------------------------------*/
+
+/** How bodies of callers are read. */
+
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { RawCaller, TestListener, until } from './testListener.js';
+
+const CHUNK = '1\r\nx\r\n';
+const CHUNKS = 100_000;
+/** Bytes of a body that are parsed at a time. */
+const SLICE_BYTES = 16 * 1024;
+/** The same while headers are expected. */
+const HEADER_SLICE_BYTES = 1024;
+let listener: TestListener;
+let caller: RawCaller;
+
+beforeEach(async () => {
+	listener = new TestListener();
+	await listener.listen();
+	caller = new RawCaller(listener.connections.port);
+});
+
+afterEach(() => {
+	caller.socket.destroy();
+	listener.connections.dispose();
+});
+
+test('a body in chunks of one byte does not keep others from being served until all that came of it is parsed', async () => {
+	let received = 0;
+	const inTurn: number[] = [];
+	listener.onTaken = ({ request }) => {
+		let turn: NodeJS.Immediate | undefined;
+		let parsed = 0;
+		request.on('data', (chunk: Buffer) => {
+			received += chunk.length;
+			parsed += chunk.length;
+			turn ??= setImmediate(() => {
+				inTurn.push(parsed);
+				[parsed, turn] = [0, undefined];
+			});
+		});
+	};
+	caller.socket.write('POST /once HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n' + CHUNK.repeat(CHUNKS));
+	await until('the body is read', () => received === CHUNKS);
+	await new Promise(setImmediate);
+	// Between two immediates of the test lie the end of one turn and the beginning of the next.
+	const maxBytes = HEADER_SLICE_BYTES + 2 * SLICE_BYTES;
+	assert.ok(Math.max(...inTurn) <= maxBytes / CHUNK.length, `${Math.max(...inTurn)} chunks`);
+});
--- a/src/plugins/forwarding/node/requestBody.ts
+++ b/src/plugins/forwarding/node/requestBody.ts
@@ -85,12 +85,46 @@
 	});
 }
 
+/**
+ * Passes a body on to a target. All that has been read by then goes on as one chunk, as chunks may come in one byte each. Nothing of
+ * the rest is read before the target has taken the beginning, since a connection that does not come up must not use it up.
+ * @returns function that ends it
+ */
+function stream(beginning: Buffer, body: IncomingMessage, target: ClientRequest): () => void {
+	const pass = (): void => {
+		let chunk: Buffer | null;
+		while ((chunk = body.read() as Buffer | null) !== null) {
+			if (!target.write(chunk)) {
+				body.removeListener('readable', pass);
+				target.once('drain', resume);
+				return;
+			}
+		}
+	};
+	const resume = (): void => void body.on('readable', pass);
+	const end = (): void => void target.end();
+	const stop = (): void => {
+		body.removeListener('readable', pass);
+		body.removeListener('end', end);
+		target.removeListener('drain', resume);
+	};
+	body.once('end', end);
+	target.once('close', stop);
+	if (target.write(beginning)) {
+		resume();
+	} else {
+		target.once('drain', resume);
+	}
+	return stop;
+}
+
 /** The caller's disconnection is handled by its exchange. */
 function ignoreError(): void {}
 
 /** A request body, buffered whole or streamed after a buffered prefix. */
 export class RequestBody {
 	private _isConsumed = false;
+	private _stopStreaming: () => void = () => undefined;
 
 	private constructor(
 		private readonly _buffered: Buffer,
@@ -133,13 +167,13 @@
 			return;
 		}
 		this._isConsumed = true;
-		request.write(this._buffered);
-		this._remainingBody.pipe(request);
+		this._stopStreaming();
+		this._stopStreaming = stream(this._buffered, this._remainingBody, request);
 	}
 
 	/** Reads the rest of a streamed body and discards it. */
 	discardRest(): void {
-		this._remainingBody?.unpipe();
+		this._stopStreaming();
 		this._remainingBody?.resume();
 	}
 }
--- a/src/plugins/forwarding/test/requestBody.test.ts
+++ b/src/plugins/forwarding/test/requestBody.test.ts
@@ -57,3 +57,35 @@
 	await assert.rejects(reading, BodyTruncatedError);
 	assert.equal(account.heldBytes, 0);
 });
+
+test('a target gets a streamed body in few chunks although it comes in chunks of one byte', async () => {
+	const request = createRequest();
+	const reading = RequestBody.read(request, new BodyAccount(MEMORY_MB));
+	request.write(Buffer.alloc(MAX_BUFFERED_BYTES + 1));
+	const body = await reading;
+	const target = new PassThrough();
+	body.writeTo(target as never);
+	for (let i = 0; i < 1000; i++) {
+		request.write('x');
+	}
+	request.end();
+	const chunks = (await target.toArray()) as Buffer[];
+	assert.equal(Buffer.concat(chunks).length, MAX_BUFFERED_BYTES + 1001);
+	assert.ok(chunks.length < 10, `${chunks.length} chunks`);
+});
+
+test('a body that its target no longer takes is read on and discarded', async () => {
+	const request = createRequest();
+	const reading = RequestBody.read(request, new BodyAccount(MEMORY_MB));
+	request.write(Buffer.alloc(MAX_BUFFERED_BYTES + 1));
+	const body = await reading;
+	const target = new PassThrough({ highWaterMark: 1 });
+	body.writeTo(target as never);
+	await new Promise(setImmediate);
+	body.discardRest();
+	const ended = new Promise(resolve => request.once('end', resolve));
+	request.write(Buffer.alloc(MAX_BUFFERED_BYTES));
+	request.end();
+	await ended;
+	assert.equal(target.writableEnded, false);
+});
