What is read ahead of paused bodies, and headers in part, stay within a bound

A crowd of callers could bring an entry instance over its memory by what it reads ahead: up to 16 KiB and two reads of 64 KiB for each of 3,000 connections, and 64 KiB for each of them in headers that do not end. The account of held memory counted a part of that but nothing gave it back. Since bodies wait for their turn, 400 callers with chunks of 60,000 bytes had 184 MiB at the peak where 160 are allowed.

The blocks that are kept alive, the read that may follow a pause, and the bytes of headers in part now count in the account of received bodies. The connection that has waited longest is closed where they do not fit, without any promise. Only parts of a body with many small chunks, found by their line ends, wait for a turn; others cost little and are parsed as they come.

The listener of the tests passes an account.

--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { ICallerRequest } from '../common/callerConnections.js';
 import { HeaderDeadline } from '../common/headerDeadline.js';
 import { HeldBytes, type IHeldMemory, type IMemoryAccount, MemoryPressure } from '../common/memoryAccount.js';
@@ -29,6 +30,8 @@
 /** What a connection needs from its listener. */
 export interface ICallerConnectionHost {
 	readonly account: IMemoryAccount;
+	/** Counts what is received ahead of the parser, and headers in part. */
+	readonly bodyAccount: IBodyAccount;
 	readonly unreadTimeoutMs: Millis;
 	headerTimeoutMs(): Millis;
 	ownerOf(request: IncomingMessage): string | undefined;
@@ -48,7 +51,7 @@
 export enum EarlyCloseCause {
 	/** The caller reads nothing. */
 	Unread = 'unread',
-	/** The account of held memory is full, and the caller reads slowly. */
+	/** An account is full, and the caller reads slowly, or has waited longest with a part of a request. */
 	Memory = 'memory',
 	/** The headers of a request were not complete in time. */
 	HeaderTimeout = 'header-timeout'
@@ -72,6 +75,7 @@
 	private readonly _heldRequests: IHeldMemory;
 	private _responseBytes = INITIAL_RESPONSE_BYTES;
 	private _sentBytes = 0;
+	private _headerBytes = 0;
 	private readonly _headerDeadline = new HeaderDeadline(systemClock.now());
 
 	/**
@@ -87,7 +91,8 @@
 		this._owner = `connection-${number}`;
 		this._heldResponses = _host.account.hold(HeldBytes.ResponseBody, this._owner);
 		this._heldRequests = _host.account.hold(HeldBytes.RequestBody, this._owner);
-		this.socket = new CallerSocket(raw, this, _host.unreadTimeoutMs);
+		this.socket = new CallerSocket(raw, this, _host.bodyAccount, _host.unreadTimeoutMs);
+		this.socket.onEvicted = () => this.closeForMemory();
 		this.socket.onUnread = () => _host.onEarlyClose(EarlyCloseCause.Unread);
 		this.socket.once('close', () => this._onClose());
 	}
@@ -124,7 +129,12 @@
 		return this.pipeline.mayRead && (isQuiet || this.hasRoom);
 	}
 
-	onFeed(): void {
+	get headerBytes(): number {
+		return this._headerBytes;
+	}
+
+	onFeed(bytes: number): void {
+		this._headerBytes += this.isInBody() ? 0 : bytes;
 		this._headerDeadline.recordBytes(this.isInBody(), systemClock.now());
 	}
 
@@ -141,6 +151,7 @@
 	add(request: IncomingMessage, response: ServerResponse): void {
 		const item = new CallerRequest(this, request, response, this.socket.fedArrivedAt);
 		this._latest = item;
+		this._headerBytes = 0;
 		this._headerDeadline.clear();
 		if (this._open.size > 0) {
 			this.socket.lingers = true;
--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -10,6 +10,7 @@
 import { Counter, Gauge } from 'prom-client';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
+import { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { listenWhenFree } from '../../../kernel/node/listenWhenFree.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
@@ -45,7 +46,8 @@
 	constructor(
 		@IMemoryAccount private readonly _account: IMemoryAccount,
 		@IMetricsService metrics: IMetricsService,
-		@ILogService private readonly _log: ILogService
+		@ILogService private readonly _log: ILogService,
+		@IBodyAccount private readonly _bodyAccount: IBodyAccount
 	) {
 		super();
 		const registers = [metrics.registry];
@@ -88,6 +90,7 @@
 			schedule: connection => this._schedule(connection),
 			tryTakeReadTurn: connection => this._tryTakeReadTurn(connection),
 			account: this._account,
+			bodyAccount: this._bodyAccount,
 			unreadTimeoutMs: options.unreadTimeoutMs,
 			headerTimeoutMs: () => options.headerTimeoutMs(),
 			ownerOf: request => options.ownerOf(request),
--- a/src/plugins/connections/node/callerSocket.ts
+++ b/src/plugins/connections/node/callerSocket.ts
@@ -10,7 +10,9 @@
 import type { Socket } from 'node:net';
 import { Duplex } from 'node:stream';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import type { IBodyAccount, IHeldBody } from '../../../kernel/common/bodyAccount.js';
 import { trySetAbortiveClose } from '../../../kernel/node/abortiveClose.js';
+import { mayHoldManyChunks } from '../common/bodyGranularity.js';
 
 /** Bytes passed to the parser at a time while a request is expected: a few requests of usual size. */
 const HEADER_SLICE_BYTES = 1024;
@@ -21,6 +23,8 @@
  * behind them.
  */
 const READ_AHEAD_BYTES = 16 * 1024;
+/** Bytes of one read, which may follow after reading was paused. */
+const READ_BYTES = 64 * 1024;
 /**
  * How long what a caller still sends is discarded after the last response. Closing with unread bytes would reset the connection, and
  * the caller could lose responses that it has not read.
@@ -33,10 +37,12 @@
 	mayFeed(): boolean;
 	/** Whether the next bytes belong to the body of a request. */
 	isInBody(): boolean;
-	/** Takes a turn for a part of a body; where it returns false, `feed` is called again in a later turn of the event loop. */
+	/** Takes a turn for a part of a body that is costly to parse; where it returns false, `feed` is called again in a later turn of the event loop. */
 	tryTakeTurn(): boolean;
+	/** Bytes of the headers of a request that the parser has got in part. */
+	readonly headerBytes: number;
 	/** Called before the parser gets bytes. */
-	onFeed(): void;
+	onFeed(bytes: number): void;
 }
 
 interface HeldChunk {
@@ -54,6 +60,10 @@
 	lingers = false;
 	/** Called when the connection is closed since the caller reads nothing. */
 	onUnread?: () => void;
+	/** Called when the memory for what was read ahead is needed for others. */
+	onEvicted?: () => void;
+	private readonly _retained: IHeldBody;
+	private _retainedBytes = 0;
 	private readonly _held: HeldChunk[] = [];
 	private _heldBytes = 0;
 	private _isWanted = false;
@@ -68,10 +78,12 @@
 	constructor(
 		private readonly _raw: Socket,
 		private readonly _control: IReadControl,
+		account: IBodyAccount,
 		private readonly _unreadTimeoutMs: Millis
 	) {
 		// A mark of 1 byte keeps the stream from buffering more than one slice.
 		super({ allowHalfOpen: true, readableHighWaterMark: 1, decodeStrings: false });
+		this._retained = account.hold(() => this.onEvicted?.());
 		_raw.on('data', (data: Buffer) => this._onData(data));
 		_raw.on('end', () => this._onCallerEnd());
 		_raw.on('error', error => this.destroy(error));
@@ -105,14 +117,17 @@
 		}
 		this._isFeeding = true;
 		while (this._isWanted && this._held.length > 0 && !this.destroyed && this._control.mayFeed()) {
-			if (this._control.isInBody() && !this._control.tryTakeTurn()) {
+			const slice = this._nextSlice();
+			if (this._control.isInBody() && mayHoldManyChunks(slice) && !this._control.tryTakeTurn()) {
 				break;
 			}
-			this._control.onFeed();
-			this._isWanted = this.push(this._takeSlice());
+			this._dropSlice(slice);
+			this._control.onFeed(slice.length);
+			this._isWanted = this.push(slice);
 		}
 		this._isFeeding = false;
 		this._updateReading();
+		this._updateAccount();
 	}
 
 	/** As `Socket.destroySoon`: closes the connection after all data was sent. What the caller sends meanwhile is discarded. */
@@ -189,6 +204,7 @@
 
 	override _destroy(error: Error | null, done: (error: Error | null) => void): void {
 		this._discardHeld();
+		this._retained.release();
 		this._raw.destroy();
 		done(error);
 	}
@@ -214,23 +230,50 @@
 		}
 	}
 
-	private _takeSlice(): Buffer {
-		const { data, arrivedAt } = this._held[0]!;
+	private _nextSlice(): Buffer {
 		const maxBytes = this._control.isInBody() ? BODY_SLICE_BYTES : HEADER_SLICE_BYTES;
+		return this._held[0]!.data.subarray(0, maxBytes);
+	}
+
+	private _dropSlice(slice: Buffer): void {
+		const { data, arrivedAt } = this._held[0]!;
 		this.fedArrivedAt = arrivedAt;
-		if (data.length <= maxBytes) {
+		if (data.length === slice.length) {
 			this._held.shift();
 		} else {
-			this._held[0] = { data: data.subarray(maxBytes), arrivedAt };
+			this._held[0] = { data: data.subarray(slice.length), arrivedAt };
 		}
-		const slice = data.subarray(0, maxBytes);
 		this._heldBytes -= slice.length;
-		return slice;
 	}
 
 	private _discardHeld(): void {
 		this._held.length = 0;
 		this._heldBytes = 0;
+		this._updateAccount();
+	}
+
+	/** Counts what is kept of this connection until its caller has sent more, or until more of it is wanted. */
+	private _updateAccount(): void {
+		const { _isFeeding: isFeeding, _isClosing: isClosing, destroyed } = this;
+		if (isFeeding || destroyed) {
+			return;
+		}
+		const bytes = isClosing ? 0 : this._control.headerBytes + this._blockBytes();
+		if (bytes === 0 && this._retainedBytes === 0) {
+			return;
+		}
+		this._retainedBytes = bytes;
+		if (bytes === 0) {
+			this._retained.release();
+		} else if (!this._retained.tryResize(bytes)) {
+			this.onEvicted?.();
+		}
+	}
+
+	/** A slice keeps the block alive that it was read into. */
+	private _blockBytes(): number {
+		const pausedBytes = this._heldBytes >= READ_AHEAD_BYTES ? READ_BYTES : 0;
+		return this._held.reduce((total, { data }) => total + data.buffer.byteLength, pausedBytes);
 	}
 
 	private _updateReading(): void {
--- a/src/plugins/connections/test/bodyReading.test.ts
+++ b/src/plugins/connections/test/bodyReading.test.ts
@@ -50,3 +50,26 @@
 	const maxBytes = HEADER_SLICE_BYTES + 2 * SLICE_BYTES;
 	assert.ok(Math.max(...inTurn) <= maxBytes / CHUNK.length, `${Math.max(...inTurn)} chunks`);
 });
+
+for (const [name, beginning, isPaused] of [
+	['paused bodies', 'POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n', true],
+	['headers that do not end', 'GET /once HTTP/1.1\r\nLong: ', false]
+] as const) {
+	test(`a crowd of ${name} holds no more memory than it may, and others are served`, async () => {
+		const small = new TestListener(1024, 1);
+		await small.listen();
+		small.onTaken = ({ request }) => (isPaused && request.method === 'POST' ? request.pause() : undefined);
+		const { limitBytes } = small.bodyAccount;
+		const crowd = Array.from({ length: 60 }, () => new RawCaller(small.connections.port));
+		crowd.forEach(({ socket }) => socket.write(beginning + 'x'.repeat(isPaused ? 200_000 : 4000)));
+		await until('connections are closed', () => crowd.some(({ isClosed }) => isClosed));
+		assert.ok(small.bodyAccount.heldBytes <= limitBytes, `${small.bodyAccount.heldBytes} bytes`);
+		const other = new RawCaller(small.connections.port);
+		other.send('/other');
+		await until('the other is served', () => small.paths.includes('/other'));
+		assert.equal(other.isClosed, false);
+		[...crowd, other].forEach(({ socket }) => socket.destroy());
+		small.connections.dispose();
+		await until('nothing is held any more', () => small.bodyAccount.heldBytes === 0);
+	});
+}
--- a/src/plugins/connections/test/testListener.ts
+++ b/src/plugins/connections/test/testListener.ts
@@ -5,6 +5,7 @@
 /** A listener for callers whose requests a test answers itself, and a caller with a raw socket. */
 
 import { connect, type Socket } from 'node:net';
+import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { ILogService } from '../../../kernel/node/logService.js';
 import { MetricsService } from '../../../kernel/node/metricsService.js';
 import type { ICallerRequest } from '../common/callerConnections.js';
@@ -28,6 +29,7 @@
 export class TestListener {
 	readonly metrics = new MetricsService();
 	readonly account: HeldMemoryAccount;
+	readonly bodyAccount: BodyAccount;
 	readonly connections: CallerConnections;
 	/** Requests that were taken up, oldest first. */
 	readonly taken: ICallerRequest[] = [];
@@ -40,10 +42,14 @@
 	/** Called with the path of each request whose exchange has ended. */
 	onClosed: (path: string) => void = () => undefined;
 
-	/** @param memoryMb memory of the instance */
-	constructor(memoryMb = 1024) {
+	/**
+	 * @param memoryMb memory of the instance, for what is held for callers and targets
+	 * @param receivedMemoryMb the same, for what is received in part
+	 */
+	constructor(memoryMb = 1024, receivedMemoryMb = 1024) {
 		this.account = new HeldMemoryAccount(memoryMb);
-		this.connections = new CallerConnections(this.account, this.metrics, LOG);
+		this.bodyAccount = new BodyAccount(receivedMemoryMb);
+		this.connections = new CallerConnections(this.account, this.metrics, LOG, this.bodyAccount);
 	}
 
 	/** Requests with a path that begins with `/once` may run only once. */
