Bodies in chunks of one byte leave a process its turns of the event loop

Operators and peers waited for seconds for a process that reads bodies in tiny chunks: each chunk costs a call from the parser, and Node.js reads up to 2 MiB of a connection in one turn. ReadPacer now parses 1 to 4 KiB at a time and shares the turns among connections whose slices hold many chunks (TurnQueue); messages with few chunks are parsed at once.

--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -12,6 +12,8 @@
 import { ConnectionTracker } from './connectionTracker.js';
 import type { IMetricsService } from './metricsService.js';
 import { listenWhenFree } from './listenWhenFree.js';
+import { PacedMessage } from './pacedMessage.js';
+import { paceReads } from './readPacer.js';
 import { BodyEvictedError } from './bodyEvictedError.js';
 import { BodyTooLargeError } from './bodyTooLargeError.js';
 
@@ -62,12 +64,17 @@
 
 	constructor(private readonly _options: HttpListenerOptions) {
 		super();
-		const limits = { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS };
+		const limits = {
+			IncomingMessage: PacedMessage,
+			maxHeaderSize: MAX_HEADER_BYTES,
+			keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS
+		};
 		const { tls } = _options;
 		this._server = tls
 			? createTlsServer({ ...limits, cert: readFileSync(tls.certificateFile), key: readFileSync(tls.keyFile) })
 			: createServer(limits);
 		this._connections = new ConnectionTracker(this._server);
+		paceReads(this._server);
 		this._server.headersTimeout = HEADERS_TIMEOUT_MS;
 		this._server.requestTimeout = REQUEST_TIMEOUT_MS;
 		this._server.maxConnections = _options.maxConnections;
--- a/src/kernel/node/httpPeerCalls.ts
+++ b/src/kernel/node/httpPeerCalls.ts
@@ -7,7 +7,14 @@
  * more memory and start more slowly (docs/design/platform.md).
  */
 
-import { Agent, createServer, type IncomingMessage, request as httpRequest, type ServerResponse } from 'node:http';
+import {
+	Agent,
+	createServer,
+	type IncomingMessage,
+	type Server,
+	request as httpRequest,
+	type ServerResponse
+} from 'node:http';
 import { Disposable, toDisposable } from '../../base/disposable.js';
 import { IBodyAccount } from '../common/bodyAccount.js';
 import type { IPeerCalls } from '../common/peerCalls.js';
@@ -18,7 +25,9 @@
 import { listenWhenFree } from './listenWhenFree.js';
 import { ILogService } from './logService.js';
 import { decodeMessage, type EncodedMessage, encodeMessage, MAX_MESSAGE_BYTES } from './messageCodec.js';
+import { PacedMessage } from './pacedMessage.js';
 import type { IPeerRequests, PeerRequestHandler } from './peerRequests.js';
+import { paceReads } from './readPacer.js';
 import { ISettingsService } from './settingsService.js';
 
 const MAX_IDLE_SOCKETS = 8;
@@ -89,7 +98,8 @@
 		maxFreeSockets: MAX_IDLE_SOCKETS,
 		timeout: CLIENT_IDLE_TIMEOUT_MS
 	});
-	private readonly _server = createServer({
+	private readonly _server: Server = createServer({
+		IncomingMessage: PacedMessage,
 		keepAliveTimeout: SERVER_KEEP_ALIVE_TIMEOUT_MS,
 		headersTimeout: HEADERS_TIMEOUT_MS,
 		connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
@@ -106,6 +116,7 @@
 		super();
 		this._listenAddress = settings.section<InstanceSettings>('instance').peerAddress;
 		new ConnectionLimit(this._server, MAX_CONNECTIONS);
+		paceReads(this._server);
 		this._server.on('request', (request, response) => this._onRequest(request, response));
 		this._register(toDisposable(() => this._server.closeAllConnections()));
 		this._register(toDisposable(() => this._server.close()));
