Clients that say nothing, or do not stop sending, leave the HTTP listeners

Operators and targets got no connection to a control instance while silent clients held all those of a listener, and its descriptors stayed in use. The cause: server.maxConnections refuses whoever comes later, requests without headers were looked for every 30 s, and a connection that was refused was half closed only, so a client that kept its side open kept it for good; a refused request went on being read for a minute and more. HttpListener now uses ConnectionLimit where it is not encrypted, looks each second, ends a TLS handshake after 10 s, and closes a connection 1 s after its last response where its client goes on sending. ConnectionLimit takes a request without a body for complete while it is served.

--- a/src/kernel/node/connectionLimit.ts
+++ b/src/kernel/node/connectionLimit.ts
@@ -16,8 +16,8 @@
 	private readonly _silent = new Set<Socket>();
 	/** Connections between two requests, the one that has been idle the longest first. */
 	private readonly _idle = new Set<Socket>();
-	/** Connections whose request has not arrived in whole, the oldest request first. */
-	private readonly _receiving = new Set<Socket>();
+	/** The last request of connections that have not been answered, the oldest first. */
+	private readonly _requests = new Map<Socket, IncomingMessage>();
 	private _open = 0;
 
 	/** @param server must not have any connections yet */
@@ -53,8 +53,7 @@
 	private _trackRequest(request: IncomingMessage, response: ServerResponse): void {
 		const { socket } = request;
 		this._withdraw(socket);
-		this._receiving.add(socket);
-		request.once('end', () => this._receiving.delete(socket));
+		this._requests.set(socket, request);
 		response.once('close', () => {
 			this._withdraw(socket);
 			if (!socket.destroyed) {
@@ -64,9 +63,16 @@
 	}
 
 	private _firstToClose(): Socket | undefined {
-		for (const sockets of [this._silent, this._idle, this._receiving]) {
-			for (const socket of sockets) {
-				this._withdraw(socket);
+		const socket: Socket | undefined = firstOf(this._silent) ?? firstOf(this._idle) ?? this._firstIncomplete();
+		if (socket) {
+			this._withdraw(socket);
+		}
+		return socket;
+	}
+
+	private _firstIncomplete(): Socket | undefined {
+		for (const [socket, request] of this._requests) {
+			if (!request.complete) {
 				return socket;
 			}
 		}
@@ -76,6 +82,10 @@
 	private _withdraw(socket: Socket): void {
 		this._silent.delete(socket);
 		this._idle.delete(socket);
-		this._receiving.delete(socket);
+		this._requests.delete(socket);
 	}
 }
+
+function firstOf(sockets: Set<Socket>): Socket | undefined {
+	return sockets.values().next().value;
+}
--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -9,6 +9,7 @@
 import { readFileSync } from 'node:fs';
 import polka from 'polka';
 import { Disposable, toDisposable } from '../../base/disposable.js';
+import { ConnectionLimit } from './connectionLimit.js';
 import { ConnectionTracker } from './connectionTracker.js';
 import type { IMetricsService } from './metricsService.js';
 import { listenWhenFree } from './listenWhenFree.js';
@@ -22,6 +23,9 @@
 const REQUEST_TIMEOUT_MS = 60000;
 const KEEP_ALIVE_TIMEOUT_MS = 30000;
 const DRAIN_POLL_MS = 50;
+const CONNECTION_CHECK_INTERVAL_MS = 1000;
+/** How long a client may go on sending after its response, so that it can read that before the connection is closed. */
+const LINGER_MS = 1000;
 /** Value of `Retry-After` for a request whose body gave up its memory. */
 const EVICTED_RETRY_AFTER_SECONDS = 1;
 
@@ -66,22 +70,33 @@
 		super();
 		const limits = {
 			IncomingMessage: PacedMessage,
+			connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+			headersTimeout: HEADERS_TIMEOUT_MS,
+			requestTimeout: REQUEST_TIMEOUT_MS,
 			maxHeaderSize: MAX_HEADER_BYTES,
 			keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS
 		};
 		const { tls } = _options;
 		this._server = tls
-			? createTlsServer({ ...limits, cert: readFileSync(tls.certificateFile), key: readFileSync(tls.keyFile) })
+			? createTlsServer({
+					...limits,
+					handshakeTimeout: HEADERS_TIMEOUT_MS,
+					cert: readFileSync(tls.certificateFile),
+					key: readFileSync(tls.keyFile)
+				})
 			: createServer(limits);
 		this._connections = new ConnectionTracker(this._server);
 		paceReads(this._server);
-		this._server.headersTimeout = HEADERS_TIMEOUT_MS;
-		this._server.requestTimeout = REQUEST_TIMEOUT_MS;
-		this._server.maxConnections = _options.maxConnections;
+		if (tls) {
+			this._server.maxConnections = _options.maxConnections;
+		} else {
+			new ConnectionLimit(this._server, _options.maxConnections);
+		}
 		this._server.on('request', (request, response) => this._trackRequest(request, response));
 		this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			if (socket.writable) {
 				socket.end(formatClientError(error));
+				setTimeout(() => socket.destroy(), LINGER_MS);
 			} else {
 				socket.destroy();
 			}
@@ -143,12 +158,13 @@
 		});
 	}
 
-	private _trackRequest(_request: IncomingMessage, response: ServerResponse): void {
+	private _trackRequest(request: IncomingMessage, response: ServerResponse): void {
 		this._inFlight++;
 		if (this._isDraining) {
 			response.setHeader('Connection', 'close');
 		}
 		response.once('close', () => this._inFlight--);
+		response.once('finish', () => closeUnlessComplete(request));
 	}
 
 	private _catchErrors(handler: HttpHandler) {
@@ -188,6 +204,17 @@
 	}
 }
 
+/** Closes the connection of a request that was answered before its end, where the rest does not follow soon. */
+function closeUnlessComplete(request: IncomingMessage): void {
+	if (!request.complete) {
+		setTimeout(() => {
+			if (!request.complete) {
+				request.socket.destroy();
+			}
+		}, LINGER_MS);
+	}
+}
+
 /** Sends a response with a JSON body. */
 export function sendJson(response: HttpResponse, status: number, body: unknown): void {
 	const text = JSON.stringify(body);
