Interim responses of targets are no responses on the product's own path

A target that sent an interim response (103) before its final one had it taken for the response: the caller's response was begun with status 103, and a second time with the final one. Where the target broke off behind the interim response, the request counted as broken off in the middle of a response rather than as failed before one, so that the caller could not get an answer that says so.

Cause: undici reports interim responses by the same callback as final ones, and the handler of an attempt took the first as final.

The handler now passes over statuses below 200.

--- a/src/plugins/dispatch/node/targetConnectionPool.ts
+++ b/src/plugins/dispatch/node/targetConnectionPool.ts
@@ -18,6 +18,7 @@
 const MARKED_RESET_CODE = 'ERR_TARGET_RESET';
 /** Sent with each request; a target that echoes it shows which request its response is for. */
 const REQUEST_ID_HEADER = 'shelffield-request-id';
+const MIN_FINAL_STATUS = 200;
 /** Response headers that concern the connection to the target, or that callers get from this system. */
 const DROPPED_HEADERS = new Set([
 	REQUEST_ID_HEADER,
@@ -170,6 +171,9 @@
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: ResponseHeaders): void {
+		if (status < MIN_FINAL_STATUS) {
+			return;
+		}
 		const echoedId = headers[REQUEST_ID_HEADER];
 		if (echoedId !== undefined && echoedId !== this._attempt.request.requestId) {
 			controller.abort(new Error('response to another request'));
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -14,7 +14,7 @@
 import { RequestBody } from '../node/requestBody.js';
 import { TargetAgent } from '../node/targets/targetAgent.js';
 import { TargetExchange } from '../node/targetExchange.js';
-import { truncatedHeads } from './truncatedHeads.js';
+import { truncatedHeads } from '../../../../test/fakes/truncatedHeads.js';
 
 const MEMORY_MB = 256;
 const NAMES: IHeaderNames = {
--- a/test/platform/truncatedHeads.test.ts
+++ b/test/platform/truncatedHeads.test.ts
@@ -7,7 +7,7 @@
 import assert from 'node:assert/strict';
 import { createServer, type Socket } from 'node:net';
 import { after, before, test } from 'node:test';
-import { truncatedHeads } from '../../src/plugins/forwarding/test/truncatedHeads.js';
+import { truncatedHeads } from '../fakes/truncatedHeads.js';
 import { createConfigDocument, type HttpResponse, PlatformTestSystem, waitFor } from './platformTestSystem.js';
 import { TestTarget } from './testTarget.js';
 
