A response that breaks off at the instance it was passed to ends at its caller too

What callers saw: the beginning of a response and then nothing, until they gave up or their deadline passed, where the request had been passed to another instance and the target of that one broke off. No error, no end, and the slot of the caller stayed taken. Cause: the instance in the middle destroyed its stream, which tells the other side nothing in grpc-js and drops the refusal behind it; the other side knew only errors and its own messages, and not a stream that ends without the end of its response. Why this fixes it: the refusal is sent after a beginning as well, and then aborts the response; so does the end of a stream without the end of its response. Either counts once.

--- a/src/plugins/dispatch/node/spillTransport.ts
+++ b/src/plugins/dispatch/node/spillTransport.ts
@@ -31,12 +31,23 @@
 	const stream = transport.openStream(address, spillMethod);
 	return new Promise<string>((resolve, reject) => {
 		let isStarted = false;
+		let isSettled = false;
 		const onAbort = (): void => stream.cancel();
 		request.signal.addEventListener('abort', onAbort);
 		const finish = (settle: () => void): void => {
+			isSettled = true;
 			request.signal.removeEventListener('abort', onAbort);
 			settle();
 		};
+		const fail = (error: RequestError): void => {
+			if (isSettled) {
+				return;
+			}
+			if (isStarted) {
+				sink.abort();
+			}
+			finish(() => reject(error));
+		};
 		stream.on('data', (response: SpillResponse) => {
 			switch (response.type) {
 				case 'start':
@@ -54,16 +65,12 @@
 					finish(() => resolve(response.target));
 					return;
 				case 'refused':
-					finish(() => reject(toRequestError(response)));
+					fail(toRequestError(response));
 					return;
 			}
 		});
-		stream.on('error', (error: grpc.ServiceError) => {
-			if (isStarted) {
-				sink.abort();
-			}
-			finish(() => reject(instanceLostError(error, isStarted)));
-		});
+		stream.on('error', (error: grpc.ServiceError) => fail(instanceLostError(error, isStarted)));
+		stream.on('end', () => fail(endMissingError()));
 		stream.write(toSpillRequest(request, mayQueue));
 		stream.end();
 	});
@@ -96,7 +103,8 @@
 		write: bytes => stream.write({ type: 'chunk', bytes }),
 		onDrain: callback => stream.once('drain', callback),
 		end: () => (isEnded = true),
-		abort: () => stream.destroy()
+		// The refusal that follows tells; a destroyed stream would tell the other side nothing.
+		abort: () => undefined
 	};
 	try {
 		const target = await handle(request, sink, message.mayQueue);
@@ -130,6 +138,11 @@
 	return new RequestError(response.verdict, response.reason, response.status, response.message, response.retryAfterMs);
 }
 
+function endMissingError(): RequestError {
+	const message = 'the instance that the request was passed to ended its stream without the end of the response';
+	return new RequestError('may-have-run', RefusalReason.TargetFailed, 502, message);
+}
+
 function instanceLostError(error: grpc.ServiceError, isStarted: boolean): RequestError {
 	const wasNeverSent = !isStarted && NEVER_SENT_PATTERN.test(error.message);
 	const isCancelled = error.code === grpc.status.CANCELLED;
