A response with another transfer coding than chunks counts as one that ends with its connection

What callers saw: a response that its target sent with `Transfer-Encoding: identity`, or any list that does not end with chunks, and broke off in order came with a length or chunks of ours, which vouch for an end that nobody stated. Cause: any Transfer-Encoding header counted as a statement of the end. Only chunks at the end of the list are one; the HTTP parser reads every other body until the close (RFC 9112, section 6.3). Why this fixes it: the list is read as the parser does, so such a body goes on in the form without a length.

--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -21,6 +21,8 @@
 const STATUS_TOO_MANY_REQUESTS = 429;
 /** Prefix of the error codes of the Node.js HTTP parser. */
 const PARSER_ERROR_PREFIX = 'HPE_';
+/** Matches a list of transfer codings that ends with chunks. */
+const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
 
 /** Why an attempt is cancelled before its request is written. */
 export type CancelCause = NotRunCause.BackingOff | NotRunCause.RateLimited;
@@ -53,6 +55,11 @@
 	return status !== STATUS_NO_CONTENT && status !== STATUS_NOT_MODIFIED;
 }
 
+/** Whether a body has a length or chunks. After any other transfer coding than chunks, it ends with its connection. */
+function statesEnd(headers: IncomingMessage['headers']): boolean {
+	return headers['content-length'] !== undefined || CHUNKED_LAST.test(headers['transfer-encoding'] ?? '');
+}
+
 function isSuccess(status: number): boolean {
 	return status >= 200 && status < 300;
 }
@@ -210,8 +217,7 @@
 		socket.once('error', onSocketError);
 		response.once('close', () => socket.removeListener('error', onSocketError));
 		const { headers, rawHeaders } = response;
-		const endsWithConnection =
-			headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && mayHaveBody(status);
+		const endsWithConnection = mayHaveBody(status) && !statesEnd(headers);
 		const isTooLarge = isSuccess(status) && Number(headers['content-length'] ?? 0) > this._options.maxBufferedBytes;
 		const maxBufferedBytes = isTooLarge ? 0 : this._options.maxBufferedBytes;
 		const chunks: Buffer[] = [];
