A response to HEAD without a length does not end with its connection

What callers saw: a HEAD request on a kept connection closed the connection, and one with requests behind it got 502, although a response to HEAD has no body that could break off. Cause: only the statuses without a body were left out where a response counts as one that ends with its connection; the method was not looked at. Evidence: forwarding/test/headResponses fails on the code before. Why this fixes it: HEAD is left out as well, so such a response needs no form in which its end is the close.

--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -51,10 +51,6 @@
 	readonly onWritten: (writtenAt: Millis) => void;
 }
 
-function mayHaveBody(status: number): boolean {
-	return status !== STATUS_NO_CONTENT && status !== STATUS_NOT_MODIFIED;
-}
-
 /** Whether a body has a length or chunks. After any other transfer coding than chunks, it ends with its connection. */
 function statesEnd(headers: IncomingMessage['headers']): boolean {
 	return headers['content-length'] !== undefined || CHUNKED_LAST.test(headers['transfer-encoding'] ?? '');
@@ -217,7 +213,7 @@
 		socket.once('error', onSocketError);
 		response.once('close', () => socket.removeListener('error', onSocketError));
 		const { headers, rawHeaders } = response;
-		const endsWithConnection = mayHaveBody(status) && !statesEnd(headers);
+		const endsWithConnection = this._mayHaveBody(status) && !statesEnd(headers);
 		const isTooLarge = isSuccess(status) && Number(headers['content-length'] ?? 0) > this._options.maxBufferedBytes;
 		const maxBufferedBytes = isTooLarge ? 0 : this._options.maxBufferedBytes;
 		const chunks: Buffer[] = [];
@@ -246,6 +242,10 @@
 		response.on('end', onEnd);
 	}
 
+	private _mayHaveBody(status: number): boolean {
+		return this._options.method !== 'HEAD' && status !== STATUS_NO_CONTENT && status !== STATUS_NOT_MODIFIED;
+	}
+
 	private _notRunCause(status: number, { load }: TargetReport): NotRunCause {
 		switch (status) {
 			case STATUS_MISDIRECTED_REQUEST:
