Target selection leaves cold rates, deferred targets and requested work to modules of their own

Nothing changes for callers and operators. The file had 352 lines; next to the choice of a target it kept the rates of cold targets, told when targets that back off or are rate limited take requests again, and counted the requests for the report of requested work. These are now ColdPace, DeferredCapacity and PrimaryRequests.

--- a/src/plugins/placement/common/targetSelector.ts
+++ b/src/plugins/placement/common/targetSelector.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** Selects the target for a request among the known ones and enforces the rate limits of cold targets. */
+/** Selects the target for a request among the known ones. */
 
 import type { Millis } from '../../../base/clock.js';
 import { AnswerTimes, MISS_RATIO } from './answerTimes.js';
@@ -11,12 +11,13 @@
 import type { WorkByTarget } from '../../fleet/common/requestedWork.js';
 import { RepeatRule, type Route } from '../../routes/common/routeTable.js';
 import type { ITargetLimitStatus } from '../../limits/common/targetLimits.js';
-import { NotRunCause } from '../../forwarding/common/attempt.js';
+import { ColdPace } from './coldPace.js';
+import { DeferredCapacity, type NextCapacity } from './deferredCapacity.js';
 import { findUnusedTarget } from './firstRequests.js';
 import type { Event } from '../../../base/event.js';
 import { type InstanceLocation, PlacementPlans, type RegionPlan, type RouteShareJump } from './placementPlans.js';
+import { PrimaryRequests } from './primaryRequests.js';
 import { regionAtPosition } from './regionShares.js';
-import type { SkippedTarget } from '../../forwarding/common/requestTrace.js';
 import type { ShiftBounds } from './sharePacer.js';
 import type { IUnevenLoad } from './unevenLoad.js';
 import { SpillAllowance } from './spillAllowance.js';
@@ -34,9 +35,6 @@
 import type { FactorSummary } from './targets/serviceSpeed.js';
 import { TargetStates } from './targets/targetStates.js';
 
-/** Fraction of a cold target's rate limit that is used: a margin for requests that arrive closer together than sent. */
-const COLD_RATE_FRACTION = 0.6;
-
 /** Maximum number of permits that other instances may deny to one request: each of them costs a remote call. */
 const MAX_DENIED_PERMITS = 2;
 
@@ -57,15 +55,6 @@
 	readonly unevenLoad?: IUnevenLoad;
 }
 
-/** When and why capacity becomes available again. */
-export interface NextCapacity {
-	/** Why no target takes the request now. */
-	readonly cause: NotRunCause.BackingOff | NotRunCause.RateLimited;
-	readonly at: Millis;
-	/** Time between permits for the callers of one instance; 0 if there is capacity for all of them at once. */
-	readonly intervalMs: Millis;
-}
-
 /** Chooses targets for the requests of this instance. */
 export class TargetSelector {
 	private readonly _states: TargetStates;
@@ -74,15 +63,16 @@
 	private readonly _recentObjects = new RecentObjects();
 	/** Time of this instance's first request, by service. */
 	private readonly _servingSince = new Map<string, Millis>();
-	/** Number of requests since the last report, by id of the primary target of their objects. */
-	private _primaryRequests = new Map<string, number>();
+	private readonly _primaryRequests: PrimaryRequests;
+	private readonly _coldPace: ColdPace;
+	private readonly _deferredCapacity: DeferredCapacity;
 	/** Fires when shares moved off lost targets, exempt from the shift bounds. */
 	readonly onDidShiftFromLostTargets: Event<RouteShareJump>;
 
 	/**
 	 * @param regions all regions, with or without targets
-	 * @param _paceShare this instance's share of the rate limits of cold targets
-	 * @param _targetLimits rate limits of targets and their permits
+	 * @param paceShare this instance's share of the rate limits of cold targets
+	 * @param targetLimits rate limits of targets and their permits
 	 * @param _options work times of routes, which services get shares that hold still, and whether ranks decide
 	 */
 	constructor(
@@ -90,13 +80,16 @@
 		private readonly _instance: InstanceIdentity,
 		regions: readonly string[],
 		shiftBounds: ShiftBounds,
-		private readonly _paceShare: PaceShare,
-		private readonly _targetLimits: ITargetLimitStatus,
+		paceShare: PaceShare,
+		targetLimits: ITargetLimitStatus,
 		private readonly _options: SelectionOptions = {}
 	) {
-		this._states = new TargetStates(_view, _targetLimits, _options.isRanked);
+		this._states = new TargetStates(_view, targetLimits, _options.isRanked);
 		this._plans = new PlacementPlans(_view, _instance, regions, shiftBounds, _options.unevenLoad);
 		this._spill = new SpillAllowance(shiftBounds.maxMovedFraction);
+		this._primaryRequests = new PrimaryRequests(_view);
+		this._coldPace = new ColdPace(_view, paceShare);
+		this._deferredCapacity = new DeferredCapacity(_view, targetLimits);
 		this.onDidShiftFromLostTargets = this._plans.onDidShiftFromLostTargets;
 	}
 
@@ -122,7 +115,7 @@
 			utilizationFactor: request.utilizationFactor ?? 1,
 			answerTimes: this._answerTimes(request, objectKey, now),
 			isChosenByTime: this._states.speedOf(service).isReported(now),
-			mayUseCold: candidate => this._mayUseCold(candidate, now)
+			mayUseCold: candidate => this._coldPace.mayUseCold(candidate, now)
 		};
 		const chosen = this._unusedTarget(request, candidates, context) ?? chooseTarget(candidates, context);
 		this._recordTargetLookup(request, context, chosen);
@@ -140,8 +133,10 @@
 			objectKey,
 			context
 		);
-		this._recordPrimaryRequest(primary);
-		return chosen && { ...chosen, passedOver: this._passedOver(primary, deferred, now) };
+		if (primary) {
+			this._primaryRequests.record(primary.known.record.id);
+		}
+		return chosen && { ...chosen, passedOver: this._deferredCapacity.describeSkipped(primary, deferred, now) };
 	}
 
 	/** Estimates for a request; undefined where there are none for the service, or the usual work time is not known yet. */
@@ -193,48 +188,7 @@
 		if (unavailable.length === 0 || candidates.some(isEligible)) {
 			return undefined;
 		}
-		const limited = unavailable.filter(({ state }) => !state.backoff.isActive(now));
-		if (limited.length > 0) {
-			return {
-				cause: NotRunCause.RateLimited,
-				at: this._nextPermitAt(limited, now),
-				intervalMs: this._permitIntervalMs(limited, now)
-			};
-		}
-		return {
-			cause: NotRunCause.BackingOff,
-			at: Math.min(...unavailable.map(({ state }) => state.backoff.endsAt)),
-			intervalMs: 0
-		};
-	}
-
-	private _nextPermitAt(limited: readonly Candidate[], now: Millis): Millis {
-		return now + Math.min(...limited.map(({ known }) => this._targetLimits.permitWaitMs(known.record, now)));
-	}
-
-	/** Time between permits of rate limited targets for the callers of one of the region's instances, which share them equally. */
-	private _permitIntervalMs(limited: readonly Candidate[], now: Millis): Millis {
-		const perSecond = limited.reduce(
-			(sum, { known }) => sum + (this._targetLimits.perSecond(known.record, now) ?? 0),
-			0
-		);
-		return (1000 * Math.max(1, this._view.regionEntries.length)) / perSecond;
-	}
-
-	/** Describes why the primary target of an object was skipped; undefined if it neither backs off nor is rate limited. */
-	private _passedOver(
-		primary: Candidate | undefined,
-		deferred: readonly Candidate[],
-		now: Millis
-	): SkippedTarget | undefined {
-		if (!primary || !deferred.some(({ state }) => state === primary.state)) {
-			return undefined;
-		}
-		const { backoff } = primary.state;
-		const target = primary.known.record.id;
-		return backoff.isActive(now)
-			? { target, restLeftMs: Math.round(backoff.endsAt - now) }
-			: { target, limitPerSecond: this._targetLimits.perSecond(primary.known.record, now) };
+		return this._deferredCapacity.next(unavailable, now);
 	}
 
 	/** Planned share, demand and capacity by service and region. */
@@ -263,21 +217,7 @@
 	 * @param serviceTimeMs returns the time that a request of a service takes without queueing
 	 */
 	takeRequestedWork(serviceTimeMs: (service: string) => Millis): WorkByTarget {
-		const workOf = (id: string, requests: number): number => {
-			const service = this._view.target(id)?.record.service;
-			return service === undefined ? 0 : (requests * serviceTimeMs(service)) / 1000;
-		};
-		const workByTarget = [...this._primaryRequests].map(([id, requests]) => [id, workOf(id, requests)] as const);
-		this._primaryRequests = new Map();
-		return Object.fromEntries(workByTarget.filter(([, work]) => work > 0));
-	}
-
-	/** Counts a request for its primary target, whether or not that one backs off. */
-	private _recordPrimaryRequest(primary: Candidate | undefined): void {
-		const id = primary?.known.record.id;
-		if (id !== undefined) {
-			this._primaryRequests.set(id, (this._primaryRequests.get(id) ?? 0) + 1);
-		}
+		return this._primaryRequests.takeWork(serviceTimeMs);
 	}
 
 	/** Every attempt counts: a request that a full target refused is looked up again. */
@@ -294,9 +234,7 @@
 	}
 
 	private _recordChoice(request: PlacementRequest, chosen: ChosenTarget, now: Millis): void {
-		if (chosen.known.coldUntil > now) {
-			chosen.state.tryTakeColdToken(this._coldRate(chosen), now);
-		}
+		this._coldPace.recordRequest(chosen, now);
 		if (isFirstAttempt(request)) {
 			this._spill.recordRequest();
 		}
@@ -317,24 +255,12 @@
 		if (route.repeatRule !== RepeatRule.Repeatable || firstRegion !== this._instance.region) {
 			return undefined;
 		}
-		const isUsable = (candidate: Candidate): boolean =>
-			candidate.known.coldUntil <= now || this._mayUseCold(candidate, now);
+		const isUsable = (candidate: Candidate): boolean => this._coldPace.isUsable(candidate, now);
 		const { name, region } = this._instance;
 		const servingInstance = { name, region, regionEntries: this._view.regionEntries, servingSince };
 		const unusedTarget = findUnusedTarget(candidates, servingInstance, isUsable);
 		return unusedTarget && { ...unusedTarget, firstRegion, isSpill: false };
 	}
-
-	private _mayUseCold(candidate: Candidate, now: Millis): boolean {
-		const perSecond = this._coldRate(candidate);
-		return perSecond > 0 && candidate.state.hasColdToken(perSecond, now);
-	}
-
-	/** Requests per second that this instance may send to a cold target. */
-	private _coldRate({ known }: Candidate): number {
-		const perSecond = this._view.routes?.service(known.record.service)?.coldPerSecond ?? 0;
-		return COLD_RATE_FRACTION * perSecond * this._paceShare.fractionFor(known.record);
-	}
 }
 
 /** Returns the object key, scoped to the route's path prefix; undefined if the request is not bound to an object. */
