The model of agreement leaves its disks, steps and invariants to modules of their own

These are now modelDisk.ts, modelStep.ts and safetyInvariants.ts, with the same assertions and messages; the test changes one import.

--- a/src/plugins/agreement/test/agreementCore.test.ts
+++ b/src/plugins/agreement/test/agreementCore.test.ts
@@ -9,7 +9,8 @@
 import fc from 'fast-check';
 import { AgreementCore } from '../common/agreementCore.js';
 import { DEFAULT_TIMING, EntryKind, MemberRole, ReplicaRole } from '../common/agreementTypes.js';
-import { AgreementModel, type ModelStep } from './agreementModel.js';
+import { AgreementModel } from './agreementModel.js';
+import type { ModelStep } from './modelStep.js';
 
 const SEED = Number(process.env['SHELFFIELD_SEED'] ?? 20261202);
 const RUNS = Number(process.env['SHELFFIELD_RUNS'] ?? 500);
--- a/src/plugins/agreement/test/agreementModel.ts
+++ b/src/plugins/agreement/test/agreementModel.ts
@@ -6,14 +6,10 @@
 
 import assert from 'node:assert/strict';
 import { AgreementCore } from '../common/agreementCore.js';
-import {
-	type AgreementMessage,
-	type Effects,
-	EntryKind,
-	type HardState,
-	type LogEntry,
-	type Snapshot
-} from '../common/agreementTypes.js';
+import type { AgreementMessage, Effects } from '../common/agreementTypes.js';
+import { ModelDisk } from './modelDisk.js';
+import type { ModelStep } from './modelStep.js';
+import { SafetyInvariants } from './safetyInvariants.js';
 
 const TIMING = { heartbeatMs: 100, electionMinMs: 600, leaseMs: 450 };
 const MAX_MESSAGES = 400;
@@ -22,39 +18,9 @@
 /** Longer than an election takes and than any lease lasts. */
 const FREEZE_MS = 3000;
 
-/** A step of a schedule; `node` and `message` are taken modulo the number of replicas and of pending messages. */
-export type ModelStep =
-	| { readonly type: 'tick'; readonly node: number; readonly ms: number }
-	| { readonly type: 'deliver'; readonly message: number; readonly copy: boolean }
-	| { readonly type: 'drop'; readonly message: number }
-	| { readonly type: 'propose'; readonly node: number }
-	| { readonly type: 'crash'; readonly node: number; readonly beforeSync: boolean }
-	| { readonly type: 'restart'; readonly node: number }
-	| { readonly type: 'loseDisk'; readonly node: number }
-	| { readonly type: 'freeze'; readonly node: number }
-	/** The disk takes no writes until `repairDisk`. */
-	| { readonly type: 'breakDisk'; readonly node: number }
-	| { readonly type: 'repairDisk'; readonly node: number }
-	| { readonly type: 'compact'; readonly node: number }
-	| { readonly type: 'join'; readonly node: number }
-	/** Messages to and from the replica are lost until `reconnect`; with `oneWay` only those to it. */
-	| { readonly type: 'isolate'; readonly node: number; readonly oneWay: boolean }
-	| { readonly type: 'reconnect' }
-	/** Advances the time of all replicas, with ticks and delivery of messages. */
-	| { readonly type: 'run'; readonly ms: number };
-
-interface Disk {
-	incarnation: string;
-	hardState: HardState;
-	snapshot?: Snapshot;
-	entries: LogEntry[];
-	/** Last index known to be committed at the last write. */
-	commit?: number;
-}
-
 interface ModelNode {
 	readonly id: string;
-	readonly disk: Disk;
+	readonly disk: ModelDisk;
 	core?: AgreementCore;
 	/** When the process crashed; undefined while it runs. */
 	crashedAt?: number;
@@ -71,26 +37,20 @@
 	dropsOutbound: boolean;
 }
 
-function blankDisk(incarnation: string): Disk {
-	return { incarnation, hardState: { term: 0 }, entries: [] };
-}
-
 /** A simulated system of replicas. */
 export class AgreementModel {
 	private readonly _nodes: ModelNode[];
 	private readonly _messages: AgreementMessage[] = [];
-	private readonly _committed = new Map<number, string>();
-	private readonly _leaders = new Map<number, string>();
+	private readonly _invariants = new SafetyInvariants();
 	private _now = 0;
 	private _incarnations = 0;
 	private _proposals = 0;
-	private _maxCommittedIndex = 0;
 	private _randomState = 1;
 
 	constructor(count: number) {
 		this._nodes = Array.from({ length: count }, (_unused, i) => ({
 			id: `n${i + 1}`,
-			disk: blankDisk(`i${++this._incarnations}`),
+			disk: new ModelDisk(`i${++this._incarnations}`),
 			frozenUntil: 0,
 			crashesBeforeSync: false,
 			isDiskBroken: false,
@@ -120,7 +80,7 @@
 
 	/** Highest index that any replica has applied as committed. */
 	get committedCount(): number {
-		return this._maxCommittedIndex;
+		return this._invariants.maxCommittedIndex;
 	}
 
 	/** Executes a step and checks the invariants. */
@@ -146,7 +106,7 @@
 			}
 			this._repairDisk(node);
 		}
-		const committedBefore = this._maxCommittedIndex;
+		const committedBefore = this.committedCount;
 		for (let round = 0; round < HEAL_ROUNDS; round++) {
 			this._run(ROUND_MS);
 			this._nodes.filter(node => node.core!.isBlank || !node.core!.isVoter).forEach(node => this._join(node));
@@ -158,7 +118,7 @@
 				this.step({ type: 'deliver', message: 0, copy: false });
 			}
 		}
-		return this._maxCommittedIndex > committedBefore && leader !== undefined;
+		return this.committedCount > committedBefore && leader !== undefined;
 	}
 
 	/** Runs rounds of ticks and deliveries; replies wait for the next round, so that a message loop cannot hang the test. */
@@ -207,7 +167,7 @@
 				this._start(node);
 				return;
 			case 'loseDisk':
-				Object.assign(node.disk, { snapshot: undefined, commit: undefined }, blankDisk(`i${++this._incarnations}`));
+				node.disk.erase(`i${++this._incarnations}`);
 				this._start(node);
 				return;
 			case 'freeze':
@@ -332,7 +292,7 @@
 	/** Writes the records of effects, then sends and applies the rest. */
 	private _complete(node: ModelNode, core: AgreementCore, effects: Effects): void {
 		if (effects.records.length > 0) {
-			effects.records.forEach(record => this._write(node.disk, record));
+			effects.records.forEach(record => node.disk.write(record));
 			node.disk.commit = core.commitIndex;
 		}
 		this._send(effects.messages);
@@ -342,18 +302,6 @@
 		}
 	}
 
-	private _write(disk: Disk, record: Effects['records'][number]): void {
-		if (record.snapshot) {
-			disk.snapshot = record.snapshot;
-			disk.entries = [];
-		}
-		if (record.cutFrom !== undefined) {
-			disk.entries = disk.entries.filter(entry => entry.index < record.cutFrom!);
-		}
-		disk.entries = [...disk.entries, ...(record.entries ?? [])];
-		disk.hardState = record.hardState ?? disk.hardState;
-	}
-
 	private _send(messages: readonly AgreementMessage[]): void {
 		this._messages.push(...messages);
 		this._messages.splice(0, this._messages.length - MAX_MESSAGES);
@@ -366,37 +314,12 @@
 		for (const entry of effects.committed) {
 			assert.equal(entry.index, node.applied + 1, `${node.id} applies in order`);
 			node.applied = entry.index;
-			this._checkCommitted(node, entry);
+			this._invariants.checkCommitted(node.id, entry);
 		}
-		this._recordLeader(node);
+		this._invariants.checkLeader(node.id, node.core);
 	}
 
-	private _checkCommitted(node: ModelNode, entry: LogEntry): void {
-		const text = `${entry.term}:${entry.kind === EntryKind.Members ? 'members' : String(entry.command)}`;
-		const expected = this._committed.get(entry.index);
-		assert.equal(expected ?? text, text, `${node.id} commits another entry at ${entry.index}`);
-		this._committed.set(entry.index, text);
-		this._maxCommittedIndex = Math.max(this._maxCommittedIndex, entry.index);
-	}
-
-	private _recordLeader(node: ModelNode): void {
-		if (node.core?.role !== 'leader') {
-			return;
-		}
-		const { term } = node.core;
-		assert.equal(this._leaders.get(term) ?? node.id, node.id, `two leaders in term ${term}`);
-		this._leaders.set(term, node.id);
-	}
-
-	/** A replica that may answer reads must know everything that any replica knows to be committed. */
 	private _checkLeases(): void {
-		for (const node of this._running()) {
-			if (node.core!.hasLease(this._now)) {
-				assert.ok(
-					node.core!.commitIndex >= this._maxCommittedIndex,
-					`${node.id} would answer a stale read: ${node.core!.commitIndex} of ${this._maxCommittedIndex}`
-				);
-			}
-		}
+		this._running().forEach(node => this._invariants.checkLease(node.id, node.core!, this._now));
 	}
 }
