--- a/src/plugins/forwarding/test/headResponses.test.ts
+++ b/src/plugins/forwarding/test/headResponses.test.ts
@@ -7,6 +7,7 @@
 import assert from 'node:assert/strict';
 import { type AddressInfo, createServer, type Socket } from 'node:net';
 import { after, before, test } from 'node:test';
+import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { AttemptOutcome } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { RequestBody } from '../node/requestBody.js';
@@ -25,7 +26,7 @@
 
 async function attempt(method: string, text: string): Promise<AttemptOutcome> {
 	response = text;
-	const body = await RequestBody.read({ headers: {} } as never);
+	const body = await RequestBody.read({ headers: {} } as never, new BodyAccount(256));
 	const { port } = server.address() as AddressInfo;
 	const exchange = new TargetExchange(agent, NAMES, {
 		attemptAtAddress: 1,
