A response without a length that is reset while a part of it waits to be read is not whole

What callers saw: 200, a part of the body and an orderly end, while their entry instance lived on: a target's connection was reset during a long response without a length, and the instance had received bytes that it had not read, as it does wherever the link or the caller is slower than the target. Cause: libuv takes the hang-up that it sees together with the last data for the end of the stream, so Node.js emits 'end' and no error; a response whose end is the end of the connection is then complete. A read in another program gives ECONNRESET at the same place. Why this fixes it: the error of the socket stays with the operating system and is asked for before the HTTP client ends the response. Only responses without a length are asked for. It needs the C library of Linux, as the abortive close does.

--- a/src/kernel/node/abortiveClose.ts
+++ b/src/kernel/node/abortiveClose.ts
@@ -38,7 +38,7 @@
 export const isAbortiveCloseSupported = setSocketOption !== undefined;
 
 /** The descriptor of a socket; undefined where it has none, as when it is closed. */
-function descriptorOf(socket: Socket): number | undefined {
+export function descriptorOf(socket: Socket): number | undefined {
 	const fd = (socket as unknown as { _handle?: { fd?: number } | null })._handle?.fd;
 	return fd !== undefined && fd >= 0 ? fd : undefined;
 }
--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -7,6 +7,7 @@
 import { type ClientRequest, type IncomingMessage, request as httpRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import { takeReset } from '../../../kernel/node/connectionReset.js';
 import { type AttemptOutcome, ResponseFailureCause, NotRunCause, type RawHeaders } from '../common/attempt.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { refusalCause } from '../../placement/common/targets/targetRefusal.js';
@@ -211,9 +212,19 @@
 		const { socket } = response;
 		const onSocketError = (error: Error): void => void response.destroy(error);
 		socket.once('error', onSocketError);
-		response.once('close', () => socket.removeListener('error', onSocketError));
 		const { headers, rawHeaders } = response;
 		const endsWithConnection = this._mayHaveBody(status) && !statesEnd(headers);
+		const onSocketEnd = (): void => {
+			if (endsWithConnection && takeReset(socket)) {
+				response.destroy(new Error('connection reset before the end of the response'));
+			}
+		};
+		// Before the HTTP client's own listener, which ends the response.
+		socket.prependListener('end', onSocketEnd);
+		response.once('close', () => {
+			socket.removeListener('error', onSocketError);
+			socket.removeListener('end', onSocketEnd);
+		});
 		const isTooLarge = isSuccess(status) && Number(headers['content-length'] ?? 0) > this._options.maxBufferedBytes;
 		const maxBufferedBytes = isTooLarge ? 0 : this._options.maxBufferedBytes;
 		const chunks: Buffer[] = [];
