The product's own path tells a reset that Node.js reports as an end from the end of a response without a length

What callers saw: 200 and a part of the body, passed on as whole, where a target's connection was reset while the instance had bytes of a response without a length that it had not read, as behind a slow caller. Why this fixes it: the first listener of the end asks for the error of the socket, and a response without a length that undici ends in the same turn is broken. The listener that gives resets another code is now part of the same class.

--- a/src/plugins/dispatch/node/targetConnectionPool.ts
+++ b/src/plugins/dispatch/node/targetConnectionPool.ts
@@ -4,10 +4,12 @@
 
 /** HTTP connections to one target; tracks whether any byte of a request was sent. */
 
+import type { Socket } from 'node:net';
 import { buildConnector, type Dispatcher, Pool } from 'undici';
 import { systemClock } from '../../../base/clock.js';
 import type { IDisposable } from '../../../base/disposable.js';
 import type { Verdict } from '../../../base/verdict.js';
+import { takeReset } from '../../../kernel/node/connectionReset.js';
 import type { DispatchRequest, ResponseSink } from '../common/dispatch.js';
 import { TARGET_LEAVING_HEADER, TARGET_SHED_HEADER } from '../common/target.js';
 
@@ -64,32 +66,48 @@
 
 const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
-/**
- * Connects to a target. `undici` takes an error with the code `ECONNRESET` for the end of a response without a length, so resets get
- * another code.
- */
-const connectMarkingResets: buildConnector.connector = (options, callback) =>
-	connect(options, (...[error, socket]) => {
-		if (error) {
-			callback(error, null);
-			return;
-		}
-		socket.prependListener('error', (cause: NodeJS.ErrnoException) => {
-			cause.code = cause.code === RESET_CODE ? MARKED_RESET_CODE : cause.code;
+/** Connects to one target so that resets do not pass for the end of a response without a length. */
+class ResetDetector {
+	private _isEndingByReset = false;
+
+	/** Whether the response that ends in this turn of the event loop ends by a reset that Node.js reports as an end. */
+	get isEndingByReset(): boolean {
+		return this._isEndingByReset;
+	}
+
+	readonly connect: buildConnector.connector = (options, callback) =>
+		connect(options, (...[error, socket]) => {
+			if (error) {
+				callback(error, null);
+				return;
+			}
+			// Before the listeners of `undici`, which takes an error with the code `ECONNRESET` for the end of a response without a length.
+			socket.prependListener('error', markReset);
+			socket.prependListener('end', () => this._onEnd(socket));
+			callback(null, socket);
 		});
-		callback(null, socket);
-	});
+
+	private _onEnd(socket: Socket): void {
+		this._isEndingByReset = takeReset(socket);
+		process.nextTick(() => (this._isEndingByReset = false));
+	}
+}
+
+function markReset(error: NodeJS.ErrnoException): void {
+	error.code = error.code === RESET_CODE ? MARKED_RESET_CODE : error.code;
+}
 
 /** Each connection carries one request at a time. */
 export class TargetConnectionPool implements IDisposable {
 	private readonly _pool: Pool;
+	private readonly _resetDetector = new ResetDetector();
 
 	/** @param slots maximum number of concurrent requests and thus of connections */
 	constructor(url: string, slots: number) {
 		this._pool = new Pool(url, {
 			connections: slots,
 			pipelining: 1,
-			connect: connectMarkingResets,
+			connect: this._resetDetector.connect,
 			keepAliveTimeout: KEEP_ALIVE_MS,
 			headersTimeout: 0,
 			bodyTimeout: 0
@@ -99,7 +117,7 @@
 	/** Sends a request; the promise never rejects. */
 	attempt(attempt: Attempt): Promise<AttemptOutcome> {
 		return new Promise(resolve => {
-			const handler = new AttemptHandler(attempt, resolve);
+			const handler = new AttemptHandler(attempt, this._resetDetector, resolve);
 			const { request } = attempt;
 			this._pool.dispatch(
 				{
@@ -142,6 +160,7 @@
 	private _isWithheld = false;
 	private _isDiscarded = false;
 	private _isResponseStarted = false;
+	private _isUnframed = false;
 	private _status = 0;
 	private _firstByteMs = 0;
 	private _isDraining = false;
@@ -150,6 +169,7 @@
 
 	constructor(
 		private readonly _attempt: Attempt,
+		private readonly _resetDetector: ResetDetector,
 		private readonly _resolve: (outcome: AttemptOutcome) => void
 	) {
 		_attempt.signal.addEventListener('abort', this._onAbort);
@@ -188,7 +208,8 @@
 			return;
 		}
 		this._isResponseStarted = true;
-		this._attempt.sink.start(status, flattenHeaders(headers), this._endsWithConnection(status, headers));
+		this._isUnframed = this._endsWithConnection(status, headers);
+		this._attempt.sink.start(status, flattenHeaders(headers), this._isUnframed);
 	}
 
 	private _endsWithConnection(status: number, headers: ResponseHeaders): boolean {
@@ -211,6 +232,11 @@
 			this._settle({ kind: 'shed', isDraining: this._isDraining });
 			return;
 		}
+		if (this._isUnframed && this._resetDetector.isEndingByReset) {
+			this._attempt.sink.abort();
+			this._settle({ kind: 'broken' });
+			return;
+		}
 		this._attempt.sink.end();
 		const { _status: status, _firstByteMs: firstByteMs, _isDraining: isDraining } = this;
 		this._settle({ kind: 'answered', status, firstByteMs, isDraining });
--- a/src/plugins/dispatch/test/resetResponses.test.ts
+++ b/src/plugins/dispatch/test/resetResponses.test.ts
@@ -11,9 +11,13 @@
 import { TargetConnectionPool } from '../node/targetConnectionPool.js';
 
 const REMAINING_MS = 5000;
+const READER_PAUSE_MS = 100;
+/** More than one read takes. */
+const PART_BYTES = 300_000;
 const UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\nhalf';
 const sockets = new Set<Socket>();
 let responseText = '';
+let hasSlowReader = false;
 const server = createServer(socket => {
 	sockets.add(socket);
 	socket.on('error', () => undefined);
@@ -28,11 +32,12 @@
 	const sink: ResponseSink = {
 		start: () => undefined,
 		write: () => {
+			const isFirst = sockets.size > 0;
 			sockets.forEach(endConnection);
 			sockets.clear();
-			return true;
+			return !(isFirst && hasSlowReader);
 		},
-		onDrain: () => undefined,
+		onDrain: callback => void setTimeout(callback, READER_PAUSE_MS),
 		end: () => (end = 'whole'),
 		abort: () => (end = 'broken')
 	};
@@ -73,3 +78,12 @@
 		assert.equal(await receiveAndEnd(text, socket => socket.resetAndDestroy()), 'broken, broken');
 	}
 });
+
+test('a response without a length is not whole when its connection is reset while a part waits to be read', async () => {
+	hasSlowReader = true;
+	const text = UNFRAMED + 'x'.repeat(PART_BYTES);
+	assert.equal(
+		await receiveAndEnd(text, socket => void setTimeout(() => socket.resetAndDestroy(), 20)),
+		'broken, broken'
+	);
+});
