--- a/src/plugins/forwarding/test/resetResponses.test.ts
+++ b/src/plugins/forwarding/test/resetResponses.test.ts
@@ -8,6 +8,7 @@
 import { type AddressInfo, createServer, type Socket } from 'node:net';
 import { after, before, test } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { IHeaderNames } from '../common/headerNames.js';
 import { RequestBody } from '../node/requestBody.js';
 import { TargetExchange } from '../node/targetExchange.js';
@@ -49,7 +50,7 @@
 		method: 'GET',
 		path: '/',
 		rawHeaders: ['Host', 'a', 'Request-Id', 'a'],
-		body: await RequestBody.read({ headers: {} } as never),
+		body: await RequestBody.read({ headers: {} } as never, new BodyAccount(256)),
 		connectTimeoutMs: 5000,
 		maxBufferedBytes: 64 * 1024,
 		onTargetReport: () => undefined,
