A chunked response that breaks off never looks whole, whatever version a caller's request names

What callers saw: 200 and a part of the body with an orderly end, for requests that name HTTP/0.9 or HTTP/2.0. Cause: the form of the response was chosen by comparing with HTTP/1.0, while the HTTP server gives chunks to HTTP/1.1 only. Evidence: truncatedForwarding, 2 of 4 tests failed. Why this fixes it: the choice asks the response itself whether it will have chunks. Measured: 4 of 4 pass.

--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -18,7 +18,6 @@
 import { PacedBody } from './pacedBody.js';
 
 const STATUS_BAD_GATEWAY = 502;
-const HTTP_1_0 = '1.0';
 const VERDICT_HEADER = 'Shelffield-Verdict';
 const NO_HEADERS: ReadonlySet<string> = new Set();
 const CONTENT_LENGTH: ReadonlySet<string> = new Set(['content-length']);
@@ -176,10 +175,10 @@
 		this._streamBody(response.body, response.remainingBody, isUnframed);
 	}
 
-	/** Whether only the end of the connection tells the caller where the response ends: HTTP/1.0 has no chunks. */
+	/** Whether only the end of the connection tells the caller where the response ends: versions other than HTTP/1.1 get no chunks. */
 	private _isUnframed({ endsWithConnection, remainingBody, rawHeaders }: TargetResponse): boolean {
-		const isChunked = remainingBody !== undefined && !hasContentLength(rawHeaders);
-		return endsWithConnection || (isChunked && this.request.httpVersion === HTTP_1_0);
+		const needsChunks = remainingBody !== undefined && !hasContentLength(rawHeaders);
+		return endsWithConnection || (needsChunks && !this._response.useChunkedEncodingByDefault);
 	}
 
 	/** Refuses the request before its body was received; a body that does not fit ends the connection rather than being read. */
