A length that a target names as a header of its connection is forwarded

What callers saw: an HTTP/1.0 caller took a part of such a response for the whole, with 200 and an orderly end when it broke off. Cause: headers that Connection names are left out, the length among them, and the response was then sent without any form that states its end, though it was not treated as one. Why this fixes it: a length is never a header of the connection alone.

--- a/src/plugins/forwarding/common/hopByHopHeaders.ts
+++ b/src/plugins/forwarding/common/hopByHopHeaders.ts
@@ -33,6 +33,8 @@
 			value.split(',').forEach(part => names.add(part.trim().toLowerCase()));
 		}
 	});
+	// A message that lost its length would end with its connection, or be given chunks.
+	names.delete('content-length');
 	return names;
 }
 
--- a/src/plugins/forwarding/test/truncatedForwarding.test.ts
+++ b/src/plugins/forwarding/test/truncatedForwarding.test.ts
@@ -77,3 +77,9 @@
 		assert.ok(!looksComplete(text, hasEnded), text);
 	});
 }
+
+/** Guards against a length that a target names as a header of its connection, and that is left out for it. */
+test('a part of a response whose length is named as a header of its connection never looks whole', async () => {
+	const { text, hasEnded } = await receiveBrokenOff('1.0', ['Connection', 'content-length', 'Content-Length', '1000']);
+	assert.ok(!looksComplete(text, hasEnded), text);
+});
