A body without a length is held to the limit of the configuration

The configuration limits bodies (max_body_bytes), but a caller that sent its body in chunks, without a length, could send as much as it liked: only an announced length was compared with the limit.

Such a body is now counted as it comes. While nothing of it was sent it gets 413 (not run) and the close. Where its beginning may be at a target, nothing more is passed on, the attempt is abandoned as for a caller that has left, so the request to the target is destroyed and never ended, and the connection is closed without an answer: nothing is promised.

The tests of RequestBody pass, with the limit in the buffered and in the streamed part. The old code was not run against these tests.

--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -189,6 +189,11 @@
 		this.sendLocalResponse(response);
 	}
 
+	/** Closes the connection of a request that cannot be completed, as if its caller had left; promises nothing. */
+	abandon(): void {
+		this._callerRequest.abort(false);
+	}
+
 	/** Ends the exchange after an internal error: with a response where none was begun, otherwise by closing the connection. */
 	fail(): void {
 		if (this._response.headersSent) {
--- a/src/plugins/forwarding/node/callerLimits.ts
+++ b/src/plugins/forwarding/node/callerLimits.ts
@@ -16,7 +16,7 @@
 
 /**
  * The response to a request beyond the limits; undefined where it keeps within them or there are none. A body whose length is not
- * announced is not limited here: parts of it may have been sent to a target before it is too long.
+ * announced is counted as it comes.
  */
 export function refuseByLimits(request: IncomingMessage, limits: CallerLimits | undefined): LocalResponse | undefined {
 	if (!limits) {
@@ -26,16 +26,21 @@
 		return { status: STATUS_HEADERS_TOO_LARGE, verdict: 'not-run', reason: RefusalReason.BadRequest };
 	}
 	if (Number(request.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
-		return {
-			status: STATUS_CONTENT_TOO_LARGE,
-			verdict: 'not-run',
-			reason: RefusalReason.BodyTooLarge,
-			closesConnection: true
-		};
+		return bodyTooLargeResponse();
 	}
 	return undefined;
 }
 
+/** The response to a request whose body is too long, of which nothing was sent to a target. */
+export function bodyTooLargeResponse(): LocalResponse {
+	return {
+		status: STATUS_CONTENT_TOO_LARGE,
+		verdict: 'not-run',
+		reason: RefusalReason.BodyTooLarge,
+		closesConnection: true
+	};
+}
+
 function headerBytes({ rawHeaders, url }: IncomingMessage): number {
 	let bytes = (url?.length ?? 0) + (rawHeaders.length / 2) * HEADER_LINE_BYTES;
 	for (const text of rawHeaders) {
--- a/src/plugins/forwarding/node/requestBody.ts
+++ b/src/plugins/forwarding/node/requestBody.ts
@@ -9,6 +9,7 @@
 import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { BodyBuffer } from '../../../kernel/node/bodyBuffer.js';
 import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
+import { BodyTooLargeError } from '../../../kernel/node/bodyTooLargeError.js';
 
 /** A larger body is streamed; this much of it is buffered. */
 export const MAX_BUFFERED_BYTES = 64 * 1024;
@@ -29,6 +30,16 @@
 	}
 }
 
+/** Limits of one body. */
+export interface BodyLimits {
+	/** How long the buffered part may take; any time if omitted. */
+	readonly timeoutMs?: Millis;
+	/** Size of the whole body; any if omitted. */
+	readonly maxBytes?: number;
+	/** Called where a streamed body exceeds its size, of which a target may have the beginning; nothing more of it is passed on. */
+	readonly onTooLarge?: () => void;
+}
+
 /** The buffered part of a body. */
 interface BodyBeginning {
 	readonly bytes: Buffer;
@@ -39,7 +50,7 @@
 function readBeginning(
 	request: IncomingMessage,
 	account: IBodyAccount,
-	timeoutMs: Millis | undefined
+	{ timeoutMs, maxBytes = Number.POSITIVE_INFINITY }: BodyLimits
 ): Promise<BodyBeginning> {
 	return new Promise((resolve, reject) => {
 		const buffer = new BodyBuffer(account, MAX_BUFFERED_BYTES, () => fail(new BodyEvictedError()));
@@ -64,6 +75,10 @@
 		const onEnd = (): void => finish(true);
 		const onTruncated = (): void => fail(new BodyTruncatedError());
 		const onData = (chunk: Buffer): void => {
+			if (buffer.length + chunk.length > maxBytes) {
+				fail(new BodyTooLargeError(maxBytes));
+				return;
+			}
 			const buffered = chunk.subarray(0, MAX_BUFFERED_BYTES - buffer.length);
 			try {
 				buffer.append(buffered);
@@ -90,10 +105,22 @@
  * the rest is read before the target has taken the beginning, since a connection that does not come up must not use it up.
  * @returns function that ends it
  */
-function stream(beginning: Buffer, body: IncomingMessage, target: ClientRequest): () => void {
+function stream(
+	beginning: Buffer,
+	body: IncomingMessage,
+	target: ClientRequest,
+	{ maxBytes = Number.POSITIVE_INFINITY, onTooLarge }: BodyLimits
+): () => void {
+	let bytes = beginning.length;
 	const pass = (): void => {
 		let chunk: Buffer | null;
 		while ((chunk = body.read() as Buffer | null) !== null) {
+			bytes += chunk.length;
+			if (bytes > maxBytes) {
+				stop();
+				onTooLarge?.();
+				return;
+			}
 			if (!target.write(chunk)) {
 				body.removeListener('readable', pass);
 				target.once('drain', resume);
@@ -128,21 +155,21 @@
 
 	private constructor(
 		private readonly _buffered: Buffer,
-		private readonly _remainingBody: IncomingMessage | undefined
+		private readonly _remainingBody: IncomingMessage | undefined,
+		private readonly _limits: BodyLimits = {}
 	) {}
 
 	/**
 	 * Buffers the body up to the limit; the rest of a larger one stays paused in `request`.
 	 * Rejects with {@link BodyTruncatedError} where the caller disconnects before that, and with {@link BodyEvictedError} where the account
-	 * has no room for it.
-	 * @param timeoutMs how long the buffered part may take before it rejects with {@link BodyLateError}; undefined for any time
+	 * has no room for it. Beyond the limits it rejects with {@link BodyLateError} or {@link BodyTooLargeError}.
 	 */
-	static async read(request: IncomingMessage, account: IBodyAccount, timeoutMs?: Millis): Promise<RequestBody> {
+	static async read(request: IncomingMessage, account: IBodyAccount, limits: BodyLimits = {}): Promise<RequestBody> {
 		if (request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined) {
 			return new RequestBody(Buffer.alloc(0), undefined);
 		}
-		const { bytes, isComplete } = await readBeginning(request, account, timeoutMs);
-		return new RequestBody(bytes, isComplete ? undefined : request);
+		const { bytes, isComplete } = await readBeginning(request, account, limits);
+		return new RequestBody(bytes, isComplete ? undefined : request, limits);
 	}
 
 	/** Whether the body can be sent: always for a buffered one, only until {@link writeTo} was called for a streamed one. */
@@ -168,7 +195,7 @@
 		}
 		this._isConsumed = true;
 		this._stopStreaming();
-		this._stopStreaming = stream(this._buffered, this._remainingBody, request);
+		this._stopStreaming = stream(this._buffered, this._remainingBody, request, this._limits);
 	}
 
 	/** Reads the rest of a streamed body and discards it. */
--- a/src/plugins/forwarding/node/requestIntake.ts
+++ b/src/plugins/forwarding/node/requestIntake.ts
@@ -8,6 +8,7 @@
 import { RefusalReason } from '../../../base/verdict.js';
 import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
+import { BodyTooLargeError } from '../../../kernel/node/bodyTooLargeError.js';
 import { rankOf } from '../../admission/common/requestRank.js';
 import { SHORT_RETRY_AFTER_MS } from '../../admission/common/returnTimes.js';
 import type { FleetView } from '../../fleet/common/fleetView.js';
@@ -16,6 +17,7 @@
 import type { Route } from '../../routes/common/routeTable.js';
 import { checkAccess, type GrantedAccess } from '../../routes/common/teamAccess.js';
 import type { RetryPermit } from '../common/serviceRetryBudget.js';
+import { bodyTooLargeResponse } from './callerLimits.js';
 import type { CallerExchange, LocalResponse } from './callerExchange.js';
 import type { RelayOrigin } from './forwarding.js';
 import { accessDeniedResponse, type RequestContext, unavailableResponse } from './requestContext.js';
@@ -51,7 +53,11 @@
 		const deadline = exchange.arrivedAt + Math.min(exchange.remainingMs, route.timeoutMs);
 		let body: RequestBody;
 		try {
-			body = await RequestBody.read(exchange.request, this._bodyAccount, deadline - systemClock.now());
+			body = await RequestBody.read(exchange.request, this._bodyAccount, {
+				timeoutMs: deadline - systemClock.now(),
+				maxBytes: routes.table.limits.maxBodyBytes,
+				onTooLarge: () => exchange.abandon()
+			});
 		} catch (error) {
 			return bodyRefusal(error);
 		}
@@ -76,6 +82,9 @@
 	if (error instanceof BodyEvictedError) {
 		return { ...unavailableResponse(RefusalReason.NoCapacity, SHORT_RETRY_AFTER_MS), closesConnection: true };
 	}
+	if (error instanceof BodyTooLargeError) {
+		return bodyTooLargeResponse();
+	}
 	if (error instanceof BodyLateError) {
 		return {
 			status: STATUS_REQUEST_TIMEOUT,
--- a/src/plugins/forwarding/test/requestBody.test.ts
+++ b/src/plugins/forwarding/test/requestBody.test.ts
@@ -10,6 +10,7 @@
 import { test } from 'node:test';
 import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
 import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
+import { BodyTooLargeError } from '../../../kernel/node/bodyTooLargeError.js';
 import { BodyTruncatedError, MAX_BUFFERED_BYTES, RequestBody } from '../node/requestBody.js';
 
 const MEMORY_MB = 1;
@@ -89,3 +90,28 @@
 	await ended;
 	assert.equal(target.writableEnded, false);
 });
+
+for (const [name, maxBytes] of [
+	['while it is buffered', 1000],
+	['while it is streamed', MAX_BUFFERED_BYTES + 1000]
+] as const) {
+	test(`a body without a length that is too long ${name} ends, and never looks whole`, async () => {
+		const request = createRequest();
+		let onTooLarge!: () => void;
+		const exceeded = new Promise<void>(resolve => (onTooLarge = resolve));
+		const limits = { maxBytes, onTooLarge };
+		const reading = RequestBody.read(request, new BodyAccount(MEMORY_MB), limits);
+		request.write(Buffer.alloc(Math.min(maxBytes, MAX_BUFFERED_BYTES) + 1));
+		if (maxBytes < MAX_BUFFERED_BYTES) {
+			await assert.rejects(reading, BodyTooLargeError);
+			return;
+		}
+		const target = new PassThrough();
+		(await reading).writeTo(target as never);
+		target.resume();
+		request.end(Buffer.alloc(1000));
+		await exceeded;
+		await new Promise(setImmediate);
+		assert.equal(target.writableEnded, false);
+	});
+}
--- a/test/platform/callerBodies.test.ts
+++ b/test/platform/callerBodies.test.ts
@@ -12,6 +12,8 @@
 
 const ROUTES = [{ prefix: '/order/', kind: 'unsafe', service: 'orders' }] as const;
 const DEADLINE_MS = 300;
+const MAX_BODY_BYTES = 400_000;
+const LONG_DEADLINE_MS = 60_000;
 const system = new PlatformTestSystem(3, 1);
 const entry = system.entries[0]!;
 const host = system.targetHost(1);
@@ -20,7 +22,9 @@
 before(async () => {
 	await target.listen();
 	system.startAll();
-	await system.publish(createConfigDocument(1, ROUTES), 0);
+	const document = JSON.parse(createConfigDocument(1, ROUTES)) as { limits: Record<string, unknown> };
+	document.limits['max_body_bytes'] = MAX_BODY_BYTES;
+	await system.publish(JSON.stringify(document), 0);
 	await system.sendHeartbeat(target, 'orders');
 	await waitFor('requests are served', async () =>
 		(await system.request(entry, 'POST', '/order/1', { body: 'x' })).status === 200 ? true : undefined
@@ -32,8 +36,8 @@
 	target.crash();
 });
 
-function headOf(id: string, framing: string): string {
-	return `POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: ${DEADLINE_MS}\r\n${framing}\r\n\r\n`;
+function headOf(id: string, framing: string, deadlineMs = DEADLINE_MS): string {
+	return `POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: ${deadlineMs}\r\n${framing}\r\n\r\n`;
 }
 
 /** Sends bytes on a new connection; returns what came until its close on the other side. */
@@ -62,3 +66,24 @@
 		assert.ok(!target.executedRequests.some(request => request.id === id));
 	});
 }
+
+test('a body in chunks over the limit never looks whole to a target, and ends without a promise', async () => {
+	const id = 'long chunks';
+	const head = headOf(id, 'Transfer-Encoding: chunked', LONG_DEADLINE_MS);
+	const chunk = `3e8\r\n${'x'.repeat(1000)}\r\n`;
+	const received = await receiveUntilClose(socket => socket.write(head + chunk.repeat(MAX_BODY_BYTES / 1000 + 1)));
+	assert.doesNotMatch(received, /^HTTP\/1\.1 (2|408|421|429|503)/);
+	assert.ok(!target.executedRequests.some(request => request.id === id));
+});
+
+test('a body in chunks up to the limit is served', async () => {
+	const id = 'chunks within the limit';
+	const head = headOf(id, 'Transfer-Encoding: chunked\r\nConnection: close', LONG_DEADLINE_MS);
+	const chunk = `3e8\r\n${'x'.repeat(1000)}\r\n`;
+	const received = await receiveUntilClose(socket =>
+		socket.write(`${head}${chunk.repeat(MAX_BODY_BYTES / 1000)}0\r\n\r\n`)
+	);
+	assert.match(received, /^HTTP\/1\.1 200/);
+	const executed = target.executedRequests.find(request => request.id === id);
+	assert.equal(executed?.body.length, MAX_BODY_BYTES);
+});
