A body that goes on after its request was answered ends in time

A caller whose request was answered early (a refusal, or a target that answers before it has read the body) could go on sending its body as long as it liked: the rest was read and discarded without any bound, and the connection was kept.

The rest is now read for 5 s after the response was sent. Then the connection is closed in order, with the linger that lets its caller read the response first, and counted (cause body-rest). The request has its answer, so none is lost; a caller whose body ends in that time keeps its connection.

A rest that goes on fast was not measured.

--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -27,6 +27,9 @@
 const INITIAL_RESPONSE_BYTES = 16 * 1024;
 const RESPONSE_SIZE_SMOOTHING = 0.25;
 
+/** How long the rest of a body is read and discarded after its request was answered; the connection is closed afterwards. */
+const DISCARD_MS: Millis = 5000;
+
 /** What a connection needs from its listener. */
 export interface ICallerConnectionHost {
 	readonly account: IMemoryAccount;
@@ -54,7 +57,9 @@
 	/** An account is full, and the caller reads slowly, or has waited longest with a part of a request. */
 	Memory = 'memory',
 	/** The headers of a request were not complete in time. */
-	HeaderTimeout = 'header-timeout'
+	HeaderTimeout = 'header-timeout',
+	/** The body of a request goes on long after the response. */
+	BodyRest = 'body-rest'
 }
 
 /** A connection and its requests. */
@@ -76,6 +81,8 @@
 	private _responseBytes = INITIAL_RESPONSE_BYTES;
 	private _sentBytes = 0;
 	private _headerBytes = 0;
+	/** Until when the body of a request that was answered may go on. */
+	private _discardUntil: Millis | undefined;
 	private readonly _headerDeadline = new HeaderDeadline(systemClock.now());
 
 	/**
@@ -151,6 +158,7 @@
 	add(request: IncomingMessage, response: ServerResponse): void {
 		const item = new CallerRequest(this, request, response, this.socket.fedArrivedAt);
 		this._latest = item;
+		this._discardUntil = undefined;
 		this._headerBytes = 0;
 		this._headerDeadline.clear();
 		if (this._open.size > 0) {
@@ -236,6 +244,7 @@
 		if (this._headerDeadline.check(isCallerAwaited, this._host.headerTimeoutMs(), now)) {
 			this._onHeaderTimeout();
 		}
+		this._checkDiscarding(now);
 	}
 
 	/** Closes the connection to release the memory that is held for it. */
@@ -298,6 +307,20 @@
 		return total;
 	}
 
+	private _checkDiscarding(now: Millis): void {
+		if (this._discardUntil === undefined || now < this._discardUntil) {
+			return;
+		}
+		this._discardUntil = undefined;
+		if (!this.isInBody() || this.socket.isClosing) {
+			return;
+		}
+		this._host.onEarlyClose(EarlyCloseCause.BodyRest);
+		this.socket.lingers = true;
+		this.pipeline.end();
+		this._closeIfDone();
+	}
+
 	private _onHeaderTimeout(): void {
 		this._host.onEarlyClose(EarlyCloseCause.HeaderTimeout);
 		if (this._headerDeadline.hasFirstByte) {
@@ -317,6 +340,9 @@
 		if (this.socket.destroyed) {
 			return;
 		}
+		if (item === this._latest && this.isInBody()) {
+			this._discardUntil = systemClock.now() + DISCARD_MS;
+		}
 		this._closeIfDone();
 		if (this.pipeline.waitingCount + this.socket.heldBytes > 0) {
 			this._host.schedule(this);
--- a/src/plugins/connections/test/bodyReading.test.ts
+++ b/src/plugins/connections/test/bodyReading.test.ts
@@ -51,6 +51,24 @@
 	assert.ok(Math.max(...inTurn) <= maxBytes / CHUNK.length, `${Math.max(...inTurn)} chunks`);
 });
 
+test('an answered request keeps its connection where the rest of its body comes, and loses it where the body does not end', async () => {
+	listener.idleTimeoutMs = 60_000;
+	listener.onTaken = request => {
+		request.request.resume();
+		listener.answer(request);
+	};
+	const head = 'POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n';
+	const endless = new RawCaller(listener.connections.port);
+	endless.socket.write(head + 'part');
+	caller.socket.write(head + 'part');
+	await until('both are answered', () => caller.responses.length === 1 && endless.responses.length === 1);
+	caller.socket.write('x'.repeat(96));
+	caller.send('/next');
+	await until('the next request is answered', () => caller.responses.length === 2);
+	await until('the endless one is closed', () => endless.isClosed, 20_000);
+	assert.deepEqual([endless.bodies, caller.isClosed], [['/once'], false]);
+});
+
 for (const [name, beginning, isPaused] of [
 	['paused bodies', 'POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n', true],
 	['headers that do not end', 'GET /once HTTP/1.1\r\nLong: ', false]
