--- a/src/plugins/limits/test/limitSimulation.ts
+++ b/src/plugins/limits/test/limitSimulation.ts
@@ -4,6 +4,7 @@
 
 /** Simulation of credit holders, the leader's ledger and the network between them, with load patterns for tests. */
 
+import assert from 'node:assert/strict';
 import { CreditLedger } from '../common/creditLedger.js';
 import { LedgerCeilings, type LedgerCommand } from '../common/ledgerCeilings.js';
 import { type ILimitPolicy, settlementMs } from '../common/limitPolicy.js';
@@ -286,3 +287,11 @@
 	}
 	return { count, renewals: simulation.urgentRenewalCount - renewalsBefore };
 }
+
+/** Fails if a window contains more requests than the limit allows. */
+export function assertWithinLimit(simulation: LimitSimulation): void {
+	assert.ok(
+		simulation.maxAdmittedInWindow() <= simulation.maxAllowedInWindow,
+		`${simulation.maxAdmittedInWindow()} of ${simulation.maxAllowedInWindow}`
+	);
+}
