The view of the fleet calls an observation an observation

Nothing changes for callers and operators: a rename of one local variable and comments only. Control instances 'heard' targets, or entry instances were 'told', where the glossary has observations, heartbeats and reports; the comment on recorded cold targets could not be understood without its author. The field hasHeardAll, which is on the wire, stays.

--- a/src/plugins/fleet/common/fleetView.ts
+++ b/src/plugins/fleet/common/fleetView.ts
@@ -55,7 +55,7 @@
  */
 const REACHABILITY_WINDOW_MS = 2500;
 
-/** A target that has been silent for this long while control hears others of its region is taken to have ended. */
+/** A target that has been silent for this long while control receives heartbeats of others of its region is taken to have ended. */
 const ENDED_AFTER_MS: Millis = 3000;
 
 /** The fleet as seen by one entry instance. */
@@ -220,10 +220,12 @@
 		const silent = response.hasHeardAll ? new Set(response.silentTargets) : new Set<string>();
 		this._contradictions = this._findContradictions(silent, now);
 		const keptParts = new Map(response.crowdedTargets.map(({ id, keptPart }) => [id, keptPart]));
-		const heardRegions = new Set([...this._targets].filter(([id]) => !silent.has(id)).map(([, { region }]) => region));
+		const observedRegions = new Set(
+			[...this._targets].filter(([id]) => !silent.has(id)).map(([, { region }]) => region)
+		);
 		for (const [id, target] of this._targets) {
 			target.isSilent = silent.has(id) && this._isReportBelieved(target, now);
-			const isAlone = target.isSilent && heardRegions.has(target.region);
+			const isAlone = target.isSilent && observedRegions.has(target.region);
 			target.silentSince = isAlone ? (target.silentSince ?? now) : undefined;
 			target.keptPart = keptParts.get(id) ?? 1;
 		}
@@ -231,7 +233,7 @@
 
 	/**
 	 * Whether a report that a target is silent is believed. A contradiction in its region does not apply to a target that has long
-	 * been silent while others of the region were heard, unless it has answered itself: it has ended.
+	 * been silent while others of the region were not, unless it has answered itself: it has ended.
 	 */
 	private _isReportBelieved({ record, region, silentSince }: KnownTarget, now: Millis): boolean {
 		const contradiction = this._contradictions.get(region);
--- a/src/plugins/fleet/common/recordedColdTargets.ts
+++ b/src/plugins/fleet/common/recordedColdTargets.ts
@@ -10,7 +10,7 @@
 
 /** Covers clocks of control instances that differ, or that were stepped since the end was recorded. */
 const CLOCK_TOLERANCE_MS: Millis = 5000;
-/** Time until which entry instances are told again, or a heartbeat has told whether the target is still cold. */
+/** Within this time the next sync reports the target again, or a heartbeat shows whether it is still cold. */
 const MAX_LEFT_MS: Millis = 2000;
 
 /**
--- a/src/plugins/fleet/common/staleHeartbeatFilter.ts
+++ b/src/plugins/fleet/common/staleHeartbeatFilter.ts
@@ -38,8 +38,8 @@
 	private readonly _series = new Map<string, HeartbeatSeries>();
 
 	/**
-	 * Whether a heartbeat is to be ignored as stale. A target that goes on sending heartbeats is running, although another one that
-	 * was heard late may have registered at its address.
+	 * Whether a heartbeat is to be ignored as stale. A target that goes on sending heartbeats is running, although another one whose
+	 * heartbeat was delayed may have registered at its address.
 	 * @param isRegistered whether this incarnation of the target is registered
 	 * @param owner the last target to register at its address; undefined if there is none or it is gone
 	 */
