The simulated region leaves its targets and routes to modules of their own

Nothing changes for callers and operators, and no test, bound or crowd changes. These are now simulatedTargets.ts and simulatedRoutes.ts; code was moved as it was, and the tests use the simulation as before.

--- a/src/plugins/placement/test/simulatedRegion.ts
+++ b/src/plugins/placement/test/simulatedRegion.ts
@@ -12,30 +12,25 @@
 import { TargetLimitTable } from '../../limits/common/targetLimitTable.js';
 import { PaceShare } from '../../fleet/common/paceShare.js';
 import { FleetView } from '../../fleet/common/fleetView.js';
-import { type FleetRevision, type TargetRecord, TargetPhase } from '../../fleet/common/fleetTypes.js';
+import type { FleetRevision } from '../../fleet/common/fleetTypes.js';
 import type { RegionDemand, SyncResponse } from '../../fleet/common/fleetWire.js';
-import { RepeatRule, type Route, type RouteTable } from '../../routes/common/routeTable.js';
+import type { Route } from '../../routes/common/routeTable.js';
 import { type NotRun, NotRunCause } from '../../forwarding/common/attempt.js';
 import type { TargetState } from '../common/targets/targetState.js';
 import type { PlacementCaller, PlacementRequest } from '../common/placementRequest.js';
 import { OutcomeTracker } from '../common/outcomeTracker.js';
 import { TargetSelector } from '../common/targetSelector.js';
 import { REFUSED, RegionCounts, WINDOW_MS } from './regionCounts.js';
+import { describeRoutes, describeTable, type RouteParts } from './simulatedRoutes.js';
 import { LARGE_SYSTEM, REGIONS } from './simulatedSizes.js';
+import { regionOf, SimulatedTargets } from './simulatedTargets.js';
 
 const STEP_MS = 50;
 const SYNC_MS = 500;
-/** Time from a target's end until control reports it silent. */
-const SILENCE_MS = 4500;
-/** How long a target is cold after its start. */
-const COLD_MS = 3000;
-/** Duration of a request at a target with a free slot. */
-const WORK_MS = 400;
 const REFUSAL_MS = 100;
 /** Maximum fraction of the requests that change their region between two windows. */
 export const MAX_MOVED_FRACTION = 0.15;
 const MAX_ATTEMPTS = 3;
-const SLOTS = 9;
 
 interface RunningRequest {
 	readonly endsAt: Millis;
@@ -63,10 +58,6 @@
 	readonly silent = new Set<string>();
 	/** Ids of targets that accept no connection. */
 	readonly unreachable = new Set<string>();
-	/** When targets ended whose addresses belong to others now, by id. */
-	private readonly _replacedAt = new Map<string, Millis>();
-	/** Until when targets are cold, by id. */
-	private readonly _coldUntil = new Map<string, Millis>();
 	/** Factor applied to the callers' normal request rates. */
 	loadFactor = 1;
 	/** Halls that are drained. */
@@ -77,7 +68,7 @@
 		commands: { north: 48, central: 48, south: 48 }
 	};
 	/** Services of the routes, with their weights. */
-	routeParts: Readonly<Record<string, Route['parts']>> = {
+	routeParts: RouteParts = {
 		'/reads/': [{ service: 'reads', weight: 1 }],
 		'/commands/': [{ service: 'commands', weight: 1 }]
 	};
@@ -85,9 +76,7 @@
 	readonly counts = new RegionCounts(() => this.now);
 	private readonly _instances: Instance[];
 	private _revision = 1;
-	private readonly _records: TargetRecord[];
-	/** Number of requests in progress, by target id. */
-	private readonly _loads = new Map<string, number>();
+	private readonly _targets: SimulatedTargets;
 	private _requestCount = 0;
 	private readonly _choices = createHash('sha256');
 
@@ -96,38 +85,25 @@
 		private readonly _workTimeFactor?: number,
 		private readonly _sizes = LARGE_SYSTEM
 	) {
-		this._records = Object.entries(_sizes.targets).flatMap(([service, byRegion]) =>
-			Object.entries(byRegion).flatMap(([region, count]) =>
-				Array.from({ length: count }, (_, i) => describeTarget(service, region, i))
-			)
-		);
+		this._targets = new SimulatedTargets(_sizes.targets);
 		this._instances = Array.from({ length: _sizes.instances }, (_, i) => this._newInstance(i));
 		this._syncAll();
 	}
 
 	/** Returns the ids of the targets of a region, of one service or of all; without those that were replaced. */
 	targetsOf(region: string, service?: string): string[] {
-		return this._records
-			.filter(record => regionOf(record.hall) === region && (service === undefined || record.service === service))
-			.map(record => record.id)
-			.filter(id => !this._replacedAt.has(id));
+		return this._targets.idsOf(region, service);
 	}
 
 	/** Ends targets without notice. Others with new ids take over their addresses; the old ids stay registered. */
 	replace(ids: readonly string[]): void {
-		for (const id of ids) {
-			const record = this._records.find(known => known.id === id)!;
-			const replacement = { ...record, id: `${id}+` };
-			this._replacedAt.set(id, this.now);
-			this._coldUntil.set(replacement.id, this.now + COLD_MS);
-			this._records.push(replacement);
-		}
+		this._targets.replace(ids, this.now);
 		this.change();
 	}
 
 	/** Lets control report targets as cold from now on. */
 	turnCold(ids: readonly string[]): void {
-		ids.forEach(id => this._coldUntil.set(id, this.now + COLD_MS));
+		this._targets.turnCold(ids, this.now);
 	}
 
 	/** The view that an instance has of the fleet. */
@@ -191,13 +167,14 @@
 		const halls = REGIONS.flatMap(region => [`${region}-a`, `${region}-b`]);
 		const changedAt = this._revision;
 		const hasChanged = revision < this._revision;
+		const table = describeTable(this._revision, Object.keys(this._sizes.targets), this.routeParts);
 		return {
 			changes: {
 				revision: this._revision,
 				isWhole: false,
-				published: hasChanged ? { table: this._table(), changedAt } : undefined,
+				published: hasChanged ? { table, changedAt } : undefined,
 				halls: hasChanged ? halls.map(hall => ({ hall, isDrained: this.drained.has(hall), changedAt })) : [],
-				targets: hasChanged ? this._records : []
+				targets: hasChanged ? this._targets.records : []
 			},
 			controls: [],
 			contactAgeMs: 0,
@@ -206,50 +183,15 @@
 			regionEntries: this._instances?.map((_, i) => `entry-${i}`) ?? [],
 			hallPeers: [],
 			limitSenders: [],
-			silentTargets: [...this.silent, ...this._silentReplacedTargets()],
-			coldTargets: [...this._coldUntil]
-				.filter(([, until]) => until > this.now)
-				.map(([id, until]) => ({ id, leftMs: until - this.now })),
+			silentTargets: [...this.silent, ...this._targets.silentReplaced(this.now)],
+			coldTargets: this._targets.cold(this.now),
 			crowdedTargets: [],
 			demand: this.slotDemand
 		};
 	}
 
-	private _silentReplacedTargets(): string[] {
-		return [...this._replacedAt].filter(([, endedAt]) => this.now - endedAt > SILENCE_MS).map(([id]) => id);
-	}
-
-	private _table(): RouteTable {
-		const services = Object.keys(this._sizes.targets).map(name => ({
-			name,
-			healthPath: '/health',
-			maxConnections: 100,
-			coldStartMs: 0,
-			coldPerSecond: 5
-		}));
-		const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-		return { version: this._revision, routes: this._routes(), services, teams: undefined, limits };
-	}
-
-	private _routes(): Route[] {
-		return Object.entries(this.routeParts).map(([pathPrefix, parts]) => ({
-			name: pathPrefix,
-			host: 'h',
-			pathPrefix,
-			repeatRule: RepeatRule.AtMostOnce,
-			timeoutMs: 5000,
-			objectiveMs: 800,
-			rank: 1,
-			parts,
-			attempts: 2,
-			isSticky: true,
-			homeRegions: [],
-			isPublic: true
-		}));
-	}
-
 	private _sendAll(): void {
-		const routes = this._routes();
+		const routes = describeRoutes(this.routeParts);
 		for (const instance of this._instances) {
 			for (const route of routes) {
 				const count = (this.loadFactor * this._sizes.rates[route.pathPrefix]! * STEP_MS) / 1000;
@@ -298,25 +240,16 @@
 			instance.running.push({ endsAt: this.now + REFUSAL_MS, complete: fail });
 			return;
 		}
-		if (this._replacedAt.has(id)) {
+		if (this._targets.isReplaced(id)) {
 			const outcome = { type: 'not-run', hasArrived: true, cause: NotRunCause.OtherTarget } as const;
 			const fail = (now: Millis): void => this._fail(instance, request, state, outcome, now);
 			instance.running.push({ endsAt: this.now + REFUSAL_MS, complete: fail });
 			return;
 		}
 		this.counts.record(known.region);
-		const load = (this._loads.get(id) ?? 0) + 1;
-		this._loads.set(id, load);
-		const durationMs = WORK_MS * Math.max(1, load / SLOTS);
+		const durationMs = this._targets.startRequest(id);
 		const complete = (now: Millis): void => {
-			const left = this._loads.get(id)! - 1;
-			this._loads.set(id, left);
-			const load = {
-				running: Math.min(left, SLOTS),
-				waiting: Math.max(0, left - SLOTS),
-				slots: SLOTS,
-				workTimeFactor: this._workTimeFactor
-			};
+			const load = { ...this._targets.endRequest(id), workTimeFactor: this._workTimeFactor };
 			instance.outcomeTracker.recordLoad(state, load, now);
 			state.inFlight--;
 			const response = { type: 'answer', status: 200, rawHeaders: [], endsWithConnection: false } as never;
@@ -343,25 +276,6 @@
 	}
 }
 
-function regionOf(hall: string): string {
-	return hall.slice(0, -2);
-}
-
-function describeTarget(service: string, region: string, index: number): TargetRecord {
-	return {
-		id: `${service}-${region}-${index}`,
-		bornAt: 0,
-		service,
-		address: '127.0.0.1:1',
-		hall: `${region}-${index % 2 === 0 ? 'a' : 'b'}`,
-		version: 'v',
-		slots: SLOTS,
-		phase: TargetPhase.Serving,
-		changedAt: 1,
-		pacedSenders: []
-	};
-}
-
 /** Returns a deterministic pseudo-random number in [0, 1). */
 function pseudoRandom(seed: number): number {
 	const value = Math.sin(seed * 12.9898) * 43758.5453;
