Placement and admission say capacity where they said room, as the glossary does

The glossary lists 'room' as the older word for capacity, and steadyShares had 'room' and 'rooms' side by side for a sum and its parts; targets were 'heard from' where they report. Field roomInMs, which is on the wire and in logs, and the titles of tests stay.

--- a/src/plugins/admission/common/measuredReturnTimes.ts
+++ b/src/plugins/admission/common/measuredReturnTimes.ts
@@ -4,7 +4,7 @@
 
 /**
  * Return times for a surge of some seconds that exceeds what the targets of a service can do. A refused caller returns once, so its
- * return must find room: callers are spread over the latter half of the time in which they can return, when the surge may be over,
+ * return must find capacity: callers are spread over the latter half of the time in which they can return, when the surge may be over,
  * one for each request that the service completes meanwhile.
  */
 
@@ -22,11 +22,11 @@
 const RATE_TIME_CONSTANT_MS = 4000;
 /** Time constant of the fraction of refused requests. */
 const SHORTAGE_TIME_CONSTANT_MS = 1000;
-/** Below this fraction of refused requests there is room again shortly. */
+/** Below this fraction of refused requests there is capacity again shortly. */
 const SHORTAGE_FRACTION = 0.05;
 /**
  * A return that is late by this many times the interval between returns, and by this fraction of the time in which the caller can
- * return, is told as the latest possible one: an instance that completes about one request per second knows its part of the room only
+ * return, is told as the latest possible one: an instance that completes about one request per second knows its part of the capacity only
  * roughly, and what is completed during a surge is less than what targets can do.
  */
 const MAX_OVERRUN_INTERVALS = 2;
@@ -63,7 +63,7 @@
 		this._completedInShortage++;
 	}
 
-	/** The time at which a caller should return; undefined if there is room only after `latest`. */
+	/** The time at which a caller should return; undefined if there is capacity only after `latest`. */
 	nextReturn(rank: RequestRank, earliest: Millis, latest: Millis, now: Millis): Millis | undefined {
 		this._recordRefusal(now);
 		const intervalMs = this._intervalMs(now);
@@ -119,7 +119,7 @@
 	}
 }
 
-/** Tells refused callers when there will be room for them, by the measured completions of their service at this instance. */
+/** Tells refused callers when there will be capacity for them, by the measured completions of their service at this instance. */
 export class MeasuredReturnTimes implements IReturnTimes {
 	private readonly _services = new Map<string, ServiceReturns>();
 
--- a/src/plugins/admission/common/rankedAdmission.ts
+++ b/src/plugins/admission/common/rankedAdmission.ts
@@ -24,7 +24,7 @@
 const IDLE_POOL_MS: Millis = 60000;
 /**
  * Factor on the utilization limits of targets, during a shortage, for groups that get less than they ask for: queues stay short enough
- * that others find room at each target, and long enough that no slot waits for work.
+ * that others find capacity at each target, and long enough that no slot waits for work.
  */
 const REDUCED_UTILIZATION_FACTOR = 0.8;
 /**
--- a/src/plugins/admission/common/returnTimes.ts
+++ b/src/plugins/admission/common/returnTimes.ts
@@ -2,7 +2,7 @@
  *  Copyright (c) Shelffield contributors. Licensed under the MIT License.
  *--------------------------------------------------------------------------------------------*/
 
-/** When a caller whose request was refused for want of room should send it again. */
+/** When a caller whose request was refused for want of capacity should send it again. */
 
 import type { Millis } from '../../../base/clock.js';
 import { createServiceIdentifier } from '../../../kernel/common/serviceIdentifier.js';
--- a/src/plugins/admission/common/shortageAdmission.ts
+++ b/src/plugins/admission/common/shortageAdmission.ts
@@ -46,7 +46,7 @@
 	NoTarget = 'no-target',
 	/** The target refused the request as full, and no other target is tried. */
 	TargetFull = 'target-full',
-	/** Anything else, which says nothing of the room at targets. */
+	/** Anything else, which says nothing of the capacity at targets. */
 	Other = 'other'
 }
 
--- a/src/plugins/placement/common/averageSpeeds.ts
+++ b/src/plugins/placement/common/averageSpeeds.ts
@@ -3,8 +3,8 @@
  *--------------------------------------------------------------------------------------------*/
 
 /**
- * Average speeds of targets, for planning shares, by the work times that they report to this instance. Load: targets slow down and recover several times a
- * second, so that the slots of a region do less or more work than their number says.
+ * Average speeds of targets, for planning shares, by the work times that they report to this instance. Load: targets slow down and
+ * recover several times a second, so that the slots of a region do less or more work than their number suggests.
  */
 
 import type { Millis } from '../../../base/clock.js';
@@ -21,7 +21,7 @@
 	at: Millis;
 }
 
-/** Speeds of the targets that this instance has heard from; 1 is usual. */
+/** Speeds of the targets that report to this instance; 1 is usual. */
 export class AverageSpeeds {
 	private readonly _speeds = new Map<string, Speed>();
 
@@ -39,7 +39,7 @@
 		speed.at = now;
 	}
 
-	/** Speed of a target; undefined if it has not been heard from recently. */
+	/** Speed of a target; undefined if it has not reported recently. */
 	speedOf(targetId: string, now: Millis): number | undefined {
 		const speed = this._speeds.get(targetId);
 		return speed && now - speed.at <= MAX_AGE_MS ? speed.value : undefined;
--- a/src/plugins/placement/common/steadyShares.ts
+++ b/src/plugins/placement/common/steadyShares.ts
@@ -186,27 +186,29 @@
 		return this._shares.some(({ region, share }) => share > 0 && this._excess(region) > 0);
 	}
 
-	/** Returns the own shares with their part of what is too much moved to regions with room; the same if there is none. */
+	/** Returns the own shares with their part of what is too much moved to regions with spare capacity; the same if there is none. */
 	relieve(): RegionShares {
 		const ownDemand = this._capacities.get(this._own)?.demand ?? 0;
 		const removedOf = (region: string, share: number): number =>
 			share * (Math.max(0, this._excess(region)) / Math.max(this._loads.get(region) ?? 0, Number.EPSILON));
 		const removed = this._shares.reduce((sum, { region, share }) => sum + removedOf(region, share), 0);
-		const rooms = new Map([...this._capacities.keys()].map(region => [region, Math.max(0, -this._excess(region))]));
-		const room = [...rooms.values()].reduce((sum, value) => sum + value, 0);
-		if (removed < 1e-6 || ownDemand === 0 || room === 0) {
+		const spareSlots = new Map(
+			[...this._capacities.keys()].map(region => [region, Math.max(0, -this._excess(region))])
+		);
+		const spare = [...spareSlots.values()].reduce((sum, value) => sum + value, 0);
+		if (removed < 1e-6 || ownDemand === 0 || spare === 0) {
 			return this._shares;
 		}
-		const moved = Math.min(1, room / (removed * ownDemand));
-		const regions = [...new Set([...this._shares.map(({ region }) => region), ...rooms.keys()])];
+		const moved = Math.min(1, spare / (removed * ownDemand));
+		const regions = [...new Set([...this._shares.map(({ region }) => region), ...spareSlots.keys()])];
 		return regions.map(region => {
 			const share = shareOf(this._shares, region);
-			const received = (removed * moved * (rooms.get(region) ?? 0)) / room;
+			const received = (removed * moved * (spareSlots.get(region) ?? 0)) / spare;
 			return { region, share: share - moved * removedOf(region, share) + received };
 		});
 	}
 
-	/** Work above what the region can bear; negative for room. */
+	/** Work above what the region can bear; negative for spare capacity. */
 	private _excess(region: string): number {
 		return (this._loads.get(region) ?? 0) - this._limit * (this._capacities.get(region)?.slots ?? 0);
 	}
