Two properties of team limits share the code that runs a drawn schedule

Nothing changes for callers and operators. The tests of schedules under one leader and under many stood twice with the same body but for the kind of steps; one function runs both. The steps, their numbers, the limits drawn and the 400 runs of each stay as they were, and so does the assertion.

--- a/src/plugins/limits/test/limits.test.ts
+++ b/src/plugins/limits/test/limits.test.ts
@@ -8,7 +8,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { assertWithinLimit, DEFAULT_HOLDER_COUNT, LimitSimulation, overload, POLICY } from './limitSimulation.js';
-import { multiLeaderStep, runSteps, singleLeaderStep } from './limitSimulationSteps.js';
+import { multiLeaderStep, runSteps, type SimulationStep, singleLeaderStep } from './limitSimulationSteps.js';
 import { CREDIT_LIFETIME_MS, maxRequestsPerWindow } from '../common/limitPolicy.js';
 
 const limits = fc.record({
@@ -16,16 +16,20 @@
 	burst: fc.integer({ min: 0, max: 60 })
 });
 
-test('no window exceeds the limit, for any interleaving of requests, renewals, message losses and restarts', () => {
-	const steps = fc.array(singleLeaderStep, { minLength: 50, maxLength: 400 });
+/** Runs the steps of drawn schedules, each under a drawn limit. */
+function assertSchedulesWithinLimit(schedules: fc.Arbitrary<SimulationStep[]>): void {
 	fc.assert(
-		fc.property(limits, steps, (limit, items) => {
+		fc.property(limits, schedules, (limit, steps) => {
 			const simulation = new LimitSimulation(limit);
-			runSteps(simulation, items);
+			runSteps(simulation, steps);
 			assertWithinLimit(simulation);
 		}),
 		{ numRuns: 400 }
 	);
+}
+
+test('no window exceeds the limit, for any interleaving of requests, renewals, message losses and restarts', () => {
+	assertSchedulesWithinLimit(fc.array(singleLeaderStep, { minLength: 50, maxLength: 400 }));
 });
 
 test('no window exceeds the limit after a leader change while holders spend credits of the previous leader', () => {
@@ -47,15 +51,7 @@
 });
 
 test('no window exceeds the limit with any number of leader changes, restarts of all holders and idle times', () => {
-	const steps = fc.array(multiLeaderStep, { minLength: 100, maxLength: 400 });
-	fc.assert(
-		fc.property(limits, steps, (limit, items) => {
-			const simulation = new LimitSimulation(limit);
-			runSteps(simulation, items);
-			assertWithinLimit(simulation);
-		}),
-		{ numRuns: 400 }
-	);
+	assertSchedulesWithinLimit(fc.array(multiLeaderStep, { minLength: 100, maxLength: 400 }));
 });
 
 test('no window exceeds the limit when all instances restart at once under load, whatever the log still gets', () => {
