One name for the first target of an object: its primary target

The fleet called it the first-choice target, placement the primary target, and the glossary the first target, so that a newcomer had to find out that requested work is counted where placement looks first.

--- a/src/plugins/fleet/common/fleetSession.ts
+++ b/src/plugins/fleet/common/fleetSession.ts
@@ -20,7 +20,7 @@
 	ageMs(): Millis;
 	/** Sets the number of slots that this instance's callers need, by service; sent with the next sync. */
 	setDemand(demand: Readonly<Record<string, number>>): void;
-	/** Adds work requested at the first-choice targets of the requested objects; sent with the next sync. */
+	/** Adds work requested at the primary targets of the requested objects; sent with the next sync. */
 	addRequestedWork(workByTarget: WorkByTarget): void;
 	/** Reports a lost run: a request whose target stopped while executing it. Sent at once, and retried until acknowledged. */
 	reportRun(run: ObservedLostRun): void;
--- a/src/plugins/fleet/common/fleetWire.ts
+++ b/src/plugins/fleet/common/fleetWire.ts
@@ -22,7 +22,7 @@
 /** An entry instance reports itself and asks for changes. */
 export interface SyncRequest {
 	readonly entry: EntryDescription;
-	/** Work requested by its callers at the first-choice targets of the requested objects, since the last call. */
+	/** Work requested by its callers at the primary targets of the requested objects, since the last call. */
 	readonly needs: WorkByTarget;
 	/** Limits that targets set or removed in responses to this instance and that are not in their records yet. */
 	readonly limits: readonly ReportedLimit[];
--- a/src/plugins/fleet/common/requestedWork.ts
+++ b/src/plugins/fleet/common/requestedWork.ts
@@ -3,9 +3,9 @@
  *--------------------------------------------------------------------------------------------*/
 
 /**
- * Finds targets that are the first choice for more work than they can serve. Objects are assigned to targets by hash, so some
+ * Finds targets that are the primary ones for more work than they can serve. Objects are assigned to targets by hash, so some
  * targets get several times the mean, while a single entry instance sends to each too rarely to notice. Control instances sum
- * the work that all entry instances request at each first-choice target, whether or not it is sent there, and compute which
+ * the work that all entry instances request at each primary target, whether or not it is sent there, and compute which
  * fraction of its objects the target keeps. All entry instances move the same objects away.
  */
 
