Responses in endless small chunks no longer exhaust an entry instance

Cause: each chunk was an object, and a write to the caller, of its own, also those that waited for a slower caller, and one connection could have up to 2 MiB parsed in one turn of the event loop.

Chunks are now copied together as they come, and a response gives way to others after 1000 chunks. A streamed response is read on while less than 16 KiB of it waits.

--- a/src/plugins/forwarding/node/targetExchange.ts
+++ b/src/plugins/forwarding/node/targetExchange.ts
@@ -13,6 +13,9 @@
 import { refusalCause } from '../../placement/common/targets/targetRefusal.js';
 import { parseTargetReport, type TargetReport } from '../../placement/common/targets/targetReport.js';
 import type { RequestBody } from './requestBody.js';
+import { ChunkList } from '../common/chunkList.js';
+import { CoalescedBody } from './targets/coalescedBody.js';
+import { ResponseReader } from './targets/responseReader.js';
 import type { ConnectionOptions, TargetAgent } from './targets/targetAgent.js';
 
 const STATUS_MISDIRECTED_REQUEST = 421;
@@ -227,17 +230,14 @@
 		});
 		const isTooLarge = isSuccess(status) && Number(headers['content-length'] ?? 0) > this._options.maxBufferedBytes;
 		const maxBufferedBytes = isTooLarge ? 0 : this._options.maxBufferedBytes;
-		const chunks: Buffer[] = [];
-		let size = 0;
-		const onData = (chunk: Buffer): void => {
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > maxBufferedBytes) {
-				response.pause();
-				response.removeListener('data', onData);
+		const chunks = new ChunkList();
+		const onChunk = (chunk: Buffer): void => {
+			chunks.add(chunk);
+			if (chunks.bytes > maxBufferedBytes) {
 				response.removeListener('end', onEnd);
-				const body = Buffer.concat(chunks);
-				this._settle({ type: 'answer', status, rawHeaders, endsWithConnection, body, remainingBody: response });
+				const remainingBody = new CoalescedBody(reader);
+				const body = chunks.take();
+				this._settle({ type: 'answer', status, rawHeaders, endsWithConnection, body, remainingBody });
 			}
 		};
 		const onEnd = (): void => {
@@ -245,12 +245,12 @@
 				this._settle({ type: 'broken', cause: ResponseFailureCause.ResponseTruncated });
 				return;
 			}
-			const body = Buffer.concat(chunks);
+			const body = chunks.take();
 			this._settle({ type: 'answer', status, rawHeaders, endsWithConnection, body });
 			this._closeIfRequestIncomplete();
 		};
-		response.on('data', onData);
 		response.on('end', onEnd);
+		const reader = new ResponseReader(response, this._agent.readTurns, onChunk);
 	}
 
 	private _mayHaveBody(status: number): boolean {
--- a/src/plugins/forwarding/node/targets/targetAgent.ts
+++ b/src/plugins/forwarding/node/targets/targetAgent.ts
@@ -10,6 +10,7 @@
 import { type Millis, systemClock } from '../../../../base/clock.js';
 import { MAX_ATTEMPTS_PER_TARGET } from '../../../placement/common/targets/targetRefusal.js';
 import { AdaptiveIdleTimeout } from '../../common/adaptiveIdleTimeout.js';
+import { ReadTurns } from './readTurns.js';
 
 /** Idle timeout of connections to targets that announce no keep-alive timeout. */
 const DEFAULT_IDLE_TIMEOUT_MS = 6000;
@@ -52,6 +53,8 @@
  * the response to the next request.
  */
 export class TargetAgent extends Agent {
+	/** Turns of the responses on its connections. */
+	readonly readTurns = new ReadTurns();
 	private readonly _idleTimeout = new AdaptiveIdleTimeout();
 	private readonly _pooled = new WeakMap<Duplex, PooledConnection>();
 
--- a/src/plugins/forwarding/test/targetExchange.test.ts
+++ b/src/plugins/forwarding/test/targetExchange.test.ts
@@ -42,7 +42,10 @@
 		super();
 	}
 
+	connectionCount = 0;
+
 	override createConnection(): Duplex {
+		this.connectionCount++;
 		const connection = new Duplex({
 			read: () => undefined,
 			write: (_chunk, _encoding, done) => {
@@ -142,6 +145,24 @@
 	assert.equal(end, 'broken');
 });
 
+for (const byteCount of [1000, 200000]) {
+	test(`a response of ${byteCount} chunks of one byte arrives whole, and its connection stays open`, async () => {
+		const expected = Array.from({ length: byteCount }, (_unused, i) => String(i % 10)).join('');
+		const agent = new ScriptedAgent(connection => {
+			const chunks = expected.replaceAll(/./g, '1\r\n$&\r\n');
+			connection.push(`HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`);
+		});
+		for (let i = 0; i < 2; i++) {
+			const outcome = await (await startAttemptWith(agent, 1)).outcome;
+			assert.ok(outcome.type === 'answer');
+			const rest = await (outcome.remainingBody?.toArray() ?? []);
+			assert.ok(Buffer.concat([outcome.body, ...(rest as Buffer[])]).toString() === expected);
+		}
+		assert.equal(agent.connectionCount, 1);
+		agent.destroy();
+	});
+}
+
 test('a response with another request id, or a successful one without an id, is broken', async () => {
 	for (const head of ['Request-Id: b\r\n', '']) {
 		const outcome = await attempt(connection =>
