A declined relayed request does not keep its connection for a body without end

A peer that relays a request to an instance which is draining, partitioned or full gets 503, but the instance then read the rest of the body for as long as it came, since the peer port has no limit of time for a request: a client whose body does not end kept the connection. RelayServer now closes it 1 s after the response where the body is not complete by then, as HttpListener does, so the sender still reads that the request has not run. The function that does so has moved to closeUnlessComplete.ts.

--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -9,6 +9,7 @@
 import { readFileSync } from 'node:fs';
 import polka from 'polka';
 import { Disposable, toDisposable } from '../../base/disposable.js';
+import { closeUnlessComplete } from './closeUnlessComplete.js';
 import { ConnectionLimit } from './connectionLimit.js';
 import { ConnectionTracker } from './connectionTracker.js';
 import type { IMetricsService } from './metricsService.js';
@@ -24,7 +25,7 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30000;
 const DRAIN_POLL_MS = 50;
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
-/** How long a client may go on sending after its response, so that it can read that before the connection is closed. */
+/** How long a connection stays half closed, so that its client can read why. */
 const LINGER_MS = 1000;
 /** Value of `Retry-After` for a request whose body gave up its memory. */
 const EVICTED_RETRY_AFTER_SECONDS = 1;
@@ -204,17 +205,6 @@
 	}
 }
 
-/** Closes the connection of a request that was answered before its end, where the rest does not follow soon. */
-function closeUnlessComplete(request: IncomingMessage): void {
-	if (!request.complete) {
-		setTimeout(() => {
-			if (!request.complete) {
-				request.socket.destroy();
-			}
-		}, LINGER_MS);
-	}
-}
-
 /** Sends a response with a JSON body. */
 export function sendJson(response: HttpResponse, status: number, body: unknown): void {
 	const text = JSON.stringify(body);
--- a/src/plugins/forwarding/node/relay/relayServer.ts
+++ b/src/plugins/forwarding/node/relay/relayServer.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Counter } from 'prom-client';
+import { closeUnlessComplete } from '../../../../kernel/node/closeUnlessComplete.js';
 import type { ILogService } from '../../../../kernel/node/logService.js';
 import type { IMetricsService } from '../../../../kernel/node/metricsService.js';
 import type { IPeerRequests } from '../../../../kernel/node/peerRequests.js';
@@ -103,6 +104,7 @@
 	private _decline(request: IncomingMessage, response: ServerResponse, cause: DeclineCause): void {
 		const { notRun, requestId } = this._dependencies.headerNames;
 		request.resume();
+		response.once('finish', () => closeUnlessComplete(request));
 		response.setHeader(requestId, request.headers[requestId] ?? '');
 		response.writeHead(STATUS_UNAVAILABLE, { [notRun]: cause, 'Content-Length': 0 });
 		response.end();
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -6,7 +6,7 @@
 
 import assert from 'node:assert/strict';
 import { createServer, request as httpRequest, type IncomingMessage, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { type AddressInfo, connect } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { systemClock } from '../../../base/clock.js';
 import { BodyAccount } from '../../../kernel/common/bodyAccount.js';
@@ -18,6 +18,7 @@
 import type { FleetView } from '../../fleet/common/fleetView.js';
 import type { EntryPeer } from '../../fleet/common/fleetWire.js';
 import { LinkPacer } from '../common/linkPacer.js';
+import { RELAY_PATH_PREFIX } from '../common/relayHeaders.js';
 import { CallerExchange } from '../node/callerExchange.js';
 import type { RelayOrigin } from '../node/forwarding.js';
 import { LinkScheduler } from '../node/linkScheduler.js';
@@ -318,3 +319,16 @@
 	await call('order');
 	assert.equal(peers[1]!.served.length, 1);
 });
+
+test('a declined request whose body does not end loses its connection', async () => {
+	const peer = new Peer();
+	peer.isPartitioned = true;
+	const [host, port] = (await peer.calls.listen()).split(':');
+	const socket = connect(Number(port), host);
+	let received = '';
+	socket.on('data', data => (received += data.toString('latin1')));
+	socket.write(`POST ${RELAY_PATH_PREFIX}/a HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n`);
+	await new Promise(resolve => socket.once('close', resolve));
+	assert.match(received, /^HTTP\/1.1 503 /);
+	peer.calls.dispose();
+});
