Responses in small chunks take turns by the queue that the listeners have

Two queues shared turns of the event loop: the one of the kernel's listeners and a copy of it for responses of targets. The copy goes. The test of truncated responses by HTTP version stands below test/integration, as it joins two plug-ins, which the layer rules keep apart below src.

--- a/src/plugins/forwarding/node/targets/responseReader.ts
+++ b/src/plugins/forwarding/node/targets/responseReader.ts
@@ -5,7 +5,7 @@
 /** Reads the body of a response of a target, which may come in any number of chunks. */
 
 import type { IncomingMessage } from 'node:http';
-import type { ReadTurns } from './readTurns.js';
+import type { ITurnTaker, TurnQueue } from '../../../../kernel/common/turnQueue.js';
 
 /** Chunks of a response after which others get their turn. */
 const MAX_CHUNKS_PER_TURN = 1000;
@@ -15,7 +15,7 @@
  * response, so that what waits is held as the bytes that came and not as chunks, each of which would be an object of its own; chunks
  * that were read at once with the last one are still handed over.
  */
-export class ResponseReader {
+export class ResponseReader implements ITurnTaker {
 	private _taken = 0;
 	private _isPaused = false;
 	private _isWaiting = false;
@@ -24,7 +24,7 @@
 	/** @param onChunk called with each chunk; may be replaced */
 	constructor(
 		readonly response: IncomingMessage,
-		private readonly _turns: ReadTurns,
+		private readonly _turns: TurnQueue<ITurnTaker>,
 		public onChunk: (chunk: Buffer) => void
 	) {
 		const read = response._read.bind(response);
@@ -53,6 +53,12 @@
 		}
 	}
 
+	runTurn(): void {
+		this._taken = 0;
+		this._isWaiting = false;
+		this._start();
+	}
+
 	private get _isStopped(): boolean {
 		return this._isPaused || this._isWaiting;
 	}
@@ -61,11 +67,7 @@
 		if (++this._taken >= MAX_CHUNKS_PER_TURN && !this._isWaiting) {
 			this._isWaiting = true;
 			this._stop();
-			this._turns.schedule(() => {
-				this._taken = 0;
-				this._isWaiting = false;
-				this._start();
-			});
+			this._turns.add(this);
 		}
 		this.onChunk(chunk);
 	}
--- a/src/plugins/forwarding/node/targets/targetAgent.ts
+++ b/src/plugins/forwarding/node/targets/targetAgent.ts
@@ -8,9 +8,9 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { type Millis, systemClock } from '../../../../base/clock.js';
+import { type ITurnTaker, TurnQueue } from '../../../../kernel/common/turnQueue.js';
 import { MAX_ATTEMPTS_PER_TARGET } from '../../../placement/common/targets/targetRefusal.js';
 import { AdaptiveIdleTimeout } from '../../common/adaptiveIdleTimeout.js';
-import { ReadTurns } from './readTurns.js';
 
 /** Idle timeout of connections to targets that announce no keep-alive timeout. */
 const DEFAULT_IDLE_TIMEOUT_MS = 6000;
@@ -21,6 +21,9 @@
 const MAX_IDLE_SOCKETS = 64;
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/;
 
+/** Responses in many small chunks that are read on in one turn of the event loop. */
+const MAX_READ_PER_TURN = 2;
+
 /** Targets that one request may find at an address one after the other. */
 const MAX_TARGETS_AT_ADDRESS = 2;
 const MAX_ATTEMPTS_AT_ADDRESS = MAX_TARGETS_AT_ADDRESS * MAX_ATTEMPTS_PER_TARGET;
@@ -53,8 +56,8 @@
  * the response to the next request.
  */
 export class TargetAgent extends Agent {
-	/** Turns of the responses on its connections. */
-	readonly readTurns = new ReadTurns();
+	/** Turns of the responses on its connections that come in many small chunks. */
+	readonly readTurns = new TurnQueue<ITurnTaker>(Number.POSITIVE_INFINITY, MAX_READ_PER_TURN, setImmediate);
 	private readonly _idleTimeout = new AdaptiveIdleTimeout();
 	private readonly _pooled = new WeakMap<Duplex, PooledConnection>();
 
--- a/src/plugins/forwarding/test/truncatedForwarding.test.ts
+++ b/test/integration/truncatedForwarding.test.ts
@@ -8,11 +8,11 @@
 import { connect } from 'node:net';
 import { PassThrough } from 'node:stream';
 import { after, before, test } from 'node:test';
-import { TestListener } from '../../connections/test/testListener.js';
-import type { IHeaderNames } from '../common/headerNames.js';
-import { LinkPacer } from '../common/linkPacer.js';
-import { CallerExchange } from '../node/callerExchange.js';
-import { LinkScheduler } from '../node/linkScheduler.js';
+import { TestListener } from '../../src/plugins/connections/test/testListener.js';
+import type { IHeaderNames } from '../../src/plugins/forwarding/common/headerNames.js';
+import { LinkPacer } from '../../src/plugins/forwarding/common/linkPacer.js';
+import { CallerExchange } from '../../src/plugins/forwarding/node/callerExchange.js';
+import { LinkScheduler } from '../../src/plugins/forwarding/node/linkScheduler.js';
 
 const NAMES = { remainingMs: 'r', requestId: 'i', objectCookie: 'o', teamKey: 'k' } as unknown as IHeaderNames;
 const LAST_CHUNK = '\r\n0\r\n\r\n';
