Callers that keep connections open and say nothing do not keep others out

What callers saw: no connection and no answer for as long as 6,000 clients held connections open without a byte; the first request of such a connection may take 60 s to come. Cause: beyond its maximum the listener refused every new connection, and with 3,000 for callers, 700 for peers and 120 others it also left the machine's 3,900 descriptors no place for targets. Evidence: platform/silentCallers, no ordinary request was answered within 20 s before. Why this fixes it: beyond the maximum, now 2,400, a connection without a request makes room, one that has never said anything first; one with a request stays.

--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -58,6 +58,8 @@
 	Memory = 'memory',
 	/** The headers of a request were not complete in time. */
 	HeaderTimeout = 'header-timeout',
+	/** It had no request, and its place was needed for another connection. */
+	Replaced = 'replaced',
 	/** The body of a request goes on long after the response. */
 	BodyRest = 'body-rest'
 }
@@ -247,6 +249,17 @@
 		this._checkDiscarding(now);
 	}
 
+	/** Whether its caller has sent anything yet. */
+	get hasSentBytes(): boolean {
+		return this._headerDeadline.hasFirstByte;
+	}
+
+	/** Closes the connection, which has no request, to make room for another one. */
+	closeForOthers(): void {
+		this._host.onEarlyClose(EarlyCloseCause.Replaced);
+		this.socket.destroy();
+	}
+
 	/** Closes the connection to release the memory that is held for it. */
 	closeForMemory(): void {
 		this._host.onEarlyClose(EarlyCloseCause.Memory);
--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -96,8 +96,9 @@
 			ownerOf: request => options.ownerOf(request),
 			onEarlyClose: cause => this._onEarlyClose(cause)
 		};
-		const acceptor = createServer({ allowHalfOpen: true, noDelay: true }, socket => this._accept(socket, http, host));
-		acceptor.maxConnections = options.maxConnections;
+		const acceptor = createServer({ allowHalfOpen: true, noDelay: true }, socket =>
+			this._accept(socket, http, host, options.maxConnections)
+		);
 		this._acceptor = acceptor;
 		await listenWhenFree(acceptor, options.address, error =>
 			this._log.error('caller listener failed', { task: 'connections', error: error.message })
@@ -137,7 +138,11 @@
 		return http;
 	}
 
-	private _accept(raw: Socket, http: HttpServer, host: ICallerConnectionHost): void {
+	private _accept(raw: Socket, http: HttpServer, host: ICallerConnectionHost, maxConnections: number): void {
+		if (this._connections.size >= maxConnections && !this._tryMakeRoom()) {
+			raw.destroy();
+			return;
+		}
 		const connection = new CallerConnection(raw, host, ++this._lastNumber, this._isEnding);
 		const { socket } = connection;
 		this._connections.set(socket, connection);
@@ -148,6 +153,26 @@
 		http.emit('connection', socket);
 	}
 
+	/**
+	 * Closes a connection without a request: the oldest one on which nothing was ever sent, otherwise the oldest.
+	 * @returns false where all have requests
+	 */
+	private _tryMakeRoom(): boolean {
+		let oldest: CallerConnection | undefined;
+		for (const connection of this._connections.values()) {
+			if (!connection.isIdle || connection.socket.isClosing || connection.socket.destroyed) {
+				continue;
+			}
+			oldest ??= connection;
+			if (!connection.hasSentBytes) {
+				oldest = connection;
+				break;
+			}
+		}
+		oldest?.closeForOthers();
+		return oldest !== undefined;
+	}
+
 	private _schedule(connection: CallerConnection): void {
 		this._scheduled.add(connection);
 		this._turn ??= setImmediate(() => this._runTurn());
--- a/src/plugins/forwarding/common/frontSettings.ts
+++ b/src/plugins/forwarding/common/frontSettings.ts
@@ -31,8 +31,9 @@
 		readyAddress: { schema: addressSchema, description: 'IPv4 address and port for /readyz, /healthz and /metrics.' },
 		maxConnections: {
 			schema: integerSchema(1, 100000),
-			description: 'Maximum number of concurrent caller connections, 1 to 100000.',
-			default: '3000'
+			description:
+				'Maximum number of concurrent caller connections, 1 to 100000; beyond it, those without a request make room.',
+			default: '2400'
 		},
 		linkMbit: {
 			schema: numberSchema(0.1, 1000000),
