What a caller's connection needs from its listener has a file of its own

The interface of the host and the causes of early closes are moved as they were; nothing else changes.

--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -7,11 +7,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { type Millis, systemClock } from '../../../base/clock.js';
-import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
-import type { ICallerRequest } from '../common/callerConnections.js';
 import { HeaderDeadline } from '../common/headerDeadline.js';
-import { HeldBytes, type IHeldMemory, type IMemoryAccount, MemoryPressure } from '../common/memoryAccount.js';
+import { HeldBytes, type IHeldMemory, MemoryPressure } from '../common/memoryAccount.js';
 import { RequestPipeline } from '../common/requestPipeline.js';
+import { EarlyCloseCause, type ICallerConnectionHost } from './callerConnectionHost.js';
 import { CallerRequest, type IRequestConnection } from './callerRequest.js';
 import { CallerSocket, type IReadControl } from './callerSocket.js';
 
@@ -30,40 +29,6 @@
 /** How long the rest of a body is read and discarded after its request was answered; the connection is closed afterwards. */
 const DISCARD_MS: Millis = 5000;
 
-/** What a connection needs from its listener. */
-export interface ICallerConnectionHost {
-	readonly account: IMemoryAccount;
-	/** Counts what is received ahead of the parser, and headers in part. */
-	readonly bodyAccount: IBodyAccount;
-	readonly unreadTimeoutMs: Millis;
-	headerTimeoutMs(): Millis;
-	ownerOf(request: IncomingMessage): string | undefined;
-	isRepeatable(request: IncomingMessage): boolean;
-	serve(request: ICallerRequest): void;
-	/** Has `advance` called in a later turn of the event loop, after the connections that were scheduled before. */
-	schedule(connection: CallerConnection): void;
-	/** Takes a turn to read a part of a body; otherwise `socket.feed` is called in a later turn of the event loop. */
-	tryTakeReadTurn(connection: CallerConnection): boolean;
-	/** Called when the number of requests that were taken up changes. */
-	onTakenChange(difference: number): void;
-	/** Called when the connection is closed early on this side. */
-	onEarlyClose(cause: EarlyCloseCause): void;
-}
-
-/** Why a connection is closed although its caller may still wait for something; also a metric label. */
-export enum EarlyCloseCause {
-	/** The caller reads nothing. */
-	Unread = 'unread',
-	/** An account is full, and the caller reads slowly, or has waited longest with a part of a request. */
-	Memory = 'memory',
-	/** The headers of a request were not complete in time. */
-	HeaderTimeout = 'header-timeout',
-	/** It had no request, and its place was needed for another connection. */
-	Replaced = 'replaced',
-	/** The body of a request goes on long after the response. */
-	BodyRest = 'body-rest'
-}
-
 /** A connection and its requests. */
 export class CallerConnection implements IReadControl, IRequestConnection {
 	readonly socket: CallerSocket;
--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -17,7 +17,8 @@
 import type { CallerConnectionOptions, ICallerConnections } from '../common/callerConnections.js';
 import { IMemoryAccount, MemoryPressure } from '../common/memoryAccount.js';
 import { ReadTurns } from '../common/readTurns.js';
-import { CallerConnection, type EarlyCloseCause, type ICallerConnectionHost } from './callerConnection.js';
+import { CallerConnection } from './callerConnection.js';
+import type { EarlyCloseCause, ICallerConnectionHost } from './callerConnectionHost.js';
 
 /** Prefix of the error codes of the Node.js HTTP parser. */
 const PARSER_ERROR_PREFIX = 'HPE_';
