Log lines and a metric say how late an instance reads its requests

heldMs and atMs of a request count from when it was read, so neither log nor metrics could tell a target that is slow from an instance that is late. EventLoopMonitor measures by a timer how long input that is read now may have waited; request lines carry it as waitedMs, and shelffield_read_delay_peak_seconds has its peak. No decision depends on it yet.

--- a/src/kernel/node/processHost.ts
+++ b/src/kernel/node/processHost.ts
@@ -7,11 +7,13 @@
 import { watchFile } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { IBodyAccount } from '../common/bodyAccount.js';
+import { IEventLoopMonitor } from '../common/eventLoopMonitor.js';
 import { InstantiationService } from '../common/instantiationService.js';
 import { type IContribution, type ProcessKind, pluginRegistry } from '../common/pluginRegistry.js';
 import './instanceSettings.js';
 import './metricsListener.js';
 import { BodyAccountService } from './bodyAccountService.js';
+import { EventLoopMonitor } from './eventLoopMonitor.js';
 import type { InstanceSettings } from './instanceSettings.js';
 import { createLog, ILogService } from './logService.js';
 import { IMetricsService, MetricsService } from './metricsService.js';
@@ -38,6 +40,7 @@
 	services.set(ILogService, log);
 	services.set(IMetricsService, new MetricsService());
 	services.set(IBodyAccount, services.createInstance(BodyAccountService));
+	services.set(IEventLoopMonitor, services.createInstance(EventLoopMonitor));
 	services.set(IAdminEndpoints, new AdminEndpoints());
 	provideTransport(services);
 	return services;
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
-import type { Millis } from '../../../base/clock.js';
+import { type Millis, systemClock } from '../../../base/clock.js';
 import { RefusalReason, type Verdict } from '../../../base/verdict.js';
 import type { ICallerRequest } from '../../connections/common/callerConnections.js';
 import { digestKey } from '../../routes/common/teamIndex.js';
@@ -59,6 +59,8 @@
 	readonly request: IncomingMessage;
 	/** On the monotonic clock. */
 	readonly arrivedAt: Millis;
+	/** How long it may have waited until it was taken up. */
+	readonly waitedMs: Millis;
 	readonly requestId: string;
 	/** How long the caller waits from `arrivedAt`, by its request header; infinite if it gives none. */
 	readonly remainingMs: Millis;
@@ -71,14 +73,17 @@
 	private _truncationHandler: ((cause: TruncationCause) => void) | undefined;
 	private readonly _response: ServerResponse;
 
+	/** @param readDelayMs how long its bytes may have waited for the event loop */
 	constructor(
 		private readonly _callerRequest: ICallerRequest,
 		names: IHeaderNames,
-		private readonly _linkScheduler: LinkScheduler
+		private readonly _linkScheduler: LinkScheduler,
+		readDelayMs: Millis = 0
 	) {
 		const { request, response, arrivedAt } = _callerRequest;
 		this.request = request;
 		this.arrivedAt = arrivedAt;
+		this.waitedMs = systemClock.now() - arrivedAt + readDelayMs;
 		this._response = response;
 		const remaining = Number(request.headers[names.remainingMs] ?? Number.NaN);
 		this.requestId = String(request.headers[names.requestId] ?? '');
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -9,6 +9,7 @@
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
+import { IEventLoopMonitor } from '../../../kernel/common/eventLoopMonitor.js';
 import { isAbortiveCloseSupported } from '../../../kernel/node/abortiveClose.js';
 import { HttpListener } from '../../../kernel/node/httpListener.js';
 import { ILogService } from '../../../kernel/node/logService.js';
@@ -67,6 +68,7 @@
 		@IHeaderNames private readonly _headerNames: IHeaderNames,
 		@IServiceBounds private readonly _serviceBounds: IServiceBounds,
 		@IPeerRequests peerRequests: IPeerRequests,
+		@IEventLoopMonitor private readonly _eventLoopMonitor: IEventLoopMonitor,
 		@IMetricsService metrics: IMetricsService,
 		@ILogService private readonly _log: ILogService
 	) {
@@ -78,6 +80,7 @@
 			headerNames: this._headerNames,
 			linkScheduler: this._linkScheduler,
 			view: this._session.view,
+			eventLoopMonitor: this._eventLoopMonitor,
 			metrics,
 			log: this._log
 		});
@@ -170,7 +173,12 @@
 	}
 
 	private _serve(request: ICallerRequest): void {
-		const exchange = new CallerExchange(request, this._headerNames, this._linkScheduler);
+		const exchange = new CallerExchange(
+			request,
+			this._headerNames,
+			this._linkScheduler,
+			this._eventLoopMonitor.readDelayMs()
+		);
 		exchange.setTruncationHandler(cause =>
 			this._log.warn('response broke off after its beginning was forwarded', {
 				task: 'front',
--- a/src/plugins/forwarding/node/relay/relayServer.ts
+++ b/src/plugins/forwarding/node/relay/relayServer.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Counter } from 'prom-client';
+import type { IEventLoopMonitor } from '../../../../kernel/common/eventLoopMonitor.js';
 import { closeUnlessComplete } from '../../../../kernel/node/closeUnlessComplete.js';
 import type { ILogService } from '../../../../kernel/node/logService.js';
 import type { IMetricsService } from '../../../../kernel/node/metricsService.js';
@@ -43,6 +44,7 @@
 	readonly headerNames: IHeaderNames;
 	readonly linkScheduler: LinkScheduler;
 	readonly view: FleetView;
+	readonly eventLoopMonitor: IEventLoopMonitor;
 	readonly metrics: IMetricsService;
 	readonly log: ILogService;
 }
@@ -111,12 +113,17 @@
 	}
 
 	private _serve(request: IncomingMessage, response: ServerResponse): void {
-		const { forwarding, headerNames, linkScheduler, view, log } = this._dependencies;
+		const { forwarding, headerNames, linkScheduler, view, eventLoopMonitor, log } = this._dependencies;
 		request.url = (request.url ?? '').slice(RELAY_PATH_PREFIX.length);
 		response.setHeader(RELAY_REVISION_HEADER, view.revision);
 		this._inFlight++;
 		response.once('close', () => this._inFlight--);
-		const exchange = new CallerExchange(new RelayedRequest(request, response), headerNames, linkScheduler);
+		const exchange = new CallerExchange(
+			new RelayedRequest(request, response),
+			headerNames,
+			linkScheduler,
+			eventLoopMonitor.readDelayMs()
+		);
 		forwarding.serve(exchange, originOf(request)).catch((error: Error) => {
 			log.error('relayed request failed', { task: 'front', requestId: exchange.requestId, error: error.stack });
 			exchange.fail();
--- a/src/plugins/forwarding/node/requestRecorder.ts
+++ b/src/plugins/forwarding/node/requestRecorder.ts
@@ -110,6 +110,7 @@
 			end,
 			status: request.status,
 			reason: request.reason,
+			waitedMs: Math.round(exchange.waitedMs),
 			heldMs: Math.round(durationMs),
 			remainingMs: exchange.remainingMs,
 			attempts: attempts.map(({ labels: _labels, ...logged }) => logged),
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -75,6 +75,7 @@
 		const isPartitioned = (): boolean => this.isPartitioned;
 		const revision = (): number => this.revision;
 		this.server = new RelayServer(this.calls, {
+			eventLoopMonitor: { readDelayMs: () => 0 },
 			forwarding: {
 				get isPartitioned() {
 					return isPartitioned();
