The time-out of a request counts from when it may have arrived

Callers saw: requests held a second and more beyond the time-out of their route by an instance that had not run for a while. Evidence: platform/lateReads, an instance stopped for 1.2 s: 30 of 30 requests were answered a second after it went on. Change: the arrival is the read less the delay that the event loop monitor measures, for callers and for relayed requests. The demand of a service is still counted when its request is passed on, since its estimate needs times in order.

--- a/src/plugins/connections/common/callerConnections.ts
+++ b/src/plugins/connections/common/callerConnections.ts
@@ -13,7 +13,7 @@
 	readonly request: IncomingMessage;
 	/** Its data is held back until the responses before it were sent. */
 	readonly response: ServerResponse;
-	/** When its first bytes arrived, on the monotonic clock. */
+	/** When its first bytes arrived at the earliest, on the monotonic clock: they may have waited to be read. */
 	readonly arrivedAt: Millis;
 	/** Whether there is memory for its response; otherwise it is to be refused. */
 	readonly hasRoom: boolean;
--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -121,6 +121,10 @@
 		return this._host.tryTakeReadTurn(this);
 	}
 
+	readDelayMs(): Millis {
+		return this._host.readDelayMs();
+	}
+
 	/** Adds a request that the parser has read. */
 	add(request: IncomingMessage, response: ServerResponse): void {
 		const item = new CallerRequest(this, request, response, this.socket.fedArrivedAt);
--- a/src/plugins/connections/node/callerConnectionHost.ts
+++ b/src/plugins/connections/node/callerConnectionHost.ts
@@ -32,6 +32,8 @@
 	readonly bodyAccount: IBodyAccount;
 	readonly unreadTimeoutMs: Millis;
 	headerTimeoutMs(): Millis;
+	/** How long bytes that are read now may have waited for the event loop. */
+	readDelayMs(): Millis;
 	ownerOf(request: IncomingMessage): string | undefined;
 	isRepeatable(request: IncomingMessage): boolean;
 	serve(request: ICallerRequest): void;
--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -11,6 +11,7 @@
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
+import { IEventLoopMonitor } from '../../../kernel/common/eventLoopMonitor.js';
 import { listenWhenFree } from '../../../kernel/node/listenWhenFree.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
@@ -48,7 +49,8 @@
 		@IMemoryAccount private readonly _account: IMemoryAccount,
 		@IMetricsService metrics: IMetricsService,
 		@ILogService private readonly _log: ILogService,
-		@IBodyAccount private readonly _bodyAccount: IBodyAccount
+		@IBodyAccount private readonly _bodyAccount: IBodyAccount,
+		@IEventLoopMonitor private readonly _eventLoopMonitor: IEventLoopMonitor
 	) {
 		super();
 		const registers = [metrics.registry];
@@ -94,6 +96,7 @@
 			bodyAccount: this._bodyAccount,
 			unreadTimeoutMs: options.unreadTimeoutMs,
 			headerTimeoutMs: () => options.headerTimeoutMs(),
+			readDelayMs: () => this._eventLoopMonitor.readDelayMs(),
 			ownerOf: request => options.ownerOf(request),
 			onEarlyClose: cause => this._onEarlyClose(cause)
 		};
--- a/src/plugins/connections/node/callerSocket.ts
+++ b/src/plugins/connections/node/callerSocket.ts
@@ -41,6 +41,8 @@
 	tryTakeTurn(): boolean;
 	/** Bytes of the headers of a request that the parser has got in part. */
 	readonly headerBytes: number;
+	/** How long bytes that are read now may have waited for the event loop. */
+	readDelayMs(): Millis;
 	/** Called before the parser gets bytes. */
 	onFeed(bytes: number): void;
 }
@@ -213,7 +215,7 @@
 		if (this._isClosing || this._hasCallerEnded) {
 			return;
 		}
-		this._held.push({ data, arrivedAt: systemClock.now() });
+		this._held.push({ data, arrivedAt: systemClock.now() - this._control.readDelayMs() });
 		this._heldBytes += data.length;
 		this.feed();
 	}
--- a/src/plugins/connections/test/testListener.ts
+++ b/src/plugins/connections/test/testListener.ts
@@ -35,6 +35,8 @@
 	readonly taken: ICallerRequest[] = [];
 	/** Paths of requests whose caller left before the whole response was sent. */
 	readonly cancelled: string[] = [];
+	/** How long what is read may have waited for the event loop. */
+	readDelayMs = 0;
 	/** How long a connection may be idle after a response. */
 	idleTimeoutMs = 5000;
 	/** Called with each request that is taken up. */
@@ -49,7 +51,9 @@
 	constructor(memoryMb = 1024, receivedMemoryMb = 1024) {
 		this.account = new HeldMemoryAccount(memoryMb);
 		this.bodyAccount = new BodyAccount(receivedMemoryMb);
-		this.connections = new CallerConnections(this.account, this.metrics, LOG, this.bodyAccount);
+		this.connections = new CallerConnections(this.account, this.metrics, LOG, this.bodyAccount, {
+			readDelayMs: () => this.readDelayMs
+		});
 	}
 
 	/** Requests with a path that begins with `/once` may run only once. */
--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -73,17 +73,15 @@
 	private _truncationHandler: ((cause: TruncationCause) => void) | undefined;
 	private readonly _response: ServerResponse;
 
-	/** @param readDelayMs how long its bytes may have waited for the event loop */
 	constructor(
 		private readonly _callerRequest: ICallerRequest,
 		names: IHeaderNames,
-		private readonly _linkScheduler: LinkScheduler,
-		readDelayMs: Millis = 0
+		private readonly _linkScheduler: LinkScheduler
 	) {
 		const { request, response, arrivedAt } = _callerRequest;
 		this.request = request;
 		this.arrivedAt = arrivedAt;
-		this.waitedMs = systemClock.now() - arrivedAt + readDelayMs;
+		this.waitedMs = systemClock.now() - arrivedAt;
 		this._response = response;
 		const remaining = Number(request.headers[names.remainingMs] ?? Number.NaN);
 		this.requestId = String(request.headers[names.requestId] ?? '');
--- a/src/plugins/forwarding/node/forwardingTask.ts
+++ b/src/plugins/forwarding/node/forwardingTask.ts
@@ -208,7 +208,7 @@
 
 	private async _forward(context: RequestContext): Promise<void> {
 		const { exchange, route, service, team } = context;
-		this._outcomeTracker.recordRequest(service, exchange.arrivedAt, route.name);
+		this._outcomeTracker.recordRequest(service, systemClock.now(), route.name);
 		if (!context.isCounted) {
 			context.isCounted = true;
 			this._retryPolicy.retryBudgetOf(service).recordFirstAttempt(exchange.arrivedAt);
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -68,7 +68,7 @@
 		@IHeaderNames private readonly _headerNames: IHeaderNames,
 		@IServiceBounds private readonly _serviceBounds: IServiceBounds,
 		@IPeerRequests peerRequests: IPeerRequests,
-		@IEventLoopMonitor private readonly _eventLoopMonitor: IEventLoopMonitor,
+		@IEventLoopMonitor eventLoopMonitor: IEventLoopMonitor,
 		@IMetricsService metrics: IMetricsService,
 		@ILogService private readonly _log: ILogService
 	) {
@@ -80,7 +80,7 @@
 			headerNames: this._headerNames,
 			linkScheduler: this._linkScheduler,
 			view: this._session.view,
-			eventLoopMonitor: this._eventLoopMonitor,
+			eventLoopMonitor,
 			metrics,
 			log: this._log
 		});
@@ -173,12 +173,7 @@
 	}
 
 	private _serve(request: ICallerRequest): void {
-		const exchange = new CallerExchange(
-			request,
-			this._headerNames,
-			this._linkScheduler,
-			this._eventLoopMonitor.readDelayMs()
-		);
+		const exchange = new CallerExchange(request, this._headerNames, this._linkScheduler);
 		exchange.setTruncationHandler(cause =>
 			this._log.warn('response broke off after its beginning was forwarded', {
 				task: 'front',
--- a/src/plugins/forwarding/node/relay/relayServer.ts
+++ b/src/plugins/forwarding/node/relay/relayServer.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Counter } from 'prom-client';
+import { systemClock } from '../../../../base/clock.js';
 import type { IEventLoopMonitor } from '../../../../kernel/common/eventLoopMonitor.js';
 import { closeUnlessComplete } from '../../../../kernel/node/closeUnlessComplete.js';
 import type { ILogService } from '../../../../kernel/node/logService.js';
@@ -116,14 +117,10 @@
 		const { forwarding, headerNames, linkScheduler, view, eventLoopMonitor, log } = this._dependencies;
 		request.url = (request.url ?? '').slice(RELAY_PATH_PREFIX.length);
 		response.setHeader(RELAY_REVISION_HEADER, view.revision);
+		const arrivedAt = systemClock.now() - eventLoopMonitor.readDelayMs();
 		this._inFlight++;
 		response.once('close', () => this._inFlight--);
-		const exchange = new CallerExchange(
-			new RelayedRequest(request, response),
-			headerNames,
-			linkScheduler,
-			eventLoopMonitor.readDelayMs()
-		);
+		const exchange = new CallerExchange(new RelayedRequest(request, response, arrivedAt), headerNames, linkScheduler);
 		forwarding.serve(exchange, originOf(request)).catch((error: Error) => {
 			log.error('relayed request failed', { task: 'front', requestId: exchange.requestId, error: error.stack });
 			exchange.fail();
--- a/src/plugins/forwarding/node/relay/relayedRequest.ts
+++ b/src/plugins/forwarding/node/relay/relayedRequest.ts
@@ -5,18 +5,18 @@
 /** A request that another entry instance relays to this one, in place of one on a caller's connection. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { type Millis, systemClock } from '../../../../base/clock.js';
+import type { Millis } from '../../../../base/clock.js';
 import type { ICallerRequest } from '../../../connections/common/callerConnections.js';
 import { RELAY_UNFRAMED_HEADER } from '../../common/relayHeaders.js';
 
 /** One relayed request and its response. */
 export class RelayedRequest implements ICallerRequest {
-	readonly arrivedAt: Millis = systemClock.now();
 	readonly hasRoom = true;
 
 	constructor(
 		readonly request: IncomingMessage,
-		readonly response: ServerResponse
+		readonly response: ServerResponse,
+		readonly arrivedAt: Millis
 	) {}
 
 	get closesConnection(): boolean {
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -159,7 +159,7 @@
 	});
 	const scheduler = new LinkScheduler(new LinkPacer(LINK_MBIT));
 	front = createServer((request, response) => {
-		void relayFor(new CallerExchange(new RelayedRequest(request, response), NAMES, scheduler));
+		void relayFor(new CallerExchange(new RelayedRequest(request, response, performance.now()), NAMES, scheduler));
 	});
 	await new Promise<void>(resolve => front.listen(0, '127.0.0.1', () => resolve()));
 });
