Connections that wait to be accepted no longer wait for the work of those before them

Callers saw: an instance with more than its processor bears held nearly all requests beyond the time-out of their route, and worked for callers that had left. Cause: the event loop of Node.js accepts one connection a turn, and each request was passed on as it was read. With each turn full of work, connections waited in the operating system until their callers gave up. They were then accepted, read and passed on in that order, the end of the connection being read after its request, so that only requests of callers that had left were worked for, and the queue never became shorter. Change: requests are taken up by a credit for each turn. While each turn accepts a connection, most turns only accept and read. A request that was read late is taken up after one more poll, which reads the end of its connection. A connection accepted behind others counts as waiting since the first of them. The tests of connections, pipelining, requests, planned stops and silent callers pass.

--- a/src/plugins/connections/common/callerConnections.ts
+++ b/src/plugins/connections/common/callerConnections.ts
@@ -52,8 +52,11 @@
 	ownerOf(request: IncomingMessage): string | undefined;
 	/** Whether a request may be served while others of its connection are. */
 	isRepeatable(request: IncomingMessage): boolean;
-	/** Serves a request that was taken up. */
-	serve(request: ICallerRequest): void;
+	/**
+	 * Serves a request that was taken up.
+	 * @returns false where it was refused at once
+	 */
+	serve(request: ICallerRequest): boolean;
 }
 
 /** Connections of callers. */
--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -8,6 +8,7 @@
 import type { Socket } from 'node:net';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { HeaderDeadline } from '../common/headerDeadline.js';
+import type { Acceptance } from '../common/intakeTurns.js';
 import { HeldBytes, type IHeldMemory, MemoryPressure } from '../common/memoryAccount.js';
 import { RequestPipeline } from '../common/requestPipeline.js';
 import { EarlyCloseCause, type ICallerConnectionHost } from './callerConnectionHost.js';
@@ -60,7 +61,8 @@
 		raw: Socket,
 		private readonly _host: ICallerConnectionHost,
 		number: number,
-		private _endsAfterFirst: boolean
+		private _endsAfterFirst: boolean,
+		private readonly _acceptance: Acceptance
 	) {
 		this._owner = `connection-${number}`;
 		this._heldResponses = _host.account.hold(HeldBytes.ResponseBody, this._owner);
@@ -122,7 +124,7 @@
 	}
 
 	readDelayMs(): Millis {
-		return this._host.readDelayMs();
+		return this._host.readDelayMs(this._acceptance);
 	}
 
 	/** Adds a request that the parser has read. */
@@ -139,21 +141,25 @@
 		if (!response.shouldKeepAlive) {
 			this.pipeline.seal();
 		}
-		if (this._open.size === 0 && this.pipeline.waitingCount === 1) {
+		if (this._open.size === 0 && this.pipeline.waitingCount === 1 && this._host.mayTakeUp(item.arrivedAt)) {
 			this._takeNext();
 		} else {
 			this._host.schedule(this);
 		}
 	}
 
-	/** Takes up the next request and reads on; called by the host after {@link ICallerConnectionHost.schedule}. */
-	advance(): void {
+	/**
+	 * Takes up the next request and reads on; called by the host after {@link ICallerConnectionHost.schedule}.
+	 * @returns whether a request was taken up
+	 */
+	advance(): boolean {
 		const hasTaken = this._takeNext();
 		this._closeIfDone();
 		this.socket.feed();
 		if (hasTaken && this.pipeline.waitingCount > 0) {
 			this._host.schedule(this);
 		}
+		return hasTaken;
 	}
 
 	/** Whether the response to this request is the last; the refusal of invalid data would follow it. */
--- a/src/plugins/connections/node/callerConnectionHost.ts
+++ b/src/plugins/connections/node/callerConnectionHost.ts
@@ -8,6 +8,7 @@
 import type { Millis } from '../../../base/clock.js';
 import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { ICallerRequest } from '../common/callerConnections.js';
+import type { Acceptance } from '../common/intakeTurns.js';
 import type { IMemoryAccount } from '../common/memoryAccount.js';
 import type { CallerConnection } from './callerConnection.js';
 
@@ -32,12 +33,17 @@
 	readonly bodyAccount: IBodyAccount;
 	readonly unreadTimeoutMs: Millis;
 	headerTimeoutMs(): Millis;
-	/** How long bytes that are read now may have waited for the event loop. */
-	readDelayMs(): Millis;
+	/** How long bytes that are read now from a connection may have waited. */
+	readDelayMs(acceptance: Acceptance): Millis;
 	ownerOf(request: IncomingMessage): string | undefined;
 	isRepeatable(request: IncomingMessage): boolean;
+	/** Whether a request may be taken up as it is read; otherwise its connection is to be scheduled. */
+	mayTakeUp(arrivedAt: Millis): boolean;
 	serve(request: ICallerRequest): void;
-	/** Has `advance` called in a later turn of the event loop, after the connections that were scheduled before. */
+	/**
+	 * Has `advance` called in a later turn of the event loop, after the connections that were scheduled before; what the caller had
+	 * sent by now is read by then.
+	 */
 	schedule(connection: CallerConnection): void;
 	/** Takes a turn to read a part of a body; otherwise `socket.feed` is called in a later turn of the event loop. */
 	tryTakeReadTurn(connection: CallerConnection): boolean;
--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -15,8 +15,9 @@
 import { listenWhenFree } from '../../../kernel/node/listenWhenFree.js';
 import { ILogService } from '../../../kernel/node/logService.js';
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
-import type { CallerConnectionOptions, ICallerConnections } from '../common/callerConnections.js';
+import type { CallerConnectionOptions, ICallerConnections, ICallerRequest } from '../common/callerConnections.js';
 import { IMemoryAccount, MemoryPressure } from '../common/memoryAccount.js';
+import { type Acceptance, IntakeCost, IntakeTurns } from '../common/intakeTurns.js';
 import { ReadTurns } from '../common/readTurns.js';
 import { CallerConnection } from './callerConnection.js';
 import type { EarlyCloseCause, ICallerConnectionHost } from './callerConnectionHost.js';
@@ -25,12 +26,8 @@
 const PARSER_ERROR_PREFIX = 'HPE_';
 /** Interval at which the account of held memory is updated from the connections; short against the time in which it could fill. */
 const CHECK_INTERVAL_MS: Millis = 50;
-
-/**
- * Requests behind others that are taken up in one turn of the event loop. Requests on other connections are read between two turns,
- * so that none waits for the work of a whole pipeline.
- */
-const MAX_TAKEN_PER_TURN = 4;
+/** A request that waited this long before it was read is late. */
+const LATE_READ_MS: Millis = 20;
 
 /** Accepts connections and parses their requests with the HTTP server of Node.js. */
 export class CallerConnections extends Disposable implements ICallerConnections {
@@ -41,6 +38,9 @@
 	private _lastNumber = 0;
 	/** Connections with requests to take up, oldest first. */
 	private readonly _scheduled = new Set<CallerConnection>();
+	/** Connections that are scheduled in the next turn, so that the end of a connection is read before its request is taken up. */
+	private readonly _arriving = new Set<CallerConnection>();
+	private readonly _intakeTurns = new IntakeTurns();
 	private readonly _readTurns = new ReadTurns<CallerConnection>();
 	private _turn: NodeJS.Immediate | undefined;
 	private readonly _earlyCloses: Counter<'cause'>;
@@ -88,7 +88,8 @@
 		const http = this._createHttpServer(options);
 		const host: ICallerConnectionHost = {
 			isRepeatable: request => options.isRepeatable(request),
-			serve: request => options.serve(request),
+			mayTakeUp: arrivedAt => this._mayTakeUp(arrivedAt),
+			serve: request => this._serve(request, options),
 			onTakenChange: difference => (this._inFlight += difference),
 			schedule: connection => this._schedule(connection),
 			tryTakeReadTurn: connection => this._tryTakeReadTurn(connection),
@@ -96,7 +97,7 @@
 			bodyAccount: this._bodyAccount,
 			unreadTimeoutMs: options.unreadTimeoutMs,
 			headerTimeoutMs: () => options.headerTimeoutMs(),
-			readDelayMs: () => this._eventLoopMonitor.readDelayMs(),
+			readDelayMs: acceptance => this._readDelayMs(acceptance),
 			ownerOf: request => options.ownerOf(request),
 			onEarlyClose: cause => this._onEarlyClose(cause)
 		};
@@ -147,11 +148,15 @@
 			raw.destroy();
 			return;
 		}
-		const connection = new CallerConnection(raw, host, ++this._lastNumber, this._isEnding);
+		const acceptance = this._intakeTurns.recordAccept(systemClock.now(), this._eventLoopMonitor.readDelayMs());
+		this._ensureTurn();
+		const connection = new CallerConnection(raw, host, ++this._lastNumber, this._isEnding, acceptance);
 		const { socket } = connection;
 		this._connections.set(socket, connection);
 		socket.once('close', () => {
 			this._connections.delete(socket);
+			this._scheduled.delete(connection);
+			this._arriving.delete(connection);
 			this._readTurns.remove(connection);
 		});
 		http.emit('connection', socket);
@@ -178,25 +183,52 @@
 	}
 
 	private _schedule(connection: CallerConnection): void {
-		this._scheduled.add(connection);
-		this._turn ??= setImmediate(() => this._runTurn());
+		this._arriving.add(connection);
+		this._ensureTurn();
 	}
 
 	private _tryTakeReadTurn(connection: CallerConnection): boolean {
-		this._turn ??= setImmediate(() => this._runTurn());
+		this._ensureTurn();
 		return this._readTurns.tryTake(connection);
 	}
 
+	private _readDelayMs(acceptance: Acceptance): Millis {
+		return Math.max(this._intakeTurns.acceptDelayMs(acceptance), this._eventLoopMonitor.readDelayMs());
+	}
+
+	/** The end of a connection that waited together with its request is read after it, so a late request is scheduled. */
+	private _mayTakeUp(arrivedAt: Millis): boolean {
+		const isFirst = this._scheduled.size + this._arriving.size === 0;
+		return isFirst && this._intakeTurns.mayTake && systemClock.now() - arrivedAt < LATE_READ_MS;
+	}
+
+	private _serve(request: ICallerRequest, options: CallerConnectionOptions): void {
+		const isPassedOn = options.serve(request);
+		this._intakeTurns.spend(isPassedOn ? IntakeCost.PassedOn : IntakeCost.Refused);
+		this._ensureTurn();
+	}
+
+	private _ensureTurn(): void {
+		this._turn ??= setImmediate(() => this._runTurn());
+	}
+
 	private _runTurn(): void {
 		this._turn = undefined;
+		this._intakeTurns.begin();
 		this._readTurns.begin().forEach(({ socket }) => socket.feed());
-		const connections = [...this._scheduled].slice(0, MAX_TAKEN_PER_TURN);
-		for (const connection of connections) {
+		for (const connection of this._scheduled) {
+			if (!this._intakeTurns.mayTake) {
+				break;
+			}
 			this._scheduled.delete(connection);
-			connection.advance();
+			if (!connection.advance()) {
+				this._intakeTurns.spend(IntakeCost.Refused);
+			}
 		}
-		if (this._scheduled.size > 0 || this._readTurns.isPending) {
-			this._turn ??= setImmediate(() => this._runTurn());
+		this._arriving.forEach(connection => this._scheduled.add(connection));
+		this._arriving.clear();
+		if (this._scheduled.size > 0 || this._readTurns.isPending || this._intakeTurns.isPending) {
+			this._ensureTurn();
 		}
 	}
 
--- a/src/plugins/connections/test/testListener.ts
+++ b/src/plugins/connections/test/testListener.ts
@@ -76,6 +76,7 @@
 					}
 				});
 				this.onTaken(request);
+				return true;
 			}
 		});
 	}
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -172,7 +172,7 @@
 		return route?.repeatRule !== RepeatRule.AtMostOnce;
 	}
 
-	private _serve(request: ICallerRequest): void {
+	private _serve(request: ICallerRequest): boolean {
 		const exchange = new CallerExchange(request, this._headerNames, this._linkScheduler);
 		exchange.setTruncationHandler(cause =>
 			this._log.warn('response broke off after its beginning was forwarded', {
@@ -186,11 +186,12 @@
 			: unavailableResponse(RefusalReason.NoCapacity, SHORT_RETRY_AFTER_MS);
 		if (refusal) {
 			exchange.refuse(refusal);
-			return;
+			return false;
 		}
 		this._forwarding.serve(exchange).catch((error: Error) => {
 			this._log.error('request failed', { task: 'front', requestId: exchange.requestId, error: error.stack });
 			exchange.fail();
 		});
+		return true;
 	}
 }
