An instance with more requests than its processor bears refuses those it cannot get to

Callers saw: requests that waited a second and more in an overloaded instance, of which each took up work however late it was. Cause: admission looks at targets and slots; nothing looked at how late the instance itself is. Change: a request that waited half a second, or a fourth of what its caller waits, is refused with 503 and Retry-After as soon as it is read; where no request was prompt for a fourth of a second, each that waited 50 ms is. Requests refused on arrival are counted by reason.

--- a/src/base/verdict.ts
+++ b/src/base/verdict.ts
@@ -39,6 +39,8 @@
 	/** All eligible targets are at their reported rate limits or requested backoff. */
 	TargetsRateLimited = 'targets-at-limit',
 	LinkFull = 'link-full',
+	/** This instance has more requests than its processor can pass on. */
+	Overloaded = 'overloaded',
 	QueueFull = 'queue-full',
 	DeadlinePassed = 'deadline-passed',
 	DeadlineUnreachable = 'deadline-unreachable',
--- a/src/plugins/forwarding/node/frontListener.ts
+++ b/src/plugins/forwarding/node/frontListener.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
+import { Counter } from 'prom-client';
 import { Disposable, toDisposable } from '../../../base/disposable.js';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { RefusalReason } from '../../../base/verdict.js';
@@ -24,8 +25,9 @@
 import type { FrontSettings } from '../common/frontSettings.js';
 import { IHeaderNames } from '../common/headerNames.js';
 import { LinkPacer } from '../common/linkPacer.js';
+import { QueueDelayGuard } from '../common/queueDelayGuard.js';
 import { IServiceBounds } from '../common/serviceBounds.js';
-import { CallerExchange } from './callerExchange.js';
+import { CallerExchange, type LocalResponse } from './callerExchange.js';
 import { refuseByLimits } from './callerLimits.js';
 import { IForwarding } from './forwarding.js';
 import { LinkScheduler } from './linkScheduler.js';
@@ -57,6 +59,8 @@
 	private readonly _readinessListener: HttpListener;
 	private readonly _linkScheduler: LinkScheduler;
 	private readonly _relayServer: RelayServer;
+	private readonly _queueDelayGuard = new QueueDelayGuard();
+	private readonly _refusals: Counter<'reason'>;
 	private _isDraining = false;
 	private _isListening = false;
 
@@ -84,6 +88,12 @@
 			metrics,
 			log: this._log
 		});
+		this._refusals = new Counter({
+			name: 'shelffield_requests_refused_on_arrival_total',
+			help: 'Requests of callers that were refused without a look at their route, by reason.',
+			labelNames: ['reason'],
+			registers: [metrics.registry]
+		});
 		this._readinessListener = this._register(
 			new HttpListener({
 				address: this._settings.readyAddress,
@@ -172,6 +182,19 @@
 		return route?.repeatRule !== RepeatRule.AtMostOnce;
 	}
 
+	/** The response to a request that is refused without a look at its route. */
+	private _refuseOnArrival(
+		{ hasRoom, request }: ICallerRequest,
+		{ waitedMs, remainingMs }: CallerExchange
+	): LocalResponse | undefined {
+		if (!hasRoom) {
+			return unavailableResponse(RefusalReason.NoCapacity, SHORT_RETRY_AFTER_MS);
+		}
+		return this._queueDelayGuard.admits(waitedMs, remainingMs, systemClock.now())
+			? refuseByLimits(request, this._limits)
+			: unavailableResponse(RefusalReason.Overloaded, SHORT_RETRY_AFTER_MS);
+	}
+
 	private _serve(request: ICallerRequest): boolean {
 		const exchange = new CallerExchange(request, this._headerNames, this._linkScheduler);
 		exchange.setTruncationHandler(cause =>
@@ -181,10 +204,9 @@
 				cause
 			})
 		);
-		const refusal = request.hasRoom
-			? refuseByLimits(request.request, this._limits)
-			: unavailableResponse(RefusalReason.NoCapacity, SHORT_RETRY_AFTER_MS);
+		const refusal = this._refuseOnArrival(request, exchange);
 		if (refusal) {
+			this._refusals.inc({ reason: refusal.reason });
 			exchange.refuse(refusal);
 			return false;
 		}
