A response in progress ends at the time-out of its route

Callers saw: a response whose body drips, longer than what is buffered, went on until the caller's own deadline, however short the time-out of the route. Cause: the timer of an attempt ends when its outcome is known, which for a long response is its beginning; the rest had no bound. Change: what is left of a response is forwarded until the deadline of its request, also by an instance that relays it. It then breaks off as it does where its target breaks off, so that it does not look complete, and the target's connection is closed.

--- a/src/plugins/forwarding/node/callerExchange.ts
+++ b/src/plugins/forwarding/node/callerExchange.ts
@@ -40,10 +40,12 @@
 	reason: RefusalReason.TargetFailed
 };
 
-/** Why a target broke off a response. */
+/** Why a response broke off. */
 export enum TruncationCause {
 	/** The caller did not read, so that the target had to wait. */
 	Unread = 'unread',
+	/** Its time was over. */
+	Deadline = 'deadline',
 	/** Any other reason of the target or its connection. */
 	Target = 'target'
 }
@@ -120,7 +122,7 @@
 		this._closeHandler = callback;
 	}
 
-	/** Sets the callback for a response that a target broke off after its beginning was forwarded. */
+	/** Sets the callback for a response that broke off after its beginning was forwarded. */
 	setTruncationHandler(callback: (cause: TruncationCause) => void): void {
 		this._truncationHandler = callback;
 	}
@@ -145,21 +147,29 @@
 		this._response.end(body);
 	}
 
-	/** Forwards a target's response. When it is truncated on the way, the caller's connection is closed. */
-	forwardResponse(response: TargetResponse): void {
-		this._forward(response, NO_HEADERS, [VERDICT_HEADER, 'ran']);
+	/**
+	 * Forwards a target's response. When it is truncated on the way, or not complete at the deadline, the caller's connection is closed.
+	 * @param deadline on the monotonic clock
+	 */
+	forwardResponse(response: TargetResponse, deadline: Millis): void {
+		this._forward(response, deadline, NO_HEADERS, [VERDICT_HEADER, 'ran']);
 	}
 
-	/** Forwards the response of the entry instance that the request was relayed to, which states its verdict itself. */
-	forwardRelayedResponse(response: TargetResponse): void {
-		this._forward(response, RELAY_HEADERS, []);
+	/** As {@link forwardResponse}, for the response of the entry instance that the request was relayed to, which states its verdict itself. */
+	forwardRelayedResponse(response: TargetResponse, deadline: Millis): void {
+		this._forward(response, deadline, RELAY_HEADERS, []);
 	}
 
 	/**
 	 * @param dropped names in lower case of headers that the caller does not get
 	 * @param added headers of this instance
 	 */
-	private _forward(response: TargetResponse, dropped: ReadonlySet<string>, added: readonly string[]): void {
+	private _forward(
+		response: TargetResponse,
+		deadline: Millis,
+		dropped: ReadonlySet<string>,
+		added: readonly string[]
+	): void {
 		if (this._isDisconnected) {
 			response.remainingBody?.destroy();
 			return;
@@ -175,7 +185,7 @@
 			this._response.end(response.body);
 			return;
 		}
-		this._streamBody(response.body, response.remainingBody, isUnframed);
+		this._streamBody(response.body, response.remainingBody, isUnframed, deadline);
 	}
 
 	/** Whether only the end of the connection tells the caller where the response ends: versions other than HTTP/1.1 get no chunks. */
@@ -207,25 +217,31 @@
 	}
 
 	/** Streams a body that is not buffered whole, at the rate that the link scheduler allows. */
-	private _streamBody(body: Buffer, remainingBody: Readable, isUnframed: boolean): void {
+	private _streamBody(body: Buffer, remainingBody: Readable, isUnframed: boolean, deadline: Millis): void {
 		const paced = new PacedBody(this._linkScheduler);
-		const abort = (): void => {
+		const abort = (cause: TruncationCause): void => {
 			if (paced.destroyed) {
 				return;
 			}
-			const isUnread = paced.readableLength > 0 && this._response.writableNeedDrain;
-			this._truncationHandler?.(isUnread ? TruncationCause.Unread : TruncationCause.Target);
+			this._truncationHandler?.(cause);
 			paced.destroy();
+			remainingBody.destroy();
 			this._callerRequest.abort(isUnframed);
 		};
+		const onTruncated = (): void => {
+			const isUnread = paced.readableLength > 0 && this._response.writableNeedDrain;
+			abort(isUnread ? TruncationCause.Unread : TruncationCause.Target);
+		};
+		const timer = setTimeout(() => abort(TruncationCause.Deadline), Math.max(0, deadline - systemClock.now()));
+		paced.once('close', () => clearTimeout(timer));
 		this.setDisconnectHandler(() => {
 			remainingBody.destroy();
 			paced.destroy();
 		});
-		remainingBody.on('error', abort);
+		remainingBody.on('error', onTruncated);
 		remainingBody.on('close', () => {
 			if (!remainingBody.readableEnded) {
-				abort();
+				onTruncated();
 			}
 		});
 		paced.write(body);
--- a/src/plugins/forwarding/node/requestCompletion.ts
+++ b/src/plugins/forwarding/node/requestCompletion.ts
@@ -22,13 +22,13 @@
 
 	/** Ends the request with a target's response. */
 	finishWithTargetResponse(context: RequestContext, response: TargetResponse): void {
-		context.exchange.forwardResponse(response);
+		context.exchange.forwardResponse(response, context.deadline);
 		this._record(context, RequestEnd.Answered, response.status);
 	}
 
 	/** Ends the request with the response of the entry instance that it was relayed to. */
 	finishWithRelayedResponse(context: RequestContext, response: TargetResponse): void {
-		context.exchange.forwardRelayedResponse(response);
+		context.exchange.forwardRelayedResponse(response, context.deadline);
 		this._record(context, RequestEnd.Relayed, response.status);
 	}
 
--- a/src/plugins/forwarding/test/callerExchange.test.ts
+++ b/src/plugins/forwarding/test/callerExchange.test.ts
@@ -51,7 +51,8 @@
 function forward(
 	bytes: number,
 	endsWithConnection: boolean,
-	isLast = true
+	isLast = true,
+	remainingMs = 60000
 ): { request: UnreadRequest; body: PassThrough; causes: TruncationCause[] } {
 	const request = new UnreadRequest(isLast);
 	const exchange = new CallerExchange(request, NAMES, new LinkScheduler(new LinkPacer(LINK_MBIT)));
@@ -66,7 +67,7 @@
 		body: Buffer.from('beginning'),
 		remainingBody: body
 	};
-	exchange.forwardResponse(response);
+	exchange.forwardResponse(response, performance.now() + remainingMs);
 	body.write(Buffer.alloc(bytes));
 	return { request, body, causes };
 }
@@ -96,3 +97,11 @@
 	assert.deepEqual([request.response.statusCode, body.destroyed], [502, true]);
 	assert.equal(request.response.getHeader('shelffield-verdict'), 'may-have-run');
 });
+
+/** Guards against a response in progress that is held until the caller's own deadline. */
+test('a response that is not complete at the deadline breaks off, and its target is left', async () => {
+	const { request, body, causes } = forward(100, false, true, 20);
+	assert.deepEqual(request.aborts, []);
+	await new Promise(resolve => setTimeout(resolve, 60));
+	assert.deepEqual([causes, request.aborts, body.destroyed], [[TruncationCause.Deadline], [false], true]);
+});
--- a/src/plugins/forwarding/test/relay.test.ts
+++ b/src/plugins/forwarding/test/relay.test.ts
@@ -286,7 +286,7 @@
 	peers[0]!.serve = exchange =>
 		new Promise(resolve => {
 			const request = httpRequest({ host: '127.0.0.1', port, agent: false }, response => {
-				exchange.forwardResponse(streamedResponse(response));
+				exchange.forwardResponse(streamedResponse(response), performance.now() + REMAINING_MS);
 				resolve();
 			});
 			request.on('error', () => undefined);
--- a/test/integration/truncatedForwarding.test.ts
+++ b/test/integration/truncatedForwarding.test.ts
@@ -9,12 +9,14 @@
 import { PassThrough } from 'node:stream';
 import { after, before, test } from 'node:test';
 import { TestListener } from '../../src/plugins/connections/test/testListener.js';
+import type { TargetResponse } from '../../src/plugins/forwarding/common/attempt.js';
 import type { IHeaderNames } from '../../src/plugins/forwarding/common/headerNames.js';
 import { LinkPacer } from '../../src/plugins/forwarding/common/linkPacer.js';
 import { CallerExchange } from '../../src/plugins/forwarding/node/callerExchange.js';
 import { LinkScheduler } from '../../src/plugins/forwarding/node/linkScheduler.js';
 
 const NAMES = { remainingMs: 'r', requestId: 'i', objectCookie: 'o', teamKey: 'k' } as unknown as IHeaderNames;
+const REMAINING_MS = 5000;
 const LAST_CHUNK = '\r\n0\r\n\r\n';
 const listener = new TestListener();
 const scheduler = new LinkScheduler(new LinkPacer(1000));
@@ -40,14 +42,16 @@
 	listener.onTaken = request => {
 		const exchange = new CallerExchange(request, NAMES, scheduler);
 		const body = Buffer.from('beginning');
-		exchange.forwardResponse({
+		const deadline = performance.now() + REMAINING_MS;
+		const response: TargetResponse = {
 			type: 'answer',
 			status: 200,
 			rawHeaders: [...rawHeaders],
 			endsWithConnection: false,
 			body,
 			remainingBody
-		});
+		};
+		exchange.forwardResponse(response, deadline);
 	};
 	return new Promise(resolve => {
 		const socket = connect(port, '127.0.0.1').setEncoding('latin1');
