Tests: eight more kinds of responses without end

The kinds that had a test were one-byte chunks, bodies without a length, headers and interim responses. New: one header, bytes that are no response, blank lines, bytes and further responses after a whole one, trailers, an extension of a chunk, and a body that its caller does not read.

--- a/test/platform/endlessResponses.test.ts
+++ b/test/platform/endlessResponses.test.ts
@@ -64,6 +64,16 @@
 	});
 });
 
+/** A response without end. */
+interface EndlessKind {
+	readonly name: string;
+	readonly head: (id: string) => string;
+	/** Follows the head without end. */
+	readonly repeated: string;
+	/** Whether the caller reads nothing. */
+	readonly isUnread?: boolean;
+}
+
 function okHead(id: string, ...lines: string[]): string {
 	return ['HTTP/1.1 200 OK', `Request-Id: ${id}`, ...lines].join('\r\n');
 }
@@ -81,13 +91,15 @@
 	}
 }
 
-/** Opens a connection of a caller that reads all it gets. */
-function sendCaller(i: number): Socket {
+/** Opens a connection of a caller that reads all it gets, or nothing. */
+function sendCaller(i: number, isReading: boolean): Socket {
 	const { hostname, port } = new URL(system.callerUrl(entry));
 	const socket = connect(Number(port), hostname);
 	sockets.add(socket);
 	socket.on('error', () => undefined);
-	socket.resume();
+	if (isReading) {
+		socket.resume();
+	}
 	const lines = ['POST /endless/1 HTTP/1.1', 'Host: shop.example', `Request-Id: endless-${i}`, 'Deadline-Ms: 20000'];
 	socket.write(`${[...lines, 'Content-Length: 0'].join('\r\n')}\r\n\r\n`);
 	return socket;
@@ -147,7 +159,7 @@
 	server.close();
 });
 
-const kinds = [
+const kinds: readonly EndlessKind[] = [
 	{
 		name: 'chunks of one byte',
 		head: (id: string) => `${okHead(id, 'Transfer-Encoding: chunked')}\r\n\r\n`,
@@ -155,7 +167,36 @@
 	},
 	{ name: 'a body without a length', head: (id: string) => `${okHead(id)}\r\n\r\n`, repeated: 'x' },
 	{ name: 'headers', head: (id: string) => `${okHead(id)}\r\n`, repeated: 'Name: value\r\n' },
-	{ name: 'interim responses', head: () => '', repeated: 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n' }
+	{ name: 'interim responses', head: () => '', repeated: 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n' },
+	{ name: 'one header', head: (id: string) => `${okHead(id)}\r\nName: `, repeated: 'x' },
+	{ name: 'bytes that are no response', head: () => '', repeated: 'x' },
+	{ name: 'blank lines in place of a response', head: () => '', repeated: '\r\n' },
+	{
+		name: 'bytes after a whole response',
+		head: (id: string) => `${okHead(id, 'Content-Length: 2')}\r\n\r\nok`,
+		repeated: 'x'
+	},
+	{
+		name: 'further responses after a whole one',
+		head: (id: string) => `${okHead(id, 'Content-Length: 2')}\r\n\r\nok`,
+		repeated: 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno'
+	},
+	{
+		name: 'trailers',
+		head: (id: string) => `${okHead(id, 'Transfer-Encoding: chunked')}\r\n\r\n2\r\nok\r\n0\r\n`,
+		repeated: 'Name: value\r\n'
+	},
+	{
+		name: 'an extension of a chunk',
+		head: (id: string) => `${okHead(id, 'Transfer-Encoding: chunked')}\r\n\r\n2;name=`,
+		repeated: 'x'
+	},
+	{
+		name: 'a body that is not read',
+		head: (id: string) => `${okHead(id)}\r\n\r\n`,
+		repeated: 'x',
+		isUnread: true
+	}
 ];
 
 for (const kind of kinds) {
@@ -163,7 +204,7 @@
 		({ head, repeated } = kind);
 		progress = 0;
 		const child = entry.child!;
-		const callers = Array.from({ length: CALLERS }, (_unused, i) => sendCaller(i));
+		const callers = Array.from({ length: CALLERS }, (_unused, i) => sendCaller(i, !kind.isUnread));
 		await waitFor('the target sends', () => Promise.resolve(progress > 0 || undefined));
 		await expectServes();
 		await waitUntilSettled();
