The expected size of responses has a class of its own; an error is called by its name

callerConnection.ts loses its moving average of response sizes to ResponseSizeEstimate, and BodyTruncatedError names itself so and not BodyCutError. No behaviour changes; tests of connections pass.

--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -11,6 +11,7 @@
 import type { Acceptance } from '../common/intakeTurns.js';
 import { HeldBytes, type IHeldMemory, MemoryPressure } from '../common/memoryAccount.js';
 import { RequestPipeline } from '../common/requestPipeline.js';
+import { ResponseSizeEstimate } from '../common/responseSizeEstimate.js';
 import { EarlyCloseCause, type ICallerConnectionHost } from './callerConnectionHost.js';
 import { CallerRequest, type IRequestConnection } from './callerRequest.js';
 import { CallerSocket, type IReadControl } from './callerSocket.js';
@@ -23,9 +24,6 @@
 
 /** Held for each request that runs, beside its response: the objects of the request and of its connection to a target. */
 const REQUEST_BYTES = 8 * 1024;
-/** Response size that is assumed before the first one. */
-const INITIAL_RESPONSE_BYTES = 16 * 1024;
-const RESPONSE_SIZE_SMOOTHING = 0.25;
 
 /** How long the rest of a body is read and discarded after its request was answered; the connection is closed afterwards. */
 const DISCARD_MS: Millis = 5000;
@@ -46,8 +44,7 @@
 	private readonly _heldResponses: IHeldMemory;
 	/** Data of this caller that no target has got. */
 	private readonly _heldRequests: IHeldMemory;
-	private _responseBytes = INITIAL_RESPONSE_BYTES;
-	private _sentBytes = 0;
+	private readonly _responseSize = new ResponseSizeEstimate();
 	private _headerBytes = 0;
 	/** Until when the body of a request that was answered may go on. */
 	private _discardUntil: Millis | undefined;
@@ -281,7 +278,7 @@
 			return true;
 		}
 		const owner = this._host.ownerOf(item.request) ?? this._owner;
-		const bytes = REQUEST_BYTES + Math.round(this._responseBytes);
+		const bytes = REQUEST_BYTES + this._responseSize.bytes;
 		item.reservation = this._host.account.tryReserve(HeldBytes.ResponseBody, bytes, owner);
 		return item.reservation !== undefined;
 	}
@@ -321,9 +318,7 @@
 	}
 
 	private _onResponseClose(item: CallerRequest): void {
-		const sentBytes = this.socket.sentBytes - this._sentBytes;
-		this._sentBytes = this.socket.sentBytes;
-		this._responseBytes += (sentBytes - this._responseBytes) * RESPONSE_SIZE_SMOOTHING;
+		this._responseSize.recordResponse(this.socket.sentBytes);
 		this._closeRequest(item);
 		if (this.socket.destroyed) {
 			return;
--- a/src/plugins/forwarding/node/requestBody.ts
+++ b/src/plugins/forwarding/node/requestBody.ts
@@ -18,7 +18,7 @@
 export class BodyTruncatedError extends Error {
 	constructor() {
 		super('caller disconnected before the end of the request body');
-		this.name = 'BodyCutError';
+		this.name = 'BodyTruncatedError';
 	}
 }
 
