Deadlines of the product's own path count from when a request may have arrived

Callers saw: on the product's own path too, what a request waited while its instance did not run was added to its deadline. Cause: arrivedAt was when the request was read. Evidence: integration/lateReads, an instance stopped for 1.2 s, deadlines of 1,000 ms: 8 of 8 answered 1,014 to 1,063 ms after it went on. Change: the arrival is the read less the delay of the event loop, as for callers of the platform. Measured: the test passes; integration tests of requests and of the whole path pass.

--- a/src/plugins/callers/node/callerServer.ts
+++ b/src/plugins/callers/node/callerServer.ts
@@ -11,6 +11,7 @@
 import { Disposable } from '../../../base/disposable.js';
 import { RefusalReason, RequestError } from '../../../base/verdict.js';
 import { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
+import { IEventLoopMonitor } from '../../../kernel/common/eventLoopMonitor.js';
 import { type IContribution, ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import { addressSchema, integerSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
 import { HttpListener, type HttpRequest, type HttpResponse } from '../../../kernel/node/httpListener.js';
@@ -80,6 +81,7 @@
 		@ISettingsService settings: ISettingsService,
 		@IMetricsService metrics: IMetricsService,
 		@IBodyAccount private readonly _bodyAccount: IBodyAccount,
+		@IEventLoopMonitor private readonly _eventLoopMonitor: IEventLoopMonitor,
 		@ILogService private readonly _log: ILogService,
 		@IPeerTransport private readonly _transport: IPeerTransport,
 		@IEntryConfiguration private readonly _configuration: IEntryConfiguration,
@@ -261,7 +263,7 @@
 		response: HttpResponse,
 		requestId: string
 	): Promise<DispatchRequest> {
-		const arrivedAt = systemClock.now();
+		const arrivedAt = systemClock.now() - this._eventLoopMonitor.readDelayMs();
 		const [, service, path] = SERVICE_PATH_PATTERN.exec(request.url!) ?? [];
 		if (!service || !this._dispatch.hasService(service)) {
 			throw invalidFieldError('service', this._dispatch.services.join(', '), RefusalReason.UnknownService);
