Requests are not refused for a wait that they did not have

Cause: every connection that was accepted behind another counted as waiting since the first of them. An instance that accepts one connection in each turn, without a queue, so seemed later and later. Change: only connections that follow a stall of the event loop count as waiting since it, and no more than the queue of unaccepted connections holds; a queue that is not worked off is cut to half of what a burst may wait.

--- a/src/plugins/connections/common/intakeTurns.ts
+++ b/src/plugins/connections/common/intakeTurns.ts
@@ -10,6 +10,11 @@
 
 import type { Millis } from '../../../base/clock.js';
 
+/**
+ * Connections that may wait to be accepted; with more, a slow process would accept those whose callers have given up. Others are left
+ * by the operating system to try again.
+ */
+export const MAX_UNACCEPTED = 64;
 /** Credit of a turn after which no connection waits to be accepted. */
 const CREDIT_PER_TURN = 16;
 /** Credit that each turn with a new connection adds while connections keep coming. */
@@ -38,8 +43,9 @@
 	private _turn = 0;
 	private _hasAccepted = false;
 	private _streakTurns = 0;
-	/** When the connections of the streak may have begun to wait, at the earliest. */
-	private _streakSince: Millis = 0;
+	/** Connections to accept that may have come before the end of the last stall, and when that stall began. */
+	private _stalledLeft = 0;
+	private _stalledSince: Millis = 0;
 
 	/** Whether a request may be taken up in this turn. */
 	get mayTake(): boolean {
@@ -56,12 +62,14 @@
 	 * @param readDelayMs how long it may have waited for the event loop
 	 */
 	recordAccept(now: Millis, readDelayMs: Millis): Acceptance {
-		if (this._streakTurns === 0 && !this._hasAccepted) {
-			this._streakSince = now - readDelayMs;
+		if (readDelayMs > 0) {
+			this._stalledLeft = MAX_UNACCEPTED;
+			this._stalledSince = now - readDelayMs;
 		}
 		this._hasAccepted = true;
-		const isInStreak = this._streakTurns >= MIN_STREAK_TURNS - 1;
-		return { turn: this._turn, delayMs: isInStreak ? now - this._streakSince : readDelayMs };
+		const mayHaveWaited = this._stalledLeft > 0;
+		this._stalledLeft = Math.max(0, this._stalledLeft - 1);
+		return { turn: this._turn, delayMs: mayHaveWaited ? now - this._stalledSince : 0 };
 	}
 
 	/** How long bytes that are read in this turn may have waited before their connection was accepted. */
@@ -78,6 +86,7 @@
 		this._turn++;
 		this._streakTurns = this._hasAccepted ? this._streakTurns + 1 : 0;
 		this._hasAccepted = false;
+		this._stalledLeft = this._streakTurns > 0 ? this._stalledLeft : 0;
 		this._credit =
 			this._streakTurns >= MIN_STREAK_TURNS
 				? Math.min(CREDIT_PER_TURN, this._credit + CREDIT_PER_ACCEPTING_TURN)
--- a/src/plugins/forwarding/common/queueDelayGuard.ts
+++ b/src/plugins/forwarding/common/queueDelayGuard.ts
@@ -17,6 +17,8 @@
 const MAX_BURST_WAIT_MS: Millis = 500;
 /** The same as a fraction of the time that the caller waits; most of it is left for the target. */
 const MAX_WAIT_FRACTION = 0.25;
+/** Part of the longest wait that remains in a queue that does not come from a burst. */
+const STANDING_QUEUE_FRACTION = 0.5;
 
 /** Decides by the waits of all requests of a process. */
 export class QueueDelayGuard {
@@ -35,6 +37,7 @@
 		}
 		this._lateSince ??= now;
 		const isStanding = now - this._lateSince > STANDING_QUEUE_MS;
-		return !isStanding && waitedMs <= Math.min(MAX_BURST_WAIT_MS, remainingMs * MAX_WAIT_FRACTION);
+		const maxWaitMs = Math.min(MAX_BURST_WAIT_MS, remainingMs * MAX_WAIT_FRACTION);
+		return waitedMs <= maxWaitMs * (isStanding ? STANDING_QUEUE_FRACTION : 1);
 	}
 }
