At most 64 connections wait to be accepted at the port of callers

Callers saw: with far less processor than they need, requests beyond the time-out of their route in connections that the instance has not accepted. Cause: 511 connections, the default of Node.js, may wait; at some tens of accepts a second that is many seconds, in which nothing can answer them. Evidence: platform/lateReads beside 9 busy processes: 834 of 889 overdue, 13 requests taken up. Change: a queue of 64. With more, the operating system leaves the opening packet to be sent again, so no request is sent, and callers go to another instance.

--- a/src/plugins/connections/node/callerConnections.ts
+++ b/src/plugins/connections/node/callerConnections.ts
@@ -17,7 +17,7 @@
 import { IMetricsService } from '../../../kernel/node/metricsService.js';
 import type { CallerConnectionOptions, ICallerConnections, ICallerRequest } from '../common/callerConnections.js';
 import { IMemoryAccount, MemoryPressure } from '../common/memoryAccount.js';
-import { type Acceptance, IntakeCost, IntakeTurns } from '../common/intakeTurns.js';
+import { type Acceptance, IntakeCost, IntakeTurns, MAX_UNACCEPTED } from '../common/intakeTurns.js';
 import { ReadTurns } from '../common/readTurns.js';
 import { CallerConnection } from './callerConnection.js';
 import type { EarlyCloseCause, ICallerConnectionHost } from './callerConnectionHost.js';
@@ -105,8 +105,11 @@
 			this._accept(socket, http, host, options.maxConnections)
 		);
 		this._acceptor = acceptor;
-		await listenWhenFree(acceptor, options.address, error =>
-			this._log.error('caller listener failed', { task: 'connections', error: error.message })
+		await listenWhenFree(
+			acceptor,
+			options.address,
+			error => this._log.error('caller listener failed', { task: 'connections', error: error.message }),
+			MAX_UNACCEPTED
 		);
 	}
 
