Memory of bodies that were given up is collected before it adds up

Cause: the account of received bodies counts what is held. What is no longer referenced stays until V8 collects, which it does after 64 MiB of memory outside its heap; sampled in the process, arrayBuffers rose to 64 MiB at the peak, with at most 20 MiB in the account.

Change: the account counts what bodies gave up, and while bodies are held what is read and outgrown; after a fourth of its limit it starts a collection. An instance without such bodies starts none.

--- a/src/kernel/common/bodyAccount.ts
+++ b/src/kernel/common/bodyAccount.ts
@@ -11,6 +11,10 @@
 
 /** Part of the memory of the process that bodies may use while they are received. */
 const BODY_PART = 1 / 8;
+/** Part of the limit that may wait for the garbage collector. */
+const GARBAGE_PART = 1 / 4;
+/** Part of the limit below which bodies hold too little for garbage to matter. */
+const LOW_USE_PART = 1 / 8;
 const BYTES_PER_MEGABYTE = 1024 * 1024;
 
 /** Bytes that are held for one body. */
@@ -32,6 +36,8 @@
 	readonly heldBytes: number;
 	/** Bodies that gave up their bytes for others. */
 	readonly evictions: number;
+	/** Counts bytes that were read or copied for a body and that are not referenced for long, where the account is in use. */
+	recordGarbage(bytes: number): void;
 	/** @param onEvicted called where the body has to give up its bytes, which are released by then */
 	hold(onEvicted: () => void): IHeldBody;
 }
@@ -63,9 +69,16 @@
 	private readonly _bodies = new Set<HeldBody>();
 	private _heldBytes = 0;
 	private _evictions = 0;
+	private _garbageBytes = 0;
 
-	/** @param memoryMb memory of the process */
-	constructor(memoryMb: number) {
+	/**
+	 * @param memoryMb memory of the process
+	 * @param _collectGarbage runs the garbage collector, which by itself lets tens of MiB of such blocks come together
+	 */
+	constructor(
+		memoryMb: number,
+		private readonly _collectGarbage: () => void = () => undefined
+	) {
 		this.limitBytes = Math.floor(memoryMb * BYTES_PER_MEGABYTE * BODY_PART);
 	}
 
@@ -77,6 +90,12 @@
 		return this._evictions;
 	}
 
+	recordGarbage(bytes: number): void {
+		if (this._heldBytes > this.limitBytes * LOW_USE_PART) {
+			this._addGarbage(bytes);
+		}
+	}
+
 	hold(onEvicted: () => void): IHeldBody {
 		return new HeldBody(this, onEvicted);
 	}
@@ -95,8 +114,10 @@
 				break;
 			}
 			this._evictions++;
+			const { bytes: evictedBytes } = other;
 			this.release(other);
 			other.onEvicted();
+			this._addGarbage(evictedBytes);
 		}
 		return true;
 	}
@@ -107,6 +128,14 @@
 		this._bodies.delete(body);
 	}
 
+	private _addGarbage(bytes: number): void {
+		this._garbageBytes += bytes;
+		if (this._garbageBytes > this.limitBytes * GARBAGE_PART) {
+			this._garbageBytes = 0;
+			this._collectGarbage();
+		}
+	}
+
 	private _count(body: HeldBody, bytes: number): void {
 		this._heldBytes += bytes - body.bytes;
 		body.bytes = bytes;
--- a/src/kernel/node/bodyAccountService.ts
+++ b/src/kernel/node/bodyAccountService.ts
@@ -6,6 +6,7 @@
 
 import { Counter, Gauge } from 'prom-client';
 import { BodyAccount } from '../common/bodyAccount.js';
+import { GarbageCollector } from './garbageCollector.js';
 import type { InstanceSettings } from './instanceSettings.js';
 import { IMetricsService } from './metricsService.js';
 import { ISettingsService } from './settingsService.js';
@@ -13,7 +14,8 @@
 /** Takes its limit from the settings. */
 export class BodyAccountService extends BodyAccount {
 	constructor(@ISettingsService settings: ISettingsService, @IMetricsService metrics: IMetricsService) {
-		super(settings.section<InstanceSettings>('instance').memoryMb);
+		const collector = new GarbageCollector();
+		super(settings.section<InstanceSettings>('instance').memoryMb, () => collector.collect());
 		const registers = [metrics.registry];
 		const held: Gauge = new Gauge({
 			name: 'shelffield_received_body_bytes',
@@ -30,5 +32,14 @@
 				evictions.inc(this.evictions);
 			}
 		});
+		const collections: Counter = new Counter({
+			name: 'shelffield_received_body_collections_total',
+			help: 'Garbage collections that were started to release the memory of received bodies.',
+			registers,
+			collect: () => {
+				collections.reset();
+				collections.inc(collector.collections);
+			}
+		});
 	}
 }
--- a/src/kernel/node/bodyBuffer.ts
+++ b/src/kernel/node/bodyBuffer.ts
@@ -79,6 +79,7 @@
 			throw new BodyTooLargeError(this._account.limitBytes);
 		}
 		if (capacity > this._buffer.length) {
+			this._account.recordGarbage(this._buffer.length);
 			const grown = Buffer.allocUnsafeSlow(capacity);
 			this._buffer.copy(grown, 0, 0, this._length);
 			this._buffer = grown;
--- a/src/kernel/test/bodyAccount.test.ts
+++ b/src/kernel/test/bodyAccount.test.ts
@@ -27,6 +27,35 @@
 	assert.deepEqual([evicted, account.heldBytes, account.evictions], [[1, 2], MEGABYTE, 2]);
 });
 
+test('bodies that give up their bytes again and again leave at most a fourth of the limit to the garbage collector', () => {
+	let [collections, evictedBytes, mostBytes] = [0, 0, 0];
+	const account = new BodyAccount(MEMORY_MB, () => {
+		collections++;
+		evictedBytes = 0;
+	});
+	for (let i = 0; i < 100; i++) {
+		const bytes = MEGABYTE / 16;
+		account.hold(() => (evictedBytes += bytes)).tryResize(bytes);
+		mostBytes = Math.max(mostBytes, evictedBytes);
+	}
+	assert.ok(account.evictions >= 80 && collections >= 16);
+	assert.ok(mostBytes <= MEGABYTE / 4, `${mostBytes} bytes waited`);
+});
+
+test('reads leave at most a fourth of the limit to the garbage collector while bodies are held, and none is started otherwise', () => {
+	let collections = 0;
+	const account = new BodyAccount(MEMORY_MB, () => collections++);
+	for (let i = 0; i < 100; i++) {
+		account.recordGarbage(MEGABYTE / 16);
+	}
+	assert.equal(collections, 0);
+	account.hold(noop).tryResize(MEGABYTE / 2);
+	for (let i = 0; i < 100; i++) {
+		account.recordGarbage(MEGABYTE / 16);
+	}
+	assert.equal(collections, 20);
+});
+
 test('a body that is larger than the account is refused, and the others keep theirs', () => {
 	const account = new BodyAccount(MEMORY_MB);
 	const held = account.hold(() => assert.fail('evicted'));
--- a/src/plugins/connections/node/callerSocket.ts
+++ b/src/plugins/connections/node/callerSocket.ts
@@ -80,12 +80,12 @@
 	constructor(
 		private readonly _raw: Socket,
 		private readonly _control: IReadControl,
-		account: IBodyAccount,
+		private readonly _account: IBodyAccount,
 		private readonly _unreadTimeoutMs: Millis
 	) {
 		// A mark of 1 byte keeps the stream from buffering more than one slice.
 		super({ allowHalfOpen: true, readableHighWaterMark: 1, decodeStrings: false });
-		this._retained = account.hold(() => this.onEvicted?.());
+		this._retained = _account.hold(() => this.onEvicted?.());
 		_raw.on('data', (data: Buffer) => this._onData(data));
 		_raw.on('end', () => this._onCallerEnd());
 		_raw.on('error', error => this.destroy(error));
@@ -217,6 +217,7 @@
 		}
 		this._held.push({ data, arrivedAt: systemClock.now() - this._control.readDelayMs() });
 		this._heldBytes += data.length;
+		this._account.recordGarbage(data.length);
 		this.feed();
 	}
 
