Connections of the own path that waited behind others count from the stall

Cause: one connection is accepted a turn, and by then the event loop is on time. The callers' port of the platform knew of that, this one did not.

Change: AcceptDelays, taken out of IntakeTurns, is used by both; ArrivalTimes applies it to any HttpListener.

--- a/src/kernel/node/httpListener.ts
+++ b/src/kernel/node/httpListener.ts
@@ -9,6 +9,8 @@
 import { readFileSync } from 'node:fs';
 import polka from 'polka';
 import { Disposable, toDisposable } from '../../base/disposable.js';
+import type { IEventLoopMonitor } from '../common/eventLoopMonitor.js';
+import { ArrivalTimes } from './arrivalTimes.js';
 import { closeUnlessComplete } from './closeUnlessComplete.js';
 import { ConnectionLimit } from './connectionLimit.js';
 import { ConnectionTracker } from './connectionTracker.js';
@@ -124,6 +126,11 @@
 		this._app.all(pattern, this._catchErrors(handler));
 	}
 
+	/** Tells from now on when requests arrived; to be called before {@link listen}, and not for a TLS listener. */
+	recordArrivals(eventLoopMonitor: IEventLoopMonitor): ArrivalTimes {
+		return new ArrivalTimes(this._server, eventLoopMonitor);
+	}
+
 	/** Starts listening once the address is free; resolves to the address with the actual port. */
 	listen(): Promise<string> {
 		this._server.on('request', this._app.handler);
--- a/src/kernel/node/listenWhenFree.ts
+++ b/src/kernel/node/listenWhenFree.ts
@@ -11,7 +11,7 @@
 /** After this long the address is taken by something else. */
 const MAX_WAIT_MS: Millis = 30000;
 /** That of Node.js. */
-const DEFAULT_MAX_UNACCEPTED = 511;
+export const DEFAULT_MAX_UNACCEPTED = 511;
 
 /**
  * Starts listening as soon as the address is free.
--- a/src/plugins/callers/node/callerServer.ts
+++ b/src/plugins/callers/node/callerServer.ts
@@ -14,6 +14,7 @@
 import { IEventLoopMonitor } from '../../../kernel/common/eventLoopMonitor.js';
 import { type IContribution, ProcessKind } from '../../../kernel/common/pluginRegistry.js';
 import { addressSchema, integerSchema, settingsRegistry } from '../../../kernel/common/settingsRegistry.js';
+import type { ArrivalTimes } from '../../../kernel/node/arrivalTimes.js';
 import { HttpListener, type HttpRequest, type HttpResponse } from '../../../kernel/node/httpListener.js';
 import { BodyEvictedError } from '../../../kernel/node/bodyEvictedError.js';
 import { BodyTooLargeError } from '../../../kernel/node/bodyTooLargeError.js';
@@ -69,6 +70,7 @@
 /** Serves look-ups and requests of callers. */
 export class CallerServer extends Disposable implements IContribution {
 	private readonly _listener: HttpListener;
+	private readonly _arrivalTimes: ArrivalTimes;
 	private readonly _instance: InstanceSettings;
 	private readonly _requestsTotal: Counter<'service' | 'group' | 'verdict' | 'reason'>;
 	private readonly _requestSeconds: Histogram<'service' | 'group'>;
@@ -81,7 +83,7 @@
 		@ISettingsService settings: ISettingsService,
 		@IMetricsService metrics: IMetricsService,
 		@IBodyAccount private readonly _bodyAccount: IBodyAccount,
-		@IEventLoopMonitor private readonly _eventLoopMonitor: IEventLoopMonitor,
+		@IEventLoopMonitor eventLoopMonitor: IEventLoopMonitor,
 		@ILogService private readonly _log: ILogService,
 		@IPeerTransport private readonly _transport: IPeerTransport,
 		@IEntryConfiguration private readonly _configuration: IEntryConfiguration,
@@ -102,6 +104,7 @@
 				onError: error => this._log.error('request failed', { task: 'callers', error: error.stack })
 			})
 		);
+		this._arrivalTimes = this._listener.recordArrivals(eventLoopMonitor);
 		this._listener.on('GET', '/v1/entries', (request, response) => this._lookUp(request, response));
 		this._listener.onAll('/s/*', (request, response) => this._handleRequest(request, response));
 		this._configuration.addReportPart(() => ({ leaving: this._isDraining }));
@@ -263,7 +266,7 @@
 		response: HttpResponse,
 		requestId: string
 	): Promise<DispatchRequest> {
-		const arrivedAt = systemClock.now() - this._eventLoopMonitor.readDelayMs();
+		const arrivedAt = this._arrivalTimes.arrivedAt(request);
 		const [, service, path] = SERVICE_PATH_PATTERN.exec(request.url!) ?? [];
 		if (!service || !this._dispatch.hasService(service)) {
 			throw invalidFieldError('service', this._dispatch.services.join(', '), RefusalReason.UnknownService);
--- a/src/plugins/connections/common/intakeTurns.ts
+++ b/src/plugins/connections/common/intakeTurns.ts
@@ -9,6 +9,7 @@
  */
 
 import type { Millis } from '../../../base/clock.js';
+import { type Acceptance, AcceptDelays } from '../../../kernel/common/acceptDelays.js';
 
 /**
  * Connections that may wait to be accepted; with more, a slow process would accept those whose callers have given up. Others are left
@@ -22,13 +23,6 @@
 /** Turns with a new connection one after the other, from which on connections are known to be waiting. */
 const MIN_STREAK_TURNS = 2;
 
-/** When a connection was accepted. */
-export interface Acceptance {
-	readonly turn: number;
-	/** How long it may have waited before. */
-	readonly delayMs: Millis;
-}
-
 /** What taking up a request costs, in credit; the credit may become negative, which later turns make up for. */
 export enum IntakeCost {
 	/** It was passed on. */
@@ -40,12 +34,7 @@
 /** The credit for taking up requests, and the wait of connections before they are accepted. */
 export class IntakeTurns {
 	private _credit = CREDIT_PER_TURN;
-	private _turn = 0;
-	private _hasAccepted = false;
-	private _streakTurns = 0;
-	/** Connections to accept that may have come before the end of the last stall, and when that stall began. */
-	private _stalledLeft = 0;
-	private _stalledSince: Millis = 0;
+	private readonly _acceptDelays = new AcceptDelays(MAX_UNACCEPTED);
 
 	/** Whether a request may be taken up in this turn. */
 	get mayTake(): boolean {
@@ -54,7 +43,7 @@
 
 	/** Whether the next turn has to begin even if nothing happens in it. */
 	get isPending(): boolean {
-		return this._streakTurns > 0;
+		return this._acceptDelays.streakTurns > 0;
 	}
 
 	/**
@@ -62,19 +51,12 @@
 	 * @param readDelayMs how long it may have waited for the event loop
 	 */
 	recordAccept(now: Millis, readDelayMs: Millis): Acceptance {
-		if (readDelayMs > 0) {
-			this._stalledLeft = MAX_UNACCEPTED;
-			this._stalledSince = now - readDelayMs;
-		}
-		this._hasAccepted = true;
-		const mayHaveWaited = this._stalledLeft > 0;
-		this._stalledLeft = Math.max(0, this._stalledLeft - 1);
-		return { turn: this._turn, delayMs: mayHaveWaited ? now - this._stalledSince : 0 };
+		return this._acceptDelays.recordAccept(now, readDelayMs);
 	}
 
 	/** How long bytes that are read in this turn may have waited before their connection was accepted. */
-	acceptDelayMs({ turn, delayMs }: Acceptance): Millis {
-		return this._turn <= turn + 1 ? delayMs : 0;
+	acceptDelayMs(acceptance: Acceptance): Millis {
+		return this._acceptDelays.delayMs(acceptance);
 	}
 
 	spend(cost: IntakeCost): void {
@@ -83,12 +65,9 @@
 
 	/** Begins the turn that follows one with a connection or a request, or one after which {@link isPending} was true. */
 	begin(): void {
-		this._turn++;
-		this._streakTurns = this._hasAccepted ? this._streakTurns + 1 : 0;
-		this._hasAccepted = false;
-		this._stalledLeft = this._streakTurns > 0 ? this._stalledLeft : 0;
+		this._acceptDelays.beginTurn();
 		this._credit =
-			this._streakTurns >= MIN_STREAK_TURNS
+			this._acceptDelays.streakTurns >= MIN_STREAK_TURNS
 				? Math.min(CREDIT_PER_TURN, this._credit + CREDIT_PER_ACCEPTING_TURN)
 				: CREDIT_PER_TURN;
 	}
--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net';
 import { type Millis, systemClock } from '../../../base/clock.js';
 import { HeaderDeadline } from '../common/headerDeadline.js';
-import type { Acceptance } from '../common/intakeTurns.js';
+import type { Acceptance } from '../../../kernel/common/acceptDelays.js';
 import { HeldBytes, type IHeldMemory, MemoryPressure } from '../common/memoryAccount.js';
 import { RequestPipeline } from '../common/requestPipeline.js';
 import { ResponseSizeEstimate } from '../common/responseSizeEstimate.js';
