A short stall does not hide the long one before it

Callers of an instance with hardly any processor saw: of requests that waited together while it did not run, some had their whole deadline again.

Cause: a stall that is noticed while connections of an earlier one are still being accepted set the beginning of the wait anew. A process that has to share its processor has such short stalls all the time.

--- a/src/kernel/common/acceptDelays.ts
+++ b/src/kernel/common/acceptDelays.ts
@@ -39,8 +39,9 @@
 	 */
 	recordAccept(now: Millis, readDelayMs: Millis): Acceptance {
 		if (readDelayMs > 0) {
+			const since = now - readDelayMs;
+			this._stalledSince = this._stalledLeft > 0 ? Math.min(this._stalledSince, since) : since;
 			this._stalledLeft = this._maxUnaccepted;
-			this._stalledSince = now - readDelayMs;
 		}
 		this._hasAccepted = true;
 		const mayHaveWaited = this._stalledLeft > 0;
--- a/src/plugins/connections/test/intakeTurns.test.ts
+++ b/src/plugins/connections/test/intakeTurns.test.ts
@@ -78,6 +78,15 @@
 	assert.equal(accept(2 * STALL_MS, 0), 0, 'no more than the queue holds');
 });
 
+/** Guards against a short stall, of a process that has hardly any processor, that hides the long one before it. */
+test('connections behind two stalls may have waited since the first began', () => {
+	turns.recordAccept(STALL_MS, STALL_MS);
+	turns.begin();
+	assert.equal(turns.recordAccept(STALL_MS + TURN_MS, TURN_MS).delayMs, STALL_MS + TURN_MS);
+	turns.begin();
+	assert.equal(turns.recordAccept(STALL_MS + 2 * TURN_MS, 0).delayMs, STALL_MS + 2 * TURN_MS);
+});
+
 /** Guards against requests that are refused for a wait that they did not have. */
 test('connections that come one after the other without a stall have not waited', () => {
 	for (let i = 0; i < 100; i++) {
