--- a/src/kernel/node/httpPeerCalls.ts
+++ b/src/kernel/node/httpPeerCalls.ts
@@ -65,6 +65,7 @@
 	const body = new BodyBuffer(account, MAX_MESSAGE_BYTES, () => message.destroy());
 	const timer = setTimeout(() => message.destroy(), MESSAGE_TIMEOUT_MS);
 	message.on('data', (chunk: Buffer) => {
+		account.recordGarbage(chunk.length);
 		try {
 			body.append(chunk);
 		} catch (error) {
--- a/src/kernel/node/readBody.ts
+++ b/src/kernel/node/readBody.ts
@@ -23,6 +23,7 @@
 	return new Promise((resolve, reject) => {
 		const body = new BodyBuffer(account, limitBytes, () => fail(new BodyEvictedError()));
 		const append = (chunk: Buffer): void => {
+			account.recordGarbage(chunk.length);
 			try {
 				body.append(chunk);
 			} catch (error) {
--- a/test/platform/bodyCrowd.ts
+++ b/test/platform/bodyCrowd.ts
@@ -26,6 +26,8 @@
 	readonly chunkBytes: number;
 	/** What a chunk holds; the bytes `x` if omitted. */
 	readonly fill?: string;
+	/** What each client sends behind the headers in place of a chunked body. */
+	readonly rest?: string;
 }
 
 /** Clients of one kind. */
@@ -74,10 +76,13 @@
 	}
 
 	private _encode(): Buffer {
-		const { head, bodyBytes, chunkBytes, fill = 'x' } = this._options;
+		const { head, bodyBytes, chunkBytes, fill = 'x', rest } = this._options;
 		if (head.length === 0) {
 			return Buffer.alloc(0);
 		}
+		if (rest !== undefined) {
+			return Buffer.from([...head, rest].join('\r\n'), 'latin1');
+		}
 		const chunk = `${chunkBytes.toString(16)}\r\n${fill.repeat(chunkBytes / fill.length)}\r\n`;
 		const headText = [...head, 'Transfer-Encoding: chunked', '', ''].join('\r\n');
 		return Buffer.from(headText + chunk.repeat(Math.floor(bodyBytes / chunkBytes)), 'latin1');
--- a/test/platform/peerCrowds.test.ts
+++ b/test/platform/peerCrowds.test.ts
@@ -18,7 +18,8 @@
 
 	for (const [chunks, clients, bodyBytes, chunkBytes] of [
 		['one byte', 16, 150_000, 1],
-		['60,000 bytes', 16, 24_000_000, LARGE_CHUNK_BYTES]
+		['60,000 bytes', 16, 24_000_000, LARGE_CHUNK_BYTES],
+		['60,000 bytes, 700 of them,', 700, 600_000, LARGE_CHUNK_BYTES]
 	] as const) {
 		test(`${name} outlives messages of peers that come in chunks of ${chunks} and do not end`, () =>
 			crowds.withstand(instance, {
