The memory of a caller's connection is accounted in a class of its own

Change: ConnectionMemory has the reservation of responses, the estimate of their size and what is held without one. No behaviour changes.

--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -7,11 +7,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import { ConnectionMemory } from '../common/connectionMemory.js';
 import { HeaderDeadline } from '../common/headerDeadline.js';
 import type { Acceptance } from '../../../kernel/common/acceptDelays.js';
-import { HeldBytes, type IHeldMemory, MemoryPressure } from '../common/memoryAccount.js';
 import { RequestPipeline } from '../common/requestPipeline.js';
-import { ResponseSizeEstimate } from '../common/responseSizeEstimate.js';
 import { EarlyCloseCause, type ICallerConnectionHost } from './callerConnectionHost.js';
 import { CallerRequest, type IRequestConnection } from './callerRequest.js';
 import { CallerSocket, type IReadControl } from './callerSocket.js';
@@ -22,9 +21,6 @@
 const HEADERS_TOO_LATE = '408 Request Timeout';
 const HEADER_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
 
-/** Held for each request that runs, beside its response: the objects of the request and of its connection to a target. */
-const REQUEST_BYTES = 8 * 1024;
-
 /** How long the rest of a body is read and discarded after its request was answered; the connection is closed afterwards. */
 const DISCARD_MS: Millis = 5000;
 
@@ -39,12 +35,7 @@
 	private _errorStatus: string | undefined;
 	/** The request whose body is invalid. */
 	private _broken: CallerRequest | undefined;
-	private readonly _owner: string;
-	/** Data for this caller that has no reservation. */
-	private readonly _heldResponses: IHeldMemory;
-	/** Data of this caller that no target has got. */
-	private readonly _heldRequests: IHeldMemory;
-	private readonly _responseSize = new ResponseSizeEstimate();
+	private readonly _memory: ConnectionMemory;
 	private _headerBytes = 0;
 	/** Until when the body of a request that was answered may go on. */
 	private _discardUntil: Millis | undefined;
@@ -61,9 +52,7 @@
 		private _endsAfterFirst: boolean,
 		private readonly _acceptance: Acceptance
 	) {
-		this._owner = `connection-${number}`;
-		this._heldResponses = _host.account.hold(HeldBytes.ResponseBody, this._owner);
-		this._heldRequests = _host.account.hold(HeldBytes.RequestBody, this._owner);
+		this._memory = new ConnectionMemory(_host.account, `connection-${number}`);
 		this.socket = new CallerSocket(raw, this, _host.bodyAccount, _host.unreadTimeoutMs);
 		this.socket.onEvicted = () => this.closeForMemory();
 		this.socket.onUnread = () => _host.onEarlyClose(EarlyCloseCause.Unread);
@@ -77,7 +66,7 @@
 
 	/** Whether the account has memory for a further response. */
 	get hasRoom(): boolean {
-		return this._host.account.pressure < MemoryPressure.Refuse;
+		return this._memory.hasRoom;
 	}
 
 	/** Whether it has no request and no response in progress. */
@@ -209,8 +198,8 @@
 
 	/** Updates the account, and closes the connection where headers are late; called periodically. */
 	check(now: Millis): void {
-		this._heldRequests.resize(this.socket.heldBytes);
-		this._heldResponses.resize(
+		this._memory.update(
+			this.socket.heldBytes,
 			this._waitingBytes((total, { reservation, response }) => total + (reservation ? 0 : response.writableLength))
 		);
 		// Otherwise the parser has not got all that the caller sent.
@@ -277,9 +266,7 @@
 		if (this._open.size === 0 && this.socket.writableLength === 0) {
 			return true;
 		}
-		const owner = this._host.ownerOf(item.request) ?? this._owner;
-		const bytes = REQUEST_BYTES + this._responseSize.bytes;
-		item.reservation = this._host.account.tryReserve(HeldBytes.ResponseBody, bytes, owner);
+		item.reservation = this._memory.tryReserveResponse(this._host.ownerOf(item.request));
 		return item.reservation !== undefined;
 	}
 
@@ -318,7 +305,7 @@
 	}
 
 	private _onResponseClose(item: CallerRequest): void {
-		this._responseSize.recordResponse(this.socket.sentBytes);
+		this._memory.recordResponse(this.socket.sentBytes);
 		this._closeRequest(item);
 		if (this.socket.destroyed) {
 			return;
@@ -357,8 +344,7 @@
 	private _onClose(): void {
 		this.pipeline.end();
 		this._closeAll();
-		this._heldRequests.release();
-		this._heldResponses.release();
+		this._memory.release();
 	}
 
 	private _closeAll(): void {
