--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -10,17 +10,12 @@
 import { ConnectionMemory } from '../common/connectionMemory.js';
 import { HeaderDeadline } from '../common/headerDeadline.js';
 import type { Acceptance } from '../../../kernel/common/acceptDelays.js';
+import { formatInvalidRequest, InvalidRequestStatus, statusOfParserError } from '../common/invalidRequest.js';
 import { RequestPipeline } from '../common/requestPipeline.js';
 import { EarlyCloseCause, type ICallerConnectionHost } from './callerConnectionHost.js';
 import { CallerRequest, type IRequestConnection } from './callerRequest.js';
 import { CallerSocket, type IReadControl } from './callerSocket.js';
 
-/** Status lines of responses to bytes that are no valid request. */
-const BAD_REQUEST = '400 Bad Request';
-const HEADERS_TOO_LARGE = '431 Request Header Fields Too Large';
-const HEADERS_TOO_LATE = '408 Request Timeout';
-const HEADER_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
-
 /** How long the rest of a body is read and discarded after its request was answered; the connection is closed afterwards. */
 const DISCARD_MS: Millis = 5000;
 
@@ -31,8 +26,8 @@
 	readonly pipeline = new RequestPipeline<CallerRequest>();
 	private readonly _open = new Set<CallerRequest>();
 	private _latest: CallerRequest | undefined;
-	/** Status line for the caller once all requests before the invalid bytes are answered. */
-	private _errorStatus: string | undefined;
+	/** For the caller once all requests before the invalid bytes are answered. */
+	private _errorStatus: InvalidRequestStatus | undefined;
 	/** The request whose body is invalid. */
 	private _broken: CallerRequest | undefined;
 	private readonly _memory: ConnectionMemory;
@@ -187,7 +182,7 @@
 			// What follows a request that asked for the close is ignored.
 			return;
 		}
-		this._errorStatus ??= error.code === HEADER_OVERFLOW_CODE ? HEADERS_TOO_LARGE : BAD_REQUEST;
+		this._errorStatus ??= statusOfParserError(error);
 		this.socket.lingers = true;
 		if (this._latest && !this._latest.request.complete && !this.pipeline.removeWaiting(this._latest)) {
 			this._broken = this._latest;
@@ -296,7 +291,7 @@
 	private _onHeaderTimeout(): void {
 		this._host.onEarlyClose(EarlyCloseCause.HeaderTimeout);
 		if (this._headerDeadline.hasFirstByte) {
-			this._errorStatus ??= HEADERS_TOO_LATE;
+			this._errorStatus ??= InvalidRequestStatus.HeadersTooLate;
 		}
 		this.socket.lingers = true;
 		this._headerDeadline.clear();
@@ -334,7 +329,7 @@
 		}
 		const mayRefuse = !this.pipeline.hasDropped && !this._broken?.response.headersSent && this.socket.writable;
 		if (this._errorStatus !== undefined && mayRefuse) {
-			this.socket.write(`HTTP/1.1 ${this._errorStatus}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			this.socket.write(formatInvalidRequest(this._errorStatus));
 		}
 		this._errorStatus = undefined;
 		this.socket.destroySoon();
