--- a/src/plugins/connections/node/callerConnection.ts
+++ b/src/plugins/connections/node/callerConnection.ts
@@ -7,9 +7,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { type Millis, systemClock } from '../../../base/clock.js';
+import type { Acceptance } from '../../../kernel/common/acceptDelays.js';
 import { ConnectionMemory } from '../common/connectionMemory.js';
 import { HeaderDeadline } from '../common/headerDeadline.js';
-import type { Acceptance } from '../../../kernel/common/acceptDelays.js';
 import { formatInvalidRequest, InvalidRequestStatus, statusOfParserError } from '../common/invalidRequest.js';
 import { RequestPipeline } from '../common/requestPipeline.js';
 import { EarlyCloseCause, type ICallerConnectionHost } from './callerConnectionHost.js';
--- a/src/plugins/connections/node/callerConnectionHost.ts
+++ b/src/plugins/connections/node/callerConnectionHost.ts
@@ -6,9 +6,9 @@
 
 import type { IncomingMessage } from 'node:http';
 import type { Millis } from '../../../base/clock.js';
+import type { Acceptance } from '../../../kernel/common/acceptDelays.js';
 import type { IBodyAccount } from '../../../kernel/common/bodyAccount.js';
 import type { ICallerRequest } from '../common/callerConnections.js';
-import type { Acceptance } from '../../../kernel/common/acceptDelays.js';
 import type { IMemoryAccount } from '../common/memoryAccount.js';
 import type { CallerConnection } from './callerConnection.js';
 
