The test of relayed responses waits until requests are relayed

Cause: the test took any 200 for a relayed one. The instance polls for the partition, so it could still answer one from the target directly; the log shows the next request meeting the reset of that open connection.

Change: the test waits until the log says that a request was relayed, which asks more than before; what it checks of the response is unchanged.

--- a/test/platform/truncatedResponses.test.ts
+++ b/test/platform/truncatedResponses.test.ts
@@ -100,6 +100,16 @@
 	}
 }
 
+/** Has the entry instance relay requests; until it has noticed the partition, it may still answer one on an open connection. */
+async function relayRequests(): Promise<void> {
+	const start = entry.output.length;
+	system.setPartition(entry, 'reset');
+	await waitFor('requests are relayed', async () => {
+		await system.request(entry, 'GET', '/file/1');
+		return entry.output.includes('"end":"relayed"', start) ? true : undefined;
+	});
+}
+
 before(async () => {
 	await largeTarget.listen();
 	system.startAll();
@@ -132,10 +142,7 @@
 	}
 
 	test(`a part of a relayed response without a length never looks whole after ${signal} of the other instance`, async () => {
-		system.setPartition(entry, 'reset');
-		await waitFor('requests are relayed', async () =>
-			(await system.request(entry, 'GET', '/file/1')).status === 200 ? true : undefined
-		);
+		await relayRequests();
 		const response = await receivePart(entry, '1.1', `relayed-${signal}`);
 		await system.stop(peer, signal);
 		await waitForClose(response);
