--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -16,7 +16,10 @@
 	listen() {
 		return new Promise((resolve, reject) => {
 			this._http.once('error', reject);
-			this._http.listen(this.port, this.host, resolve);
+			this._http.listen(this.port, this.host, () => {
+				this.port = this._http.address().port;
+				resolve();
+			});
 		});
 	}
 
--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -4,6 +4,7 @@
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
+import { createInterface } from 'node:readline';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { fillTemplate, readRoles } from './template.mjs';
@@ -148,14 +149,24 @@
 			env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, SHELFFIELD_SETTINGS: settings },
 			stdio: ['ignore', 'pipe', 'pipe']
 		});
-		const collect = data => (machine.output = (machine.output + data).slice(-200000));
-		child.stdout.on('data', collect);
-		child.stderr.on('data', collect);
+		const onLine = line => {
+			machine.output = `${machine.output}${line}\n`.slice(-200000);
+			if (line.includes('"became leader"')) {
+				machine.ledAt = performance.now();
+			}
+		};
+		createInterface({ input: child.stdout }).on('line', onLine);
+		createInterface({ input: child.stderr }).on('line', onLine);
 		child.on('exit', (code, signal) => this.ends.push({ machine: machine.name, code, signal, at: performance.now() }));
 		machine.child = child;
 		machine.startedAt = performance.now();
 	}
 
+	/** The control instance that said last that it leads. */
+	leader() {
+		return [...this.controls].sort((a, b) => (b.ledAt ?? 0) - (a.ledAt ?? 0))[0];
+	}
+
 	/** Sends a signal to a process and waits for its end. */
 	async end(machine, signal) {
 		const { child } = machine;
