--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -136,13 +136,24 @@
 		};
 	}
 
+	_writeSettings(machine, template, fields) {
+		const settings = join(this.folder, `${machine.name}.ini`);
+		writeFileSync(settings, fillTemplate(template, fields).replace(/:9464$/m, `:${this.first + 5}`));
+		return settings;
+	}
+
+	/** Writes the settings of a machine again, with the same seeds in another order. */
+	changeSeeds(machine) {
+		this.controls.push(this.controls.shift());
+		this._writeSettings(machine, this.roles[machine.role].template, this._fields(machine, false));
+	}
+
 	/** Starts a process by the command of the deploy file; the metrics address of the templates gets a free port. */
 	start(machine, bootstrap) {
 		const { command, template } = this.roles[machine.role];
 		const fields = this._fields(machine, bootstrap);
 		mkdirSync(fields.data_dir, { recursive: true });
-		const settings = join(this.folder, `${machine.name}.ini`);
-		writeFileSync(settings, fillTemplate(template, fields).replace(/:9464$/m, `:${this.first + 5}`));
+		const settings = this._writeSettings(machine, template, fields);
 		const [program, ...args] = command;
 		const child = spawn(program, args, {
 			cwd: ROOT,
