--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -28,10 +28,14 @@
 export async function runCase(folderUrl, run, stop) {
 	const record = new Record(new URL('record.txt', folderUrl));
 	let code = COULD_NOT_RUN;
-	const timer = setTimeout(() => {
-		record.add('the time of the script is over');
+	const giveUp = reason => {
+		record.add(`could not run: ${reason}`);
 		void stop().finally(() => process.exit(COULD_NOT_RUN));
-	}, 112000);
+	};
+	process.on('uncaughtException', error => giveUp(error.stack));
+	process.on('unhandledRejection', error => giveUp(error?.stack ?? error));
+	['SIGTERM', 'SIGINT', 'SIGHUP'].forEach(signal => process.on(signal, () => giveUp(signal)));
+	const timer = setTimeout(() => giveUp('the time of the script is over'), 112000);
 	try {
 		code = (await run(record)) ? 1 : 0;
 	} catch (error) {
