--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -86,7 +86,7 @@
 			class: machineClass,
 			zone,
 			ip: `${this.subnet}.${host}`,
-			name: `${machineClass}-${zone}-1`,
+			name: `${machineClass}-${zone}-${host % 100}`,
 			output: ''
 		};
 	}
